--- /dev/null
+++ b/crates/cell/src/context.rs
@@ -0,0 +1,95 @@
+//! What every task of a process needs.
+
+use std::hash::BuildHasher;
+use std::hash::Hasher;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use job::Config;
+use platform::OrderClient;
+use platform::Store;
+use tokio::sync::watch;
+use web::Client;
+
+use crate::CellSettings;
+use crate::SeatView;
+
+/// Longest wait for a connection; within a region one takes milliseconds.
+const CONNECT: Duration = Duration::from_millis(300);
+
+/// What every task of a process needs.
+#[derive(Clone, Debug)]
+pub struct Context {
+    /// Settings.
+    pub settings: Arc<CellSettings>,
+    /// Run of this process; differs from all others.
+    pub incarnation: u64,
+    /// The platform's store.
+    pub store: Store,
+    /// Orders to workers.
+    pub orders: OrderClient,
+    /// Connections to peers and to the advice service.
+    pub client: Client,
+    /// Newest configuration; none before the first was read.
+    pub config: watch::Receiver<Option<Arc<Config>>>,
+    /// Who owns the pool, as far as known.
+    pub seat: watch::Receiver<SeatView>,
+    /// Turns true when the process has been asked to stop.
+    pub stop: watch::Receiver<bool>,
+    /// Origin of the process's monotonic clock.
+    origin: Instant,
+}
+
+impl Context {
+    /// The context of a process that starts now.
+    #[must_use]
+    pub fn new(
+        settings: CellSettings,
+        config: watch::Receiver<Option<Arc<Config>>>,
+        seat: watch::Receiver<SeatView>,
+        stop: watch::Receiver<bool>,
+    ) -> Context {
+        let store = Store::new(Client::new(CONNECT), settings.store);
+        Context {
+            settings: Arc::new(settings),
+            incarnation: std::hash::RandomState::new().build_hasher().finish(),
+            store,
+            orders: OrderClient::new(Client::new(CONNECT)),
+            client: Client::new(CONNECT),
+            config,
+            seat,
+            stop,
+            origin: Instant::now(),
+        }
+    }
+
+    /// Monotonic time since the process started.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    /// Wall-clock time since 1970; it may jump.
+    #[must_use]
+    pub fn wall(&self) -> Duration {
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
+    }
+
+    /// Whether the process has been asked to stop.
+    #[must_use]
+    pub fn stopping(&self) -> bool {
+        *self.stop.borrow()
+    }
+
+    /// Waits until the process is asked to stop.
+    pub async fn stopped(&self) {
+        let mut stop = self.stop.clone();
+        // A vanished sender counts as a stop.
+        let _ = stop.wait_for(|stop| *stop).await;
+    }
+}
--- /dev/null
+++ b/crates/cell/src/follow.rs
@@ -0,0 +1,80 @@
+//! Follows a table of the store through its change feed.
+
+use std::time::Duration;
+
+use platform::Row;
+use platform::Store;
+use platform::StoreError;
+use platform::Version;
+
+/// Time for an answer beyond the wait that the feed was asked for. A
+/// connection may go silent without a reset; only this time-out shows it.
+const FEED_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Time for each page of a full read.
+const READ_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// What has become known of a table.
+#[derive(Debug)]
+pub enum Change {
+    /// All rows: nothing else exists.
+    Full(Vec<Row>),
+    /// Rows that have changed, in order.
+    Some(Vec<Row>),
+}
+
+/// Follows one table.
+#[derive(Debug)]
+pub struct Follower {
+    store: Store,
+    table: &'static str,
+    /// All parts, or only the unnamed one.
+    parts: bool,
+    after: Option<Version>,
+}
+
+impl Follower {
+    /// Follows `table`; with `parts`, all of its parts and not only the
+    /// unnamed one.
+    #[must_use]
+    pub fn new(store: &Store, table: &'static str, parts: bool) -> Follower {
+        Follower {
+            store: store.clone(),
+            table,
+            parts,
+            after: None,
+        }
+    }
+
+    /// Waits up to `wait` for a change. The first call reads everything, and
+    /// so does the one after the store has dropped its history.
+    ///
+    /// # Errors
+    /// The store cannot be read; the next call continues.
+    pub async fn next(&mut self, wait: Duration) -> Result<Change, StoreError> {
+        let Some(after) = self.after else {
+            return self.read().await;
+        };
+        match self.store.feed(self.table, after, wait, FEED_TIMEOUT).await {
+            Ok(rows) => {
+                self.after = Some(rows.version.max(after));
+                Ok(Change::Some(rows.rows))
+            }
+            Err(StoreError::Forgotten) => {
+                log::info!(code = 310, table = self.table, after = after; "store history dropped, reading all");
+                self.read().await
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn read(&mut self) -> Result<Change, StoreError> {
+        let rows = if self.parts {
+            self.store.table(self.table, READ_TIMEOUT).await?
+        } else {
+            self.store.part(self.table, "", READ_TIMEOUT).await?
+        };
+        self.after = Some(rows.version);
+        Ok(Change::Full(rows.rows))
+    }
+}
--- /dev/null
+++ b/crates/cell/src/lib.rs
@@ -0,0 +1,28 @@
+//! Equal processes that share one pool of workers: each accepts jobs into the
+//! store; one at a time owns the pool and gives orders to the workers.
+
+mod asker;
+mod callers;
+mod context;
+mod error;
+mod follow;
+mod logging;
+mod owner;
+mod peers;
+mod process;
+mod rows;
+mod seat;
+mod settings;
+
+pub use asker::*;
+pub use callers::*;
+pub use context::*;
+pub use error::*;
+pub use follow::*;
+pub use logging::*;
+pub use owner::*;
+pub use peers::*;
+pub use process::*;
+pub use rows::*;
+pub use seat::*;
+pub use settings::*;
--- /dev/null
+++ b/crates/cell/src/logging.rs
@@ -0,0 +1,58 @@
+//! Structured log lines on standard output.
+//!
+//! A reader that stops reading must not hold up decisions: lines go through a
+//! bounded buffer to a thread of their own, and are dropped when it is full.
+
+use std::time::Duration;
+
+use structured_logger::Builder;
+use structured_logger::json::new_writer;
+use tracing_appender::non_blocking::ErrorCounter;
+use tracing_appender::non_blocking::NonBlockingBuilder;
+use tracing_appender::non_blocking::WorkerGuard;
+
+/// Lines that may wait for the reader. At 200 bytes a line this is below 1 MB
+/// of the small memory of an entry host.
+const BUFFERED_LINES: usize = 4096;
+
+/// Time between two reports of dropped lines.
+const REPORT_EVERY: Duration = Duration::from_secs(5);
+
+/// Keeps the writing thread; dropping it writes what is buffered.
+pub struct LogGuard {
+    _worker: WorkerGuard,
+    dropped: ErrorCounter,
+}
+
+/// Starts logging. `level` is one of `error`, `warn`, `info`, `debug`.
+#[must_use]
+pub fn start_logging(level: &str) -> LogGuard {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(BUFFERED_LINES)
+        .thread_name("log")
+        .finish(std::io::stdout());
+    let dropped = writer.error_counter();
+    Builder::with_level(level)
+        .with_default_writer(new_writer(writer))
+        .init();
+    LogGuard {
+        _worker: guard,
+        dropped,
+    }
+}
+
+impl LogGuard {
+    /// Reports now and then how many lines were dropped.
+    pub async fn report_dropped(&self) {
+        let mut told = 0;
+        loop {
+            tokio::time::sleep(REPORT_EVERY).await;
+            let dropped = self.dropped.dropped_lines();
+            if dropped > told {
+                log::warn!(code = 190, lines = dropped - told; "log lines dropped");
+                told = dropped;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/owner/helpers.rs
@@ -0,0 +1,142 @@
+//! Hands advice calls to helpers.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use job::Ticket;
+use tokio::sync::oneshot;
+
+use super::Pool;
+use crate::HELP_WAIT;
+use crate::HelpOrder;
+use crate::HelpRequest;
+use crate::HelpResult;
+
+/// Helpers that are kept for quick calls: slow ones take most of a second, and
+/// a quick one behind them misses its objective.
+const QUICK_HELPERS: usize = 2;
+
+/// A call that takes longer than this is slow.
+const SLOW: Duration = Duration::from_millis(60);
+
+/// A helper that was not heard of for this long is gone.
+const FORGET: Duration = Duration::from_secs(4);
+
+/// Time that an answer may have been on its way, taken off its tickets.
+const TRANSIT: Duration = Duration::from_millis(20);
+
+/// Time for which a ticket counts when neither the service nor the queue says.
+const DEFAULT_VALID: Duration = Duration::from_secs(1);
+
+/// Pause after a call that failed.
+const FAILED_PAUSE: Duration = Duration::from_millis(50);
+
+struct Helper {
+    seen: Duration,
+    slow: bool,
+}
+
+struct Idle {
+    node: String,
+    reply: oneshot::Sender<Option<HelpOrder>>,
+    since: Duration,
+}
+
+/// Helpers by host, and those that wait for work.
+#[derive(Default)]
+pub(crate) struct Helpers {
+    known: HashMap<String, Helper>,
+    idle: VecDeque<Idle>,
+}
+
+impl Helpers {
+    fn slow_allowed(&self) -> bool {
+        let slow = self.known.values().filter(|helper| helper.slow).count();
+        let most = self.known.len().saturating_sub(QUICK_HELPERS).max(1);
+        slow < most
+    }
+}
+
+impl Pool {
+    pub(super) fn take_help(
+        &mut self,
+        request: HelpRequest,
+        reply: oneshot::Sender<Option<HelpOrder>>,
+    ) {
+        let now = self.context.now();
+        let helper = Helper {
+            seen: now,
+            slow: false,
+        };
+        self.helpers.known.insert(request.node.clone(), helper);
+        if let Some(result) = request.result {
+            self.take_advice(result, now);
+        }
+        self.helpers.idle.push_back(Idle {
+            node: request.node,
+            reply,
+            since: now,
+        });
+    }
+
+    fn take_advice(&mut self, result: HelpResult, now: Duration) {
+        let step = result.step;
+        let Some(good) = result.good else {
+            self.planner.advice_failed(step, FAILED_PAUSE);
+            return;
+        };
+        let valid = result.valid.unwrap_or(DEFAULT_VALID);
+        let until = (now + valid).saturating_sub(result.age + TRANSIT);
+        log::info!(
+            code = 320, step:% = step, asked = result.workers.len(), good = good.len(),
+            valid = valid.as_millis(); "advice"
+        );
+        let tickets = good.into_iter();
+        let tickets: Vec<Ticket> = tickets
+            .map(|(worker, text)| Ticket { worker, text })
+            .collect();
+        self.planner
+            .take_advice(step, &result.workers, &tickets, until);
+    }
+
+    /// Gives calls to helpers that wait, and sends those away that have waited
+    /// long enough.
+    pub(super) fn give_help(&mut self, now: Duration) {
+        self.helpers
+            .known
+            .retain(|_, helper| now.saturating_sub(helper.seen) < FORGET);
+        while let Some(idle) = self.helpers.idle.front() {
+            if idle.reply.is_closed() {
+                self.helpers.idle.pop_front();
+                continue;
+            }
+            let slow = self.helpers.slow_allowed();
+            let Some(ask) = self.planner.next_ask(slow) else {
+                break;
+            };
+            let Some(idle) = self.helpers.idle.pop_front() else {
+                break;
+            };
+            if let Some(helper) = self.helpers.known.get_mut(&idle.node) {
+                helper.slow = ask.cost > SLOW;
+            }
+            let step = ask.step;
+            let order = HelpOrder {
+                step,
+                workers: ask.workers,
+                cost: ask.cost,
+            };
+            if idle.reply.send(Some(order)).is_err() {
+                self.planner.advice_failed(step, Duration::ZERO);
+            }
+        }
+        let waited = |idle: &Idle| now.saturating_sub(idle.since) >= HELP_WAIT;
+        while self.helpers.idle.front().is_some_and(waited) {
+            if let Some(idle) = self.helpers.idle.pop_front() {
+                // A helper that has left needs no answer.
+                let _ = idle.reply.send(None);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/owner/mod.rs
@@ -0,0 +1,20 @@
+//! The owner of the pool: one task that holds the planner, and around it the
+//! links to workers, the writer of progress and the helpers.
+
+mod helpers;
+mod link;
+mod messages;
+mod pool;
+mod roster;
+mod saver;
+mod sender;
+mod supervise;
+
+pub use messages::*;
+pub use supervise::*;
+
+pub(crate) use helpers::Helpers;
+pub(crate) use link::Link;
+pub(crate) use pool::Pool;
+pub(crate) use roster::follow_workers;
+pub(crate) use saver::Saver;
--- /dev/null
+++ b/crates/cell/src/owner/pool.rs
@@ -0,0 +1,419 @@
+//! The owner's task: takes messages, lets the planner decide, sends orders.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use job::Config;
+use job::Epoch;
+use job::JobId;
+use job::JobSpec;
+use job::Planner;
+use job::Progress;
+use job::WorkerInfo;
+use job::WorkerKey;
+use platform::Row;
+use platform::StoreError;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use super::Helpers;
+use super::Link;
+use super::Saver;
+use super::follow_workers;
+use crate::Change;
+use crate::Context;
+use crate::Follower;
+use crate::JOB_TABLE;
+use crate::OWNER_PART;
+use crate::OwnerMessage;
+use crate::OwnerView;
+use crate::PROGRESS_TABLE;
+use crate::RosterChange;
+use crate::USED_TABLE;
+use crate::UsedWorker;
+use crate::WorkerNews;
+use crate::decode_row;
+
+/// Least time between two rounds of planning: under load, several messages
+/// share one round.
+const PLAN_GAP: Duration = Duration::from_millis(4);
+
+/// Time between rounds when nothing happens: leases, rounds of repeated jobs
+/// and renewals are looked after at least this often.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Time for each page of the reads at take-over.
+const READ_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Pause after a failed read at take-over.
+const READ_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest wait of the feed of jobs.
+const FEED_WAIT: Duration = Duration::from_secs(1);
+
+/// Longest time for the last write of an owner that stops.
+const RELEASE_TIME: Duration = Duration::from_millis(1200);
+
+/// The pool, owned.
+pub(crate) struct Pool {
+    pub(super) context: Context,
+    pub(super) epoch: Epoch,
+    pub(super) planner: Planner,
+    pub(super) sender: mpsc::Sender<OwnerMessage>,
+    messages: mpsc::Receiver<OwnerMessage>,
+    pub(super) links: HashMap<WorkerKey, Link>,
+    pub(super) saver: Saver,
+    pub(super) helpers: Helpers,
+    /// Workers with a row in the store.
+    pub(super) used: HashSet<String>,
+    progress: HashMap<JobId, Progress>,
+    /// The first full read of the jobs has been taken in.
+    loaded: bool,
+    config: Option<Arc<Config>>,
+    tasks: JoinSet<()>,
+    /// Another process owns the pool.
+    pub(super) deposed: bool,
+}
+
+impl Pool {
+    /// Reads what a predecessor left and starts the tasks around the owner.
+    /// Gives nothing if the ownership is lost meanwhile.
+    pub(crate) async fn open(
+        context: Context,
+        epoch: Epoch,
+        sender: mpsc::Sender<OwnerMessage>,
+        messages: mpsc::Receiver<OwnerMessage>,
+    ) -> Option<Pool> {
+        let begin = context.now();
+        let mut saver = Saver::new(&context, epoch);
+        let left = loop {
+            if lost(&context, epoch) {
+                return None;
+            }
+            match read_left(&context, &mut saver).await {
+                Ok(Some(left)) => break left,
+                Ok(None) => return None,
+                Err(error) => {
+                    log::warn!(code = 331, epoch = epoch, error:% = error; "take-over cannot read");
+                    tokio::time::sleep(READ_PAUSE).await;
+                }
+            }
+        };
+        let wall = context.wall().saturating_sub(context.now());
+        let policy = context.settings.policy();
+        let planner = Planner::new(policy, epoch, context.now(), wall);
+        let mut pool = Pool {
+            planner,
+            epoch,
+            sender,
+            messages,
+            links: HashMap::new(),
+            saver,
+            helpers: Helpers::default(),
+            used: HashSet::new(),
+            progress: left.progress,
+            loaded: false,
+            config: None,
+            tasks: JoinSet::new(),
+            deposed: false,
+            context,
+        };
+        for (id, worker) in left.used {
+            pool.recall(&id, worker);
+        }
+        pool.follow();
+        let took = pool.context.now().saturating_sub(begin);
+        log::info!(
+            code = 330, epoch = epoch, workers = pool.used.len(), jobs = pool.progress.len(),
+            ms = took.as_millis(); "pool opened"
+        );
+        Some(pool)
+    }
+
+    fn follow(&mut self) {
+        let jobs = Follower::new(&self.context.store, JOB_TABLE, true);
+        self.tasks.spawn(follow_jobs(jobs, self.sender.clone()));
+        let workers = follow_workers(self.context.clone(), self.sender.clone());
+        self.tasks.spawn(workers);
+    }
+
+    /// A worker that a predecessor may have given work to.
+    fn recall(&mut self, id: &str, worker: UsedWorker) {
+        let info = WorkerInfo {
+            id: id.to_owned(),
+            service: worker.service,
+            address: worker.address,
+            capacity: job::Room::default(),
+            labels: Vec::new(),
+            draining: true,
+            remaining: None,
+        };
+        self.used.insert(id.to_owned());
+        if let Some(key) = self.planner.take_worker(info) {
+            self.planner.lose_worker(id);
+            self.open_link(key);
+        }
+    }
+
+    pub(super) fn open_link(&mut self, key: WorkerKey) {
+        let Some(info) = self.planner.worker(key) else {
+            return;
+        };
+        let link = Link::open(&self.context, key, info, self.epoch, self.sender.clone());
+        self.links.insert(key, link);
+    }
+
+    /// Owns the pool until it is lost or the process stops.
+    pub(crate) async fn run(mut self) {
+        let mut next_plan = self.context.now();
+        let mut pending = true;
+        let mut seat = self.context.seat.clone();
+        loop {
+            let now = self.context.now();
+            let wake = if pending { next_plan } else { now + TICK };
+            tokio::select! {
+                message = self.messages.recv() => {
+                    self.take_all(message);
+                    pending = true;
+                }
+                () = tokio::time::sleep(wake.saturating_sub(now)) => {}
+                _ = seat.changed() => {}
+                () = self.context.stopped() => break,
+            }
+            if self.deposed || lost(&self.context, self.epoch) {
+                log::warn!(code = 332, epoch = self.epoch; "pool lost");
+                return;
+            }
+            let now = self.context.now();
+            if now >= next_plan {
+                self.round(now);
+                next_plan = self.context.now() + PLAN_GAP;
+                pending = false;
+            }
+        }
+        self.release().await;
+    }
+
+    fn take_all(&mut self, message: Option<OwnerMessage>) {
+        self.planner.advance(self.context.now());
+        let mut next = message;
+        while let Some(message) = next {
+            self.take(message);
+            next = self.messages.try_recv().ok();
+        }
+    }
+
+    /// One round: decide, send, save.
+    fn round(&mut self, now: Duration) {
+        let config = self.context.config.borrow().clone();
+        if let Some(config) = config
+            && self.config.as_ref().map(|known| known.version) != Some(config.version)
+        {
+            self.planner.configure(&config);
+            self.config = Some(config);
+        }
+        self.planner.advance(now);
+        if self.loaded {
+            self.planner.plan();
+        }
+        self.send_orders();
+        self.give_help(now);
+        self.begin_save(now);
+    }
+
+    fn take(&mut self, message: OwnerMessage) {
+        match message {
+            OwnerMessage::State(id, reply) => {
+                let shown = self.planner.shown(id);
+                // A caller that has left does not need the answer.
+                let _ = reply.send(shown.map_or(OwnerView::Unknown, OwnerView::Job));
+            }
+            OwnerMessage::Waiting(queue, reply) => {
+                if self.loaded {
+                    let _ = reply.send(self.planner.waiting(&queue));
+                }
+            }
+            OwnerMessage::Help(request, reply) => self.take_help(request, reply),
+            OwnerMessage::Jobs(change) => self.take_jobs(change),
+            OwnerMessage::Workers(change) => self.take_workers(change),
+            OwnerMessage::Worker(key, news) => self.take_news(key, news),
+            OwnerMessage::Saved(save, result) => self.take_saved(save, result),
+            OwnerMessage::Guard(result) => self.take_guard(result),
+        }
+    }
+
+    fn take_jobs(&mut self, change: Change) {
+        let (rows, old) = match change {
+            Change::Full(rows) => (rows, !self.loaded),
+            Change::Some(rows) => (rows, false),
+        };
+        for row in rows {
+            self.take_job(&row, old);
+        }
+        if old {
+            self.loaded = true;
+            self.progress = HashMap::new();
+            log::info!(code = 333, epoch = self.epoch, unfinished = self.planner.unfinished(); "jobs loaded");
+        }
+    }
+
+    fn take_job(&mut self, row: &Row, old: bool) {
+        if row.removed {
+            return;
+        }
+        let id = job::parse_job(&row.name.key);
+        let spec = decode_row::<JobSpec>(&row.value);
+        match (id, spec) {
+            (Ok(id), Ok(spec)) => {
+                let progress = self.progress.get(&id);
+                self.planner.take_job(id, spec, progress, old);
+            }
+            (_, Err(error)) => {
+                log::error!(code = 334, key = row.name.key.as_str(), error:% = error; "job row unreadable");
+            }
+            (Err(error), _) => {
+                log::error!(code = 334, key = row.name.key.as_str(), error:% = error; "job row unreadable");
+            }
+        }
+    }
+
+    fn take_workers(&mut self, change: RosterChange) {
+        for info in change.present {
+            let id = info.id.clone();
+            let used = UsedWorker {
+                service: info.service.clone(),
+                address: info.address,
+            };
+            if info.draining {
+                log::info!(code = 342, worker = id.as_str(); "worker is leaving");
+            }
+            if self.planner.take_worker(info).is_some() {
+                log::info!(code = 340, worker = id.as_str(), address:% = used.address; "worker registered");
+                self.saver.use_worker(id, used);
+            }
+        }
+        for id in change.gone {
+            log::info!(code = 341, worker = id.as_str(); "worker's registration is gone");
+            self.planner.lose_worker(&id);
+        }
+    }
+
+    fn take_news(&mut self, key: WorkerKey, news: WorkerNews) {
+        match news {
+            WorkerNews::LeaseSent => self.planner.lease_sent(key),
+            WorkerNews::Listed(sent, listing) => {
+                if let Some(link) = self.links.get_mut(&key) {
+                    link.set_clock(listing.clock, self.context.now());
+                }
+                if !self.planner.claimed(key) {
+                    log::info!(
+                        code = 343, worker = self.worker_name(key), epoch = self.epoch,
+                        running = listing.running.len(), ended = listing.ended.len();
+                        "worker claimed"
+                    );
+                }
+                for end in &listing.ended {
+                    log::info!(
+                        code = 354, task:% = end.task, run = end.run, how:% = end.how,
+                        number = end.number, worker = self.worker_name(key); "task ended"
+                    );
+                }
+                self.planner.take_listing(key, sent, &listing);
+            }
+            WorkerNews::StartAnswered(task, run, reply) => {
+                self.planner.start_reply(key, task, run, reply);
+            }
+            WorkerNews::StopAnswered(task, run, reply) => {
+                self.planner.stop_reply(key, task, run, reply);
+            }
+            WorkerNews::Fenced => {
+                log::warn!(code = 335, worker = self.worker_name(key), epoch = self.epoch; "worker obeys a newer owner");
+                self.deposed = true;
+            }
+            WorkerNews::Over => {
+                log::info!(code = 344, worker = self.worker_name(key); "worker's life is over");
+                self.planner.worker_over(key);
+            }
+        }
+    }
+
+    pub(super) fn worker_name(&self, key: WorkerKey) -> &str {
+        self.planner.worker(key).map_or("", |info| info.id.as_str())
+    }
+
+    /// Saves what is known and gives the pool up, so that a successor need
+    /// not wait for the expiry.
+    async fn release(mut self) {
+        let end = self.context.now() + RELEASE_TIME;
+        self.saver.give_up();
+        while self.context.now() < end && !self.saver.released() && !self.deposed {
+            self.begin_save(self.context.now());
+            let left = end.saturating_sub(self.context.now());
+            match tokio::time::timeout(left.min(TICK), self.messages.recv()).await {
+                Ok(message) => self.take_all(message),
+                Err(_) => self.planner.advance(self.context.now()),
+            }
+        }
+        log::info!(code = 336, epoch = self.epoch, released = self.saver.released(); "pool given up");
+    }
+}
+
+/// What a predecessor left in the store.
+struct Left {
+    progress: HashMap<JobId, Progress>,
+    used: Vec<(String, UsedWorker)>,
+}
+
+fn lost(context: &Context, epoch: Epoch) -> bool {
+    let view = context.seat.borrow();
+    view.seat.as_ref().is_some_and(|seat| seat.epoch > epoch)
+}
+
+/// Reads the rows of the owner's part; nothing if the pool is not ours. The
+/// guard is read first: from then on no predecessor can write.
+async fn read_left(context: &Context, saver: &mut Saver) -> Result<Option<Left>, StoreError> {
+    if !saver.read_guard().await? {
+        return Ok(None);
+    }
+    let store = &context.store;
+    let progress = store.part(PROGRESS_TABLE, OWNER_PART, READ_TIMEOUT).await?;
+    let used = store.part(USED_TABLE, OWNER_PART, READ_TIMEOUT).await?;
+    let progress = progress.rows.iter().filter_map(|row| {
+        let id = job::parse_job(&row.name.key).ok()?;
+        let value = decode_row::<Progress>(&row.value);
+        if let Err(error) = &value {
+            log::error!(code = 337, key = row.name.key.as_str(), error:% = error; "progress row unreadable");
+        }
+        Some((id, value.ok()?))
+    });
+    let used = used.rows.iter().filter_map(|row| {
+        let value = decode_row::<UsedWorker>(&row.value);
+        if let Err(error) = &value {
+            log::error!(code = 338, key = row.name.key.as_str(), error:% = error; "worker row unreadable");
+        }
+        Some((row.name.key.clone(), value.ok()?))
+    });
+    Ok(Some(Left {
+        progress: progress.collect(),
+        used: used.collect(),
+    }))
+}
+
+async fn follow_jobs(mut jobs: Follower, sender: mpsc::Sender<OwnerMessage>) {
+    loop {
+        match jobs.next(FEED_WAIT).await {
+            Ok(Change::Some(rows)) if rows.is_empty() => {}
+            Ok(change) => {
+                if sender.send(OwnerMessage::Jobs(change)).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                log::warn!(code = 339, error:% = error; "jobs cannot be read");
+                tokio::time::sleep(READ_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/owner/saver.rs
@@ -0,0 +1,267 @@
+//! Writes what must last: progress, the workers in use, the renewal.
+//!
+//! Every transaction is conditional on the guard row and writes it, so the
+//! transactions form a chain: one that is done late, after its answer was
+//! lost, finds the guard changed and does nothing. Without that, old progress
+//! would replace newer.
+
+use std::time::Duration;
+
+use job::Epoch;
+use platform::Committed;
+use platform::RowName;
+use platform::StoreError;
+use platform::Transaction;
+use platform::Version;
+
+use super::Pool;
+use crate::Context;
+use crate::Guard;
+use crate::OwnerMessage;
+use crate::Save;
+use crate::Seat;
+use crate::UsedWorker;
+use crate::decode_row;
+use crate::encode_row;
+use crate::guard_row;
+use crate::progress_row;
+use crate::seat_row;
+use crate::used_row;
+
+/// Time between two renewals of the ownership.
+const RENEW_EVERY: Duration = Duration::from_millis(400);
+
+/// Least time between two transactions: what comes up meanwhile shares the
+/// next one. A part takes 150 transactions a second.
+const SAVE_GAP: Duration = Duration::from_millis(15);
+
+/// Most jobs in one transaction; the store takes 100 entries, a few of which
+/// are the guard, the renewal and workers.
+const MOST_JOBS: usize = 60;
+
+/// Most workers in one transaction.
+const MOST_WORKERS: usize = 30;
+
+/// Time for one transaction.
+const SAVE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause after a transaction that failed.
+const FAILED_PAUSE: Duration = Duration::from_millis(100);
+
+/// State of the owner's writes.
+pub(crate) struct Saver {
+    context: Context,
+    epoch: Epoch,
+    guard: Version,
+    beat: u64,
+    /// A transaction, or a read of the guard, is under way.
+    busy: bool,
+    /// No transaction before this time.
+    after: Duration,
+    renewed: Duration,
+    used: Vec<(String, UsedWorker)>,
+    unused: Vec<String>,
+    giving_up: bool,
+    released: bool,
+}
+
+impl Saver {
+    pub(crate) fn new(context: &Context, epoch: Epoch) -> Saver {
+        Saver {
+            context: context.clone(),
+            epoch,
+            guard: 0,
+            beat: 0,
+            busy: false,
+            after: Duration::ZERO,
+            renewed: Duration::ZERO,
+            used: Vec::new(),
+            unused: Vec::new(),
+            giving_up: false,
+            released: false,
+        }
+    }
+
+    /// Reads the guard; false if the pool belongs to another.
+    pub(crate) async fn read_guard(&mut self) -> Result<bool, StoreError> {
+        let version = find_guard(&self.context, self.epoch).await?;
+        self.guard = version.unwrap_or(self.guard);
+        Ok(version.is_some())
+    }
+
+    /// A worker is about to be used: it gets a row first, so that a successor
+    /// knows whom to ask.
+    pub(crate) fn use_worker(&mut self, id: String, worker: UsedWorker) {
+        self.used.push((id, worker));
+    }
+
+    /// Nothing can run on a worker any more.
+    pub(crate) fn drop_worker(&mut self, id: String) {
+        self.unused.push(id);
+    }
+
+    /// The next transaction gives the pool up.
+    pub(crate) fn give_up(&mut self) {
+        self.giving_up = true;
+    }
+
+    pub(crate) fn released(&self) -> bool {
+        self.released
+    }
+
+    fn due(&self, now: Duration, unsaved: bool) -> bool {
+        let renewal = now.saturating_sub(self.renewed) >= RENEW_EVERY;
+        let workers = !self.used.is_empty() || !self.unused.is_empty();
+        let wanted = renewal || workers || unsaved || self.giving_up;
+        wanted && !self.busy && !self.released && now >= self.after
+    }
+
+    fn transaction(&mut self, save: &mut Save, now: Duration) -> Transaction {
+        let guard = Guard {
+            epoch: self.epoch,
+            incarnation: self.context.incarnation,
+        };
+        let mut puts: Vec<(RowName, Vec<u8>)> = vec![(guard_row(), encode_row(&guard))];
+        let progress = save.batch.jobs.iter();
+        puts.extend(progress.map(|(id, progress)| (progress_row(*id), encode_row(progress))));
+        let count = self.used.len().min(MOST_WORKERS);
+        save.used.extend(self.used.drain(..count));
+        let used = save.used.iter();
+        puts.extend(used.map(|(id, worker)| (used_row(id), encode_row(worker))));
+        let count = self.unused.len().min(MOST_WORKERS / 3);
+        save.unused.extend(self.unused.drain(..count));
+        save.release = self.giving_up && save.batch.ends_complete;
+        save.renews = save.release || now.saturating_sub(self.renewed) >= RENEW_EVERY;
+        if save.renews {
+            self.beat += 1;
+            let seat = Seat {
+                epoch: self.epoch,
+                node: self.context.settings.node.clone(),
+                incarnation: self.context.incarnation,
+                address: self.context.settings.peer_address(),
+                beat: self.beat,
+                released: save.release,
+            };
+            puts.push((seat_row(), encode_row(&seat)));
+        }
+        Transaction {
+            expect: vec![(guard_row(), self.guard)],
+            puts,
+            removes: save.unused.iter().map(|id| used_row(id)).collect(),
+        }
+    }
+}
+
+/// Version of the guard, if it is that of our ownership.
+async fn find_guard(context: &Context, epoch: Epoch) -> Result<Option<Version>, StoreError> {
+    let row = context.store.get(&guard_row(), SAVE_TIMEOUT).await?;
+    Ok(row.and_then(|row| {
+        let guard = decode_row::<Guard>(&row.value);
+        if let Err(error) = &guard {
+            log::error!(code = 360, error:% = error; "guard row unreadable");
+        }
+        let guard = guard.ok()?;
+        let ours = guard.epoch == epoch && guard.incarnation == context.incarnation;
+        ours.then_some(row.version)
+    }))
+}
+
+impl Pool {
+    /// Begins a transaction if one is due and none is under way.
+    pub(super) fn begin_save(&mut self, now: Duration) {
+        if !self.saver.due(now, self.planner.unsaved()) {
+            return;
+        }
+        let mut save = Save {
+            batch: self.planner.take_batch(MOST_JOBS),
+            ..Save::default()
+        };
+        let transaction = self.saver.transaction(&mut save, now);
+        self.saver.busy = true;
+        self.saver.after = now + SAVE_GAP;
+        let store = self.context.store.clone();
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            let result = store.commit(&transaction, SAVE_TIMEOUT).await;
+            let _ = sender.send(OwnerMessage::Saved(save, result)).await;
+        });
+    }
+
+    pub(super) fn take_saved(&mut self, save: Save, result: Result<Committed, StoreError>) {
+        let now = self.context.now();
+        match result {
+            Ok(Committed::Done(version)) => {
+                self.saver.busy = false;
+                self.saver.guard = version;
+                self.saver.released |= save.release;
+                if save.renews {
+                    self.saver.renewed = now;
+                }
+                self.saved(save);
+            }
+            Ok(Committed::Conflict) => {
+                self.unsaved(save);
+                self.check_guard();
+            }
+            Err(error) => {
+                log::warn!(code = 361, epoch = self.epoch, error:% = error; "progress not saved");
+                self.saver.busy = false;
+                self.saver.after = now + FAILED_PAUSE;
+                self.unsaved(save);
+            }
+        }
+    }
+
+    fn saved(&mut self, save: Save) {
+        for (id, progress) in &save.batch.jobs {
+            if let Some(outcome) = progress.outcome {
+                log::info!(code = 362, job:% = crate::hex(*id), outcome:% = outcome; "job ended");
+            }
+        }
+        self.planner.batch_saved(&save.batch);
+        for (key, number) in &save.batch.ends {
+            if let Some(link) = self.links.get(key) {
+                link.set_seen(*number);
+            }
+        }
+        for (id, _) in save.used {
+            if let Some(key) = self.planner.worker_of(&id) {
+                self.used.insert(id);
+                self.open_link(key);
+            }
+        }
+    }
+
+    /// Puts back what a failed transaction held.
+    fn unsaved(&mut self, save: Save) {
+        self.planner.batch_failed(&save.batch);
+        self.saver.used.extend(save.used);
+        self.saver.unused.extend(save.unused);
+    }
+
+    /// The guard has changed: by an earlier transaction of ours whose answer
+    /// was lost, or by a successor.
+    fn check_guard(&self) {
+        let context = self.context.clone();
+        let sender = self.sender.clone();
+        let epoch = self.epoch;
+        tokio::spawn(async move {
+            let result = find_guard(&context, epoch).await;
+            let _ = sender.send(OwnerMessage::Guard(result)).await;
+        });
+    }
+
+    pub(super) fn take_guard(&mut self, result: Result<Option<Version>, StoreError>) {
+        match result {
+            Ok(Some(version)) => {
+                self.saver.guard = version;
+                self.saver.busy = false;
+            }
+            Ok(None) => self.deposed = true,
+            Err(error) => {
+                log::warn!(code = 363, epoch = self.epoch, error:% = error; "guard not readable");
+                self.check_guard();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/owner/sender.rs
@@ -0,0 +1,136 @@
+//! Sends the planner's orders.
+
+use std::time::Duration;
+
+use job::Order;
+use job::RunId;
+use job::StartReply;
+use job::StopReply;
+use job::TaskKey;
+use job::WorkerKey;
+use platform::Ordered;
+use platform::Start;
+
+use super::Pool;
+use crate::OwnerMessage;
+use crate::WorkerNews;
+
+/// Time for a worker's answer to a start or a stop.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Pause before a stop that could not be delivered is tried again.
+const STOP_PAUSE: Duration = Duration::from_millis(200);
+
+impl Pool {
+    pub(super) fn send_orders(&mut self) {
+        for order in self.planner.take_orders() {
+            match order {
+                Order::Start {
+                    worker,
+                    task,
+                    run,
+                    payload,
+                    checkpoint,
+                    ticket,
+                } => {
+                    let start = Start {
+                        task,
+                        run,
+                        payload,
+                        lease_end: Duration::ZERO,
+                        epoch: self.epoch,
+                        checkpoint,
+                        ticket,
+                    };
+                    self.send_start(worker, start);
+                }
+                Order::Stop {
+                    worker,
+                    task,
+                    run,
+                    reason,
+                } => self.send_stop(worker, task, run, reason),
+                Order::Drop { worker, id } => {
+                    if let Some(link) = self.links.remove(&worker) {
+                        link.close();
+                    }
+                    self.used.remove(&id);
+                    self.saver.drop_worker(id);
+                }
+            }
+        }
+    }
+
+    fn send_start(&mut self, worker: WorkerKey, mut start: Start) {
+        let lease = self.context.settings.policy().lease;
+        let link = self.links.get(&worker);
+        let now = self.context.now();
+        let lease_end = link.and_then(|link| link.lease_end(now, lease));
+        let (Some(link), Some(lease_end)) = (link, lease_end) else {
+            let (task, run) = (start.task, start.run);
+            log::error!(code = 353, task:% = task, run = run; "start without a link");
+            let reply = StartReply::Refused;
+            self.planner.start_reply(worker, task, run, reply);
+            return;
+        };
+        start.lease_end = lease_end;
+        log::info!(
+            code = 350, task:% = start.task, run = start.run, worker = link.id.as_str(),
+            epoch = start.epoch, resumes = !start.checkpoint.is_empty(); "start"
+        );
+        let (address, id) = (link.address, link.id.clone());
+        let orders = self.context.orders.clone();
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            let (task, run) = (start.task, start.run);
+            let answer = orders.start(address, &id, &start, ORDER_TIMEOUT).await;
+            if !matches!(answer, Ordered::Done(_)) {
+                log::warn!(code = 351, task:% = task, run = run, worker = id.as_str(), answer:? = answer; "start not confirmed");
+            }
+            let news = start_news(task, run, &answer);
+            let _ = sender.send(OwnerMessage::Worker(worker, news)).await;
+        });
+    }
+
+    fn send_stop(&self, worker: WorkerKey, task: TaskKey, run: RunId, reason: &'static str) {
+        let Some(link) = self.links.get(&worker) else {
+            return;
+        };
+        log::info!(code = 352, task:% = task, run = run, worker = link.id.as_str(), reason = reason; "stop");
+        let (address, id) = (link.address, link.id.clone());
+        let orders = self.context.orders.clone();
+        let sender = self.sender.clone();
+        let epoch = self.epoch;
+        tokio::spawn(async move {
+            let answer = orders
+                .stop(address, &id, task, run, epoch, ORDER_TIMEOUT)
+                .await;
+            let news = match answer {
+                Ordered::Done(_) => WorkerNews::StopAnswered(task, run, StopReply::Stopped),
+                Ordered::Fenced => WorkerNews::Fenced,
+                Ordered::Replaced => WorkerNews::Over,
+                _ => {
+                    tokio::time::sleep(STOP_PAUSE).await;
+                    WorkerNews::StopAnswered(task, run, StopReply::Unknown)
+                }
+            };
+            let _ = sender.send(OwnerMessage::Worker(worker, news)).await;
+        });
+    }
+}
+
+fn start_news<T>(task: TaskKey, run: RunId, answer: &Ordered<T>) -> WorkerNews {
+    let reply = match answer {
+        Ordered::Done(_) => StartReply::Started,
+        Ordered::Fenced => return WorkerNews::Fenced,
+        Ordered::Replaced => return WorkerNews::Over,
+        Ordered::Ticket => StartReply::Ticket,
+        Ordered::Unknown(_) => StartReply::Unknown,
+        Ordered::Old
+        | Ordered::Late
+        | Ordered::Full
+        | Ordered::Refused(..)
+        | Ordered::Unreachable(_) => StartReply::Refused,
+    };
+    WorkerNews::StartAnswered(task, run, reply)
+}
--- /dev/null
+++ b/crates/cell/src/owner/supervise.rs
@@ -0,0 +1,42 @@
+//! Runs the owner's task while the pool belongs to this process.
+
+use job::Epoch;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use super::Pool;
+use super::messages::OWNER_QUEUE;
+use crate::Context;
+use crate::OwnerMessage;
+
+/// Sender to the owner in this process, while there is one.
+pub type OwnerSlot = watch::Sender<Option<mpsc::Sender<OwnerMessage>>>;
+
+/// Opens the pool whenever it is ours, until the process stops.
+pub async fn supervise_owner(context: Context, slot: OwnerSlot) {
+    let mut seat = context.seat.clone();
+    let mut served: Epoch = 0;
+    while !context.stopping() {
+        let epoch = seat
+            .borrow_and_update()
+            .owner()
+            .filter(|owner| owner.incarnation == context.incarnation)
+            .map(|owner| owner.epoch)
+            .filter(|epoch| *epoch > served);
+        if let Some(epoch) = epoch {
+            served = epoch;
+            let (sender, receiver) = mpsc::channel(OWNER_QUEUE);
+            let pool = Pool::open(context.clone(), epoch, sender.clone(), receiver).await;
+            if let Some(pool) = pool {
+                slot.send_replace(Some(sender));
+                pool.run().await;
+                slot.send_replace(None);
+            }
+            continue;
+        }
+        tokio::select! {
+            changed = seat.changed() => if changed.is_err() { return },
+            () = context.stopped() => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/peers.rs
@@ -0,0 +1,218 @@
+//! Talk between the processes: every process asks the owner, never the other
+//! way round, so that the owner needs no list of peers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Method;
+use hyper::StatusCode;
+use job::JobId;
+use job::Shown;
+use job::StepKey;
+use job::WorkerId;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::oneshot;
+use web::Asked;
+use web::Call;
+use web::Handler;
+use web::Whole;
+
+use crate::Context;
+use crate::OwnerMessage;
+use crate::OwnerPort;
+
+/// Time for the owner's answer about a job; the caller falls back to the
+/// store, so it is short.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest wait of a helper for work.
+pub const HELP_WAIT: Duration = Duration::from_secs(1);
+
+/// Time for the owner's answer beyond that wait.
+const HELP_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// An advice call that the owner hands to a helper.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HelpOrder {
+    /// The step.
+    pub step: StepKey,
+    /// The workers to ask about.
+    pub workers: Vec<WorkerId>,
+    /// How long the service will take.
+    pub cost: Duration,
+}
+
+/// What became of an advice call.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HelpResult {
+    /// The step.
+    pub step: StepKey,
+    /// The workers asked about.
+    pub workers: Vec<WorkerId>,
+    /// Worker and ticket of those that may run the step; none if the call
+    /// failed.
+    pub good: Option<Vec<(WorkerId, String)>>,
+    /// How long the tickets last from the answer on, if the service said so.
+    pub valid: Option<Duration>,
+    /// Time since the answer.
+    pub age: Duration,
+}
+
+/// A helper asks for work and brings the result of the former.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HelpRequest {
+    /// The helper's host.
+    pub node: String,
+    /// Result of the last call.
+    pub result: Option<HelpResult>,
+}
+
+/// What the owner says of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OwnerView {
+    /// Its state.
+    Job(Shown),
+    /// Not known here; the store knows more.
+    Unknown,
+}
+
+/// Why the owner did not answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoOwner {
+    /// None is known.
+    None,
+    /// It does not answer, or does not own the pool any more.
+    Silent,
+}
+
+/// Asks the owner, in this process or another.
+#[derive(Clone, Debug)]
+pub struct OwnerClient {
+    context: Context,
+    local: OwnerPort,
+}
+
+impl OwnerClient {
+    /// A client; `local` reaches the owner in this process, if it is here.
+    #[must_use]
+    pub fn new(context: Context, local: OwnerPort) -> OwnerClient {
+        OwnerClient { context, local }
+    }
+
+    /// State of a job.
+    ///
+    /// # Errors
+    /// The owner did not answer.
+    pub async fn state(&self, id: JobId) -> Result<OwnerView, NoOwner> {
+        let make = |reply| OwnerMessage::State(id, reply);
+        self.ask(
+            make,
+            Method::GET,
+            &format!("/state/{id:016x}"),
+            &(),
+            ASK_TIMEOUT,
+        )
+        .await
+    }
+
+    /// Number of jobs of a queue that wait.
+    ///
+    /// # Errors
+    /// The owner did not answer.
+    pub async fn waiting(&self, queue: &str) -> Result<usize, NoOwner> {
+        let make = |reply| OwnerMessage::Waiting(queue.to_owned(), reply);
+        let path = format!("/waiting/{}", web::encode(queue));
+        self.ask(make, Method::GET, &path, &(), ASK_TIMEOUT).await
+    }
+
+    /// Asks for an advice call to make, and delivers the last result.
+    ///
+    /// # Errors
+    /// The owner did not answer; the result may be lost.
+    pub async fn help(&self, request: HelpRequest) -> Result<Option<HelpOrder>, NoOwner> {
+        let body = request.clone();
+        let make = |reply| OwnerMessage::Help(request, reply);
+        let timeout = HELP_WAIT + HELP_TIMEOUT;
+        self.ask(make, Method::POST, "/help", &body, timeout).await
+    }
+
+    async fn ask<T, B>(
+        &self,
+        make: impl FnOnce(oneshot::Sender<T>) -> OwnerMessage,
+        method: Method,
+        path: &str,
+        body: &B,
+        timeout: Duration,
+    ) -> Result<T, NoOwner>
+    where
+        T: serde::de::DeserializeOwned,
+        B: Serialize,
+    {
+        let owner = self.context.seat.borrow().owner().cloned();
+        let owner = owner.ok_or(NoOwner::None)?;
+        if owner.incarnation == self.context.incarnation {
+            return self.local.ask(make, timeout).await.ok_or(NoOwner::Silent);
+        }
+        let call = Call::new(method, owner.address, path, timeout).json(body);
+        let reply = self.context.client.send(call).await;
+        let reply = reply.map_err(|_| NoOwner::Silent)?;
+        if reply.status != StatusCode::OK {
+            return Err(NoOwner::Silent);
+        }
+        reply.json(owner.address).map_err(|_| NoOwner::Silent)
+    }
+}
+
+/// Answers peers, from the owner in this process.
+pub struct PeerHandler {
+    port: OwnerPort,
+}
+
+impl PeerHandler {
+    /// A handler that asks `port`.
+    #[must_use]
+    pub fn new(port: OwnerPort) -> Arc<PeerHandler> {
+        Arc::new(PeerHandler { port })
+    }
+
+    async fn relay<T: Serialize>(
+        &self,
+        make: impl FnOnce(oneshot::Sender<T>) -> OwnerMessage,
+        timeout: Duration,
+    ) -> Whole {
+        match self.port.ask(make, timeout).await {
+            Some(value) => web::json(StatusCode::OK, &value),
+            None => web::error(StatusCode::CONFLICT, "not the owner of the pool"),
+        }
+    }
+}
+
+impl Handler for PeerHandler {
+    async fn handle(&self, asked: Asked) -> Whole {
+        if let Some(id) = asked.path.strip_prefix("/state/") {
+            return match job::parse_job(id) {
+                Ok(id) => {
+                    self.relay(|reply| OwnerMessage::State(id, reply), ASK_TIMEOUT)
+                        .await
+                }
+                Err(error) => web::error(StatusCode::BAD_REQUEST, &error.to_string()),
+            };
+        }
+        if let Some(queue) = asked.path.strip_prefix("/waiting/") {
+            let queue = queue.to_owned();
+            let make = |reply| OwnerMessage::Waiting(queue, reply);
+            return self.relay(make, ASK_TIMEOUT).await;
+        }
+        if asked.path == "/help" {
+            return match serde_json::from_slice::<HelpRequest>(&asked.body) {
+                Ok(request) => {
+                    let make = |reply| OwnerMessage::Help(request, reply);
+                    self.relay(make, HELP_WAIT + HELP_TIMEOUT).await
+                }
+                Err(error) => web::error(StatusCode::BAD_REQUEST, &error.to_string()),
+            };
+        }
+        web::error(StatusCode::NOT_FOUND, "no such path")
+    }
+}
--- /dev/null
+++ b/crates/cell/src/rows.rs
@@ -0,0 +1,111 @@
+//! Rows that the project keeps in the store, and their encoding.
+
+use std::net::SocketAddr;
+
+use job::Epoch;
+use job::JobId;
+use platform::RowName;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Accepted jobs, by id.
+pub const JOB_TABLE: &str = "jobs";
+
+/// Progress of jobs, by id; written by the owner alone.
+pub const PROGRESS_TABLE: &str = "progress";
+
+/// The owner of the pool.
+pub const SEAT_TABLE: &str = "seat";
+
+/// Workers that the owner may have given work to, by worker id.
+pub const USED_TABLE: &str = "used";
+
+/// Part that holds all that the owner writes, so that one transaction can
+/// write it and check the ownership.
+pub const OWNER_PART: &str = "owner";
+
+/// Parts over which accepted jobs are spread. A part takes 150 transactions a
+/// second; eight take over ten times the load of today's sites.
+const JOB_PARTS: u64 = 8;
+
+/// Name of the row of a job.
+#[must_use]
+pub fn job_row(id: JobId) -> RowName {
+    let part = format!("j{}", id % JOB_PARTS);
+    RowName::new(JOB_TABLE, &part, &format!("{id:016x}"))
+}
+
+/// Name of the row of a job's progress.
+#[must_use]
+pub fn progress_row(id: JobId) -> RowName {
+    RowName::new(PROGRESS_TABLE, OWNER_PART, &format!("{id:016x}"))
+}
+
+/// Name of the row that says who owns the pool.
+#[must_use]
+pub fn seat_row() -> RowName {
+    RowName::new(SEAT_TABLE, OWNER_PART, "owner")
+}
+
+/// Name of the row of a worker that the owner may have given work to.
+#[must_use]
+pub fn used_row(id: &str) -> RowName {
+    RowName::new(USED_TABLE, OWNER_PART, id)
+}
+
+/// Who owns the pool.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seat {
+    /// Number of the ownership, from 1.
+    pub epoch: Epoch,
+    /// Host of the owner.
+    pub node: String,
+    /// Run of the owner's process.
+    pub incarnation: u64,
+    /// Where peers reach the owner.
+    pub address: SocketAddr,
+    /// Rises with each renewal.
+    pub beat: u64,
+    /// The owner has given up the pool; anyone may take it at once.
+    pub released: bool,
+}
+
+/// A worker that the owner may have given work to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsedWorker {
+    /// Pool that it belongs to.
+    pub service: String,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+}
+
+/// Encodes a row's value.
+pub fn encode_row<T: Serialize>(value: &T) -> Vec<u8> {
+    // Encoding fails only for types that postcard does not support; ours are
+    // plain structs, which the tests of this module encode.
+    postcard::to_allocvec(value).unwrap_or_default()
+}
+
+/// Decodes a row's value.
+///
+/// # Errors
+/// The bytes are not such a value.
+pub fn decode_row<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, postcard::Error> {
+    postcard::from_bytes(bytes)
+}
+
+/// Row that each write of the owner is conditional on, and changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Guard {
+    /// Number of the ownership.
+    pub epoch: Epoch,
+    /// Run of the owner's process.
+    pub incarnation: u64,
+}
+
+/// Name of the row that guards the owner's writes.
+#[must_use]
+pub fn guard_row() -> RowName {
+    RowName::new("guard", OWNER_PART, "owner")
+}
--- /dev/null
+++ b/crates/cell/src/seat.rs
@@ -0,0 +1,215 @@
+//! Ownership of the pool: who has it, and when to take it.
+//!
+//! The owner renews one row of the store. Safety does not rest on its expiry:
+//! each write of the owner is conditional on that row, and workers refuse
+//! orders of a lower epoch. A take-over that comes too early therefore costs
+//! an interruption, never a double start.
+
+use std::time::Duration;
+
+use platform::Committed;
+use platform::Row;
+use platform::StoreError;
+use platform::Transaction;
+use platform::Version;
+use tokio::sync::watch;
+
+use crate::Change;
+use crate::Context;
+use crate::Follower;
+use crate::Guard;
+use crate::SEAT_TABLE;
+use crate::Seat;
+use crate::decode_row;
+use crate::encode_row;
+use crate::guard_row;
+use crate::seat_row;
+
+/// A pool whose owner has not renewed for this long is taken over. Five
+/// renewals; the store's answers may take half a second when it is slow.
+const EXPIRY: Duration = Duration::from_secs(2);
+
+/// Longest wait of the feed for a renewal.
+const FEED_WAIT: Duration = Duration::from_millis(500);
+
+/// Pause after a failed read.
+const READ_PAUSE: Duration = Duration::from_millis(150);
+
+/// Time for the transaction that takes the pool.
+const TAKE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Hosts try to take a free pool one after the other, this far apart, so that
+/// seven of eight do not write in vain.
+const STAGGER: Duration = Duration::from_millis(25);
+
+/// Hosts that are told apart by the stagger.
+const STAGGERED: u64 = 8;
+
+/// Who owns the pool, as far as this process knows.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SeatView {
+    /// Newest row read.
+    pub seat: Option<Seat>,
+    /// Its version; 0 if there is none.
+    pub version: Version,
+    /// The store has answered at least once.
+    pub read: bool,
+    /// Since when (monotonic time of this process) the store has not answered.
+    pub silent: Option<Duration>,
+}
+
+impl SeatView {
+    /// The owner, if it has not given up the pool.
+    #[must_use]
+    pub fn owner(&self) -> Option<&Seat> {
+        self.seat.as_ref().filter(|seat| !seat.released)
+    }
+}
+
+/// Follows the ownership and takes the pool when it is free.
+pub struct SeatKeeper {
+    context: Context,
+    view: watch::Sender<SeatView>,
+    /// When the newest row was seen first, with the store answering since.
+    fresh: Duration,
+}
+
+impl SeatKeeper {
+    /// A keeper that publishes to `view`.
+    #[must_use]
+    pub fn new(context: Context, view: watch::Sender<SeatView>) -> SeatKeeper {
+        let fresh = context.now();
+        SeatKeeper {
+            context,
+            view,
+            fresh,
+        }
+    }
+
+    /// Runs until the process stops.
+    pub async fn run(mut self) {
+        let store = self.context.store.clone();
+        let mut follower = Follower::new(&store, SEAT_TABLE, true);
+        loop {
+            match follower.next(FEED_WAIT).await {
+                Ok(Change::Full(rows) | Change::Some(rows)) => self.take_rows(&rows),
+                Err(error) => self.lost(&error).await,
+            }
+            if self.free() && !self.context.stopping() {
+                self.take().await;
+            }
+        }
+    }
+
+    fn take_rows(&mut self, rows: &[Row]) {
+        let now = self.context.now();
+        self.view.send_if_modified(|view| {
+            let back = view.silent.take().is_some();
+            let first = !std::mem::replace(&mut view.read, true);
+            if back || first {
+                self.fresh = now;
+                log::info!(code = 302, back = back; "store answers");
+            }
+            back || first
+        });
+        for row in rows {
+            match decode_row::<Seat>(&row.value) {
+                Ok(seat) => self.publish(seat, row.version),
+                Err(error) => log::error!(code = 303, error:% = error; "seat row unreadable"),
+            }
+        }
+    }
+
+    fn publish(&mut self, seat: Seat, version: Version) {
+        let now = self.context.now();
+        let fresh = &mut self.fresh;
+        self.view.send_if_modified(|view| {
+            if version <= view.version {
+                return false;
+            }
+            let changed = view.seat.as_ref().map(|seat| seat.epoch) != Some(seat.epoch);
+            if changed || seat.released {
+                log::info!(
+                    code = 304, epoch = seat.epoch, owner = seat.node.as_str(),
+                    released = seat.released, version = version; "owner of the pool"
+                );
+            }
+            *fresh = now;
+            view.version = version;
+            view.seat = Some(seat);
+            true
+        });
+    }
+
+    async fn lost(&mut self, error: &StoreError) {
+        let now = self.context.now();
+        // Renewals cannot be seen: their absence says nothing.
+        self.fresh = now;
+        self.view.send_if_modified(|view| {
+            if view.silent.is_some() {
+                return false;
+            }
+            log::warn!(code = 301, error:% = error; "store does not answer");
+            view.silent = Some(now);
+            true
+        });
+        tokio::time::sleep(READ_PAUSE).await;
+    }
+
+    fn free(&self) -> bool {
+        let view = self.view.borrow();
+        if view.silent.is_some() || !view.read {
+            return false;
+        }
+        let Some(seat) = &view.seat else { return true };
+        let me = &self.context;
+        let mine = seat.incarnation == me.incarnation;
+        // An earlier run of this host's process is certainly over.
+        let former = seat.node == me.settings.node && !mine;
+        let expired = me.now().saturating_sub(self.fresh) > EXPIRY;
+        seat.released && !mine || former || expired && !mine
+    }
+
+    async fn take(&mut self) {
+        tokio::time::sleep(self.stagger()).await;
+        let view = self.view.borrow().clone();
+        let epoch = view.seat.as_ref().map_or(1, |seat| seat.epoch + 1);
+        let seat = Seat {
+            epoch,
+            node: self.context.settings.node.clone(),
+            incarnation: self.context.incarnation,
+            address: self.context.settings.peer_address(),
+            beat: 0,
+            released: false,
+        };
+        let guard = Guard {
+            epoch,
+            incarnation: self.context.incarnation,
+        };
+        let transaction = Transaction {
+            expect: vec![(seat_row(), view.version)],
+            puts: vec![
+                (seat_row(), encode_row(&seat)),
+                (guard_row(), encode_row(&guard)),
+            ],
+            removes: Vec::new(),
+        };
+        match self.context.store.commit(&transaction, TAKE_TIMEOUT).await {
+            Ok(Committed::Done(version)) => self.publish(seat, version),
+            Ok(Committed::Conflict) => {
+                log::info!(code = 305, epoch = epoch; "another process took the pool");
+            }
+            // If the write was done after all, the feed shows it.
+            Err(error) => {
+                log::warn!(code = 306, epoch = epoch, error:% = error; "taking the pool failed");
+            }
+        }
+    }
+
+    fn stagger(&self) -> Duration {
+        let name = self.context.settings.node.bytes();
+        let hash = name.fold(0u64, |hash, byte| hash.wrapping_mul(31) + u64::from(byte));
+        let place = u32::try_from(hash % STAGGERED).unwrap_or(0);
+        STAGGER * place
+    }
+}
--- /dev/null
+++ b/crates/cell/src/settings.rs
@@ -0,0 +1,139 @@
+//! Settings of a process: a YAML file, filled in by the platform.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use job::Policy;
+use serde::Deserialize;
+use snafu::ResultExt;
+
+use crate::CellError;
+use crate::error::ReadSettingsSnafu;
+
+/// Addresses that a process listens on for others than its peers.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Listen {
+    /// Callers' requests.
+    pub callers: SocketAddr,
+    /// The balancer's readiness checks.
+    pub ready: SocketAddr,
+}
+
+/// How the processes talk to one another.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Peers {
+    /// First of the ports that are free for the project.
+    pub first_port: u16,
+}
+
+/// Times and factors that the platform guarantees or asks for.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct Bounds {
+    /// Longest lease of a worker, in milliseconds.
+    pub worker_lease_ms: u64,
+    /// Longest time that a worker takes to stop a task, in milliseconds.
+    pub stop_ms: u64,
+    /// Longest time for which a gang's members wait for one another, in
+    /// milliseconds.
+    pub gang_ms: u64,
+    /// Time after which a leaving worker gets no new task, in milliseconds.
+    pub drain_ms: u64,
+    /// Time between the signal to stop and the kill, in seconds.
+    pub grace_s: f64,
+    /// How much slower a task is away from its data.
+    pub far_factor: f64,
+    /// Time that a task takes to resume from a checkpoint, in milliseconds.
+    pub restore_ms: u64,
+}
+
+/// Settings of a process.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct CellSettings {
+    /// Name of the host.
+    pub node: String,
+    /// Failure domain of the host.
+    pub zone: String,
+    /// Address of the host.
+    pub ip: IpAddr,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// Talk between processes.
+    pub peers: Peers,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Address of the service that knows which workers may run a step; empty
+    /// where there is none.
+    #[serde(default)]
+    pub advice: String,
+    /// Times and factors.
+    pub bounds: Bounds,
+}
+
+/// Environment variable with the path of the settings file.
+pub const SETTINGS_VARIABLE: &str = "CLOVERMOUNT_BOOT";
+
+/// Lease given to workers, as a share of the longest one: long enough that a
+/// successor renews it after the owner's death, short enough that the tasks
+/// of a worker that died silently start again soon.
+const LEASE_SHARE: f64 = 0.75;
+
+impl CellSettings {
+    /// Path of the settings file from the environment.
+    ///
+    /// # Errors
+    /// The variable is not set.
+    pub fn path() -> Result<PathBuf, CellError> {
+        let path = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+        path.ok_or(CellError::NoPath {
+            name: SETTINGS_VARIABLE,
+        })
+    }
+
+    /// Reads the settings file.
+    ///
+    /// # Errors
+    /// It cannot be read, or a field is missing or malformed.
+    pub fn load(path: &Path) -> Result<CellSettings, CellError> {
+        let text = std::fs::read_to_string(path).context(ReadSettingsSnafu { path })?;
+        CellSettings::parse(&text).map_err(|reason| CellError::ParseSettings {
+            path: path.to_owned(),
+            reason,
+        })
+    }
+
+    /// Parses settings; unknown fields are ignored.
+    ///
+    /// # Errors
+    /// Text of the cause, with line and column.
+    pub fn parse(text: &str) -> Result<CellSettings, String> {
+        serde_saphyr::from_str(text).map_err(|error| error.to_string())
+    }
+
+    /// Address on which peers reach this process.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.peers.first_port)
+    }
+
+    /// Address of the advice service, if there is one.
+    #[must_use]
+    pub fn advice_address(&self) -> Option<SocketAddr> {
+        self.advice.parse().ok()
+    }
+
+    /// Figures for the planner.
+    #[must_use]
+    pub fn policy(&self) -> Policy {
+        let longest = Duration::from_millis(self.bounds.worker_lease_ms);
+        Policy {
+            lease: longest.mul_f64(LEASE_SHARE),
+            stop: Duration::from_millis(self.bounds.stop_ms),
+            gang: Duration::from_millis(self.bounds.gang_ms),
+            far: self.bounds.far_factor,
+            ..Policy::default()
+        }
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,9 +4,12 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use cell::CellProcess;
+use cell::CellSettings;
 use daemon::DaemonError;
 use daemon::Process;
 use daemon::Settings;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -16,36 +19,46 @@
 struct Options {
     /// settings file (YAML); see docs/SETTINGS.md
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
+    /// run on the platform: jobs of tasks, settings file named by the
+    /// environment variable `CLOVERMOUNT_BOOT`
+    #[argh(switch)]
+    cell: bool,
 }
 
 fn main() -> ExitCode {
     let options: Options = argh::from_env();
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let settings = match Settings::load(&options.settings) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{error}");
-            return ExitCode::from(2);
-        }
+    let outcome = match (options.cell, options.settings) {
+        (true, None) => run_cell(),
+        (false, Some(path)) => run_process(&path),
+        _ => Err((2, "give either --settings or --cell".to_owned())),
     };
-    let runtime = match daemon::make_runtime() {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("cannot start: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
-    match runtime.block_on(run(&settings)) {
+    match outcome {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error}");
-            ExitCode::FAILURE
+        Err((code, reason)) => {
+            eprintln!("{reason}");
+            ExitCode::from(code)
         }
     }
 }
 
-async fn run(settings: &Settings) -> Result<(), DaemonError> {
+/// Exit code and text of a failed run.
+type Failure = (u8, String);
+
+fn failure(code: u8) -> impl Fn(&dyn std::error::Error) -> Failure {
+    move |error| (code, error.to_string())
+}
+
+fn run_process(path: &std::path::Path) -> Result<(), Failure> {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let settings = Settings::load(path).map_err(|error| failure(2)(&error))?;
+    let runtime = daemon::make_runtime().map_err(|error| failure(1)(&error))?;
+    runtime
+        .block_on(serve_process(&settings))
+        .map_err(|error| failure(1)(&error))
+}
+
+async fn serve_process(settings: &Settings) -> Result<(), DaemonError> {
     let mut process = Process::open(settings).await?;
     tokio::select! {
         error = process.crashed() => return Err(error),
@@ -55,6 +68,46 @@
     Ok(())
 }
 
+/// Runs a process on the platform: one thread, since an entry host has a part
+/// of a core.
+fn run_cell() -> Result<(), Failure> {
+    let level = std::env::var("RUST_LOG").unwrap_or_else(|_| "info".to_owned());
+    let logs = cell::start_logging(&level);
+    let path = CellSettings::path().map_err(|error| failure(2)(&error))?;
+    let settings = CellSettings::load(&path).map_err(|error| failure(2)(&error))?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| failure(1)(&error))?;
+    runtime.block_on(async {
+        let mut known = settings.clone();
+        let process = CellProcess::open(settings)
+            .await
+            .map_err(|error| failure(2)(&error))?;
+        let mut reload = signal(SignalKind::hangup()).ok();
+        let stop = stop_signal();
+        tokio::pin!(stop);
+        loop {
+            tokio::select! {
+                () = &mut stop => break,
+                () = logs.report_dropped() => {}
+                () = received(&mut reload) => cell::reload_settings(&path, &mut known),
+            }
+        }
+        process.close().await;
+        Ok(())
+    })
+}
+
+async fn received(signal: &mut Option<Signal>) {
+    match signal {
+        Some(signal) => {
+            signal.recv().await;
+        }
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits for SIGTERM or SIGINT. Without handlers the defaults end the process.
 async fn stop_signal() {
     let (Ok(mut term), Ok(mut int)) = (
--- /dev/null
+++ b/crates/job/src/id.rs
@@ -0,0 +1,100 @@
+//! Identities of jobs, steps, tasks and their runs.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::OptionExt;
+use snafu::Snafu;
+
+/// Identity of a job, chosen by its caller: 16 hexadecimal digits.
+pub type JobId = u64;
+
+/// Number of one start of a task; it rises with each start, over owners too.
+pub type RunId = u64;
+
+/// Number of an ownership of the pool; workers refuse lower ones.
+pub type Epoch = u64;
+
+/// Identity of one life of a worker.
+pub type WorkerId = String;
+
+/// Digits of a job's identity.
+const ID_DIGITS: usize = 16;
+
+/// A text that names no job, step or task.
+#[derive(Debug, Snafu)]
+#[snafu(display("id {text:?}: allowed: 16 lower-case hexadecimal digits, then numbers"))]
+pub struct IdError {
+    /// The text.
+    text: String,
+}
+
+/// Parses the identity of a job. Upper-case digits are refused, because two
+/// spellings of one id would be two jobs to the caller.
+///
+/// # Errors
+/// The text is not 16 lower-case hexadecimal digits.
+pub fn parse_job(text: &str) -> Result<JobId, IdError> {
+    let plain = text.len() == ID_DIGITS
+        && text
+            .bytes()
+            .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+    plain
+        .then(|| u64::from_str_radix(text, 16).ok())
+        .flatten()
+        .context(IdSnafu { text })
+}
+
+/// A step of one round of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct StepKey {
+    /// The job.
+    pub job: JobId,
+    /// Occurrence of a repeated job, from 0.
+    pub round: u32,
+    /// Step within the job, from 0.
+    pub step: u32,
+}
+
+impl fmt::Display for StepKey {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{:016x}.{}.{}", self.job, self.round, self.step)
+    }
+}
+
+/// A task of a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TaskKey {
+    /// The step.
+    pub step: StepKey,
+    /// Task within the step, from 0.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskKey {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{}.{}", self.step, self.index)
+    }
+}
+
+impl FromStr for TaskKey {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<TaskKey, IdError> {
+        let mut parts = text.split('.');
+        let job = parse_job(parts.next().unwrap_or_default())?;
+        let mut number = || {
+            parts
+                .next()
+                .and_then(|part| part.parse().ok())
+                .context(IdSnafu { text })
+        };
+        let round = number()?;
+        let step = number()?;
+        let index = number()?;
+        let step = StepKey { job, round, step };
+        Ok(TaskKey { step, index })
+    }
+}
--- /dev/null
+++ b/crates/job/src/planner/advice.rs
@@ -0,0 +1,179 @@
+//! Whom to ask about, and when: only some workers may run a step, and asking
+//! takes time that is scarce.
+
+use std::time::Duration;
+
+use super::Planner;
+use super::job_state::StepState;
+use super::place::Rank;
+use super::roster::WorkerState;
+use crate::Advice;
+use crate::StepKey;
+use crate::StepSpec;
+use crate::Ticket;
+use crate::WorkerId;
+
+/// Most workers that the service takes in one call.
+const MOST_NAMED: usize = 100;
+
+/// Fewest workers named in a first call.
+const FEWEST_NAMED: usize = 12;
+
+/// A call that takes longer than this is slow: it must not stand in the way of
+/// the quick ones, whose callers wait at a counter.
+const QUICK: Duration = Duration::from_millis(60);
+
+/// Time after which a call counts as lost, beyond its own.
+const GRACE: Duration = Duration::from_millis(1500);
+
+/// A call to be made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// The step.
+    pub step: StepKey,
+    /// The workers to ask about.
+    pub workers: Vec<WorkerId>,
+    /// How long the service will take.
+    pub cost: Duration,
+}
+
+impl Planner {
+    /// The most urgent call that is needed now. Slow calls are left out unless
+    /// `slow` is set.
+    pub fn next_ask(&mut self, slow: bool) -> Option<Ask> {
+        let mut ranked: Vec<(Rank, StepKey)> = Vec::new();
+        for &key in &self.open {
+            if let Some(rank) = self.rank(key) {
+                ranked.push((rank, key));
+            }
+        }
+        ranked.sort_unstable();
+        let ask = ranked
+            .into_iter()
+            .find_map(|(_, key)| self.ask_for(key, slow))?;
+        let lost = self.now + ask.cost * 2 + GRACE;
+        let job = self.jobs.get_mut(&ask.step.job)?;
+        let (_, step) = job.step_mut(ask.step)?;
+        step.advised.pending = Some(lost);
+        Some(ask)
+    }
+
+    fn ask_for(&self, key: StepKey, slow: bool) -> Option<Ask> {
+        let job = self.jobs.get(&key.job)?;
+        let advice = job.spec.queue.advice.as_ref()?;
+        if !slow && advice.fixed > QUICK {
+            return None;
+        }
+        let (spec, step) = job.step(key)?;
+        let advised = &step.advised;
+        let pending = advised.pending.is_some_and(|lost| self.now < lost);
+        if pending || self.now < advised.after || step.waiting() == 0 {
+            return None;
+        }
+        let soon = self.now + advice.fixed + self.policy.ticket_margin;
+        let lasting = advised.good.values().any(|(_, until)| *until > soon);
+        if lasting && !advised.good.is_empty() {
+            return None;
+        }
+        let workers = self.named(&job.spec.queue.service, spec, step, advice);
+        if workers.is_empty() {
+            return None;
+        }
+        let named = u32::try_from(workers.len()).unwrap_or(u32::MAX);
+        Some(Ask {
+            step: key,
+            cost: advice.fixed + advice.each * named,
+            workers,
+        })
+    }
+
+    /// Workers to ask about: those known to be good, if they have room, or
+    /// else those not asked about yet, the emptiest first.
+    fn named(
+        &self,
+        service: &str,
+        spec: &StepSpec,
+        step: &StepState,
+        advice: &Advice,
+    ) -> Vec<WorkerId> {
+        let booked = spec.booked();
+        let usable = |worker: &&WorkerState| {
+            worker.info.service == service
+                && self.usable(worker)
+                && (spec.label.is_empty() || worker.info.labels.contains(&spec.label))
+                && worker.info.capacity.holds(&booked)
+        };
+        let all: Vec<&WorkerState> = self.workers.values().filter(usable).collect();
+        let (good, rest): (Vec<_>, Vec<_>) = all
+            .into_iter()
+            .filter(|worker| {
+                let id = &worker.info.id;
+                step.advised.good.contains_key(id) || !step.advised.asked.contains(id)
+            })
+            .partition(|worker| step.advised.good.contains_key(&worker.info.id));
+        let room = |workers: &[&WorkerState]| -> u64 {
+            let fits = workers.iter().map(|worker| worker.free().fits(&booked));
+            fits.sum()
+        };
+        let needed = if spec.gang { step.waiting() as u64 } else { 1 };
+        if room(&good) >= needed {
+            return good.iter().map(|worker| worker.info.id.clone()).collect();
+        }
+        if !good.is_empty() && room(&rest) + room(&good) < needed {
+            return Vec::new();
+        }
+        let mut order = rest;
+        order.sort_by_key(|worker| std::cmp::Reverse(worker.free().cpu));
+        let even = advice.fixed.as_secs_f64() / advice.each.as_secs_f64().max(1e-6);
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let most = (even / 2.0) as usize;
+        let most = most.clamp(FEWEST_NAMED, MOST_NAMED);
+        let most = if spec.gang { MOST_NAMED } else { most };
+        let names = good.iter().chain(order.iter().take(most));
+        names
+            .take(MOST_NAMED)
+            .map(|worker| worker.info.id.clone())
+            .collect()
+    }
+
+    /// Takes the answer to a call about `asked`; tickets last until `until`.
+    pub fn take_advice(
+        &mut self,
+        key: StepKey,
+        asked: &[WorkerId],
+        tickets: &[Ticket],
+        until: Duration,
+    ) {
+        let job = self.jobs.get_mut(&key.job);
+        let Some((_, step)) = job.and_then(|job| job.step_mut(key)) else {
+            return;
+        };
+        let advised = &mut step.advised;
+        advised.pending = None;
+        advised.asked.extend(asked.iter().cloned());
+        for ticket in tickets {
+            let worker = ticket.worker.clone();
+            advised.good.insert(worker, (ticket.text.clone(), until));
+        }
+    }
+
+    /// A call failed; it is made again after a pause.
+    pub fn advice_failed(&mut self, key: StepKey, pause: Duration) {
+        let after = self.now + pause;
+        let job = self.jobs.get_mut(&key.job);
+        if let Some((_, step)) = job.and_then(|job| job.step_mut(key)) {
+            step.advised.pending = None;
+            step.advised.after = after;
+        }
+    }
+
+    /// A worker refused a ticket: it is not used again.
+    pub(super) fn drop_ticket(&mut self, key: StepKey, id: &str) {
+        let job = self.jobs.get_mut(&key.job);
+        if let Some((_, step)) = job.and_then(|job| job.step_mut(key))
+            && let Some((_, until)) = step.advised.good.get_mut(id)
+        {
+            *until = Duration::ZERO;
+        }
+    }
+}
--- /dev/null
+++ b/crates/job/src/planner/gang.rs
@@ -0,0 +1,73 @@
+//! Gangs: tasks that start, work and end together under one run number.
+
+use super::Planner;
+use super::job_state::Phase;
+use crate::EndedTask;
+use crate::Outcome;
+use crate::RunEnd;
+use crate::RunId;
+use crate::StepKey;
+use crate::TaskKey;
+
+impl Planner {
+    /// A member's run has ended; the step and its job are known to be alive.
+    pub(super) fn gang_ended(&mut self, key: StepKey, end: &EndedTask, attempts: u32) {
+        let job = self.jobs.get_mut(&key.job);
+        let Some((spec, step)) = job.and_then(|job| job.step_mut(key)) else {
+            return;
+        };
+        let lasting = spec.lasting;
+        // A checkpoint of any member is valid for all; task 0 keeps it.
+        if let Some(first) = step.tasks.first_mut()
+            && !end.checkpoint.is_empty()
+        {
+            first.checkpoint.clone_from(&end.checkpoint);
+        }
+        if end.how == RunEnd::Done && !lasting {
+            // One member's end stands for all.
+            for state in &mut step.tasks {
+                state.phase = Phase::Done;
+            }
+            step.done = u32::try_from(step.tasks.len()).unwrap_or(u32::MAX);
+            self.step_advanced(end.task);
+            return;
+        }
+        if let Some(state) = step.tasks.get_mut(end.task.index as usize) {
+            state.phase = Phase::Waiting;
+            state.void = state.void.max(end.run);
+        }
+        let counts = end.how == RunEnd::Failed && !lasting && end.run > step.counted;
+        if counts {
+            step.counted = end.run;
+            let first = &mut step.tasks[0];
+            first.failures += 1;
+            if first.failures >= attempts {
+                self.finish(key.job, Outcome::Failed);
+                return;
+            }
+        }
+        self.open.insert(key);
+        self.break_gang(key, end.run);
+    }
+
+    /// Stops the members of a run that cannot go on together. Members that
+    /// were waiting for one that will not come would end only after the gang's
+    /// time is over, and hold their room until then.
+    pub(super) fn break_gang(&mut self, key: StepKey, run: RunId) {
+        let job = self.jobs.get(&key.job);
+        let Some((_, step)) = job.and_then(|job| job.step(key)) else {
+            return;
+        };
+        let mut alive = Vec::new();
+        for (index, task) in (0..).zip(&step.tasks) {
+            if let Phase::Active(worker, active) = task.phase
+                && active == run
+            {
+                alive.push((TaskKey { step: key, index }, worker));
+            }
+        }
+        for (task, worker) in alive {
+            self.stop(worker, task, run, "gang broken");
+        }
+    }
+}
--- /dev/null
+++ b/crates/job/src/planner/mod.rs
@@ -0,0 +1,272 @@
+//! The planner: which task starts where, and what each report means.
+//!
+//! State and events in, orders out. The time is that of the caller's monotonic
+//! clock. Three invariants hold whatever the order of events:
+//!
+//! - a task has at most one run that may be alive: a run is given up only when
+//!   its end was listed, its worker's life is over, or the worker's lease is
+//!   over by the slowest clock;
+//! - a worker is never booked over its capacity: room is given back only with
+//!   the run;
+//! - an end counts as recorded only after the progress that holds it was saved.
+
+mod advice;
+mod batch;
+mod gang;
+mod job_state;
+mod place;
+mod policy;
+mod report;
+mod roster;
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use slotmap::SlotMap;
+
+use crate::Config;
+use crate::Epoch;
+use crate::JobId;
+use crate::JobSpec;
+use crate::Outcome;
+use crate::Progress;
+use crate::RunId;
+use crate::Shown;
+use crate::StepKey;
+use crate::TaskKey;
+use crate::WorkerId;
+
+use job_state::JobState;
+use roster::WorkerState;
+
+pub use advice::Ask;
+pub use batch::Batch;
+pub use policy::Policy;
+pub use report::StartReply;
+pub use report::StopReply;
+
+slotmap::new_key_type! {
+    /// A worker known to the planner.
+    pub struct WorkerKey;
+}
+
+/// Run numbers that one epoch may use for a task. Numbers of a later epoch are
+/// higher than all of an earlier one, so a successor that has not seen its
+/// predecessor's last start still numbers its own higher.
+const RUNS_PER_EPOCH: RunId = 100_000;
+
+/// Something to be sent to a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Start a task.
+    Start {
+        /// Where.
+        worker: WorkerKey,
+        /// The task.
+        task: TaskKey,
+        /// The run.
+        run: RunId,
+        /// Text from the caller.
+        payload: String,
+        /// Checkpoint to resume from; empty for none.
+        checkpoint: String,
+        /// Proof that the worker may run the step.
+        ticket: Option<String>,
+    },
+    /// Stop a run, whether it has arrived or not.
+    Stop {
+        /// Where.
+        worker: WorkerKey,
+        /// The task.
+        task: TaskKey,
+        /// The run.
+        run: RunId,
+        /// Why, for the log.
+        reason: &'static str,
+    },
+    /// The worker's life is over, or its lease: close the connection to it.
+    Drop {
+        /// Which.
+        worker: WorkerKey,
+        /// This life of it.
+        id: WorkerId,
+    },
+}
+
+/// Decides for the owner of a pool.
+#[derive(Debug)]
+pub struct Planner {
+    policy: Policy,
+    now: Duration,
+    /// Wall-clock time at `now` = 0.
+    wall: Duration,
+    run_base: RunId,
+    config: Config,
+    workers: SlotMap<WorkerKey, WorkerState>,
+    by_id: HashMap<WorkerId, WorkerKey>,
+    jobs: HashMap<JobId, JobState>,
+    /// Steps that have tasks to start.
+    open: BTreeSet<StepKey>,
+    dirty: BTreeSet<JobId>,
+    orders: Vec<Order>,
+    /// Until this time, tasks that a predecessor may have started stay put.
+    recovery: Option<Duration>,
+}
+
+impl Planner {
+    /// A planner for the epoch `epoch`, taking over at `now`. `wall` is the
+    /// wall-clock time, since 1970, at the origin of `now`.
+    #[must_use]
+    pub fn new(policy: Policy, epoch: Epoch, now: Duration, wall: Duration) -> Planner {
+        Planner {
+            recovery: Some(now + policy.worst_lapse()),
+            policy,
+            now,
+            wall,
+            run_base: epoch.saturating_sub(1) * RUNS_PER_EPOCH,
+            config: Config::default(),
+            workers: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            jobs: HashMap::new(),
+            open: BTreeSet::new(),
+            dirty: BTreeSet::new(),
+            orders: Vec::new(),
+        }
+    }
+
+    /// Advances the clock; it never goes back.
+    pub fn advance(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+    }
+
+    /// Takes a newer configuration; an older one is ignored.
+    pub fn configure(&mut self, config: &Config) {
+        if config.version > self.config.version {
+            self.config = config.clone();
+        }
+    }
+
+    /// Takes a job that was accepted, or a change of it. `old` says that a
+    /// predecessor may have started it.
+    pub fn take_job(&mut self, id: JobId, spec: JobSpec, progress: Option<&Progress>, old: bool) {
+        if let Some(job) = self.jobs.get(&id) {
+            if spec.canceled && job.outcome.is_none() {
+                self.finish(id, Outcome::Canceled);
+            }
+            return;
+        }
+        let age = if old {
+            (self.wall + self.now).saturating_sub(spec.received)
+        } else {
+            Duration::ZERO
+        };
+        let canceled = spec.canceled;
+        let born = self.now.saturating_sub(age.min(self.policy.oldest));
+        let mut job = JobState::new(spec, born, old);
+        if let Some(progress) = progress {
+            job.restore(progress);
+        }
+        let ended = job.outcome.is_some();
+        self.jobs.insert(id, job);
+        match (ended, canceled) {
+            (true, _) => {}
+            (false, true) => self.finish(id, Outcome::Canceled),
+            (false, false) => self.open_steps(id),
+        }
+    }
+
+    /// Decides what starts now.
+    pub fn plan(&mut self) {
+        self.expire_workers();
+        self.end_recovery();
+        self.open_rounds();
+        self.refuse_impossible();
+        self.place();
+    }
+
+    /// Orders that have come up since the last call.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// What callers may be shown of a job; nothing if it is not known here.
+    /// An end is shown only once it was saved: an unsaved one could be run
+    /// again by a successor after a caller has seen it.
+    #[must_use]
+    pub fn shown(&self, id: JobId) -> Option<Shown> {
+        let job = self.jobs.get(&id)?;
+        let live = if job.started {
+            Shown::Active
+        } else {
+            Shown::Pending
+        };
+        Some(job.saved.map_or(live, Shown::from))
+    }
+
+    /// Jobs of a queue of which no task has started.
+    #[must_use]
+    pub fn waiting(&self, queue: &str) -> usize {
+        self.jobs
+            .values()
+            .filter(|job| job.outcome.is_none() && !job.started)
+            .filter(|job| job.spec.queue.name == queue)
+            .count()
+    }
+
+    /// Jobs that have not ended.
+    #[must_use]
+    pub fn unfinished(&self) -> usize {
+        let live = self.jobs.values().filter(|job| job.outcome.is_none());
+        live.count()
+    }
+
+    /// Whether tasks of a predecessor are still unaccounted for.
+    #[must_use]
+    pub fn recovering(&self) -> bool {
+        self.recovery.is_some()
+    }
+
+    /// Old tasks may start again when every worker has told what it runs, or
+    /// when what a silent one runs is over by its lease.
+    fn end_recovery(&mut self) {
+        let Some(until) = self.recovery else { return };
+        let silent = self.workers.values().any(|worker| !worker.claimed);
+        let none = self.workers.is_empty();
+        if self.now < until && (silent || none) {
+            return;
+        }
+        self.recovery = None;
+        for worker in self.workers.values_mut() {
+            worker.trusted = worker.claimed;
+        }
+    }
+
+    /// Ends a job and stops what still runs of it.
+    fn finish(&mut self, id: JobId, outcome: Outcome) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.outcome = Some(outcome);
+        let alive = job.alive(id);
+        job.shrink();
+        self.dirty.insert(id);
+        let first = StepKey {
+            job: id,
+            round: 0,
+            step: 0,
+        };
+        let last = StepKey {
+            job: id,
+            round: u32::MAX,
+            step: u32::MAX,
+        };
+        let gone: Vec<StepKey> = self.open.range(first..=last).copied().collect();
+        for key in gone {
+            self.open.remove(&key);
+        }
+        for (task, worker, run) in alive {
+            self.stop(worker, task, run, "job ended");
+        }
+    }
+}
--- /dev/null
+++ b/crates/job/src/planner/policy.rs
@@ -0,0 +1,68 @@
+//! Figures that the planner decides by.
+
+use std::time::Duration;
+
+/// Figures that the planner decides by.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// Lease that each renewal gives a worker.
+    pub lease: Duration,
+    /// Longest time that a stop may take.
+    pub stop: Duration,
+    /// Longest time for which a gang's members wait for one another.
+    pub gang: Duration,
+    /// How much slower a task is away from its data.
+    pub far: f64,
+    /// Least time left of a ticket for a start to be sent with it: the start's
+    /// way and the worker's wait for its processor.
+    pub ticket_margin: Duration,
+    /// How long a worker rests after failures of several jobs in a row.
+    pub rest: Duration,
+    /// Failures in a row, of different jobs, after which a worker rests. Sound
+    /// workers fail one task in twenty: two in a row by chance are rare.
+    pub strikes: u32,
+    /// A run whose progress stands still for this long is moved elsewhere.
+    pub stall: Duration,
+    /// Oldest age credited to a job at take-over; wall clocks may jump.
+    pub oldest: Duration,
+}
+
+/// Slowest worker clock: 2 % behind ours, and as much again for our own.
+const SLOW_CLOCK: f64 = 1.04;
+
+/// Time for which an order may be on its way after it was sent, beyond the
+/// lease that it carries.
+const TRANSIT: Duration = Duration::from_millis(150);
+
+impl Policy {
+    /// Longest time from now until a lease of `lease` is surely over.
+    #[must_use]
+    pub fn lapse(&self) -> Duration {
+        self.lease.mul_f64(SLOW_CLOCK) + TRANSIT
+    }
+
+    /// Longest time after a take-over until everything that the predecessor
+    /// ordered on a worker that we cannot reach is surely over: its last
+    /// renewal may come up to one long poll after we fenced the others.
+    #[must_use]
+    pub fn worst_lapse(&self) -> Duration {
+        const LAST_RENEWAL: Duration = Duration::from_millis(1500);
+        self.lapse() + LAST_RENEWAL
+    }
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy {
+            lease: Duration::from_millis(4500),
+            stop: Duration::from_millis(200),
+            gang: Duration::from_secs(3),
+            far: 3.0,
+            ticket_margin: Duration::from_millis(120),
+            rest: Duration::from_secs(6),
+            strikes: 2,
+            stall: Duration::from_millis(2500),
+            oldest: Duration::from_mins(2),
+        }
+    }
+}
--- /dev/null
+++ b/crates/job/src/planner/report.rs
@@ -0,0 +1,362 @@
+//! What workers' answers and listings mean.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::Order;
+use super::Planner;
+use super::WorkerKey;
+use super::job_state::Phase;
+use super::roster::Placed;
+use super::roster::RunPhase;
+use crate::EndedTask;
+use crate::Listing;
+use crate::Outcome;
+use crate::Room;
+use crate::RunEnd;
+use crate::RunId;
+use crate::RunningTask;
+use crate::TaskKey;
+
+/// How a worker answered a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartReply {
+    /// It runs.
+    Started,
+    /// It was refused, and this run will never start there.
+    Refused,
+    /// It was refused because the ticket is not valid any more.
+    Ticket,
+    /// It may have started, or may start later.
+    Unknown,
+}
+
+/// How a worker answered a stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopReply {
+    /// The run ends, or will never start.
+    Stopped,
+    /// No answer; the stop has to be sent again.
+    Unknown,
+}
+
+impl Planner {
+    /// Takes a worker's answer to a start.
+    pub fn start_reply(&mut self, key: WorkerKey, task: TaskKey, run: RunId, reply: StartReply) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let placed = worker
+            .runs
+            .get_mut(&task)
+            .filter(|placed| placed.run == run);
+        let Some(placed) = placed else { return };
+        match reply {
+            StartReply::Started if placed.phase == RunPhase::Sent => {
+                placed.phase = RunPhase::Running;
+                placed.since = now;
+                placed.moved = now;
+            }
+            StartReply::Unknown if placed.phase == RunPhase::Sent => {
+                placed.phase = RunPhase::Unknown;
+                placed.since = now;
+            }
+            // An answer that comes after a listing has told as much.
+            StartReply::Started | StartReply::Unknown => {}
+            StartReply::Refused => {
+                worker.release(task, run);
+                worker.rest = worker.rest.max(now + REFUSED_REST);
+                self.not_started(task, key, run);
+            }
+            StartReply::Ticket => {
+                let id = worker.info.id.clone();
+                worker.release(task, run);
+                self.drop_ticket(task.step, &id);
+                self.not_started(task, key, run);
+            }
+        }
+    }
+
+    /// Takes a worker's answer to a stop.
+    pub fn stop_reply(&mut self, key: WorkerKey, task: TaskKey, run: RunId, reply: StopReply) {
+        let now = self.now;
+        let worker = self.workers.get_mut(key);
+        let placed = worker.and_then(|worker| worker.runs.get_mut(&task));
+        let Some(placed) = placed.filter(|placed| placed.run == run) else {
+            return;
+        };
+        match reply {
+            StopReply::Stopped => {
+                placed.phase = RunPhase::Stopped;
+                placed.since = now;
+            }
+            StopReply::Unknown => self.orders.push(Order::Stop {
+                worker: key,
+                task,
+                run,
+                reason: "no answer",
+            }),
+        }
+    }
+
+    /// Takes a listing that the worker made after `sent`. Runs that it does
+    /// not list, though it had answered before `sent`, are over.
+    pub fn take_listing(&mut self, key: WorkerKey, sent: Duration, listing: &Listing) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let first = !worker.claimed;
+        if first {
+            worker.claimed = true;
+            worker.trusted = self.recovery.is_some();
+        }
+        for end in &listing.ended {
+            self.take_end(key, end);
+        }
+        for running in &listing.running {
+            self.take_running(key, running);
+        }
+        self.sweep(key, sent, listing);
+    }
+
+    fn take_end(&mut self, key: WorkerKey, end: &EndedTask) {
+        let worker = &mut self.workers[key];
+        if end.number <= worker.taken {
+            return;
+        }
+        worker.taken = end.number;
+        let known = worker.release(end.task, end.run).is_some();
+        let job = end.task.step.job;
+        match end.how {
+            RunEnd::Done => {
+                worker.strikes = 0;
+                worker.culprit = None;
+            }
+            RunEnd::Failed if worker.culprit != Some(job) => {
+                worker.strikes += 1;
+                worker.culprit = Some(job);
+                if worker.strikes >= self.policy.strikes {
+                    worker.rest = self.now + self.policy.rest;
+                }
+            }
+            _ => {}
+        }
+        // A predecessor's end that could not be recorded before the lease ran
+        // out does not stand: its task may run elsewhere by now.
+        if !known && end.run <= self.run_base && !worker.trusted {
+            return;
+        }
+        self.task_ended(key, end);
+    }
+
+    /// A run that the worker lists: confirm it, adopt it from a predecessor,
+    /// or stop it.
+    fn take_running(&mut self, key: WorkerKey, running: &RunningTask) {
+        let now = self.now;
+        let worker = &mut self.workers[key];
+        let placed = worker.runs.get_mut(&running.task);
+        if let Some(placed) = placed.filter(|placed| placed.run == running.run) {
+            if matches!(placed.phase, RunPhase::Sent | RunPhase::Unknown) {
+                placed.phase = RunPhase::Running;
+                placed.since = now;
+                placed.moved = now;
+            }
+            if placed.percent != running.percent {
+                placed.percent = running.percent;
+                placed.moved = now;
+            }
+            placed.checkpoint.clone_from(&running.checkpoint);
+            return;
+        }
+        self.adopt(key, running);
+    }
+
+    fn adopt(&mut self, key: WorkerKey, running: &RunningTask) {
+        let task = running.task;
+        let now = self.now;
+        let trusted = self.workers[key].trusted;
+        let job = self.jobs.get_mut(&task.step.job);
+        let live = job.filter(|job| job.outcome.is_none());
+        let mut booked = Room::default();
+        let mut filler = 0;
+        let mut wanted = false;
+        if let Some(job) = live {
+            // A round that only the predecessor had opened.
+            while job.opened <= task.step.round && job.opened < job.spec.rounds() {
+                job.open_round();
+            }
+            job.started = true;
+            if let Some((spec, step)) = job.step_mut(task.step) {
+                booked = spec.booked();
+                filler = if spec.filler { spec.need.cpu } else { 0 };
+                if let Some(state) = step.tasks.get_mut(task.index as usize) {
+                    wanted = trusted && state.phase == Phase::Waiting && running.run > state.void;
+                    if wanted {
+                        state.phase = Phase::Active(key, running.run);
+                        state.run = running.run;
+                    }
+                }
+            }
+        }
+        let placed = Placed {
+            run: running.run,
+            booked,
+            filler,
+            phase: RunPhase::Running,
+            since: now,
+            percent: running.percent,
+            moved: now,
+            checkpoint: running.checkpoint.clone(),
+        };
+        let worker = &mut self.workers[key];
+        if worker.runs.contains_key(&task) {
+            // Another run of the same task is booked here; the listed one is
+            // stopped without a booking of its own.
+            self.orders.push(Order::Stop {
+                worker: key,
+                task,
+                run: running.run,
+                reason: "other run booked",
+            });
+            return;
+        }
+        worker.book(task, placed);
+        if !wanted {
+            self.stop(key, task, running.run, "not wanted");
+        }
+    }
+
+    /// Ends what the worker would list if it were still there.
+    fn sweep(&mut self, key: WorkerKey, sent: Duration, listing: &Listing) {
+        let listed: HashMap<TaskKey, RunId> = listing
+            .running
+            .iter()
+            .map(|running| (running.task, running.run))
+            .collect();
+        let worker = &self.workers[key];
+        let mut over = Vec::new();
+        let mut doubtful = Vec::new();
+        for (&task, placed) in &worker.runs {
+            if listed.get(&task) == Some(&placed.run) || placed.since >= sent {
+                continue;
+            }
+            match placed.phase {
+                RunPhase::Running | RunPhase::Stopped => over.push((task, placed.run)),
+                RunPhase::Unknown => doubtful.push((task, placed.run)),
+                RunPhase::Sent | RunPhase::Stopping => {}
+            }
+        }
+        for (task, run) in doubtful {
+            self.stop(key, task, run, "start got no answer");
+        }
+        for (task, run) in over {
+            let placed = self.workers[key].release(task, run);
+            let checkpoint = placed.map(|placed| placed.checkpoint).unwrap_or_default();
+            self.give_up(task, key, run, &checkpoint);
+        }
+    }
+
+    /// A run is over without an end that counts; its task waits again.
+    pub(super) fn give_up(&mut self, task: TaskKey, key: WorkerKey, run: RunId, checkpoint: &str) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        if job.outcome.is_some() {
+            return;
+        }
+        let Some((spec, step)) = job.step_mut(task.step) else {
+            return;
+        };
+        let gang = spec.gang;
+        let Some(state) = step.tasks.get_mut(task.index as usize) else {
+            return;
+        };
+        state.void = state.void.max(run);
+        if state.phase != Phase::Active(key, run) {
+            return;
+        }
+        state.phase = Phase::Waiting;
+        if !gang && !checkpoint.is_empty() {
+            checkpoint.clone_into(&mut state.checkpoint);
+        }
+        self.open.insert(task.step);
+        if gang {
+            self.break_gang(task.step, run);
+        }
+    }
+
+    /// A start was refused: nothing ran.
+    fn not_started(&mut self, task: TaskKey, key: WorkerKey, run: RunId) {
+        self.give_up(task, key, run, "");
+    }
+
+    fn task_ended(&mut self, key: WorkerKey, end: &EndedTask) {
+        let task = end.task;
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        if job.outcome.is_some() {
+            return;
+        }
+        job.started = true;
+        let attempts = self
+            .config
+            .queue(&job.spec.queue.name)
+            .unwrap_or(&job.spec.queue)
+            .attempts;
+        let Some((spec, step)) = job.step_mut(task.step) else {
+            return;
+        };
+        let (gang, lasting) = (spec.gang, spec.lasting);
+        let Some(state) = step.tasks.get_mut(task.index as usize) else {
+            return;
+        };
+        let ours = state.phase == Phase::Active(key, end.run);
+        let earlier = state.phase == Phase::Waiting && end.run > state.void;
+        if !ours && !earlier {
+            return;
+        }
+        self.dirty.insert(task.step.job);
+        if gang {
+            self.gang_ended(task.step, end, attempts);
+            return;
+        }
+        if !end.checkpoint.is_empty() {
+            state.checkpoint.clone_from(&end.checkpoint);
+        }
+        if end.how == RunEnd::Done && !lasting {
+            state.phase = Phase::Done;
+            step.done += 1;
+            self.step_advanced(task);
+            return;
+        }
+        state.phase = Phase::Waiting;
+        state.void = state.void.max(end.run);
+        if end.how == RunEnd::Failed && !lasting {
+            state.failures += 1;
+            if state.failures >= attempts {
+                self.finish(task.step.job, Outcome::Failed);
+                return;
+            }
+        }
+        self.open.insert(task.step);
+    }
+
+    /// A task of a step was done: steps after it may open.
+    pub(super) fn step_advanced(&mut self, task: TaskKey) {
+        let job = self.jobs.get(&task.step.job);
+        let Some((_, step)) = job.and_then(|job| job.step(task.step)) else {
+            return;
+        };
+        if step.waiting() == 0 {
+            self.open.remove(&task.step);
+        }
+        if step.complete() {
+            self.open_steps(task.step.job);
+        }
+    }
+}
+
+/// Rest of a worker that refuses starts, so that it is not asked in a loop.
+const REFUSED_REST: Duration = Duration::from_millis(400);
--- /dev/null
+++ b/crates/job/src/planner/roster.rs
@@ -0,0 +1,239 @@
+//! Workers as the planner tracks them: room, runs, lease and health.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::Order;
+use super::Planner;
+use super::WorkerKey;
+use crate::JobId;
+use crate::Room;
+use crate::RunId;
+use crate::TaskKey;
+use crate::WorkerId;
+use crate::WorkerInfo;
+
+/// Where a run on a worker stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RunPhase {
+    /// The start was sent; no answer yet.
+    Sent,
+    /// The worker said that it has started.
+    Running,
+    /// The start got no answer: it may run, now or seconds later.
+    Unknown,
+    /// A stop was sent and not confirmed.
+    Stopping,
+    /// The worker confirmed a stop: gone with the next listing.
+    Stopped,
+}
+
+/// A run that holds room on a worker.
+#[derive(Debug)]
+pub(super) struct Placed {
+    pub run: RunId,
+    pub booked: Room,
+    /// Processors asked for without being booked.
+    pub filler: u64,
+    pub phase: RunPhase,
+    /// When the phase began.
+    pub since: Duration,
+    /// Progress, and when it last changed.
+    pub percent: u32,
+    pub moved: Duration,
+    /// Newest checkpoint seen.
+    pub checkpoint: String,
+}
+
+#[derive(Debug)]
+pub(super) struct WorkerState {
+    pub info: WorkerInfo,
+    pub used: Room,
+    pub fillers: u64,
+    pub runs: HashMap<TaskKey, Placed>,
+    /// It has accepted our epoch and told what it runs.
+    pub claimed: bool,
+    /// Ends of a predecessor's runs count: it answered before its lease could
+    /// be over.
+    pub trusted: bool,
+    /// Its registration has vanished.
+    pub gone: bool,
+    /// When its lease is over by the slowest clock.
+    pub lapse: Duration,
+    /// Newest end that was taken in.
+    pub taken: u64,
+    /// Failures in a row, and the job of the last one.
+    pub strikes: u32,
+    pub culprit: Option<JobId>,
+    /// No new work before this time.
+    pub rest: Duration,
+}
+
+impl WorkerState {
+    fn new(info: WorkerInfo, lapse: Duration) -> WorkerState {
+        WorkerState {
+            info,
+            used: Room::default(),
+            fillers: 0,
+            runs: HashMap::new(),
+            claimed: false,
+            trusted: true,
+            gone: false,
+            lapse,
+            taken: 0,
+            strikes: 0,
+            culprit: None,
+            rest: Duration::ZERO,
+        }
+    }
+
+    pub(super) fn free(&self) -> Room {
+        self.info.capacity.less(&self.used)
+    }
+
+    pub(super) fn book(&mut self, task: TaskKey, placed: Placed) {
+        self.used = self.used.plus(&placed.booked);
+        self.fillers += placed.filler;
+        self.runs.insert(task, placed);
+    }
+
+    /// Removes a run and gives its room back.
+    pub(super) fn release(&mut self, task: TaskKey, run: RunId) -> Option<Placed> {
+        if self.runs.get(&task)?.run != run {
+            return None;
+        }
+        let placed = self.runs.remove(&task)?;
+        self.used = self.used.less(&placed.booked);
+        self.fillers -= placed.filler;
+        Some(placed)
+    }
+}
+
+impl Planner {
+    /// Takes a worker's registration; gives its key if it is new.
+    pub fn take_worker(&mut self, info: WorkerInfo) -> Option<WorkerKey> {
+        if let Some(worker) = self.worker_of(&info.id) {
+            let worker = &mut self.workers[worker];
+            worker.info = info;
+            worker.gone = false;
+            return None;
+        }
+        let id = info.id.clone();
+        let lapse = self.now + self.policy.worst_lapse();
+        let key = self.workers.insert(WorkerState::new(info, lapse));
+        self.by_id.insert(id, key);
+        Some(key)
+    }
+
+    /// A worker's registration has vanished. What runs there stays booked
+    /// until its lease is over.
+    pub fn lose_worker(&mut self, id: &str) {
+        if let Some(key) = self.worker_of(id) {
+            self.workers[key].gone = true;
+        }
+    }
+
+    /// The key of a known worker.
+    #[must_use]
+    pub fn worker_of(&self, id: &str) -> Option<WorkerKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Registration of a worker.
+    #[must_use]
+    pub fn worker(&self, key: WorkerKey) -> Option<&WorkerInfo> {
+        self.workers.get(key).map(|worker| &worker.info)
+    }
+
+    /// Whether the worker has accepted our epoch.
+    #[must_use]
+    pub fn claimed(&self, key: WorkerKey) -> bool {
+        self.workers.get(key).is_some_and(|worker| worker.claimed)
+    }
+
+    /// Ids of all workers that may have something running.
+    pub fn worker_ids(&self) -> impl Iterator<Item = &WorkerId> {
+        self.by_id.keys()
+    }
+
+    /// An order that renews the worker's lease is being sent.
+    pub fn lease_sent(&mut self, key: WorkerKey) {
+        let lapse = self.now + self.policy.lapse();
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.lapse = worker.lapse.max(lapse);
+        }
+    }
+
+    /// This life of the worker is over, and with it all that it ran.
+    pub fn worker_over(&mut self, key: WorkerKey) {
+        let Some(worker) = self.workers.remove(key) else {
+            return;
+        };
+        let id = worker.info.id;
+        self.by_id.remove(&id);
+        self.orders.push(Order::Drop { worker: key, id });
+        for (task, placed) in worker.runs {
+            self.give_up(task, key, placed.run, &placed.checkpoint);
+        }
+    }
+
+    /// Gives up what ran on workers whose lease is over: those that vanished
+    /// are dropped, silent ones keep their place but lose their runs.
+    pub(super) fn expire_workers(&mut self) {
+        let now = self.now;
+        let over = |worker: &WorkerState| worker.lapse <= now;
+        let expired: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| over(worker) && (worker.gone || !worker.runs.is_empty()))
+            .map(|(key, _)| key)
+            .collect();
+        for key in expired {
+            if self.workers[key].gone {
+                self.worker_over(key);
+            } else {
+                self.expire_runs(key);
+            }
+        }
+    }
+
+    fn expire_runs(&mut self, key: WorkerKey) {
+        let worker = &mut self.workers[key];
+        worker.used = Room::default();
+        worker.fillers = 0;
+        // It must answer again before it gets work.
+        worker.claimed = false;
+        let runs = std::mem::take(&mut worker.runs);
+        for (task, placed) in runs {
+            self.give_up(task, key, placed.run, &placed.checkpoint);
+        }
+    }
+
+    /// Orders a stop; the room stays booked until the run has ended.
+    pub(super) fn stop(
+        &mut self,
+        worker: WorkerKey,
+        task: TaskKey,
+        run: RunId,
+        reason: &'static str,
+    ) {
+        let now = self.now;
+        let placed = self
+            .workers
+            .get_mut(worker)
+            .and_then(|state| state.runs.get_mut(&task))
+            .filter(|placed| placed.run == run);
+        let Some(placed) = placed else { return };
+        if matches!(placed.phase, RunPhase::Stopping | RunPhase::Stopped) {
+            return;
+        }
+        placed.phase = RunPhase::Stopping;
+        placed.since = now;
+        self.orders.push(Order::Stop {
+            worker,
+            task,
+            run,
+            reason,
+        });
+    }
+}
--- /dev/null
+++ b/crates/job/src/progress.rs
@@ -0,0 +1,65 @@
+//! What the store keeps of a job's progress.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+use strum::Display;
+
+/// How a job ended.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[strum(serialize_all = "lowercase")]
+pub enum Outcome {
+    /// All tasks ended as done.
+    Completed,
+    /// A task or gang failed too often, or can never run.
+    Failed,
+    /// A caller cancelled it.
+    Canceled,
+}
+
+/// What callers are shown of a job.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[strum(serialize_all = "lowercase")]
+pub enum Shown {
+    /// No task has started.
+    Pending,
+    /// A task has started.
+    Active,
+    /// All tasks ended as done.
+    Completed,
+    /// A task or gang failed too often, or can never run.
+    Failed,
+    /// A caller cancelled it.
+    Canceled,
+}
+
+impl From<Outcome> for Shown {
+    fn from(outcome: Outcome) -> Shown {
+        match outcome {
+            Outcome::Completed => Shown::Completed,
+            Outcome::Failed => Shown::Failed,
+            Outcome::Canceled => Shown::Canceled,
+        }
+    }
+}
+
+/// Progress of one step of one round.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StepProgress {
+    /// Tasks that ended as done.
+    pub done: Vec<u32>,
+    /// Failed runs by task; a gang counts on its task 0.
+    pub failures: BTreeMap<u32, u32>,
+    /// Newest checkpoint by task; a gang keeps it on its task 0.
+    pub checkpoints: BTreeMap<u32, String>,
+}
+
+/// Progress of a job: only what an owner may not forget.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// How it ended, once it has.
+    pub outcome: Option<Outcome>,
+    /// Steps by round and number, those with anything to tell.
+    pub steps: BTreeMap<(u32, u32), StepProgress>,
+}
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -178,6 +178,7 @@
     path: String,
     body: Bytes,
     token: Option<String>,
+    headers: Vec<(&'static str, String)>,
     timeout: Duration,
 }
 
@@ -191,6 +192,7 @@
             path: path.to_owned(),
             body: Bytes::new(),
             token: None,
+            headers: Vec::new(),
             timeout,
         }
     }
@@ -216,6 +218,13 @@
         self
     }
 
+    /// Adds a header.
+    #[must_use]
+    pub fn header(mut self, name: &'static str, value: String) -> Call {
+        self.headers.push((name, value));
+        self
+    }
+
     fn into_request(self) -> Result<Request<Full<Bytes>>, CallError> {
         let server = self.server;
         let mut builder = Request::builder()
@@ -225,6 +234,9 @@
         if let Some(token) = &self.token {
             builder = builder.header(AUTHORIZATION, format!("Bearer {token}"));
         }
+        for (name, value) in &self.headers {
+            builder = builder.header(*name, value);
+        }
         builder
             .body(Full::new(self.body))
             .map_err(|error| CallError::Garbled {
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -13,6 +13,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
+use hyper::header::HOST;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -42,6 +43,9 @@
     pub query: String,
     /// Bearer token, if one was sent.
     pub token: Option<String>,
+    /// Value of the `Host` header without a port, in lower case; empty when
+    /// there is none.
+    pub host: String,
     /// Body, complete.
     pub body: Bytes,
 }
@@ -150,11 +154,19 @@
         .and_then(|value| value.to_str().ok())
         .and_then(|value| value.strip_prefix("Bearer "))
         .map(str::to_owned);
+    let host = head
+        .headers
+        .get(HOST)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.split(':').next())
+        .unwrap_or_default()
+        .to_ascii_lowercase();
     let asked = Asked {
         method: head.method,
         path: decode(head.uri.path()),
         query: head.uri.query().unwrap_or_default().to_owned(),
         token,
+        host,
         body,
     };
     handler.handle(asked).await
