--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -68,9 +68,6 @@
     pub(super) helpers: Helpers,
     /// Workers with a row in the store.
     pub(super) used: HashSet<String>,
-    progress: HashMap<JobId, Progress>,
-    /// The first full read of the jobs has been taken in.
-    loaded: bool,
     config: Option<Arc<Config>>,
     tasks: JoinSet<()>,
     /// Another process owns the pool.
@@ -113,27 +110,29 @@
             saver,
             helpers: Helpers::default(),
             used: HashSet::new(),
-            progress: left.progress,
-            loaded: false,
             config: None,
             tasks: JoinSet::new(),
             deposed: false,
             context,
         };
+        // The jobs go first: an end that a worker lists before its job is known
+        // would be passed over, and its task run again.
+        for row in &left.jobs {
+            pool.take_job(row, Some(&left.progress));
+        }
         for (id, worker) in left.used {
             pool.recall(&id, worker);
         }
-        pool.follow();
+        pool.follow(left.follower);
         let took = pool.context.now().saturating_sub(begin);
         log::info!(
-            code = 330, epoch = epoch, workers = pool.used.len(), jobs = pool.progress.len(),
-            ms = took.as_millis(); "pool opened"
+            code = 330, epoch = epoch, workers = pool.used.len(), jobs = left.jobs.len(),
+            unfinished = pool.planner.unfinished(), ms = took.as_millis(); "pool opened"
         );
         Some(pool)
     }
 
-    fn follow(&mut self) {
-        let jobs = Follower::new(&self.context.store, JOB_TABLE, true);
+    fn follow(&mut self, jobs: Follower) {
         self.tasks.spawn(follow_jobs(jobs, self.sender.clone()));
         let workers = follow_workers(self.context.clone(), self.sender.clone());
         self.tasks.spawn(workers);
@@ -215,9 +214,7 @@
             self.config = Some(config);
         }
         self.planner.advance(now);
-        if self.loaded {
-            self.planner.plan();
-        }
+        self.planner.plan();
         self.send_orders();
         self.give_help(now);
         self.begin_save(now);
@@ -231,9 +228,7 @@
                 let _ = reply.send(shown.map_or(OwnerView::Unknown, OwnerView::Job));
             }
             OwnerMessage::Waiting(queue, reply) => {
-                if self.loaded {
-                    let _ = reply.send(self.planner.waiting(&queue));
-                }
+                let _ = reply.send(self.planner.waiting(&queue));
             }
             OwnerMessage::Help(request, reply) => self.take_help(request, reply),
             OwnerMessage::Jobs(change) => self.take_jobs(change),
@@ -245,21 +240,15 @@
     }
 
     fn take_jobs(&mut self, change: Change) {
-        let (rows, old) = match change {
-            Change::Full(rows) => (rows, !self.loaded),
-            Change::Some(rows) => (rows, false),
-        };
+        let (Change::Full(rows) | Change::Some(rows)) = change;
         for row in rows {
-            self.take_job(&row, old);
-        }
-        if old {
-            self.loaded = true;
-            self.progress = HashMap::new();
-            log::info!(code = 333, epoch = self.epoch, unfinished = self.planner.unfinished(); "jobs loaded");
+            self.take_job(&row, None);
         }
     }
 
-    fn take_job(&mut self, row: &Row, old: bool) {
+    /// Takes a job's row. `left` is what a predecessor left of all jobs, when
+    /// the row was read at take-over.
+    fn take_job(&mut self, row: &Row, left: Option<&HashMap<JobId, Progress>>) {
         if row.removed {
             return;
         }
@@ -267,8 +256,8 @@
         let spec = decode_row::<JobSpec>(&row.value);
         match (id, spec) {
             (Ok(id), Ok(spec)) => {
-                let progress = self.progress.get(&id);
-                self.planner.take_job(id, spec, progress, old);
+                let progress = left.and_then(|left| left.get(&id));
+                self.planner.take_job(id, spec, progress, left.is_some());
             }
             (_, Err(error)) => {
                 log::error!(code = 334, key = row.name.key.as_str(), error:% = error; "job row unreadable");
@@ -314,7 +303,8 @@
                         "worker claimed"
                     );
                 }
-                for end in &listing.ended {
+                let taken = self.planner.newest_end(key);
+                for end in listing.ended.iter().filter(|end| end.number > taken) {
                     log::info!(
                         code = 354, task:% = end.task, run = end.run, how:% = end.how,
                         number = end.number, worker = self.worker_name(key); "task ended"
@@ -362,6 +352,8 @@
 
 /// What a predecessor left in the store.
 struct Left {
+    jobs: Vec<Row>,
+    follower: Follower,
     progress: HashMap<JobId, Progress>,
     used: Vec<(String, UsedWorker)>,
 }
@@ -380,6 +372,8 @@
     let store = &context.store;
     let progress = store.part(PROGRESS_TABLE, OWNER_PART, READ_TIMEOUT).await?;
     let used = store.part(USED_TABLE, OWNER_PART, READ_TIMEOUT).await?;
+    let mut follower = Follower::new(store, JOB_TABLE, true);
+    let (Change::Full(jobs) | Change::Some(jobs)) = follower.next(Duration::ZERO).await?;
     let progress = progress.rows.iter().filter_map(|row| {
         let id = job::parse_job(&row.name.key).ok()?;
         let value = decode_row::<Progress>(&row.value);
@@ -396,22 +390,32 @@
         Some((row.name.key.clone(), value.ok()?))
     });
     Ok(Some(Left {
+        jobs,
+        follower,
         progress: progress.collect(),
         used: used.collect(),
     }))
 }
 
 async fn follow_jobs(mut jobs: Follower, sender: mpsc::Sender<OwnerMessage>) {
+    let mut away = false;
     loop {
         match jobs.next(FEED_WAIT).await {
-            Ok(Change::Some(rows)) if rows.is_empty() => {}
             Ok(change) => {
+                if std::mem::take(&mut away) {
+                    log::info!(code = 349; "jobs can be read again");
+                }
+                if matches!(&change, Change::Some(rows) if rows.is_empty()) {
+                    continue;
+                }
                 if sender.send(OwnerMessage::Jobs(change)).await.is_err() {
                     return;
                 }
             }
             Err(error) => {
-                log::warn!(code = 339, error:% = error; "jobs cannot be read");
+                if !std::mem::replace(&mut away, true) {
+                    log::warn!(code = 339, error:% = error; "jobs cannot be read");
+                }
                 tokio::time::sleep(READ_PAUSE).await;
             }
         }
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -151,9 +151,10 @@
         self.workers.get(key).is_some_and(|worker| worker.claimed)
     }
 
-    /// Ids of all workers that may have something running.
-    pub fn worker_ids(&self) -> impl Iterator<Item = &WorkerId> {
-        self.by_id.keys()
+    /// Number of the newest end of the worker that was taken in.
+    #[must_use]
+    pub fn newest_end(&self, key: WorkerKey) -> u64 {
+        self.workers.get(key).map_or(0, |worker| worker.taken)
     }
 
     /// An order that renews the worker's lease is being sent.
