--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -34,8 +34,9 @@
 use crate::job_row;
 use crate::progress_row;
 
-/// Time for one call to the store.
-const STORE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time for one call to the store. A slow store takes up to 1.2 s for a
+/// transaction; two tries fit into a caller's three seconds.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1300);
 
 /// Pause between two tries of a write whose answer was lost.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/cell/src/rows.rs
+++ b/crates/cell/src/rows.rs
@@ -25,9 +25,10 @@
 /// write it and check the ownership.
 pub const OWNER_PART: &str = "owner";
 
-/// Parts over which accepted jobs are spread. A part takes 150 transactions a
-/// second; eight take over ten times the load of today's sites.
-const JOB_PARTS: u64 = 8;
+/// Parts over which accepted jobs are spread. A part does one transaction after
+/// another. When the store is slow, one takes most of a second; with 8 parts,
+/// 430 of 2,500 jobs of such a day were turned away.
+const JOB_PARTS: u64 = 128;
 
 /// Name of the row of a job.
 #[must_use]
--- a/crates/job/src/planner/gang.rs
+++ b/crates/job/src/planner/gang.rs
@@ -3,7 +3,6 @@
 use super::Planner;
 use super::job_state::Phase;
 use crate::EndedTask;
-use crate::Outcome;
 use crate::RunEnd;
 use crate::RunId;
 use crate::StepKey;
@@ -11,7 +10,7 @@
 
 impl Planner {
     /// A member's run has ended; the step and its job are known to be alive.
-    pub(super) fn gang_ended(&mut self, key: StepKey, end: &EndedTask, attempts: u32) {
+    pub(super) fn gang_ended(&mut self, key: StepKey, end: &EndedTask) {
         let job = self.jobs.get_mut(&key.job);
         let Some((spec, step)) = job.and_then(|job| job.step_mut(key)) else {
             return;
@@ -36,16 +35,6 @@
             state.phase = Phase::Waiting;
             state.void = state.void.max(end.run);
         }
-        let counts = end.how == RunEnd::Failed && !lasting && end.run > step.counted;
-        if counts {
-            step.counted = end.run;
-            let first = &mut step.tasks[0];
-            first.failures += 1;
-            if first.failures >= attempts {
-                self.finish(key.job, Outcome::Failed);
-                return;
-            }
-        }
         self.open.insert(key);
         self.break_gang(key, end.run);
     }
--- a/crates/job/src/planner/job_state.rs
+++ b/crates/job/src/planner/job_state.rs
@@ -1,6 +1,7 @@
 //! A job as the planner tracks it: rounds, steps and tasks.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::time::Duration;
@@ -37,7 +38,8 @@
     /// Ends of runs up to this one do not count any more: the worker's lease
     /// was over before the end was recorded.
     pub void: RunId,
-    pub failures: u32,
+    /// Runs that ended as failed.
+    pub failures: BTreeSet<RunId>,
     pub checkpoint: String,
 }
 
@@ -59,8 +61,6 @@
     pub tasks: Vec<TaskState>,
     pub done: u32,
     pub advised: Advised,
-    /// Run of the gang of which a failure was counted last.
-    pub counted: RunId,
 }
 
 impl StepState {
@@ -69,14 +69,13 @@
             phase: Phase::Waiting,
             run: 0,
             void: 0,
-            failures: 0,
+            failures: BTreeSet::new(),
             checkpoint: String::new(),
         };
         StepState {
             tasks: vec![task; spec.count as usize],
             done: 0,
             advised: Advised::default(),
-            counted: 0,
         }
     }
 
@@ -92,6 +91,17 @@
         waiting.count()
     }
 
+    /// Counts a failed run once; gives the failed runs so far. A gang fails as
+    /// a whole: its runs count for task 0.
+    pub(super) fn count_failure(&mut self, index: u32, run: RunId, gang: bool) -> usize {
+        let index = if gang { 0 } else { index as usize };
+        let Some(task) = self.tasks.get_mut(index) else {
+            return 0;
+        };
+        task.failures.insert(run);
+        task.failures.len()
+    }
+
     fn progress(&self) -> StepProgress {
         let mut progress = StepProgress::default();
         for (index, task) in (0..).zip(&self.tasks) {
@@ -99,8 +109,8 @@
                 progress.done.push(index);
                 continue;
             }
-            if task.failures > 0 {
-                progress.failures.insert(index, task.failures);
+            if !task.failures.is_empty() {
+                progress.failures.insert(index, task.failures.clone());
             }
             if !task.checkpoint.is_empty() {
                 progress.checkpoints.insert(index, task.checkpoint.clone());
@@ -115,7 +125,9 @@
                 task.phase = Phase::Done;
                 self.done += 1;
             }
-            task.failures = progress.failures.get(&index).copied().unwrap_or(0);
+            if let Some(failures) = progress.failures.get(&index) {
+                task.failures.clone_from(failures);
+            }
             if let Some(checkpoint) = progress.checkpoints.get(&index) {
                 task.checkpoint.clone_from(checkpoint);
             }
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -278,8 +278,7 @@
     }
 
     fn start(&mut self, task: TaskKey, run: RunId, spec: &StepSpec, seat: &mut Candidate) {
-        let booked = spec.booked();
-        let filler = if spec.filler { spec.need.cpu } else { 0 };
+        let (booked, filler) = spec.takes();
         seat.free = seat.free.less(&booked);
         seat.spare = seat.spare.saturating_sub(spec.need.cpu);
         seat.here += 1;
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -12,10 +12,10 @@
 use crate::EndedTask;
 use crate::Listing;
 use crate::Outcome;
-use crate::Room;
 use crate::RunEnd;
 use crate::RunId;
 use crate::RunningTask;
+use crate::StepSpec;
 use crate::TaskKey;
 
 /// How a worker answered a start.
@@ -176,26 +176,30 @@
         let task = running.task;
         let now = self.now;
         let trusted = self.workers[key].trusted;
-        let job = self.jobs.get_mut(&task.step.job);
-        let live = job.filter(|job| job.outcome.is_none());
-        let mut booked = Room::default();
-        let mut filler = 0;
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            self.take_stranger(key, running);
+            return;
+        };
+        // An ended job's tasks hold their room until they have stopped.
+        let (booked, filler) = job
+            .spec
+            .steps
+            .get(task.step.step as usize)
+            .map_or_else(Default::default, StepSpec::takes);
         let mut wanted = false;
-        if let Some(job) = live {
+        if job.outcome.is_none() {
             // A round that only the predecessor had opened.
             while job.opened <= task.step.round && job.opened < job.spec.rounds() {
                 job.open_round();
             }
             job.started = true;
-            if let Some((spec, step)) = job.step_mut(task.step) {
-                booked = spec.booked();
-                filler = if spec.filler { spec.need.cpu } else { 0 };
-                if let Some(state) = step.tasks.get_mut(task.index as usize) {
-                    wanted = trusted && state.phase == Phase::Waiting && running.run > state.void;
-                    if wanted {
-                        state.phase = Phase::Active(key, running.run);
-                        state.run = running.run;
-                    }
+            let step = job.step_mut(task.step);
+            let state = step.and_then(|(_, step)| step.tasks.get_mut(task.index as usize));
+            if let Some(state) = state {
+                wanted = trusted && state.phase == Phase::Waiting && running.run > state.void;
+                if wanted {
+                    state.phase = Phase::Active(key, running.run);
+                    state.run = running.run;
                 }
             }
         }
@@ -227,6 +231,24 @@
         }
     }
 
+    /// A run of a job that is not known: its size is not known either, so the
+    /// worker counts as full until it has stopped.
+    fn take_stranger(&mut self, key: WorkerKey, running: &RunningTask) {
+        let booked = self.workers[key].info.capacity;
+        let placed = Placed {
+            run: running.run,
+            booked,
+            filler: 0,
+            phase: RunPhase::Running,
+            since: self.now,
+            percent: running.percent,
+            moved: self.now,
+            checkpoint: String::new(),
+        };
+        self.workers[key].book(running.task, placed);
+        self.stop(key, running.task, running.run, "job not known");
+    }
+
     /// Ends what the worker would list if it were still there.
     fn sweep(&mut self, key: WorkerKey, sent: Duration, listing: &Listing) {
         let listed: HashMap<TaskKey, RunId> = listing
@@ -314,14 +336,26 @@
         };
         let ours = state.phase == Phase::Active(key, end.run);
         let earlier = state.phase == Phase::Waiting && end.run > state.void;
+        if end.how == RunEnd::Failed && !lasting && state.phase != Phase::Done {
+            // Counted whatever has come of the task since: a successor learns
+            // the ends of several runs from several workers in any order.
+            self.dirty.insert(task.step.job);
+            if step.count_failure(task.index, end.run, gang) >= attempts as usize {
+                self.finish(task.step.job, Outcome::Failed);
+                return;
+            }
+        }
         if !ours && !earlier {
             return;
         }
         self.dirty.insert(task.step.job);
         if gang {
-            self.gang_ended(task.step, end, attempts);
+            self.gang_ended(task.step, end);
             return;
         }
+        let Some(state) = step.tasks.get_mut(task.index as usize) else {
+            return;
+        };
         if !end.checkpoint.is_empty() {
             state.checkpoint.clone_from(&end.checkpoint);
         }
@@ -333,13 +367,6 @@
         }
         state.phase = Phase::Waiting;
         state.void = state.void.max(end.run);
-        if end.how == RunEnd::Failed && !lasting {
-            state.failures += 1;
-            if state.failures >= attempts {
-                self.finish(task.step.job, Outcome::Failed);
-                return;
-            }
-        }
         self.open.insert(task.step);
     }
 
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -10,7 +10,6 @@
 use crate::Room;
 use crate::RunId;
 use crate::TaskKey;
-use crate::WorkerId;
 use crate::WorkerInfo;
 
 /// Where a run on a worker stands.
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -1,11 +1,14 @@
 //! What the store keeps of a job's progress.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use serde::Deserialize;
 use serde::Serialize;
 use strum::Display;
 
+use crate::RunId;
+
 /// How a job ended.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[strum(serialize_all = "lowercase")]
@@ -49,8 +52,9 @@
 pub struct StepProgress {
     /// Tasks that ended as done.
     pub done: Vec<u32>,
-    /// Failed runs by task; a gang counts on its task 0.
-    pub failures: BTreeMap<u32, u32>,
+    /// Failed runs by task; a gang's count for its task 0. Runs and not their
+    /// number, since ends of one task may be learnt in any order and twice.
+    pub failures: BTreeMap<u32, BTreeSet<RunId>>,
     /// Newest checkpoint by task; a gang keeps it on its task 0.
     pub checkpoints: BTreeMap<u32, String>,
 }
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -85,6 +85,14 @@
         let cpu = if self.filler { 0 } else { self.need.cpu };
         Room { cpu, ..self.need }
     }
+
+    /// What one task takes from a worker's room, and the processors that it
+    /// takes only from what others leave unused.
+    #[must_use]
+    pub fn takes(&self) -> (Room, u64) {
+        let filler = if self.filler { self.need.cpu } else { 0 };
+        (self.booked(), filler)
+    }
 }
 
 /// When a repeated job is due.
