Tell the owner of accepted jobs; ask which silent workers are dead

Cause: (1) the feed of jobs was silent for a second while history was dropped, and jobs waited for it; (2) each silent worker at a take-over held up all old tasks for 6.3 s, its own tasks for 5 s; (3) sound workers rested after two failures by chance; (4) callers waited 400 ms for an owner that their host could not reach, at each request. Change: the accepting process tells the owner, the feed is read every 300 ms; the machine list says which lives are over; three strikes; an owner that did not answer is not asked again for 700 ms.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -26,6 +26,7 @@
 use web::Handler;
 use web::Whole;
 
+use crate::AcceptedJob;
 use crate::Context;
 use crate::OwnerClient;
 use crate::OwnerView;
@@ -110,13 +111,15 @@
             puts: vec![(job_row(id), encode_row(&spec))],
             removes: Vec::new(),
         };
-        self.accept(id, queue, &transaction).await
+        let job = AcceptedJob { id, spec };
+        self.accept(job, queue, &transaction).await
     }
 
     /// Commits the job. The row must not exist, so a try that is done late, or
     /// by another process, makes no second job. Once an answer was lost, "not
     /// accepted" may not be said any more: the write may still be done.
-    async fn accept(&self, id: JobId, queue: &Queue, transaction: &Transaction) -> Whole {
+    async fn accept(&self, job: AcceptedJob, queue: &Queue, transaction: &Transaction) -> Whole {
+        let id = job.id;
         let begin = self.context.now();
         let end = begin + longest(queue).mul_f64(TRY_SHARE);
         let mut unsure = false;
@@ -135,6 +138,9 @@
                         code = 401, job:% = hex(id), queue = queue.name.as_str(), first = first,
                         ms = millis(took); "job accepted"
                     );
+                    if first {
+                        self.tell_owner(job);
+                    }
                     return web::json(StatusCode::OK, &Empty {});
                 }
                 Err(error) if error.certainly_not_done() && !unsure => {
@@ -153,6 +159,18 @@
         }
     }
 
+    /// Tells the owner without making the caller wait; what it misses, the
+    /// feed brings.
+    fn tell_owner(&self, job: AcceptedJob) {
+        let owner = self.owner.clone();
+        tokio::spawn(async move {
+            let id = job.id;
+            if owner.accepted(job).await.is_err() {
+                log::debug!(code = 404, job:% = hex(id); "owner not told of a job");
+            }
+        });
+    }
+
     async fn state(&self, id: JobId) -> Whole {
         if let Ok(OwnerView::Job(shown)) = self.owner.state(id).await {
             return shown_reply(id, shown, "owner");
@@ -172,20 +190,16 @@
 
     /// State of a job as the store knows it.
     async fn stored(&self, id: JobId) -> Result<Option<Shown>, StoreError> {
+        let store = &self.context.store;
+        let row = store.get(&progress_row(id), STORE_TIMEOUT).await?;
+        let progress = row.and_then(|row| decode_row::<Progress>(&row.value).ok());
+        if let Some(outcome) = progress.as_ref().and_then(|progress| progress.outcome) {
+            return Ok(Some(outcome.into()));
+        }
         let Some((_, spec)) = self.stored_job(id).await? else {
             return Ok(None);
         };
-        let row = self
-            .context
-            .store
-            .get(&progress_row(id), STORE_TIMEOUT)
-            .await?;
-        let progress = row.and_then(|row| decode_row::<Progress>(&row.value).ok());
         Ok(Some(match progress {
-            Some(Progress {
-                outcome: Some(outcome),
-                ..
-            }) => outcome.into(),
             _ if spec.canceled => Outcome::Canceled.into(),
             Some(_) => Shown::Active,
             None => Shown::Pending,
--- a/crates/cell/src/owner/messages.rs
+++ b/crates/cell/src/owner/messages.rs
@@ -1,5 +1,6 @@
 //! Messages to the owner's task.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use job::Batch;
@@ -9,6 +10,7 @@
 use job::StartReply;
 use job::StopReply;
 use job::TaskKey;
+use job::WorkerId;
 use job::WorkerInfo;
 use job::WorkerKey;
 use platform::Committed;
@@ -18,6 +20,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::AcceptedJob;
 use crate::Change;
 use crate::HelpOrder;
 use crate::HelpRequest;
@@ -37,12 +40,16 @@
     Waiting(String, oneshot::Sender<usize>),
     /// A helper brings a result and asks for work.
     Help(HelpRequest, oneshot::Sender<Option<HelpOrder>>),
-    /// Jobs were accepted or cancelled.
+    /// Rows of jobs, from the feed.
     Jobs(Change),
+    /// A job was accepted, by the process that did it.
+    Accepted(Box<AcceptedJob>, oneshot::Sender<()>),
     /// Registrations of workers have changed.
     Workers(RosterChange),
     /// News from a worker.
     Worker(WorkerKey, WorkerNews),
+    /// Lives of workers that run on a machine; none if they are not known.
+    Lives(Option<HashSet<WorkerId>>),
     /// A transaction has ended.
     Saved(Save, Result<Committed, StoreError>),
     /// The row that guards the owner's writes was read again.
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -3,6 +3,7 @@
 
 mod helpers;
 mod link;
+mod lives;
 mod messages;
 mod pool;
 mod roster;
@@ -15,6 +16,7 @@
 
 pub(crate) use helpers::Helpers;
 pub(crate) use link::Link;
+pub(crate) use lives::LifeCheck;
 pub(crate) use pool::Pool;
 pub(crate) use roster::follow_workers;
 pub(crate) use saver::Saver;
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -19,6 +19,7 @@
 use tokio::task::JoinSet;
 
 use super::Helpers;
+use super::LifeCheck;
 use super::Link;
 use super::Saver;
 use super::follow_workers;
@@ -44,14 +45,18 @@
 /// and renewals are looked after at least this often.
 const TICK: Duration = Duration::from_millis(25);
 
+/// Time between two log lines about the pool's load.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+
 /// Time for each page of the reads at take-over.
 const READ_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Pause after a failed read at take-over.
 const READ_PAUSE: Duration = Duration::from_millis(100);
 
-/// Longest wait of the feed of jobs.
-const FEED_WAIT: Duration = Duration::from_secs(1);
+/// Time between two reads of the feed of jobs. The process that accepts a job
+/// tells the owner at once; the feed brings those of which it could not.
+const READ_EVERY: Duration = Duration::from_millis(300);
 
 /// Longest time for the last write of an owner that stops.
 const RELEASE_TIME: Duration = Duration::from_millis(1200);
@@ -66,10 +71,13 @@
     pub(super) links: HashMap<WorkerKey, Link>,
     pub(super) saver: Saver,
     pub(super) helpers: Helpers,
+    pub(super) lives: LifeCheck,
     /// Workers with a row in the store.
     pub(super) used: HashSet<String>,
     config: Option<Arc<Config>>,
     tasks: JoinSet<()>,
+    /// When the load was logged last.
+    reported: Duration,
     /// Another process owns the pool.
     pub(super) deposed: bool,
 }
@@ -109,9 +117,11 @@
             links: HashMap::new(),
             saver,
             helpers: Helpers::default(),
+            lives: LifeCheck::default(),
             used: HashSet::new(),
             config: None,
             tasks: JoinSet::new(),
+            reported: Duration::ZERO,
             deposed: false,
             context,
         };
@@ -215,11 +225,28 @@
         }
         self.planner.advance(now);
         self.planner.plan();
+        self.report_load(now);
         self.send_orders();
         self.give_help(now);
+        self.check_lives(now);
         self.begin_save(now);
     }
 
+    /// Logs the pool's load now and then.
+    fn report_load(&mut self, now: Duration) {
+        if now < self.reported + REPORT_EVERY {
+            return;
+        }
+        self.reported = now;
+        let load = self.planner.load();
+        log::info!(
+            code = 370, epoch = self.epoch, usable = load.usable, cpu = load.capacity.cpu,
+            cpu_used = load.used.cpu, memory = load.capacity.memory, memory_used = load.used.memory,
+            running = load.running, waiting = load.waiting, steps = load.open,
+            unfinished = load.unfinished; "load of the pool"
+        );
+    }
+
     fn take(&mut self, message: OwnerMessage) {
         match message {
             OwnerMessage::State(id, reply) => {
@@ -232,8 +259,14 @@
             }
             OwnerMessage::Help(request, reply) => self.take_help(request, reply),
             OwnerMessage::Jobs(change) => self.take_jobs(change),
+            OwnerMessage::Accepted(job, reply) => {
+                self.planner.take_job(job.id, job.spec, None, false);
+                // A caller's handler that has left needs no answer.
+                let _ = reply.send(());
+            }
             OwnerMessage::Workers(change) => self.take_workers(change),
             OwnerMessage::Worker(key, news) => self.take_news(key, news),
+            OwnerMessage::Lives(lives) => self.take_lives(lives),
             OwnerMessage::Saved(save, result) => self.take_saved(save, result),
             OwnerMessage::Guard(result) => self.take_guard(result),
         }
@@ -401,17 +434,16 @@
 async fn follow_jobs(mut jobs: Follower, sender: mpsc::Sender<OwnerMessage>) {
     let mut away = false;
     loop {
-        match jobs.next(FEED_WAIT).await {
+        match jobs.next(Duration::ZERO).await {
             Ok(change) => {
                 if std::mem::take(&mut away) {
                     log::info!(code = 349; "jobs can be read again");
                 }
-                if matches!(&change, Change::Some(rows) if rows.is_empty()) {
-                    continue;
-                }
-                if sender.send(OwnerMessage::Jobs(change)).await.is_err() {
+                let empty = matches!(&change, Change::Some(rows) if rows.is_empty());
+                if !empty && sender.send(OwnerMessage::Jobs(change)).await.is_err() {
                     return;
                 }
+                tokio::time::sleep(READ_EVERY).await;
             }
             Err(error) => {
                 if !std::mem::replace(&mut away, true) {
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -6,13 +6,16 @@
 
 use hyper::Method;
 use hyper::StatusCode;
+use job::Epoch;
 use job::JobId;
+use job::JobSpec;
 use job::Shown;
 use job::StepKey;
 use job::WorkerId;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 use web::Asked;
 use web::Call;
 use web::Handler;
@@ -68,6 +71,15 @@
     pub result: Option<HelpResult>,
 }
 
+/// A job whose row was just committed.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct AcceptedJob {
+    /// The job.
+    pub id: JobId,
+    /// What it is.
+    pub spec: JobSpec,
+}
+
 /// What the owner says of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OwnerView {
@@ -91,13 +103,25 @@
 pub struct OwnerClient {
     context: Context,
     local: OwnerPort,
+    /// Epoch of the owner that did not answer last, and until when it is not
+    /// asked again.
+    quiet: watch::Sender<(Epoch, Duration)>,
 }
 
+/// Time for which an owner that did not answer is not asked again. Each caller
+/// would else wait for it in vain before the store is read.
+const QUIET: Duration = Duration::from_millis(700);
+
 impl OwnerClient {
     /// A client; `local` reaches the owner in this process, if it is here.
     #[must_use]
     pub fn new(context: Context, local: OwnerPort) -> OwnerClient {
-        OwnerClient { context, local }
+        let (quiet, _) = watch::channel((0, Duration::ZERO));
+        OwnerClient {
+            context,
+            local,
+            quiet,
+        }
     }
 
     /// State of a job.
@@ -126,6 +150,17 @@
         self.ask(make, Method::GET, &path, &(), ASK_TIMEOUT).await
     }
 
+    /// Tells of a job that was accepted. The feed brings it too, but later: up
+    /// to a second when the store's watches hang.
+    ///
+    /// # Errors
+    /// The owner did not answer.
+    pub async fn accepted(&self, job: AcceptedJob) -> Result<(), NoOwner> {
+        let body = job.clone();
+        let make = |reply| OwnerMessage::Accepted(Box::new(job), reply);
+        self.ask(make, Method::POST, "/accepted", &body, ASK_TIMEOUT).await
+    }
+
     /// Asks for an advice call to make, and delivers the last result.
     ///
     /// # Errors
@@ -154,9 +189,20 @@
         if owner.incarnation == self.context.incarnation {
             return self.local.ask(make, timeout).await.ok_or(NoOwner::Silent);
         }
+        let (epoch, until) = *self.quiet.borrow();
+        if epoch == owner.epoch && self.context.now() < until {
+            return Err(NoOwner::Silent);
+        }
         let call = Call::new(method, owner.address, path, timeout).json(body);
-        let reply = self.context.client.send(call).await;
-        let reply = reply.map_err(|_| NoOwner::Silent)?;
+        let reply = match self.context.client.send(call).await {
+            Ok(reply) => reply,
+            Err(error) => {
+                log::warn!(code = 416, owner = owner.node.as_str(), epoch = owner.epoch, error:% = error; "owner does not answer");
+                let until = self.context.now() + QUIET;
+                self.quiet.send_replace((owner.epoch, until));
+                return Err(NoOwner::Silent);
+            }
+        };
         if reply.status != StatusCode::OK {
             return Err(NoOwner::Silent);
         }
@@ -213,6 +259,15 @@
                 Err(error) => web::error(StatusCode::BAD_REQUEST, &error.to_string()),
             };
         }
+        if asked.path == "/accepted" {
+            return match serde_json::from_slice::<AcceptedJob>(&asked.body) {
+                Ok(job) => {
+                    let make = |reply| OwnerMessage::Accepted(Box::new(job), reply);
+                    self.relay(make, ASK_TIMEOUT).await
+                }
+                Err(error) => web::error(StatusCode::BAD_REQUEST, &error.to_string()),
+            };
+        }
         web::error(StatusCode::NOT_FOUND, "no such path")
     }
 }
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -68,6 +68,10 @@
     /// where there is none.
     #[serde(default)]
     pub advice: String,
+    /// Address of the service that knows the machines; empty where there is
+    /// none.
+    #[serde(default)]
+    pub machines: String,
     /// Times and factors.
     pub bounds: Bounds,
 }
@@ -124,6 +128,12 @@
         self.advice.parse().ok()
     }
 
+    /// Address of the service that knows the machines, if there is one.
+    #[must_use]
+    pub fn machines_address(&self) -> Option<SocketAddr> {
+        self.machines.parse().ok()
+    }
+
     /// Figures for the planner.
     #[must_use]
     pub fn policy(&self) -> Policy {
--- a/crates/job/src/planner/policy.rs
+++ b/crates/job/src/planner/policy.rs
@@ -19,7 +19,7 @@
     /// How long a worker rests after failures of several jobs in a row.
     pub rest: Duration,
     /// Failures in a row, of different jobs, after which a worker rests. Sound
-    /// workers fail one task in twenty: two in a row by chance are rare.
+    /// workers fail one task in twenty; with two, one in ten rested by chance.
     pub strikes: u32,
     /// A run whose progress stands still for this long is moved elsewhere.
     pub stall: Duration,
@@ -60,7 +60,7 @@
             far: 3.0,
             ticket_margin: Duration::from_millis(120),
             rest: Duration::from_secs(6),
-            strikes: 2,
+            strikes: 3,
             stall: Duration::from_millis(2500),
             oldest: Duration::from_mins(2),
         }
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -10,6 +10,7 @@
 use crate::Room;
 use crate::RunId;
 use crate::TaskKey;
+use crate::WorkerId;
 use crate::WorkerInfo;
 
 /// Where a run on a worker stands.
@@ -175,6 +176,19 @@
         }
     }
 
+    /// Workers that do not answer while it matters: they hold runs, or tasks
+    /// of a predecessor wait for what they run.
+    #[must_use]
+    pub fn doubtful(&self) -> Vec<WorkerId> {
+        let recovering = self.recovery.is_some();
+        let doubtful = self.workers.values().filter(|worker| {
+            let unclaimed = recovering && !worker.claimed;
+            let holding = (worker.silent || worker.gone) && !worker.runs.is_empty();
+            unclaimed || holding
+        });
+        doubtful.map(|worker| worker.info.id.clone()).collect()
+    }
+
     /// This life of the worker is over, and with it all that it ran.
     pub fn worker_over(&mut self, key: WorkerKey) {
         let Some(worker) = self.workers.remove(key) else {
