Refuse at once on a host that the store does not answer

Cause: a host cut from the store held callers for up to 2.7 s before a 504, and kept their connections. Change: 503 at once while the store is silent, 504 as soon as it falls silent during a commit, both closing the connection so that the balancer chooses anew.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -5,6 +5,7 @@
 
 use hyper::Method;
 use hyper::StatusCode;
+use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
 use job::Config;
@@ -123,13 +124,23 @@
         let begin = self.context.now();
         let end = begin + longest(queue).mul_f64(TRY_SHARE);
         let mut unsure = false;
+        if self.context.store_silent() {
+            log::warn!(code = 402, job:% = hex(id), reason = "store silent"; "job refused");
+            return unavailable("the store cannot be reached from this host");
+        }
         loop {
             let left = end.saturating_sub(self.context.now());
-            let result = self
+            let commit = self
                 .context
                 .store
-                .commit(transaction, STORE_TIMEOUT.min(left))
-                .await;
+                .commit(transaction, STORE_TIMEOUT.min(left));
+            let result = tokio::select! {
+                result = commit => result,
+                () = self.context.wait_silent() => {
+                    log::warn!(code = 403, job:% = hex(id), reason = "store silent"; "acceptance unknown");
+                    return no_answer("the store cannot be reached from this host");
+                }
+            };
             let took = self.context.now().saturating_sub(begin);
             match result {
                 Ok(committed) => {
@@ -153,7 +164,7 @@
                 }
             }
             if self.context.now() + RETRY_PAUSE >= end {
-                return web::error(StatusCode::GATEWAY_TIMEOUT, "the store does not answer");
+                return no_answer("the store does not answer");
             }
             tokio::time::sleep(RETRY_PAUSE).await;
         }
@@ -175,6 +186,9 @@
         if let Ok(OwnerView::Job(shown)) = self.owner.state(id).await {
             return shown_reply(id, shown, "owner");
         }
+        if self.context.store_silent() {
+            return unavailable("neither the owner nor the store can be reached from this host");
+        }
         match self.stored(id).await {
             Ok(Some(shown)) => shown_reply(id, shown, "store"),
             Ok(None) => {
@@ -300,10 +314,22 @@
     web::json(StatusCode::OK, &encode_shown(shown))
 }
 
+/// Nothing was done; the caller may come back, on a new connection that the
+/// balancer leads to a host that works.
 fn unavailable(reason: &str) -> Whole {
     let mut whole = web::error(StatusCode::SERVICE_UNAVAILABLE, reason);
     let headers = whole.headers_mut();
     headers.insert(RETRY_AFTER, HeaderValue::from_static(RETRY_SECONDS));
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    whole
+}
+
+/// The job may have been accepted. A repetition with the same id, at any host,
+/// makes no second job, so the sooner the caller repeats it the better.
+fn no_answer(reason: &str) -> Whole {
+    let mut whole = web::error(StatusCode::GATEWAY_TIMEOUT, reason);
+    let headers = whole.headers_mut();
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
     whole
 }
 
--- a/crates/cell/src/context.rs
+++ b/crates/cell/src/context.rs
@@ -80,6 +80,21 @@
             .unwrap_or_default()
     }
 
+    /// Whether the store does not answer this process.
+    #[must_use]
+    pub fn store_silent(&self) -> bool {
+        self.seat.borrow().silent.is_some()
+    }
+
+    /// Waits until the store does not answer this process any more.
+    pub async fn wait_silent(&self) {
+        let mut seat = self.seat.clone();
+        if seat.wait_for(|view| view.silent.is_some()).await.is_err() {
+            // The keeper is gone: the process is about to end.
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Whether the process has been asked to stop.
     #[must_use]
     pub fn stopping(&self) -> bool {
--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -9,7 +9,7 @@
 
 /// Time for an answer beyond the wait that the feed was asked for. A
 /// connection may go silent without a reset; only this time-out shows it.
-const FEED_TIMEOUT: Duration = Duration::from_millis(700);
+const FEED_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Time for each page of a full read.
 const READ_TIMEOUT: Duration = Duration::from_millis(1500);
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -158,7 +158,8 @@
     pub async fn accepted(&self, job: AcceptedJob) -> Result<(), NoOwner> {
         let body = job.clone();
         let make = |reply| OwnerMessage::Accepted(Box::new(job), reply);
-        self.ask(make, Method::POST, "/accepted", &body, ASK_TIMEOUT).await
+        self.ask(make, Method::POST, "/accepted", &body, ASK_TIMEOUT)
+            .await
     }
 
     /// Asks for an advice call to make, and delivers the last result.
