Take over after 1.2 s without renewals, confirmed by a read

Cause: two seconds without an owner after each crash. Change: expiry 1.2 s, 2.5 s when the confirming read shows a slow store.

--- a/crates/cell/src/seat.rs
+++ b/crates/cell/src/seat.rs
@@ -25,9 +25,16 @@
 use crate::guard_row;
 use crate::seat_row;
 
-/// A pool whose owner has not renewed for this long is taken over. Five
-/// renewals; the store's answers may take half a second when it is slow.
-const EXPIRY: Duration = Duration::from_secs(2);
+/// A pool whose owner has not renewed for this long is taken over: three
+/// renewals were missed.
+const EXPIRY: Duration = Duration::from_millis(1200);
+
+/// The same when the store is slow: a renewal then takes up to 1.2 s.
+const SLOW_EXPIRY: Duration = Duration::from_millis(2500);
+
+/// A read that takes longer than this shows that the store is slow; else one
+/// takes 5 ms.
+const SLOW_READ: Duration = Duration::from_millis(100);
 
 /// Longest wait of the feed for a renewal.
 const FEED_WAIT: Duration = Duration::from_millis(500);
@@ -72,6 +79,8 @@
     view: watch::Sender<SeatView>,
     /// When the newest row was seen first, with the store answering since.
     fresh: Duration,
+    /// Time without renewals after which the pool is taken.
+    expiry: Duration,
 }
 
 impl SeatKeeper {
@@ -83,6 +92,7 @@
             context,
             view,
             fresh,
+            expiry: EXPIRY,
         }
     }
 
@@ -95,7 +105,7 @@
                 Ok(Change::Full(rows) | Change::Some(rows)) => self.take_rows(&rows),
                 Err(error) => self.lost(&error).await,
             }
-            if self.free() && !self.context.stopping() {
+            if self.free() && !self.context.stopping() && self.confirmed().await {
                 self.take().await;
             }
         }
@@ -166,10 +176,28 @@
         let mine = seat.incarnation == me.incarnation;
         // An earlier run of this host's process is certainly over.
         let former = seat.node == me.settings.node && !mine;
-        let expired = me.now().saturating_sub(self.fresh) > EXPIRY;
+        let expired = me.now().saturating_sub(self.fresh) > self.expiry;
         seat.released && !mine || former || expired && !mine
     }
 
+    /// Reads the row once more before the pool is taken for want of renewals:
+    /// the feed may have hung, or the store may be slow.
+    async fn confirmed(&mut self) -> bool {
+        let begin = self.context.now();
+        let store = &self.context.store;
+        let row = match store.get(&seat_row(), TAKE_TIMEOUT).await {
+            Ok(row) => row,
+            Err(error) => {
+                self.lost(&error).await;
+                return false;
+            }
+        };
+        let slow = self.context.now().saturating_sub(begin) > SLOW_READ;
+        self.take_rows(row.as_slice());
+        self.expiry = if slow { SLOW_EXPIRY } else { EXPIRY };
+        self.free()
+    }
+
     async fn take(&mut self) {
         tokio::time::sleep(self.stagger()).await;
         let view = self.view.borrow().clone();
