Drive the planner by arbitrary events in a world of losses

Change: a world with workers that obey the protocol, lost and late orders, owners that die, saves that fail; invariants checked at each start.

--- /dev/null
+++ b/crates/job/tests/invariants.rs
@@ -0,0 +1,49 @@
+//! The planner in a world of losses, driven by arbitrary events.
+
+mod support;
+mod world;
+
+use world::Event;
+use world::World;
+
+/// Whatever the order of events: no task on two workers at a time, none again
+/// after its recorded end, none before the steps it waits for, and no worker
+/// over its capacity. Owners die, orders are lost or carried out late, saves
+/// fail, workers are cut off until their lease is over.
+#[test]
+fn invariants_hold_for_any_order_of_events() {
+    bolero::check!()
+        .with_type::<Vec<(u8, u8)>>()
+        .for_each(|events| {
+            let mut world = World::new();
+            for &(kind, pick) in events {
+                world.step(Event { kind, pick });
+            }
+        });
+}
+
+/// The same over long seeded sequences, which reach states that short ones do
+/// not.
+#[test]
+fn invariants_hold_over_long_sequences() {
+    let mut state: u64 = 0x9e37_79b9_7f4a_7c15;
+    let mut next = || {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        (state >> 33).to_le_bytes()
+    };
+    let mut starts = 0;
+
+    for _ in 0..400 {
+        let mut world = World::new();
+        for _ in 0..400 {
+            let bytes = next();
+            world.step(Event {
+                kind: bytes[0],
+                pick: bytes[1],
+            });
+        }
+        starts += world.starts;
+    }
+
+    assert!(starts > 10_000, "the sequences start tasks: {starts}");
+}
--- /dev/null
+++ b/crates/job/tests/world/mod.rs
@@ -0,0 +1,418 @@
+//! A small world around the planner: workers that obey the protocol, orders
+//! that are lost or late, owners that die, saves that fail. It checks the
+//! invariants at every start that a worker carries out.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use job::Batch;
+use job::EndedTask;
+use job::JobId;
+use job::JobSpec;
+use job::Listing;
+use job::Order;
+use job::Planner;
+use job::Policy;
+use job::Progress;
+use job::Room;
+use job::RunEnd;
+use job::RunId;
+use job::RunningTask;
+use job::StartReply;
+use job::StopReply;
+use job::TaskKey;
+use job::WorkerKey;
+
+use crate::support;
+
+/// Workers of the world, of four cores each.
+const WORKERS: usize = 3;
+
+/// A step of the world, decoded from two arbitrary bytes.
+#[derive(Clone, Copy, Debug)]
+pub struct Event {
+    pub kind: u8,
+    pub pick: u8,
+}
+
+/// An order on its way.
+#[derive(Clone, Debug)]
+struct Sent {
+    worker: usize,
+    epoch: u64,
+    /// End of the lease that it carries.
+    lease: Duration,
+    order: Order,
+}
+
+#[derive(Debug, Default)]
+struct Worker {
+    fence: u64,
+    lease: Duration,
+    running: BTreeMap<TaskKey, (RunId, Duration)>,
+    ended: Vec<EndedTask>,
+    count: u64,
+    seen: u64,
+    /// Ends up to this number were listed before a lease ran out: they do not
+    /// stand any more.
+    void: u64,
+    /// Highest run stopped or ended here, by task.
+    over: HashMap<TaskKey, RunId>,
+    cut: bool,
+}
+
+impl Worker {
+    fn end(&mut self, task: TaskKey, how: RunEnd) {
+        let Some((run, _)) = self.running.remove(&task) else {
+            return;
+        };
+        self.count += 1;
+        self.ended.push(EndedTask {
+            number: self.count,
+            task,
+            run,
+            how,
+            checkpoint: String::new(),
+        });
+        let over = self.over.entry(task).or_default();
+        *over = run.max(*over);
+    }
+}
+
+/// The world.
+pub struct World {
+    now: Duration,
+    epoch: u64,
+    planner: Planner,
+    keys: Vec<WorkerKey>,
+    workers: Vec<Worker>,
+    jobs: BTreeMap<JobId, JobSpec>,
+    stored: BTreeMap<JobId, Progress>,
+    late: Vec<Sent>,
+    saving: Option<Batch>,
+    /// Ends that were recorded as done.
+    noted: HashMap<TaskKey, RunId>,
+    pub starts: usize,
+}
+
+impl World {
+    pub fn new() -> World {
+        let mut world = World {
+            now: Duration::ZERO,
+            epoch: 0,
+            planner: support::planner(1),
+            keys: Vec::new(),
+            workers: (0..WORKERS).map(|_| Worker::default()).collect(),
+            jobs: BTreeMap::new(),
+            stored: BTreeMap::new(),
+            late: Vec::new(),
+            saving: None,
+            noted: HashMap::new(),
+            starts: 0,
+        };
+        world.take_over();
+        world
+    }
+
+    /// The owner dies; a successor knows what was stored, and nothing else.
+    fn take_over(&mut self) {
+        self.epoch += 1;
+        self.saving = None;
+        let policy = Policy::default();
+        self.planner = Planner::new(policy, self.epoch, self.now, Duration::ZERO);
+        for (&id, spec) in &self.jobs {
+            let progress = self.stored.get(&id);
+            self.planner.take_job(id, spec.clone(), progress, true);
+        }
+        self.keys = (0..WORKERS)
+            .map(|at| support::add(&mut self.planner, &format!("w{at}")))
+            .collect();
+    }
+
+    pub fn step(&mut self, event: Event) {
+        let at = usize::from(event.pick) % WORKERS;
+        match event.kind % 14 {
+            0 => self.submit(event.pick),
+            1..=3 => self.hold(at),
+            4 | 5 => self.plan(event.pick),
+            6 => self.end_some(at, event.pick, RunEnd::Done),
+            7 => self.end_some(at, event.pick, RunEnd::Failed),
+            8 => self.begin_save(),
+            9 => self.end_save(event.pick.is_multiple_of(3)),
+            10 => self.advance(Duration::from_millis(u64::from(event.pick) * 20)),
+            11 => self.deliver_late(event.pick),
+            12 if event.pick.is_multiple_of(4) => self.take_over(),
+            12 => self.cancel(event.pick),
+            _ => self.workers[at].cut = event.pick.is_multiple_of(2),
+        }
+    }
+
+    fn advance(&mut self, by: Duration) {
+        self.now += by;
+        for worker in &mut self.workers {
+            if worker.lease <= self.now {
+                worker.void = worker.count;
+                let tasks: Vec<TaskKey> = worker.running.keys().copied().collect();
+                for task in tasks {
+                    worker.end(task, RunEnd::Lapsed);
+                }
+            }
+        }
+    }
+
+    fn submit(&mut self, pick: u8) {
+        let id = self.jobs.len() as JobId + 1;
+        let mut first = support::step(u32::from(pick % 5) + 1);
+        first.gang = pick.is_multiple_of(7);
+        let mut second = support::step(2);
+        second.after = vec![0];
+        let steps = if pick.is_multiple_of(2) {
+            vec![first]
+        } else {
+            vec![first, second]
+        };
+        let spec = support::spec(steps);
+        self.jobs.insert(id, spec.clone());
+        self.planner.take_job(id, spec, None, false);
+    }
+
+    fn cancel(&mut self, pick: u8) {
+        let id = u64::from(pick) % (self.jobs.len() as u64 + 1);
+        let Some(spec) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        spec.canceled = true;
+        self.planner.take_job(id, spec.clone(), None, false);
+    }
+
+    /// A renewal: claims the worker, extends its lease, lists.
+    fn hold(&mut self, at: usize) {
+        self.planner.advance(self.now);
+        let key = self.keys[at];
+        if self.planner.worker(key).is_none() {
+            return;
+        }
+        if self.workers[at].cut {
+            self.planner.worker_silent(key);
+            return;
+        }
+        self.planner.lease_sent(key);
+        let worker = &mut self.workers[at];
+        worker.fence = worker.fence.max(self.epoch);
+        worker.lease = worker.lease.max(self.now + Policy::default().lease);
+        let listing = Listing {
+            clock: self.now,
+            running: worker
+                .running
+                .iter()
+                .map(|(&task, &(run, _))| RunningTask {
+                    task,
+                    run,
+                    checkpoint: String::new(),
+                    percent: 0,
+                })
+                .collect(),
+            ended: worker
+                .ended
+                .iter()
+                .filter(|end| end.number > worker.seen)
+                .cloned()
+                .collect(),
+        };
+        self.planner.take_listing(key, self.now, &listing);
+    }
+
+    fn plan(&mut self, pick: u8) {
+        self.planner.advance(self.now);
+        self.planner.plan();
+        for (nth, order) in self.planner.take_orders().into_iter().enumerate() {
+            let worker = match &order {
+                Order::Start { worker, .. } | Order::Stop { worker, .. } => *worker,
+                Order::Drop { .. } => continue,
+            };
+            let Some(at) = self.keys.iter().position(|key| *key == worker) else {
+                continue;
+            };
+            let sent = Sent {
+                worker: at,
+                epoch: self.epoch,
+                lease: self.now + Policy::default().lease,
+                order,
+            };
+            // Some orders get no answer; of these, some are carried out late.
+            if (nth + usize::from(pick)).is_multiple_of(5) || self.workers[at].cut {
+                self.unanswered(&sent);
+                self.late.push(sent);
+            } else {
+                self.carry_out(&sent, true);
+            }
+        }
+        self.now += Duration::from_millis(1);
+    }
+
+    fn unanswered(&mut self, sent: &Sent) {
+        let key = self.keys[sent.worker];
+        match sent.order {
+            Order::Start { task, run, .. } => {
+                let reply = StartReply::Unknown;
+                self.planner.start_reply(key, task, run, reply);
+            }
+            Order::Stop { task, run, .. } => {
+                self.planner.stop_reply(key, task, run, StopReply::Unknown);
+            }
+            Order::Drop { .. } => {}
+        }
+    }
+
+    fn deliver_late(&mut self, pick: u8) {
+        if self.late.is_empty() {
+            return;
+        }
+        let at = usize::from(pick) % self.late.len();
+        let sent = self.late.swap_remove(at);
+        if !self.workers[sent.worker].cut {
+            self.carry_out(&sent, false);
+        }
+    }
+
+    fn carry_out(&mut self, sent: &Sent, answers: bool) {
+        let key = self.keys[sent.worker];
+        let worker = &mut self.workers[sent.worker];
+        if sent.epoch < worker.fence {
+            return;
+        }
+        worker.fence = sent.epoch;
+        match sent.order {
+            Order::Start { task, run, .. } => {
+                let reply = self.start(sent, task, run);
+                if answers {
+                    self.planner.start_reply(key, task, run, reply);
+                }
+            }
+            Order::Stop { task, run, .. } => {
+                let over = worker.over.entry(task).or_default();
+                *over = run.max(*over);
+                if worker.running.get(&task).is_some_and(|held| held.0 == run) {
+                    worker.end(task, RunEnd::Stopped);
+                }
+                if answers {
+                    let reply = StopReply::Stopped;
+                    self.planner.stop_reply(key, task, run, reply);
+                }
+            }
+            Order::Drop { .. } => {}
+        }
+    }
+
+    fn start(&mut self, sent: &Sent, task: TaskKey, run: RunId) -> StartReply {
+        let worker = &mut self.workers[sent.worker];
+        let old = worker.over.get(&task).is_some_and(|over| *over >= run);
+        if old || sent.lease <= self.now {
+            return StartReply::Refused;
+        }
+        worker.lease = worker.lease.max(sent.lease);
+        worker.running.insert(task, (run, self.now));
+        self.starts += 1;
+        self.check(sent.worker, task);
+        StartReply::Started
+    }
+
+    /// What must hold at each start, whoever ordered it.
+    fn check(&self, at: usize, task: TaskKey) {
+        let elsewhere = self.workers.iter().enumerate();
+        let twice = elsewhere
+            .filter(|(other, worker)| *other != at && worker.running.contains_key(&task))
+            .count();
+        assert_eq!(twice, 0, "{task} runs on two workers");
+        assert!(!self.noted.contains_key(&task), "{task} ran again when done");
+        let need = |task: &TaskKey| self.jobs[&task.step.job].steps[0].need;
+        let used = self.workers[at].running.keys().map(need);
+        let used = used.fold(Room::default(), |sum, need| sum.plus(&need));
+        assert!(used.cpu <= 4000, "worker {at} is over its capacity");
+        for &before in &self.jobs[&task.step.job].steps[task.step.step as usize].after {
+            let spec = &self.jobs[&task.step.job].steps[before as usize];
+            for index in 0..spec.count {
+                let key = support::task(task.step.job, before, index);
+                assert!(self.ever_done(key), "{task} before {key} was done");
+            }
+        }
+    }
+
+    /// Whether a task (or its gang) has ever ended as done.
+    fn ever_done(&self, task: TaskKey) -> bool {
+        let gang = self.jobs[&task.step.job].steps[task.step.step as usize].gang;
+        let ended = self.workers.iter().flat_map(|worker| &worker.ended);
+        let mut done = ended.filter(|end| end.how == RunEnd::Done);
+        done.any(|end| end.task == task || gang && end.task.step == task.step)
+    }
+
+    fn end_some(&mut self, at: usize, pick: u8, how: RunEnd) {
+        let worker = &mut self.workers[at];
+        let tasks: Vec<TaskKey> = worker.running.keys().copied().collect();
+        if tasks.is_empty() {
+            return;
+        }
+        let task = tasks[usize::from(pick) % tasks.len()];
+        worker.end(task, how);
+        let gang = self.jobs[&task.step.job].steps[task.step.step as usize].gang;
+        if gang {
+            let rest = if how == RunEnd::Done {
+                RunEnd::Done
+            } else {
+                RunEnd::Broken
+            };
+            for worker in &mut self.workers {
+                let members: Vec<TaskKey> = worker
+                    .running
+                    .keys()
+                    .filter(|other| other.step == task.step)
+                    .copied()
+                    .collect();
+                for member in members {
+                    worker.end(member, rest);
+                }
+            }
+        }
+    }
+
+    fn begin_save(&mut self) {
+        if self.saving.is_none() {
+            self.saving = Some(self.planner.take_batch(3));
+        }
+    }
+
+    fn end_save(&mut self, fails: bool) {
+        let Some(batch) = self.saving.take() else {
+            return;
+        };
+        if fails {
+            self.planner.batch_failed(&batch);
+            return;
+        }
+        for (id, progress) in &batch.jobs {
+            self.stored.insert(*id, progress.clone());
+        }
+        self.planner.batch_saved(&batch);
+        for (key, number) in &batch.ends {
+            if let Some(at) = self.keys.iter().position(|one| one == key) {
+                self.note(at, *number);
+            }
+        }
+    }
+
+    /// Ends up to `number` are recorded, if the worker hears of it.
+    fn note(&mut self, at: usize, number: u64) {
+        let worker = &mut self.workers[at];
+        if worker.cut {
+            return;
+        }
+        for end in &worker.ended {
+            let counts = end.number > worker.seen.max(worker.void);
+            if counts && end.number <= number && end.how == RunEnd::Done {
+                self.noted.insert(end.task, end.run);
+            }
+        }
+        worker.seen = worker.seen.max(number);
+    }
+}
