Stand-ins of the platform and tests of whole processes

Change: crates/site: store (rows, feed, lost answers, dropped history), workers (leases, fences, ends), advice and machines, written from the published protocol; a harness of whole processes that can be killed; 18 tests of the path and of failures, judged by the workers' own log.

--- /dev/null
+++ b/crates/cell/tests/failures.rs
@@ -0,0 +1,231 @@
+//! Failures of owners, workers and the store, with whole processes. The judge
+//! is the workers' own log: no task in two places, none again when done.
+
+use std::time::Duration;
+
+use hyper::Method;
+use site::Caller;
+use site::PATIENCE;
+use site::SiteCell;
+use site::StoreFaults;
+use site::job;
+
+/// Submits `count` jobs of two tasks each; gives their paths.
+async fn submit_some(cell: &SiteCell, caller: &Caller, count: u32, text: &str) -> Vec<String> {
+    let mut paths = Vec::new();
+    for nth in 0..count {
+        let path = format!("/plain/{:016x}", 0xb000 + nth);
+        caller.submit(&cell.servers(), &path, &job(2, text)).await;
+        paths.push(path);
+    }
+    paths
+}
+
+async fn wait_completed(cell: &SiteCell, caller: &Caller, paths: &[String]) {
+    for path in paths {
+        caller.wait_state(&cell.servers(), path, "completed").await;
+    }
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+}
+
+async fn wait_owner(cell: &SiteCell, is: impl Fn(Option<usize>) -> bool) -> usize {
+    let looks = async {
+        while !is(cell.owner()) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let found = tokio::time::timeout(PATIENCE, looks).await;
+    assert!(found.is_ok(), "no such owner");
+    cell.owner().unwrap_or_default()
+}
+
+/// Symptom: jobs were lost or ran twice when the owner died. Sequence: jobs
+/// run; the owner is killed; another process claims the workers and adopts
+/// what runs there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_owner_is_followed_and_its_tasks_are_adopted() {
+    let mut cell = SiteCell::open(3, 3).await;
+    let caller = Caller::new();
+    let paths = submit_some(&cell, &caller, 8, "1500").await;
+    let owner = wait_owner(&cell, |owner| owner.is_some()).await;
+
+    cell.kill(owner);
+
+    wait_owner(&cell, |next| next.is_some_and(|next| next != owner)).await;
+    wait_completed(&cell, &caller, &paths).await;
+    cell.close();
+}
+
+/// Symptom: after a take-over, tasks that were done ran again. Sequence: the
+/// store is away, so ends are listed but not recorded; the owner is killed;
+/// the store returns; the successor claims the workers. Cause: ends that a
+/// worker listed before the jobs were read were passed over.
+#[tokio::test(flavor = "multi_thread")]
+async fn ends_that_were_never_recorded_survive_the_owner() {
+    let mut cell = SiteCell::open(3, 3).await;
+    let caller = Caller::new();
+    let paths = submit_some(&cell, &caller, 5, "400").await;
+    let owner = wait_owner(&cell, |owner| owner.is_some()).await;
+    let down = StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    };
+    cell.store.set_faults(down);
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    cell.kill(owner);
+
+    cell.store.set_faults(StoreFaults::default());
+
+    wait_completed(&cell, &caller, &paths).await;
+    for path in &paths {
+        let id = path.trim_start_matches("/plain/");
+        assert_eq!(cell.log.starts(id), 2, "{path}");
+    }
+    cell.close();
+}
+
+/// Symptom: callers waited out the expiry at each planned stop. Sequence: the
+/// owner is asked to stop; it gives the pool up; another takes it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_hands_the_pool_over() {
+    let mut cell = SiteCell::open(2, 2).await;
+    let caller = Caller::new();
+    let paths = submit_some(&cell, &caller, 4, "1000").await;
+    let owner = wait_owner(&cell, |owner| owner.is_some()).await;
+
+    cell.stop(owner).await;
+
+    wait_owner(&cell, |next| next.is_some_and(|next| next != owner)).await;
+    wait_completed(&cell, &caller, &paths).await;
+    cell.close();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_processes_killed_at_once_lose_nothing() {
+    let mut cell = SiteCell::open(3, 2).await;
+    let caller = Caller::new();
+    let paths = submit_some(&cell, &caller, 6, "700").await;
+    for at in 0..3 {
+        cell.kill(at);
+    }
+
+    for at in 0..3 {
+        cell.start(at).await;
+    }
+
+    wait_completed(&cell, &caller, &paths).await;
+    cell.close();
+}
+
+/// Symptom: a job ran twice, or was denied though it was accepted. Sequence:
+/// the store commits the job and its answer is lost; the caller repeats.
+/// Cause ruled out: the row must not exist, so the repetition finds it.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_of_the_store_make_no_second_job() {
+    let cell = SiteCell::open(2, 2).await;
+    let caller = Caller::new();
+    submit_some(&cell, &caller, 1, "20").await;
+    let lose = StoreFaults {
+        lose: 3,
+        ..StoreFaults::default()
+    };
+    cell.store.set_faults(lose);
+    let path = "/plain/00000000000000c1";
+
+    caller.submit(&cell.servers(), path, &job(2, "30")).await;
+
+    wait_completed(&cell, &caller, &[path.to_owned()]).await;
+    assert_eq!(cell.log.starts("00000000000000c1"), 2);
+    cell.close();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_is_down_refuses_jobs_and_work_goes_on() {
+    let cell = SiteCell::open(2, 2).await;
+    let caller = Caller::new();
+    let paths = submit_some(&cell, &caller, 3, "500").await;
+    let down = StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    };
+    cell.store.set_faults(down);
+    let path = "/plain/00000000000000c2";
+    let (status, _) = caller
+        .send(Method::POST, cell.server(0), path, &job(1, "20"))
+        .await;
+
+    cell.store.set_faults(StoreFaults::default());
+
+    assert_eq!(status, 503);
+    wait_completed(&cell, &caller, &paths).await;
+    assert_eq!(cell.log.starts("00000000000000c2"), 0, "it was refused");
+    cell.close();
+}
+
+/// Symptom: jobs waited for the feed while the store had dropped its history.
+/// Sequence: the history is dropped; a job is accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dropped_history_loses_no_job() {
+    let cell = SiteCell::open(2, 2).await;
+    let caller = Caller::new();
+    submit_some(&cell, &caller, 2, "20").await;
+    cell.store.forget();
+
+    let path = "/plain/00000000000000c3";
+    caller.submit(&cell.servers(), path, &job(2, "20")).await;
+
+    wait_completed(&cell, &caller, &[path.to_owned()]).await;
+    cell.close();
+}
+
+/// Symptom: tasks of a worker that died with its host never ran again.
+/// Sequence: the worker dies silently; the machine list says that its life is
+/// over; its tasks start elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dead_workers_tasks_run_elsewhere() {
+    let cell = SiteCell::open(2, 2).await;
+    let caller = Caller::new();
+    let paths = submit_some(&cell, &caller, 4, "1500").await;
+    caller
+        .wait_state(&cell.servers(), &paths[3], "active")
+        .await;
+
+    cell.workers[0].die();
+
+    wait_completed(&cell, &caller, &paths).await;
+    cell.close();
+}
+
+/// Symptom: a task ran on two workers. Sequence: a worker is cut off and runs
+/// on; its tasks may start elsewhere only after its lease is over.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_off_workers_tasks_wait_for_its_lease() {
+    let cell = SiteCell::open(2, 2).await;
+    let caller = Caller::new();
+    let paths = submit_some(&cell, &caller, 2, "8000").await;
+    caller
+        .wait_state(&cell.servers(), &paths[1], "active")
+        .await;
+
+    cell.workers[0].set_silent(true);
+
+    wait_completed(&cell, &caller, &paths).await;
+    cell.close();
+}
+
+/// Symptom: a start whose answer was lost ran beside its repetition.
+#[tokio::test(flavor = "multi_thread")]
+async fn starts_without_answer_run_once() {
+    let cell = SiteCell::open(1, 2).await;
+    let caller = Caller::new();
+    submit_some(&cell, &caller, 1, "20").await;
+    for worker in &cell.workers {
+        worker.lose_starts(2);
+    }
+    let path = "/plain/00000000000000c4";
+
+    caller.submit(&cell.servers(), path, &job(4, "900")).await;
+
+    wait_completed(&cell, &caller, &[path.to_owned()]).await;
+    cell.close();
+}
--- /dev/null
+++ b/crates/cell/tests/path.rs
@@ -0,0 +1,148 @@
+//! The whole path with whole processes: submit, advice, start, end, state.
+
+use hyper::Method;
+use serde_json::Value;
+use serde_json::json;
+use site::Caller;
+use site::PATIENCE;
+use site::SiteCell;
+use site::config;
+use site::job;
+
+const JOB: &str = "/plain/00000000000000a1";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_is_accepted_and_completed_and_known_at_every_process() {
+    let cell = SiteCell::open(3, 2).await;
+    let caller = Caller::new();
+
+    caller.submit(&cell.servers(), JOB, &job(3, "30")).await;
+
+    for server in cell.servers() {
+        caller.wait_state(&[server], JOB, "completed").await;
+    }
+    assert_eq!(cell.log.starts("00000000000000a1"), 3);
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_advised_queue_asks_before_it_starts() {
+    let cell = SiteCell::open(2, 2).await;
+    let caller = Caller::new();
+    let path = "/advised/00000000000000a2";
+
+    caller.submit(&cell.servers(), path, &job(2, "20")).await;
+
+    caller.wait_state(&cell.servers(), path, "completed").await;
+    assert!(cell.advice.calls() >= 1);
+    cell.close();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_same_id_at_two_processes_is_one_job() {
+    let cell = SiteCell::open(2, 2).await;
+    let caller = Caller::new();
+
+    caller.submit(&[cell.server(0)], JOB, &job(2, "30")).await;
+    caller.submit(&[cell.server(1)], JOB, &job(2, "30")).await;
+
+    caller.wait_state(&cell.servers(), JOB, "completed").await;
+    assert_eq!(cell.log.starts("00000000000000a1"), 2);
+    cell.close();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_task_that_fails_too_often_fails_its_job() {
+    let cell = SiteCell::open(1, 2).await;
+    let caller = Caller::new();
+
+    caller.submit(&cell.servers(), JOB, &job(1, "fail")).await;
+
+    caller.wait_state(&cell.servers(), JOB, "failed").await;
+    assert_eq!(cell.log.starts("00000000000000a1"), 2, "two attempts");
+    cell.close();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancelled_job_stops() {
+    let cell = SiteCell::open(2, 1).await;
+    let caller = Caller::new();
+    caller.submit(&cell.servers(), JOB, &job(2, "600000")).await;
+    caller.wait_state(&cell.servers(), JOB, "active").await;
+
+    let (status, _) = caller
+        .send(Method::DELETE, cell.server(1), JOB, &Value::Null)
+        .await;
+
+    assert_eq!(status, 200);
+    caller.wait_state(&cell.servers(), JOB, "canceled").await;
+    cell.close();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_requests_get_a_clear_answer() {
+    let cell = SiteCell::open(1, 1).await;
+    let caller = Caller::new();
+    caller.submit(&cell.servers(), JOB, &job(1, "20")).await;
+    let server = cell.server(0);
+    let none = json!({"spec": "", "steps": []});
+    let order = json!({"spec": "", "steps": [{"count": 1, "after": [0]}]});
+    let cases = [
+        (Method::POST, "/plain/123", &none, 400),
+        (Method::POST, "/plain/00000000000000A1", &none, 400),
+        (Method::POST, "/plain/00000000000000a3", &none, 400),
+        (Method::POST, "/plain/00000000000000a3", &order, 400),
+        (Method::POST, "/other/00000000000000a3", &none, 404),
+        (Method::GET, "/plain/00000000000000a4", &none, 410),
+        (Method::DELETE, "/plain/00000000000000a4", &none, 410),
+        (Method::PUT, "/plain/00000000000000a4", &none, 405),
+    ];
+
+    for (method, path, body, expected) in cases {
+        let (status, _) = caller.send(method.clone(), server, path, body).await;
+
+        assert_eq!(status, expected, "{method} {path}");
+    }
+    cell.close();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_queue_tells_how_many_jobs_wait() {
+    let cell = SiteCell::open(2, 1).await;
+    let caller = Caller::new();
+    caller.submit(&cell.servers(), JOB, &job(4, "600000")).await;
+    caller.wait_state(&cell.servers(), JOB, "active").await;
+    let waiting = "/plain/00000000000000a5";
+    caller.submit(&cell.servers(), waiting, &job(1, "20")).await;
+
+    let looks = async {
+        loop {
+            let server = cell.server(1);
+            let (status, body) = caller
+                .send(Method::GET, server, "/plain/", &Value::Null)
+                .await;
+            if (status, &body["waiting"]) == (200, &json!(1)) {
+                return;
+            }
+        }
+    };
+
+    assert!(tokio::time::timeout(PATIENCE, looks).await.is_ok());
+    cell.close();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_newer_configuration_is_taken_up_everywhere() {
+    let cell = SiteCell::open(2, 1).await;
+    let caller = Caller::new();
+    caller.submit(&cell.servers(), JOB, &job(1, "20")).await;
+
+    cell.store.write("op", "config", &config(5));
+
+    for server in cell.servers() {
+        let path = "/added/00000000000000a6";
+        caller.submit(&[server], path, &job(1, "20")).await;
+    }
+    cell.close();
+}
--- a/crates/job/tests/invariants.rs
+++ b/crates/job/tests/invariants.rs
@@ -28,7 +28,9 @@
 fn invariants_hold_over_long_sequences() {
     let mut state: u64 = 0x9e37_79b9_7f4a_7c15;
     let mut next = || {
-        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
         (state >> 33).to_le_bytes()
     };
     let mut starts = 0;
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -325,7 +325,10 @@
             .filter(|(other, worker)| *other != at && worker.running.contains_key(&task))
             .count();
         assert_eq!(twice, 0, "{task} runs on two workers");
-        assert!(!self.noted.contains_key(&task), "{task} ran again when done");
+        assert!(
+            !self.noted.contains_key(&task),
+            "{task} ran again when done"
+        );
         let need = |task: &TaskKey| self.jobs[&task.step.job].steps[0].need;
         let used = self.workers[at].running.keys().map(need);
         let used = used.fold(Room::default(), |sum, need| sum.plus(&need));
--- /dev/null
+++ b/crates/site/src/caller.rs
@@ -0,0 +1,98 @@
+//! A caller: submits jobs and asks for their state, at any process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::Method;
+use serde_json::Value;
+use web::Call;
+use web::Client;
+
+/// Time for one answer.
+const ANSWER: Duration = Duration::from_secs(4);
+
+/// Longest time that a test waits for something to come about.
+pub const PATIENCE: Duration = Duration::from_mins(1);
+
+/// Pause between two looks.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// A caller.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: Client,
+}
+
+impl Caller {
+    /// A caller without open connections.
+    #[must_use]
+    pub fn new() -> Caller {
+        Caller {
+            client: Client::new(Duration::from_secs(1)),
+        }
+    }
+
+    /// Sends one request; gives status and body, or 0 for no answer.
+    pub async fn send(
+        &self,
+        method: Method,
+        server: SocketAddr,
+        path: &str,
+        body: &Value,
+    ) -> (u16, Value) {
+        let call = Call::new(method, server, path, ANSWER)
+            .header("host", "desk.example".to_owned())
+            .json(body);
+        match self.client.send(call).await {
+            Ok(reply) => {
+                let body = serde_json::from_slice(&reply.body).unwrap_or_default();
+                (reply.status.as_u16(), body)
+            }
+            Err(_) => (0, Value::Null),
+        }
+    }
+
+    /// Submits a job at each of `servers` in turn until one accepts it.
+    ///
+    /// # Panics
+    /// None accepts it for a minute.
+    pub async fn submit(&self, servers: &[SocketAddr], path: &str, body: &Value) {
+        let tries = async {
+            for server in servers.iter().cycle() {
+                let (status, _) = self.send(Method::POST, *server, path, body).await;
+                if status == 200 {
+                    return;
+                }
+                tokio::time::sleep(LOOK_EVERY).await;
+            }
+        };
+        let accepted = tokio::time::timeout(PATIENCE, tries).await;
+        assert!(accepted.is_ok(), "{path} was never accepted");
+    }
+
+    /// Waits until a job is shown in `state` at any of `servers`.
+    ///
+    /// # Panics
+    /// It is not for a minute.
+    pub async fn wait_state(&self, servers: &[SocketAddr], path: &str, state: &str) {
+        let mut last = Value::Null;
+        let looks = async {
+            for server in servers.iter().cycle() {
+                let (_, body) = self.send(Method::GET, *server, path, &Value::Null).await;
+                last = body["state"].clone();
+                if last == state {
+                    return;
+                }
+                tokio::time::sleep(LOOK_EVERY).await;
+            }
+        };
+        let shown = tokio::time::timeout(PATIENCE, looks).await;
+        assert!(shown.is_ok(), "{path} is shown as {last}, not {state}");
+    }
+}
+
+impl Default for Caller {
+    fn default() -> Caller {
+        Caller::new()
+    }
+}
--- /dev/null
+++ b/crates/site/src/cell.rs
@@ -0,0 +1,267 @@
+//! A whole cell on loopback: stand-ins of the platform and several processes,
+//! each on a runtime of its own that can be killed.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+
+use cell::Bounds;
+use cell::CellProcess;
+use cell::CellSettings;
+use cell::Listen;
+use cell::Peers;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use web::Handler;
+use web::Limits;
+
+use crate::AdviceStand;
+use crate::RunLog;
+use crate::StoreStand;
+use crate::WorkerStand;
+
+/// Ports on each loopback address of a process.
+const CALLER_PORT: u16 = 7001;
+const READY_PORT: u16 = 7002;
+const PEER_PORT: u16 = 7003;
+
+/// Tells apart the cells of one test program.
+static CELLS: AtomicU8 = AtomicU8::new(1);
+
+/// A process of the cell.
+struct Member {
+    runtime: Runtime,
+    stop: Option<oneshot::Sender<()>>,
+    stopped: Option<oneshot::Receiver<()>>,
+}
+
+/// A whole cell.
+pub struct SiteCell {
+    /// The platform's store.
+    pub store: Arc<StoreStand>,
+    /// The workers.
+    pub workers: Vec<Arc<WorkerStand>>,
+    /// Advice and machines.
+    pub advice: Arc<AdviceStand>,
+    /// What the workers have done.
+    pub log: RunLog,
+    services: SocketAddr,
+    store_address: SocketAddr,
+    net: (u8, u8),
+    members: Vec<Option<Member>>,
+    _serving: watch::Sender<bool>,
+}
+
+impl SiteCell {
+    /// Opens a cell of `processes` processes and `workers` workers of four
+    /// cores each.
+    ///
+    /// # Panics
+    /// An address cannot be bound.
+    pub async fn open(processes: usize, workers: usize) -> SiteCell {
+        let (serving, stop) = watch::channel(false);
+        let store = StoreStand::new();
+        let store_address = serve(store.clone(), &stop).await;
+        let log = RunLog::default();
+        let mut stands = Vec::new();
+        for at in 0..workers {
+            let stand = WorkerStand::new(&format!("w{at}"), log.clone());
+            let address = serve(stand.clone(), &stop).await;
+            store.write("servers", &stand.id, &registration(address));
+            stands.push(stand);
+        }
+        let advice = AdviceStand::new(stands.clone());
+        let services = serve(advice.clone(), &stop).await;
+        store.write("op", "config", &config(1));
+        let net = (
+            u8::try_from(std::process::id() % 200).unwrap_or(0) + 20,
+            CELLS.fetch_add(1, Ordering::Relaxed),
+        );
+        let mut cell = SiteCell {
+            store,
+            workers: stands,
+            advice,
+            log,
+            services,
+            store_address,
+            net,
+            members: Vec::new(),
+            _serving: serving,
+        };
+        for at in 0..processes {
+            cell.members.push(None);
+            cell.start(at).await;
+        }
+        cell
+    }
+
+    fn ip(&self, at: usize) -> IpAddr {
+        let host = u8::try_from(at).unwrap_or(0) + 1;
+        Ipv4Addr::new(127, self.net.0, self.net.1, host).into()
+    }
+
+    /// Where callers reach a process.
+    #[must_use]
+    pub fn server(&self, at: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(at), CALLER_PORT)
+    }
+
+    /// Where callers reach the processes.
+    #[must_use]
+    pub fn servers(&self) -> Vec<SocketAddr> {
+        (0..self.members.len()).map(|at| self.server(at)).collect()
+    }
+
+    /// Starts a process that is not running.
+    ///
+    /// # Panics
+    /// It cannot start.
+    pub async fn start(&mut self, at: usize) {
+        let settings = self.settings(at);
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("runtime");
+        let (stop, stop_rx) = oneshot::channel();
+        let (stopped_tx, stopped) = oneshot::channel();
+        let (opened_tx, opened) = oneshot::channel();
+        runtime.spawn(async move {
+            let process = CellProcess::open(settings).await.expect("process starts");
+            let _ = opened_tx.send(());
+            // A dropped sender means that the process is killed.
+            if stop_rx.await.is_ok() {
+                process.close().await;
+                let _ = stopped_tx.send(());
+            }
+        });
+        opened.await.expect("process starts");
+        self.members[at] = Some(Member {
+            runtime,
+            stop: Some(stop),
+            stopped: Some(stopped),
+        });
+    }
+
+    /// Kills a process: nothing of it goes on, its connections are reset.
+    pub fn kill(&mut self, at: usize) {
+        if let Some(member) = self.members[at].take() {
+            member.runtime.shutdown_background();
+        }
+    }
+
+    /// Asks a process to stop, and waits until it has.
+    pub async fn stop(&mut self, at: usize) {
+        let Some(mut member) = self.members[at].take() else {
+            return;
+        };
+        if let (Some(stop), Some(stopped)) = (member.stop.take(), member.stopped.take()) {
+            let _ = stop.send(());
+            let _ = stopped.await;
+        }
+        member.runtime.shutdown_background();
+    }
+
+    /// Index of the process that owns the pool, by the store.
+    #[must_use]
+    pub fn owner(&self) -> Option<usize> {
+        let row = self
+            .store
+            .raw(cell::SEAT_TABLE, cell::OWNER_PART, "owner")?;
+        let seat: cell::Seat = cell::decode_row(&row).ok()?;
+        let at = (0..self.members.len()).find(|&at| self.ip(at) == seat.address.ip());
+        at.filter(|_| !seat.released)
+    }
+
+    fn settings(&self, at: usize) -> CellSettings {
+        let ip = self.ip(at);
+        CellSettings {
+            node: format!("entry-{at}"),
+            zone: "z1".to_owned(),
+            ip,
+            listen: Listen {
+                callers: SocketAddr::new(ip, CALLER_PORT),
+                ready: SocketAddr::new(ip, READY_PORT),
+            },
+            peers: Peers {
+                first_port: PEER_PORT,
+            },
+            store: self.store_address,
+            advice: self.services.to_string(),
+            machines: self.services.to_string(),
+            bounds: Bounds {
+                worker_lease_ms: 6000,
+                stop_ms: 200,
+                gang_ms: 3000,
+                drain_ms: 2000,
+                grace_s: 6.0,
+                far_factor: 3.0,
+                restore_ms: 100,
+            },
+        }
+    }
+
+    /// Ends all processes.
+    pub fn close(mut self) {
+        for at in 0..self.members.len() {
+            self.kill(at);
+        }
+    }
+}
+
+/// Serves a stand-in on a free loopback port.
+async fn serve<H: Handler>(handler: Arc<H>, stop: &watch::Receiver<bool>) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let serving = web::serve(listener, handler, Limits::default(), stop.clone());
+    tokio::spawn(serving);
+    address
+}
+
+fn registration(address: SocketAddr) -> Value {
+    json!({
+        "service": "desk", "address": address.to_string(), "zone": "z1", "version": "v1",
+        "slots": 8, "state": "ready", "cold_left_ms": 0,
+        "capacity": {"cpu": 4000, "mem_mb": 64000, "gpu": 0}, "labels": ["a", "r1-1"], "seq": 1,
+    })
+}
+
+/// A configuration: queue `plain` has no advice, `advised` has, and a version
+/// above 1 brings `added`.
+#[must_use]
+pub fn config(version: u64) -> Value {
+    let queue = |name: &str| {
+        json!({
+            "name": name, "host": "desk.example", "prefix": format!("/{name}/"),
+            "kind": "non_idempotent", "timeout_ms": 3000, "slo_ms": 500, "priority": 0,
+            "service": "desk", "max_attempts": 2, "stretch": 2.0,
+        })
+    };
+    let mut advised = queue("advised");
+    advised["advice"] = json!({"decide_ms": 10.0, "each_ms": 0.5, "valid_ms": 1500});
+    let mut routes = vec![queue("plain"), advised];
+    if version > 1 {
+        routes.push(queue("added"));
+    }
+    json!({
+        "version": version, "routes": routes,
+        "services": [{"name": "desk", "rejects_overload": false, "spare": false}],
+        "limits": {"max_body_bytes": 4096},
+    })
+}
+
+/// A job of one step; `text` says how its tasks end.
+#[must_use]
+pub fn job(count: u32, text: &str) -> Value {
+    json!({
+        "spec": text,
+        "steps": [{"count": count, "cpu": 1000, "mem_mb": 100, "estimate_ms": 100}],
+    })
+}
--- /dev/null
+++ b/crates/site/src/lib.rs
@@ -0,0 +1,16 @@
+//! Stand-ins of the platform, written from its published protocol, and a
+//! harness that runs whole processes against them. Only tests use them.
+
+mod advice;
+mod caller;
+mod cell;
+mod runs;
+mod store;
+mod worker;
+
+pub use advice::*;
+pub use caller::*;
+pub use cell::*;
+pub use runs::*;
+pub use store::*;
+pub use worker::*;
--- /dev/null
+++ b/crates/site/src/store.rs
@@ -0,0 +1,267 @@
+//! Stand-in of the platform's store: rows, transactions, the change feed, with
+//! refusals, lost answers and dropped history.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use hyper::StatusCode;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::watch;
+use web::Asked;
+use web::Handler;
+use web::Whole;
+
+/// Table, part and key.
+type Name = (String, String, String);
+
+/// What the store does to calls.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreFaults {
+    /// Every call is refused with 503.
+    pub down: bool,
+    /// So many of the next transactions are done and not answered.
+    pub lose: usize,
+    /// Each answer takes this long.
+    pub delay: Duration,
+}
+
+#[derive(Default)]
+struct Rows {
+    /// Value and version by name.
+    live: BTreeMap<Name, (String, u64)>,
+    changes: Vec<(u64, Name, Option<String>)>,
+    version: u64,
+    /// Changes up to this version are forgotten.
+    forgotten: u64,
+    faults: StoreFaults,
+}
+
+/// The store.
+pub struct StoreStand {
+    rows: Mutex<Rows>,
+    version: watch::Sender<u64>,
+}
+
+impl StoreStand {
+    /// An empty store.
+    #[must_use]
+    pub fn new() -> Arc<StoreStand> {
+        let (version, _) = watch::channel(0);
+        Arc::new(StoreStand {
+            rows: Mutex::default(),
+            version,
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Rows> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets what happens to calls from now on.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        self.lock().faults = faults;
+    }
+
+    /// Forgets the history of changes.
+    pub fn forget(&self) {
+        let mut rows = self.lock();
+        rows.forgotten = rows.version;
+        rows.changes.clear();
+    }
+
+    /// Writes a row as the operator or a worker would.
+    pub fn write(&self, table: &str, key: &str, value: &Value) {
+        let name = (table.to_owned(), String::new(), key.to_owned());
+        let value = STANDARD.encode(value.to_string());
+        let mut rows = self.lock();
+        rows.version += 1;
+        let version = rows.version;
+        rows.put(name, Some(value), version);
+        drop(rows);
+        self.version.send_replace(version);
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        let name = (table.to_owned(), String::new(), key.to_owned());
+        let mut rows = self.lock();
+        rows.version += 1;
+        let version = rows.version;
+        rows.put(name, None, version);
+        drop(rows);
+        self.version.send_replace(version);
+    }
+
+    /// Value of a row.
+    #[must_use]
+    pub fn raw(&self, table: &str, part: &str, key: &str) -> Option<Vec<u8>> {
+        let name = (table.to_owned(), part.to_owned(), key.to_owned());
+        let rows = self.lock();
+        STANDARD.decode(&rows.live.get(&name)?.0).ok()
+    }
+
+    /// Number of rows of a table, in all its parts.
+    #[must_use]
+    pub fn count(&self, table: &str) -> usize {
+        self.lock()
+            .live
+            .keys()
+            .filter(|name| name.0 == table)
+            .count()
+    }
+
+    /// Number of transactions so far.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.lock().version
+    }
+
+    fn transact(&self, body: &Value) -> Whole {
+        let mut rows = self.lock();
+        for expect in list(body, "precondition") {
+            let found = rows.live.get(&name_of(expect)).map_or(0, |row| row.1);
+            if found != expect["ver"].as_u64().unwrap_or(0) {
+                return web::json(StatusCode::PRECONDITION_FAILED, &json!({"rows": []}));
+            }
+        }
+        rows.version += 1;
+        let version = rows.version;
+        for put in list(body, "puts") {
+            let value = put["value"].as_str().unwrap_or_default().to_owned();
+            rows.put(name_of(put), Some(value), version);
+        }
+        for remove in list(body, "remove") {
+            rows.put(name_of(remove), None, version);
+        }
+        drop(rows);
+        self.version.send_replace(version);
+        web::json(StatusCode::OK, &json!({"ver": version, "now_ms": 0}))
+    }
+
+    fn read(&self, asked: &Asked) -> Whole {
+        let text = |name: &str| asked.parameter(name).unwrap_or_default();
+        let (table, part, from) = (text("table"), text("part"), text("from"));
+        let limit = text("limit").parse().unwrap_or(500);
+        let rows = self.lock();
+        let found = rows
+            .live
+            .range((table.clone(), part.clone(), from)..)
+            .take_while(|(name, _)| name.0 == table && name.1 == part);
+        let all: Vec<Value> = found
+            .map(|(name, (value, version))| row_json(name, Some(value), *version))
+            .collect();
+        let more = all.len() > limit;
+        let page: Vec<Value> = all.into_iter().take(limit).collect();
+        let body = json!({"rows": page, "has_more": more, "ver": rows.version, "now_ms": 0});
+        web::json(StatusCode::OK, &body)
+    }
+
+    fn parts(&self, asked: &Asked) -> Whole {
+        let table = asked.parameter("table").unwrap_or_default();
+        let rows = self.lock();
+        let names = rows.live.keys().filter(|name| name.0 == table);
+        let parts: BTreeSet<&String> = names.map(|name| &name.1).collect();
+        web::json(StatusCode::OK, &json!({"parts": parts, "has_more": false}))
+    }
+
+    async fn feed(&self, asked: &Asked) -> Whole {
+        let number = |name: &str| asked.parameter(name).and_then(|text| text.parse().ok());
+        let table = asked.parameter("table").unwrap_or_default();
+        let after: u64 = number("after").unwrap_or(0);
+        let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
+        let until = tokio::time::Instant::now() + wait;
+        let mut version = self.version.subscribe();
+        loop {
+            version.borrow_and_update();
+            if let Some(whole) = self.changes(&table, after, false) {
+                return whole;
+            }
+            if tokio::time::timeout_at(until, version.changed())
+                .await
+                .is_err()
+            {
+                return self
+                    .changes(&table, after, true)
+                    .unwrap_or_else(|| web::error(StatusCode::GONE, "forgotten"));
+            }
+        }
+    }
+
+    /// Changes of a table after a version; nothing if there are none, unless
+    /// `empty` asks for an empty answer.
+    fn changes(&self, table: &str, after: u64, empty: bool) -> Option<Whole> {
+        let rows = self.lock();
+        if after < rows.forgotten {
+            return Some(web::error(StatusCode::GONE, "forgotten"));
+        }
+        let changes = rows.changes.iter();
+        let found: Vec<Value> = changes
+            .filter(|(version, name, _)| *version > after && name.0 == table)
+            .map(|(version, name, value)| row_json(name, value.as_ref(), *version))
+            .collect();
+        if found.is_empty() && !empty {
+            return None;
+        }
+        let body = json!({"rows": found, "ver": rows.version, "now_ms": 0});
+        Some(web::json(StatusCode::OK, &body))
+    }
+}
+
+impl Rows {
+    fn put(&mut self, name: Name, value: Option<String>, version: u64) {
+        self.changes.push((version, name.clone(), value.clone()));
+        match value {
+            Some(value) => self.live.insert(name, (value, version)),
+            None => self.live.remove(&name),
+        };
+    }
+}
+
+impl Handler for StoreStand {
+    async fn handle(&self, asked: Asked) -> Whole {
+        let faults = self.lock().faults;
+        tokio::time::sleep(faults.delay).await;
+        if faults.down {
+            return web::error(StatusCode::SERVICE_UNAVAILABLE, "try later");
+        }
+        match asked.path.as_str() {
+            "/-/rows-tx" => {
+                let body: Value = serde_json::from_slice(&asked.body).unwrap_or_default();
+                let whole = self.transact(&body);
+                if faults.lose > 0 {
+                    self.lock().faults.lose -= 1;
+                    std::future::pending::<()>().await;
+                }
+                whole
+            }
+            "/-/rows-get" => self.read(&asked),
+            "/-/rows-parts" => self.parts(&asked),
+            "/-/rows-feed" => self.feed(&asked).await,
+            _ => web::error(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+}
+
+fn list<'a>(body: &'a Value, name: &str) -> &'a [Value] {
+    body[name].as_array().map_or(&[], Vec::as_slice)
+}
+
+fn name_of(row: &Value) -> Name {
+    let text = |name: &str| row[name].as_str().unwrap_or_default().to_owned();
+    (text("table"), text("part"), text("key"))
+}
+
+fn row_json(name: &Name, value: Option<&String>, version: u64) -> Value {
+    json!({
+        "table": name.0, "part": name.1, "key": name.2,
+        "value": value.map_or("", String::as_str), "ver": version, "tombstone": value.is_none(),
+    })
+}
--- /dev/null
+++ b/crates/site/src/worker.rs
@@ -0,0 +1,260 @@
+//! Stand-in of a worker: leases, fences, runs and their ends.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::StatusCode;
+use serde_json::Value;
+use serde_json::json;
+use web::Asked;
+use web::Handler;
+use web::Whole;
+
+use crate::Deed;
+use crate::RunLog;
+
+/// Time between two looks for ends while a call waits for one.
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+
+/// A run at work. Its text says how it ends: `fail`, or its time in
+/// milliseconds.
+#[derive(Debug)]
+struct Run {
+    number: u64,
+    end: Instant,
+    fails: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    fence: u64,
+    lease: u64,
+    running: BTreeMap<String, Run>,
+    /// Number, task, run, how.
+    ended: Vec<(u64, String, u64, String)>,
+    count: u64,
+    over: HashMap<String, u64>,
+    silent: bool,
+    dead: bool,
+    lose_starts: usize,
+}
+
+/// A worker.
+#[derive(Debug)]
+pub struct WorkerStand {
+    /// This life of the worker.
+    pub id: String,
+    origin: Instant,
+    state: Mutex<State>,
+    log: RunLog,
+}
+
+impl WorkerStand {
+    /// A worker that logs to `log`.
+    #[must_use]
+    pub fn new(id: &str, log: RunLog) -> Arc<WorkerStand> {
+        Arc::new(WorkerStand {
+            id: id.to_owned(),
+            origin: Instant::now(),
+            state: Mutex::default(),
+            log,
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn clock(&self) -> u64 {
+        u64::try_from(self.origin.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Whether the worker answers nobody; its runs go on.
+    pub fn set_silent(&self, silent: bool) {
+        self.lock().silent = silent;
+    }
+
+    /// The worker dies: its runs are over, and it never answers again.
+    pub fn die(&self) {
+        let mut state = self.lock();
+        state.silent = true;
+        state.dead = true;
+        for (task, run) in std::mem::take(&mut state.running) {
+            let how = "gone".to_owned();
+            self.log
+                .push(Deed::Ended(self.id.clone(), task, run.number, how));
+        }
+    }
+
+    /// Whether the worker has died.
+    #[must_use]
+    pub fn dead(&self) -> bool {
+        self.lock().dead
+    }
+
+    /// So many of the next starts are carried out and not answered.
+    pub fn lose_starts(&self, count: usize) {
+        self.lock().lose_starts = count;
+    }
+
+    /// Ends what is due: by its own time, or by the lease.
+    fn settle(&self, state: &mut State) {
+        let now = Instant::now();
+        let lapsed = state.lease <= self.clock();
+        let due: Vec<String> = state
+            .running
+            .iter()
+            .filter(|(_, run)| lapsed || run.end <= now)
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in due {
+            let run = &state.running[&task];
+            let how = match (run.end <= now, run.fails) {
+                (false, _) => "lapsed",
+                (true, true) => "failed",
+                (true, false) => "done",
+            };
+            self.end(state, &task, how);
+        }
+    }
+
+    fn end(&self, state: &mut State, task: &str, how: &str) {
+        let Some(run) = state.running.remove(task) else {
+            return;
+        };
+        state.count += 1;
+        let end = (state.count, task.to_owned(), run.number, how.to_owned());
+        state.ended.push(end);
+        state.over.insert(task.to_owned(), run.number);
+        let (task, how) = (task.to_owned(), how.to_owned());
+        self.log
+            .push(Deed::Ended(self.id.clone(), task, run.number, how));
+    }
+
+    fn refuse(&self, reason: &str) -> Whole {
+        let body = json!({"clock_ms": self.clock(), "reason": reason});
+        web::json(StatusCode::CONFLICT, &body)
+    }
+
+    fn start(&self, state: &mut State, body: &Value) -> Whole {
+        let task = body["task"].as_str().unwrap_or_default().to_owned();
+        let run = body["run"].as_u64().unwrap_or(0);
+        let lease = body["deadline_ms"].as_u64().unwrap_or(0);
+        if lease <= self.clock() {
+            return self.refuse("late");
+        }
+        state.lease = state.lease.max(lease);
+        if state.over.get(&task).is_some_and(|over| *over >= run) {
+            return self.refuse("old");
+        }
+        if !state.running.contains_key(&task) {
+            let text = body["spec"].as_str().unwrap_or_default();
+            let time = Duration::from_millis(text.parse().unwrap_or(20));
+            let started = Run {
+                number: run,
+                end: Instant::now() + time,
+                fails: text == "fail",
+            };
+            state.running.insert(task.clone(), started);
+            self.log.push(Deed::Began(self.id.clone(), task, run));
+        }
+        web::json(StatusCode::OK, &json!({"clock_ms": self.clock()}))
+    }
+
+    fn stop(&self, state: &mut State, body: &Value) -> Whole {
+        let task = body["task"].as_str().unwrap_or_default();
+        let run = body["run"].as_u64().unwrap_or(0);
+        let over = state.over.entry(task.to_owned()).or_default();
+        *over = run.max(*over);
+        if state
+            .running
+            .get(task)
+            .is_some_and(|held| held.number == run)
+        {
+            self.end(state, task, "stopped");
+        }
+        web::json(StatusCode::OK, &json!({"clock_ms": self.clock()}))
+    }
+
+    fn hold(&self, state: &mut State, body: &Value) -> (Value, bool) {
+        if let Some(lease) = body["deadline_ms"].as_u64() {
+            state.lease = state.lease.max(lease);
+        }
+        let seen = body["seen_upto"].as_u64().unwrap_or(0);
+        state.ended.retain(|end| end.0 > seen);
+        let running: Vec<Value> = state
+            .running
+            .iter()
+            .map(|(task, run)| json!([task, run.number, "", 0]))
+            .collect();
+        let ended: Vec<Value> = state
+            .ended
+            .iter()
+            .map(|end| json!([end.0, end.1, end.2, end.3, ""]))
+            .collect();
+        let body = json!({"clock_ms": self.clock(), "running": running, "ended_runs": ended});
+        (body, !state.ended.is_empty())
+    }
+
+    async fn wait_end(&self, body: &Value) -> Whole {
+        let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0));
+        let until = Instant::now() + wait;
+        loop {
+            let (reply, ends) = {
+                let mut state = self.lock();
+                self.settle(&mut state);
+                self.hold(&mut state, body)
+            };
+            if ends || Instant::now() >= until {
+                return web::json(StatusCode::OK, &reply);
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    /// Takes the fence; nothing if the order may be carried out.
+    fn fence(&self, state: &mut State, body: &Value) -> Option<Whole> {
+        let fence = body["fencing_token"].as_u64().unwrap_or(0);
+        if fence < state.fence {
+            return Some(self.refuse("fence"));
+        }
+        state.fence = fence;
+        None
+    }
+}
+
+impl Handler for WorkerStand {
+    async fn handle(&self, asked: Asked) -> Whole {
+        let body: Value = serde_json::from_slice(&asked.body).unwrap_or_default();
+        let (whole, lost) = {
+            let mut state = self.lock();
+            self.settle(&mut state);
+            if state.silent {
+                (None, true)
+            } else if let Some(whole) = self.fence(&mut state, &body) {
+                (Some(whole), false)
+            } else if asked.path == "/-/run-start" {
+                let lost = state.lose_starts > 0;
+                state.lose_starts = state.lose_starts.saturating_sub(1);
+                (Some(self.start(&mut state, &body)), lost)
+            } else if asked.path == "/-/run-stop" {
+                (Some(self.stop(&mut state, &body)), false)
+            } else {
+                (None, false)
+            }
+        };
+        if lost {
+            std::future::pending::<()>().await;
+        }
+        match whole {
+            Some(whole) => whole,
+            None => self.wait_end(&body).await,
+        }
+    }
+}
