Count runs of jobs that become known after a take-over

Change: a run listed before its job was known keeps its task until it has stopped; jobs that become known in the first 2 s wait for all workers. The test of new jobs during a recovery now submits after these 2 s: earlier ones may have been started, so its old expectation was wrong. Also: small tasks name the fullest workers with room, gangs keep workers free against more urgent work too, a host below 0.2 cores leaves the pool to others.

--- a/crates/cell/src/seat.rs
+++ b/crates/cell/src/seat.rs
@@ -49,6 +49,13 @@
 /// seven of eight do not write in vain.
 const STAGGER: Duration = Duration::from_millis(25);
 
+/// A host with less of a core than this takes the pool only if no larger one
+/// does: owning 350 workers takes a sixth of a core.
+const OWNER_CORES: f64 = 0.2;
+
+/// Wait of such a host for the larger ones.
+const SMALL_WAIT: Duration = Duration::from_millis(400);
+
 /// Hosts that are told apart by the stagger.
 const STAGGERED: u64 = 8;
 
@@ -238,6 +245,8 @@
         let name = self.context.settings.node.bytes();
         let hash = name.fold(0u64, |hash, byte| hash.wrapping_mul(31) + u64::from(byte));
         let place = u32::try_from(hash % STAGGERED).unwrap_or(0);
-        STAGGER * place
+        let small = self.context.settings.cores < OWNER_CORES;
+        let last = if small { SMALL_WAIT } else { Duration::ZERO };
+        STAGGER * place + last
     }
 }
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -62,6 +62,8 @@
     pub listen: Listen,
     /// Talk between processes.
     pub peers: Peers,
+    /// Cores of the host, or the part of one that it has.
+    pub cores: f64,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Address of the service that knows which workers may run a step; empty
--- a/crates/job/src/planner/advice.rs
+++ b/crates/job/src/planner/advice.rs
@@ -8,6 +8,7 @@
 use super::place::Rank;
 use super::roster::WorkerState;
 use crate::Advice;
+use crate::Room;
 use crate::StepKey;
 use crate::StepSpec;
 use crate::Ticket;
@@ -17,12 +18,25 @@
 const MOST_NAMED: usize = 100;
 
 /// Fewest workers named in a first call.
-const FEWEST_NAMED: usize = 12;
+const FEWEST_NAMED: usize = 8;
+
+/// Seats that count for one worker: its room may be gone by the answer.
+const MOST_SEATS: u64 = 4;
 
 /// A call that takes longer than this is slow: it must not stand in the way of
 /// the quick ones, whose callers wait at a counter.
 const QUICK: Duration = Duration::from_millis(60);
 
+/// Share of workers that may run a step, before any was learnt.
+const DEFAULT_SHARE: f64 = 0.4;
+
+/// Weight of the newest answer in the learnt share.
+const SHARE_GAIN: f64 = 0.1;
+
+/// Seats that are asked for, as a multiple of those needed: some are taken by
+/// others before the answer is there.
+const SEAT_MARGIN: f64 = 2.5;
+
 /// Time after which a call counts as lost, beyond its own.
 const GRACE: Duration = Duration::from_millis(1500);
 
@@ -75,7 +89,13 @@
         if lasting && !advised.good.is_empty() {
             return None;
         }
-        let workers = self.named(&job.spec.queue.service, spec, step, advice);
+        let workers = self.named(
+            &job.spec.queue.name,
+            &job.spec.queue.service,
+            spec,
+            step,
+            advice,
+        );
         if workers.is_empty() {
             return None;
         }
@@ -88,9 +108,10 @@
     }
 
     /// Workers to ask about: those known to be good, if they have room, or
-    /// else those not asked about yet, the emptiest first.
+    /// else those not asked about yet.
     fn named(
         &self,
+        queue: &str,
         service: &str,
         spec: &StepSpec,
         step: &StepState,
@@ -122,20 +143,43 @@
         if !good.is_empty() && room(&rest) + room(&good) < needed {
             return Vec::new();
         }
-        let mut order = rest;
-        order.sort_by_key(|worker| std::cmp::Reverse(worker.free().cpu));
         let even = advice.fixed.as_secs_f64() / advice.each.as_secs_f64().max(1e-6);
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let most = (even / 2.0) as usize;
         let most = most.clamp(FEWEST_NAMED, MOST_NAMED);
-        let most = if spec.gang { MOST_NAMED } else { most };
-        let names = good.iter().chain(order.iter().take(most));
+        let chosen = if spec.gang {
+            emptiest(rest)
+        } else {
+            let share = self.shares.get(queue).copied().unwrap_or(DEFAULT_SHARE);
+            let (kept, open): (Vec<_>, Vec<_>) = rest.into_iter().partition(|worker| {
+                let key = self.by_id.get(&worker.info.id);
+                key.is_some_and(|key| self.kept.contains(key))
+            });
+            let mut chosen = tightest(open, &booked, step.waiting(), share, most);
+            if chosen.len() < FEWEST_NAMED {
+                chosen.extend(tightest(kept, &booked, step.waiting(), share, most));
+            }
+            chosen
+        };
+        let names = good.iter().chain(chosen.iter());
         names
             .take(MOST_NAMED)
             .map(|worker| worker.info.id.clone())
             .collect()
     }
 
+    /// Learns which share of the workers asked about turns out to be good.
+    fn learn_share(&mut self, key: StepKey, asked: usize, good: usize) {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        #[allow(clippy::cast_precision_loss)]
+        let found = good as f64 / asked.max(1) as f64;
+        let queue = job.spec.queue.name.clone();
+        let share = self.shares.entry(queue).or_insert(DEFAULT_SHARE);
+        *share += (found - *share) * SHARE_GAIN;
+    }
+
     /// Takes the answer to a call about `asked`; tickets last until `until`.
     pub fn take_advice(
         &mut self,
@@ -150,11 +194,20 @@
         };
         let advised = &mut step.advised;
         advised.pending = None;
+        let news = asked.iter().filter(|id| !advised.asked.contains(*id));
+        let new = news.count();
+        let found = tickets
+            .iter()
+            .filter(|ticket| !advised.asked.contains(&ticket.worker))
+            .count();
         advised.asked.extend(asked.iter().cloned());
         for ticket in tickets {
             let worker = ticket.worker.clone();
             advised.good.insert(worker, (ticket.text.clone(), until));
         }
+        if new > 0 {
+            self.learn_share(key, new, found);
+        }
     }
 
     /// A call failed; it is made again after a pause.
@@ -177,3 +230,39 @@
         }
     }
 }
+
+/// All workers, the emptiest first: a gang needs them whole.
+fn emptiest(mut workers: Vec<&WorkerState>) -> Vec<&WorkerState> {
+    workers.sort_by_key(|worker| std::cmp::Reverse(worker.free().cpu));
+    workers
+}
+
+/// The fullest workers that still have room, enough of them for `needed` tasks
+/// if `share` of them are good. Naming the emptiest instead spreads small tasks
+/// over all workers, and gangs find none empty.
+fn tightest<'a>(
+    mut workers: Vec<&'a WorkerState>,
+    booked: &Room,
+    needed: usize,
+    share: f64,
+    most: usize,
+) -> Vec<&'a WorkerState> {
+    workers.sort_by_key(|worker| worker.free().cpu);
+    #[allow(clippy::cast_precision_loss)]
+    let wanted = needed as f64 * SEAT_MARGIN / share.max(0.05);
+    let mut seats = 0.0;
+    let mut chosen = Vec::new();
+    for worker in workers {
+        let enough = seats >= wanted && chosen.len() >= FEWEST_NAMED;
+        if enough || chosen.len() >= most {
+            break;
+        }
+        #[allow(clippy::cast_precision_loss)]
+        let fits = worker.free().fits(booked).min(MOST_SEATS) as f64;
+        if fits > 0.0 {
+            seats += fits;
+            chosen.push(worker);
+        }
+    }
+    chosen
+}
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -21,6 +21,7 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -129,13 +130,24 @@
     /// Steps that have tasks to start.
     open: BTreeSet<StepKey>,
     dirty: BTreeSet<JobId>,
+    /// Workers that the last pass kept free for gangs.
+    kept: HashSet<WorkerKey>,
+    /// Share of the workers that may run a step, by queue, as learnt.
+    shares: HashMap<String, f64>,
     orders: Vec<Order>,
     /// Until this time, tasks that a predecessor may have started stay put.
     recovery: Option<Duration>,
+    /// When this epoch began.
+    began: Duration,
     /// From this time on, all workers that register are known.
     settled: Duration,
 }
 
+/// Time after a take-over in which another process may still tell the former
+/// owner of a job: until then a job that is new to us may have been started by
+/// it. Processes learn of a take-over from a feed that answers every 0.5 s.
+const HINT_LAG: Duration = Duration::from_secs(2);
+
 /// Time after a take-over in which workers may still become known; until then,
 /// no job is given up for want of a worker that could hold it.
 const SETTLE: Duration = Duration::from_secs(3);
@@ -147,6 +159,7 @@
     pub fn new(policy: Policy, epoch: Epoch, now: Duration, wall: Duration) -> Planner {
         Planner {
             recovery: Some(now + policy.worst_lapse()),
+            began: now,
             settled: now + SETTLE,
             policy,
             now,
@@ -158,6 +171,8 @@
             jobs: HashMap::new(),
             open: BTreeSet::new(),
             dirty: BTreeSet::new(),
+            kept: HashSet::new(),
+            shares: HashMap::new(),
             orders: Vec::new(),
         }
     }
@@ -188,14 +203,16 @@
         } else {
             Duration::ZERO
         };
+        let early = self.recovery.is_some() && self.now < self.began + HINT_LAG;
         let canceled = spec.canceled;
         let born = self.now.saturating_sub(age.min(self.policy.oldest));
-        let mut job = JobState::new(spec, born, old);
+        let mut job = JobState::new(spec, born, old || early);
         if let Some(progress) = progress {
             job.restore(progress);
         }
         let ended = job.outcome.is_some();
         self.jobs.insert(id, job);
+        self.count_strangers(id);
         match (ended, canceled) {
             (true, _) => {}
             (false, true) => self.finish(id, Outcome::Canceled),
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -36,8 +36,9 @@
 /// job to count as in time: estimates are off by up to a factor of two.
 const HOPE: f64 = 0.5;
 
-/// Gangs for which workers are kept free at the same time.
-const MOST_KEPT: usize = 3;
+/// Share of the workers that may be kept free for gangs at the same time; the
+/// first gang gets what it needs.
+const MOST_KEPT: f64 = 0.4;
 
 impl Room {
     /// How many times `need` fits.
@@ -59,6 +60,8 @@
     /// Tasks of the step there.
     here: u32,
     near: bool,
+    /// It is being kept free for a gang.
+    kept: bool,
     strikes: u32,
     ticket: Option<String>,
 }
@@ -101,18 +104,19 @@
             .collect();
         ranked.sort_unstable();
         let mut kept: HashSet<WorkerKey> = HashSet::new();
-        let mut gangs = 0;
+        #[allow(clippy::cast_precision_loss)]
+        let most = self.workers.len() as f64 * MOST_KEPT;
         for (_, key) in ranked {
             let Some(spec) = self.spec_of(key) else {
                 continue;
             };
             if !spec.gang {
                 self.place_tasks(key, &spec, &kept);
-            } else if !self.place_gang(key, &spec, &kept) && gangs < MOST_KEPT {
-                gangs += 1;
-                self.keep_room(key, &spec, &mut kept);
+            } else if !self.place_gang(key, &spec, &kept) {
+                self.keep_room(key, &spec, &mut kept, most);
             }
         }
+        self.kept = kept;
     }
 
     fn spec_of(&self, key: StepKey) -> Option<StepSpec> {
@@ -161,6 +165,7 @@
                 spare: free.cpu.saturating_sub(worker.fillers),
                 here: u32::try_from(here).unwrap_or(u32::MAX),
                 near: spec.rack.is_empty() || info.labels.contains(&spec.rack),
+                kept: self.kept.contains(&worker_key),
                 strikes: worker.strikes,
                 ticket: ticket.map(|(text, _)| text.clone()),
             });
@@ -202,7 +207,8 @@
             }
         };
         let fitting = candidates.iter().enumerate().filter(|(_, one)| fits(one));
-        let best = fitting.min_by_key(|(_, one)| (!one.near, one.strikes, tightness(one)));
+        let best =
+            fitting.min_by_key(|(_, one)| (one.kept, !one.near, one.strikes, tightness(one)));
         best.map(|(at, _)| at)
     }
 
@@ -229,7 +235,11 @@
     /// Keeps workers free of less urgent work for a gang that does not fit:
     /// small tasks would otherwise fill each hole as it opens, and a large
     /// gang would never start.
-    fn keep_room(&self, key: StepKey, spec: &StepSpec, kept: &mut HashSet<WorkerKey>) {
+    ///
+    /// Less urgent tasks stay off these workers, more urgent ones take them
+    /// last: on a quiet day, a gang that needed a quarter of the pool waited
+    /// 27 s while counter checks refilled it.
+    fn keep_room(&self, key: StepKey, spec: &StepSpec, kept: &mut HashSet<WorkerKey>, most: f64) {
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
@@ -249,12 +259,20 @@
         }
         able.sort_by_key(|&(free, ..)| std::cmp::Reverse(free));
         let mut seats = 0;
+        let mut chosen = Vec::new();
         for (_, worker_key, fits) in able {
             if seats >= u64::from(spec.count) {
-                return;
+                break;
             }
             seats += fits;
-            kept.insert(worker_key);
+            chosen.push(worker_key);
+        }
+        #[allow(clippy::cast_precision_loss)]
+        let all = (kept.len() + chosen.len()) as f64;
+        // Too few workers in all: keeping them would not help.
+        let enough = seats >= u64::from(spec.count);
+        if enough && (kept.is_empty() || all <= most) {
+            kept.extend(chosen);
         }
     }
 
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -10,6 +10,7 @@
 use super::roster::Placed;
 use super::roster::RunPhase;
 use crate::EndedTask;
+use crate::JobId;
 use crate::Listing;
 use crate::Outcome;
 use crate::RunEnd;
@@ -250,6 +251,28 @@
         self.stop(key, running.task, running.run, "job not known");
     }
 
+    /// Runs that workers listed before their job was known: each keeps its task
+    /// from starting elsewhere until it has stopped.
+    pub(super) fn count_strangers(&mut self, id: JobId) {
+        let mut found = Vec::new();
+        for (key, worker) in &self.workers {
+            let runs = worker.runs.iter();
+            let ours = runs.filter(|(task, _)| task.step.job == id);
+            found.extend(ours.map(|(task, placed)| (*task, key, placed.run)));
+        }
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        for (task, key, run) in found {
+            let step = job.step_mut(task.step);
+            let state = step.and_then(|(_, step)| step.tasks.get_mut(task.index as usize));
+            if let Some(state) = state.filter(|state| state.phase == Phase::Waiting) {
+                state.phase = Phase::Active(key, run);
+                state.run = state.run.max(run);
+            }
+        }
+    }
+
     /// Ends what the worker would list if it were still there.
     fn sweep(&mut self, key: WorkerKey, sent: Duration, listing: &Listing) {
         let listed: HashMap<TaskKey, RunId> = listing
--- a/crates/job/tests/planner.rs
+++ b/crates/job/tests/planner.rs
@@ -162,8 +162,10 @@
     let key = add_claimed(&mut planner, "w1");
     add(&mut planner, "w2");
     planner.take_job(JOB, spec(vec![step(1)]), None, true);
+    // Later than any process may still tell the former owner of a job.
+    planner.advance(Duration::from_millis(2100));
     planner.take_job(JOB + 1, spec(vec![step(1)]), None, false);
-    let early = plan_at(&mut planner, 10);
+    let early = plan_at(&mut planner, 2110);
     planner.advance(Duration::from_secs(5));
     planner.lease_sent(key);
 
@@ -274,3 +276,44 @@
 
     assert_eq!((before, after), (1, 0));
 }
+
+/// Symptom: a task ran on two workers after a take-over. Sequence: the owner is
+/// cut from the store alone; another takes over and reads the jobs; a job is
+/// accepted, and the process that accepts it tells the old owner, which starts
+/// it; the successor claims that worker, and only then learns of the job.
+/// Cause: a run of a job that was not known yet was stopped but not counted,
+/// and the job started at once.
+#[test]
+fn a_run_of_a_job_learnt_later_is_counted() {
+    let mut planner = planner(2);
+    let key = add(&mut planner, "w1");
+    add_claimed(&mut planner, "w2");
+    let left = listing(vec![running(task(JOB, 0, 0), 1)], vec![]);
+    planner.take_listing(key, Duration::ZERO, &left);
+    planner.take_job(JOB, spec(vec![step(1)]), None, false);
+    let early = plan_at(&mut planner, 10);
+    let gone = listing(vec![], vec![ended(1, task(JOB, 0, 0), 1, RunEnd::Stopped)]);
+    planner.take_listing(key, Duration::from_millis(20), &gone);
+
+    let late = plan_at(&mut planner, 30);
+
+    assert!(early.is_empty(), "the old owner's run is still there");
+    assert_eq!(late.len(), 1);
+}
+
+/// The same, with the worker that the old owner used not claimed yet.
+#[test]
+fn a_job_learnt_just_after_a_take_over_waits_for_all_workers() {
+    let mut planner = planner(2);
+    let key = add(&mut planner, "w1");
+    add_claimed(&mut planner, "w2");
+    planner.advance(Duration::from_millis(100));
+    planner.take_job(JOB, spec(vec![step(1)]), None, false);
+    let early = plan_at(&mut planner, 110);
+    planner.take_listing(key, Duration::from_millis(120), &listing(vec![], vec![]));
+
+    let late = plan_at(&mut planner, 130);
+
+    assert!(early.is_empty(), "the old owner may have started it on w1");
+    assert_eq!(late.len(), 1);
+}
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -193,6 +193,7 @@
             peers: Peers {
                 first_port: PEER_PORT,
             },
+            cores: 1.0,
             store: self.store_address,
             advice: self.services.to_string(),
             machines: self.services.to_string(),
