Move tasks that stand still

Cause: tasks on a worker that hangs while it answers waited until it went on. Change: a run without progress for its estimated time (1.2 to 2.5 s) is stopped and placed elsewhere; its worker rests 2.5 s. Gangs and fillers are left alone.

--- a/crates/job/src/planner/policy.rs
+++ b/crates/job/src/planner/policy.rs
@@ -21,8 +21,13 @@
     /// Failures in a row, of different jobs, after which a worker rests. Sound
     /// workers fail one task in twenty; with two, one in ten rested by chance.
     pub strikes: u32,
-    /// A run whose progress stands still for this long is moved elsewhere.
+    /// A run whose progress stands still for its estimated time is moved, but
+    /// not before this time: progress is listed about once a second.
     pub stall: Duration,
+    /// And not later than this: longer runs show progress more often than that.
+    pub longest_stall: Duration,
+    /// How long a worker rests on which a run stood still.
+    pub stall_rest: Duration,
     /// Oldest age credited to a job at take-over; wall clocks may jump.
     pub oldest: Duration,
 }
@@ -61,7 +66,9 @@
             ticket_margin: Duration::from_millis(120),
             rest: Duration::from_secs(6),
             strikes: 3,
-            stall: Duration::from_millis(2500),
+            stall: Duration::from_millis(1200),
+            longest_stall: Duration::from_millis(2500),
+            stall_rest: Duration::from_millis(2500),
             oldest: Duration::from_mins(2),
         }
     }
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -120,6 +120,42 @@
             self.take_running(key, running);
         }
         self.sweep(key, sent, listing);
+        self.move_stalled(key, listing);
+    }
+
+    /// Stops runs that stand still, so that their tasks start elsewhere, and
+    /// lets the worker rest. Members of a gang are left: they stand still while
+    /// any other member does. So are fillers, which may get no processor.
+    fn move_stalled(&mut self, key: WorkerKey, listing: &Listing) {
+        let now = self.now;
+        let mut stalled = Vec::new();
+        for running in &listing.running {
+            let task = running.task;
+            let job = self.jobs.get(&task.step.job);
+            let Some((spec, _)) = job.and_then(|job| job.step(task.step)) else {
+                continue;
+            };
+            let placed = self.workers[key].runs.get(&task);
+            let Some(placed) = placed.filter(|placed| placed.run == running.run) else {
+                continue;
+            };
+            let longest = self.policy.longest_stall;
+            let patience = spec.estimate.clamp(self.policy.stall, longest);
+            let still = now.saturating_sub(placed.moved) > patience;
+            let single = !spec.gang && !spec.filler && !spec.lasting;
+            if still && single && placed.phase == RunPhase::Running {
+                stalled.push((task, running.run));
+            }
+        }
+        if stalled.is_empty() {
+            return;
+        }
+        let rest = now + self.policy.stall_rest;
+        let worker = &mut self.workers[key];
+        worker.rest = worker.rest.max(rest);
+        for (task, run) in stalled {
+            self.stop(key, task, run, "stands still");
+        }
     }
 
     fn take_end(&mut self, key: WorkerKey, end: &EndedTask) {
--- a/crates/job/tests/planner.rs
+++ b/crates/job/tests/planner.rs
@@ -317,3 +317,30 @@
     assert!(early.is_empty(), "the old owner may have started it on w1");
     assert_eq!(late.len(), 1);
 }
+
+/// Symptom: counter checks on a worker that stood still were late by seconds.
+/// Sequence: a worker answers, lists its tasks, and none of them makes
+/// progress; another worker has room.
+#[test]
+fn a_task_that_stands_still_is_moved() {
+    let mut planner = planner(1);
+    let stuck = add_claimed(&mut planner, "w1");
+    planner.take_job(JOB, spec(vec![step(1)]), None, false);
+    plan_at(&mut planner, 10_000);
+    planner.start_reply(stuck, task(JOB, 0, 0), 1, StartReply::Started);
+    add_claimed(&mut planner, "w2");
+    let still = listing(vec![running(task(JOB, 0, 0), 1)], vec![]);
+    for millis in [10_500, 11_000, 11_500] {
+        planner.advance(Duration::from_millis(millis));
+        planner.lease_sent(stuck);
+        planner.take_listing(stuck, Duration::from_millis(millis), &still);
+        planner.plan();
+    }
+    let gone = listing(vec![], vec![ended(1, task(JOB, 0, 0), 1, RunEnd::Stopped)]);
+    planner.take_listing(stuck, Duration::from_millis(11_600), &gone);
+
+    let starts = plan_at(&mut planner, 11_600);
+
+    assert_eq!(starts.len(), 1);
+    assert_ne!(starts[0].2, stuck, "the worker rests");
+}
