Patience with slow tasks; a test of an owner cut from the store alone

Cause: a task that needs seconds for each percent would have been moved again and again; the stand-in of a worker, which showed no progress, found it. Change: patience grows with the time that a percent has taken; stand-in workers tell progress; each process has its own way to the store, which can be cut; a killed process's sockets are closed before the next one starts.

--- a/crates/cell/tests/failures.rs
+++ b/crates/cell/tests/failures.rs
@@ -49,11 +49,11 @@
     let paths = submit_some(&cell, &caller, 8, "1500").await;
     let owner = wait_owner(&cell, |owner| owner.is_some()).await;
 
-    cell.kill(owner);
+    cell.kill(owner).await;
 
     wait_owner(&cell, |next| next.is_some_and(|next| next != owner)).await;
     wait_completed(&cell, &caller, &paths).await;
-    cell.close();
+    cell.close().await;
 }
 
 /// Symptom: after a take-over, tasks that were done ran again. Sequence: the
@@ -72,7 +72,7 @@
     };
     cell.store.set_faults(down);
     tokio::time::sleep(Duration::from_millis(800)).await;
-    cell.kill(owner);
+    cell.kill(owner).await;
 
     cell.store.set_faults(StoreFaults::default());
 
@@ -81,7 +81,7 @@
         let id = path.trim_start_matches("/plain/");
         assert_eq!(cell.log.starts(id), 2, "{path}");
     }
-    cell.close();
+    cell.close().await;
 }
 
 /// Symptom: callers waited out the expiry at each planned stop. Sequence: the
@@ -97,7 +97,7 @@
 
     wait_owner(&cell, |next| next.is_some_and(|next| next != owner)).await;
     wait_completed(&cell, &caller, &paths).await;
-    cell.close();
+    cell.close().await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -106,7 +106,7 @@
     let caller = Caller::new();
     let paths = submit_some(&cell, &caller, 6, "700").await;
     for at in 0..3 {
-        cell.kill(at);
+        cell.kill(at).await;
     }
 
     for at in 0..3 {
@@ -114,7 +114,7 @@
     }
 
     wait_completed(&cell, &caller, &paths).await;
-    cell.close();
+    cell.close().await;
 }
 
 /// Symptom: a job ran twice, or was denied though it was accepted. Sequence:
@@ -136,7 +136,7 @@
 
     wait_completed(&cell, &caller, &[path.to_owned()]).await;
     assert_eq!(cell.log.starts("00000000000000c1"), 2);
-    cell.close();
+    cell.close().await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -159,7 +159,7 @@
     assert_eq!(status, 503);
     wait_completed(&cell, &caller, &paths).await;
     assert_eq!(cell.log.starts("00000000000000c2"), 0, "it was refused");
-    cell.close();
+    cell.close().await;
 }
 
 /// Symptom: jobs waited for the feed while the store had dropped its history.
@@ -175,7 +175,7 @@
     caller.submit(&cell.servers(), path, &job(2, "20")).await;
 
     wait_completed(&cell, &caller, &[path.to_owned()]).await;
-    cell.close();
+    cell.close().await;
 }
 
 /// Symptom: tasks of a worker that died with its host never ran again.
@@ -193,7 +193,7 @@
     cell.workers[0].die();
 
     wait_completed(&cell, &caller, &paths).await;
-    cell.close();
+    cell.close().await;
 }
 
 /// Symptom: a task ran on two workers. Sequence: a worker is cut off and runs
@@ -210,7 +210,7 @@
     cell.workers[0].set_silent(true);
 
     wait_completed(&cell, &caller, &paths).await;
-    cell.close();
+    cell.close().await;
 }
 
 /// Symptom: a start whose answer was lost ran beside its repetition.
@@ -227,5 +227,29 @@
     caller.submit(&cell.servers(), path, &job(4, "900")).await;
 
     wait_completed(&cell, &caller, &[path.to_owned()]).await;
-    cell.close();
+    cell.close().await;
+}
+
+/// Symptom: a task ran on two workers after the owner was cut from the store
+/// alone. Sequence: the owner goes on giving orders; another takes over; the
+/// old one learns of it from the workers, which refuse its epoch, while jobs
+/// come in at all processes.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_cut_from_the_store_alone_is_replaced() {
+    let cell = SiteCell::open(3, 3).await;
+    let caller = Caller::new();
+    let mut paths = submit_some(&cell, &caller, 4, "900").await;
+    let owner = wait_owner(&cell, |owner| owner.is_some()).await;
+
+    cell.doors[owner].set_cut(true);
+
+    for nth in 0..20 {
+        let path = format!("/plain/{:016x}", 0xd000 + nth);
+        caller.submit(&cell.servers(), &path, &job(2, "100")).await;
+        paths.push(path);
+    }
+    wait_owner(&cell, |next| next.is_some_and(|next| next != owner)).await;
+    cell.doors[owner].set_cut(false);
+    wait_completed(&cell, &caller, &paths).await;
+    cell.close().await;
 }
--- a/crates/cell/tests/path.rs
+++ b/crates/cell/tests/path.rs
@@ -23,7 +23,7 @@
     }
     assert_eq!(cell.log.starts("00000000000000a1"), 3);
     assert_eq!(cell.log.faults(), Vec::<String>::new());
-    cell.close();
+    cell.close().await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -36,7 +36,7 @@
 
     caller.wait_state(&cell.servers(), path, "completed").await;
     assert!(cell.advice.calls() >= 1);
-    cell.close();
+    cell.close().await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -49,7 +49,7 @@
 
     caller.wait_state(&cell.servers(), JOB, "completed").await;
     assert_eq!(cell.log.starts("00000000000000a1"), 2);
-    cell.close();
+    cell.close().await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -61,7 +61,7 @@
 
     caller.wait_state(&cell.servers(), JOB, "failed").await;
     assert_eq!(cell.log.starts("00000000000000a1"), 2, "two attempts");
-    cell.close();
+    cell.close().await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -77,7 +77,7 @@
 
     assert_eq!(status, 200);
     caller.wait_state(&cell.servers(), JOB, "canceled").await;
-    cell.close();
+    cell.close().await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -104,7 +104,7 @@
 
         assert_eq!(status, expected, "{method} {path}");
     }
-    cell.close();
+    cell.close().await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -129,7 +129,7 @@
     };
 
     assert!(tokio::time::timeout(PATIENCE, looks).await.is_ok());
-    cell.close();
+    cell.close().await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -144,5 +144,5 @@
         let path = "/added/00000000000000a6";
         caller.submit(&[server], path, &job(1, "20")).await;
     }
-    cell.close();
+    cell.close().await;
 }
--- a/crates/job/src/planner/policy.rs
+++ b/crates/job/src/planner/policy.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::StepSpec;
+
 /// Figures that the planner decides by.
 #[derive(Clone, Copy, Debug)]
 pub struct Policy {
@@ -40,6 +42,20 @@
 const TRANSIT: Duration = Duration::from_millis(150);
 
 impl Policy {
+    /// How long a run may show no progress. `percent` is what it has shown
+    /// within `worked`.
+    #[must_use]
+    pub fn patience(&self, spec: &StepSpec, percent: u32, worked: Duration) -> Duration {
+        let usual = spec.estimate.clamp(self.stall, self.longest_stall);
+        // A long task on a slow worker far from its data takes seconds for
+        // each percent; moved, it would begin anew each time.
+        let own = match percent {
+            0 => spec.estimate / 4,
+            shown => worked / shown * 4,
+        };
+        usual.max(own)
+    }
+
     /// Longest time from now until a lease of `lease` is surely over.
     #[must_use]
     pub fn lapse(&self) -> Duration {
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -139,8 +139,11 @@
             let Some(placed) = placed.filter(|placed| placed.run == running.run) else {
                 continue;
             };
-            let longest = self.policy.longest_stall;
-            let patience = spec.estimate.clamp(self.policy.stall, longest);
+            let patience = self.policy.patience(
+                spec,
+                placed.percent,
+                placed.moved.saturating_sub(placed.since),
+            );
             let still = now.saturating_sub(placed.moved) > patience;
             let single = !spec.gang && !spec.filler && !spec.lasting;
             if still && single && placed.phase == RunPhase::Running {
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use cell::Bounds;
 use cell::CellProcess;
@@ -24,6 +25,7 @@
 
 use crate::AdviceStand;
 use crate::RunLog;
+use crate::StoreDoor;
 use crate::StoreStand;
 use crate::WorkerStand;
 
@@ -32,6 +34,9 @@
 const READY_PORT: u16 = 7002;
 const PEER_PORT: u16 = 7003;
 
+/// Time for a runtime to end its tasks.
+const SHUT_TIME: Duration = Duration::from_secs(5);
+
 /// Tells apart the cells of one test program.
 static CELLS: AtomicU8 = AtomicU8::new(1);
 
@@ -52,8 +57,10 @@
     pub advice: Arc<AdviceStand>,
     /// What the workers have done.
     pub log: RunLog,
+    /// Each process's way to the store.
+    pub doors: Vec<Arc<StoreDoor>>,
     services: SocketAddr,
-    store_address: SocketAddr,
+    stores: Vec<SocketAddr>,
     net: (u8, u8),
     members: Vec<Option<Member>>,
     _serving: watch::Sender<bool>,
@@ -68,7 +75,13 @@
     pub async fn open(processes: usize, workers: usize) -> SiteCell {
         let (serving, stop) = watch::channel(false);
         let store = StoreStand::new();
-        let store_address = serve(store.clone(), &stop).await;
+        let mut doors = Vec::new();
+        let mut stores = Vec::new();
+        for _ in 0..processes {
+            let door = StoreDoor::new(store.clone());
+            stores.push(serve(door.clone(), &stop).await);
+            doors.push(door);
+        }
         let log = RunLog::default();
         let mut stands = Vec::new();
         for at in 0..workers {
@@ -89,8 +102,9 @@
             workers: stands,
             advice,
             log,
+            doors,
             services,
-            store_address,
+            stores,
             net,
             members: Vec::new(),
             _serving: serving,
@@ -151,9 +165,9 @@
     }
 
     /// Kills a process: nothing of it goes on, its connections are reset.
-    pub fn kill(&mut self, at: usize) {
+    pub async fn kill(&mut self, at: usize) {
         if let Some(member) = self.members[at].take() {
-            member.runtime.shutdown_background();
+            shut(member.runtime).await;
         }
     }
 
@@ -166,7 +180,7 @@
             let _ = stop.send(());
             let _ = stopped.await;
         }
-        member.runtime.shutdown_background();
+        shut(member.runtime).await;
     }
 
     /// Index of the process that owns the pool, by the store.
@@ -194,7 +208,7 @@
                 first_port: PEER_PORT,
             },
             cores: 1.0,
-            store: self.store_address,
+            store: self.stores[at],
             advice: self.services.to_string(),
             machines: self.services.to_string(),
             bounds: Bounds {
@@ -210,13 +224,20 @@
     }
 
     /// Ends all processes.
-    pub fn close(mut self) {
+    pub async fn close(mut self) {
         for at in 0..self.members.len() {
-            self.kill(at);
+            self.kill(at).await;
         }
     }
 }
 
+/// Ends a runtime with all its tasks, and waits until its sockets are closed.
+async fn shut(runtime: Runtime) {
+    let ended = tokio::task::spawn_blocking(move || runtime.shutdown_timeout(SHUT_TIME));
+    // Only a panic within the shutdown is lost here; the test shows the rest.
+    let _ = ended.await;
+}
+
 /// Serves a stand-in on a free loopback port.
 async fn serve<H: Handler>(handler: Arc<H>, stop: &watch::Receiver<bool>) -> SocketAddr {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("bind");
--- a/crates/site/src/store.rs
+++ b/crates/site/src/store.rs
@@ -7,6 +7,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use base64::Engine;
@@ -265,3 +267,40 @@
         "value": value.map_or("", String::as_str), "ver": version, "tombstone": value.is_none(),
     })
 }
+
+/// One process's way to the store, which can be cut.
+pub struct StoreDoor {
+    store: Arc<StoreStand>,
+    cut: AtomicBool,
+}
+
+impl StoreDoor {
+    /// An open door to `store`.
+    #[must_use]
+    pub fn new(store: Arc<StoreStand>) -> Arc<StoreDoor> {
+        Arc::new(StoreDoor {
+            store,
+            cut: AtomicBool::new(false),
+        })
+    }
+
+    /// Cuts the way, silently, or mends it.
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::Relaxed);
+    }
+
+    async fn pass(&self) {
+        if self.cut.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+impl Handler for StoreDoor {
+    async fn handle(&self, asked: Asked) -> Whole {
+        self.pass().await;
+        let whole = self.store.handle(asked).await;
+        self.pass().await;
+        whole
+    }
+}
--- a/crates/site/src/worker.rs
+++ b/crates/site/src/worker.rs
@@ -27,10 +27,19 @@
 #[derive(Debug)]
 struct Run {
     number: u64,
+    begin: Instant,
     end: Instant,
     fails: bool,
 }
 
+impl Run {
+    /// Progress, 0 to 100.
+    fn percent(&self) -> u128 {
+        let whole = (self.end - self.begin).as_millis().max(1);
+        (self.begin.elapsed().as_millis() * 100 / whole).min(100)
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     fence: u64,
@@ -158,6 +167,7 @@
             let time = Duration::from_millis(text.parse().unwrap_or(20));
             let started = Run {
                 number: run,
+                begin: Instant::now(),
                 end: Instant::now() + time,
                 fails: text == "fail",
             };
@@ -191,7 +201,7 @@
         let running: Vec<Value> = state
             .running
             .iter()
-            .map(|(task, run)| json!([task, run.number, "", 0]))
+            .map(|(task, run)| json!([task, run.number, "", run.percent()]))
             .collect();
         let ended: Vec<Value> = state
             .ended
