--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -34,6 +34,8 @@
 use crate::decode_row;
 use crate::encode_row;
 use crate::job_row;
+use crate::metrics::count;
+use crate::metrics::observe;
 use crate::progress_row;
 
 /// Time for one call to the store. A slow store takes up to 1.2 s for a
@@ -124,8 +126,10 @@
         let begin = self.context.now();
         let end = begin + longest(queue).mul_f64(TRY_SHARE);
         let mut unsure = false;
+        let metrics = &self.context.metrics;
         if self.context.store_silent() {
             log::warn!(code = 402, job:% = hex(id), reason = "store silent"; "job refused");
+            count(&metrics.submits, "refused");
             return unavailable("the store cannot be reached from this host");
         }
         loop {
@@ -138,6 +142,7 @@
                 result = commit => result,
                 () = self.context.wait_silent() => {
                     log::warn!(code = 403, job:% = hex(id), reason = "store silent"; "acceptance unknown");
+                    count(&metrics.submits, "unknown");
                     return no_answer("the store cannot be reached from this host");
                 }
             };
@@ -145,6 +150,9 @@
             match result {
                 Ok(committed) => {
                     let first = committed != Committed::Conflict;
+                    let label = if first { "accepted" } else { "repeated" };
+                    count(&metrics.submits, label);
+                    observe(&metrics.accept, took);
                     log::info!(
                         code = 401, job:% = hex(id), queue = queue.name.as_str(), first = first,
                         ms = millis(took); "job accepted"
@@ -156,6 +164,7 @@
                 }
                 Err(error) if error.certainly_not_done() && !unsure => {
                     log::warn!(code = 402, job:% = hex(id), error:% = error, ms = millis(took); "job refused");
+                    count(&metrics.submits, "refused");
                     return unavailable("the store does not take the job");
                 }
                 Err(error) => {
@@ -164,6 +173,7 @@
                 }
             }
             if self.context.now() + RETRY_PAUSE >= end {
+                count(&metrics.submits, "unknown");
                 return no_answer("the store does not answer");
             }
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -184,18 +194,24 @@
 
     async fn state(&self, id: JobId) -> Whole {
         if let Ok(OwnerView::Job(shown)) = self.owner.state(id).await {
+            count(&self.context.metrics.states, "owner");
             return shown_reply(id, shown, "owner");
         }
         if self.context.store_silent() {
             return unavailable("neither the owner nor the store can be reached from this host");
         }
         match self.stored(id).await {
-            Ok(Some(shown)) => shown_reply(id, shown, "store"),
+            Ok(Some(shown)) => {
+                count(&self.context.metrics.states, "store");
+                shown_reply(id, shown, "store")
+            }
             Ok(None) => {
+                count(&self.context.metrics.states, "none");
                 log::info!(code = 412, job:% = hex(id); "job does not exist");
                 web::error(StatusCode::GONE, "no such job")
             }
             Err(error) => {
+                count(&self.context.metrics.states, "unreadable");
                 log::warn!(code = 413, job:% = hex(id), error:% = error; "state not readable");
                 unavailable("the job's state cannot be read")
             }
@@ -237,12 +253,14 @@
             match self.try_cancel(id).await {
                 Ok(Some(status)) => {
                     log::info!(code = 421, job:% = hex(id), status = status.as_u16(); "cancel");
+                    count(&self.context.metrics.cancels, status.as_str());
                     return web::json(status, &Empty {});
                 }
                 Ok(None) => {}
                 Err(error) => {
                     log::warn!(code = 422, job:% = hex(id), error:% = error; "cancel not stored");
                     if self.context.now() + RETRY_PAUSE >= end {
+                        count(&self.context.metrics.cancels, "0");
                         return unavailable("the store does not take the cancel");
                     }
                 }
--- a/crates/cell/src/context.rs
+++ b/crates/cell/src/context.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 use web::Client;
 
+use crate::CellMetrics;
 use crate::CellSettings;
 use crate::SeatView;
 
@@ -37,6 +38,8 @@
     pub config: watch::Receiver<Option<Arc<Config>>>,
     /// Who owns the pool, as far as known.
     pub seat: watch::Receiver<SeatView>,
+    /// Counters and latencies.
+    pub metrics: Arc<CellMetrics>,
     /// Turns true when the process has been asked to stop.
     pub stop: watch::Receiver<bool>,
     /// Origin of the process's monotonic clock.
@@ -61,6 +64,7 @@
             client: Client::new(CONNECT),
             config,
             seat,
+            metrics: Arc::default(),
             stop,
             origin: Instant::now(),
         }
--- /dev/null
+++ b/crates/cell/src/metrics.rs
@@ -0,0 +1,165 @@
+//! Counters, gauges and latency histograms of a process.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use prometheus::Encoder;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use web::Asked;
+use web::Handler;
+use web::Whole;
+
+/// Upper bounds of the latency buckets, in seconds: from one answer of the
+/// store to the longest jobs.
+const BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
+];
+
+/// Counters, gauges and latency histograms of a process.
+#[derive(Debug)]
+pub struct CellMetrics {
+    registry: Registry,
+    /// Submissions by result: `accepted`, `repeated`, `refused`, `unknown`.
+    pub submits: IntCounterVec,
+    /// States shown, by source: `owner`, `store`, `none`, `unreadable`.
+    pub states: IntCounterVec,
+    /// Cancels by HTTP status; 0 for one that could not be stored.
+    pub cancels: IntCounterVec,
+    /// Answers to starts: `started`, `refused`, `ticket`, `unknown`.
+    pub starts: IntCounterVec,
+    /// Ends of runs, by how.
+    pub ends: IntCounterVec,
+    /// Stops ordered, by reason.
+    pub stops: IntCounterVec,
+    /// Advice calls by result: `answered`, `failed`.
+    pub advice: IntCounterVec,
+    /// Transactions of the owner by result: `done`, `conflict`, `failed`.
+    pub saves: IntCounterVec,
+    /// Figures of the pool, on its owner: `usable`, `running`, `waiting`,
+    /// `unfinished`, `cpu`, `cpu_used`, `memory`, `memory_used`.
+    pub pool: IntGaugeVec,
+    /// Epoch of the ownership that this process has; 0 for none.
+    pub epoch: IntGauge,
+    /// Version of the configuration in force.
+    pub config: IntGauge,
+    /// Time until a submission was answered with success.
+    pub accept: Histogram,
+    /// Time from acceptance to a job's first start.
+    pub first_start: Histogram,
+    /// Time from acceptance until a job's end was recorded, by outcome.
+    pub job: HistogramVec,
+    /// Time that a transaction of the owner took.
+    pub save: Histogram,
+}
+
+fn counters(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
+    let opts = Opts::new(format!("clovermount_{name}_total"), help);
+    let vec = IntCounterVec::new(opts, &[label]).expect("valid name");
+    register(registry, vec)
+}
+
+fn histogram(name: &str, help: &str) -> HistogramOpts {
+    HistogramOpts::new(format!("clovermount_{name}_seconds"), help).buckets(BUCKETS.to_vec())
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(format!("clovermount_{name}"), help).expect("valid name");
+    register(registry, gauge)
+}
+
+/// Names are fixed and differ, which the tests of this module's page check, so
+/// registering them cannot fail.
+fn register<T: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: T) -> T {
+    registry
+        .register(Box::new(metric.clone()))
+        .expect("distinct names");
+    metric
+}
+
+impl Default for CellMetrics {
+    fn default() -> CellMetrics {
+        let registry = Registry::new();
+        let pool = Opts::new("clovermount_pool", "Figures of the pool, on its owner");
+        let pool = IntGaugeVec::new(pool, &["figure"]).expect("valid name");
+        let job = HistogramVec::new(
+            histogram("job", "From acceptance to the recorded end of a job"),
+            &["outcome"],
+        );
+        let one = |name, help| {
+            let metric = Histogram::with_opts(histogram(name, help)).expect("valid name");
+            register(&registry, metric)
+        };
+        CellMetrics {
+            submits: counters(&registry, "submits", "Submissions by result", "result"),
+            states: counters(&registry, "states", "States shown by source", "source"),
+            cancels: counters(&registry, "cancels", "Cancels by status", "status"),
+            starts: counters(&registry, "starts", "Answers to starts", "result"),
+            ends: counters(&registry, "ends", "Ends of runs", "how"),
+            stops: counters(&registry, "stops", "Stops ordered by reason", "reason"),
+            advice: counters(&registry, "advice", "Advice calls by result", "result"),
+            saves: counters(&registry, "saves", "Transactions of the owner", "result"),
+            pool: register(&registry, pool),
+            epoch: gauge(
+                &registry,
+                "epoch",
+                "Epoch of the ownership here, 0 for none",
+            ),
+            config: gauge(&registry, "config_version", "Configuration in force"),
+            accept: one("accept", "Until a submission was answered with success"),
+            first_start: one("first_start", "From acceptance to a job's first start"),
+            save: one("save", "Transactions of the owner"),
+            job: register(&registry, job.expect("valid name")),
+            registry,
+        }
+    }
+}
+
+impl CellMetrics {
+    /// All metrics in the text format.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut buffer = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
+            log::error!(code = 191, error:% = error; "metrics cannot be encoded");
+        }
+        String::from_utf8_lossy(&buffer).into_owned()
+    }
+}
+
+/// Counts one event under a label.
+pub(crate) fn count(counter: &IntCounterVec, label: &str) {
+    counter.with_label_values(&[label]).inc();
+}
+
+/// Records a latency.
+pub(crate) fn observe(histogram: &Histogram, time: Duration) {
+    histogram.observe(time.as_secs_f64());
+}
+
+/// Serves the metrics.
+pub struct MetricsHandler {
+    metrics: Arc<CellMetrics>,
+}
+
+impl MetricsHandler {
+    /// A handler that serves `metrics`.
+    #[must_use]
+    pub fn new(metrics: Arc<CellMetrics>) -> Arc<MetricsHandler> {
+        Arc::new(MetricsHandler { metrics })
+    }
+}
+
+impl Handler for MetricsHandler {
+    async fn handle(&self, _: Asked) -> Whole {
+        web::text(StatusCode::OK, self.metrics.text())
+    }
+}
--- a/crates/cell/src/owner/helpers.rs
+++ b/crates/cell/src/owner/helpers.rs
@@ -12,6 +12,7 @@
 use crate::HelpOrder;
 use crate::HelpRequest;
 use crate::HelpResult;
+use crate::metrics::count;
 
 /// Helpers that are kept for quick calls: slow ones take most of a second, and
 /// a quick one behind them misses its objective.
@@ -83,9 +84,11 @@
     fn take_advice(&mut self, result: HelpResult, now: Duration) {
         let step = result.step;
         let Some(good) = result.good else {
+            count(&self.context.metrics.advice, "failed");
             self.planner.advice_failed(step, FAILED_PAUSE);
             return;
         };
+        count(&self.context.metrics.advice, "answered");
         let valid = result.valid.unwrap_or(DEFAULT_VALID);
         let until = (now + valid).saturating_sub(result.age + TRANSIT);
         log::info!(
--- a/crates/cell/src/owner/messages.rs
+++ b/crates/cell/src/owner/messages.rs
@@ -97,6 +97,8 @@
     pub release: bool,
     /// It renews the ownership.
     pub renews: bool,
+    /// When it was sent.
+    pub begun: Duration,
 }
 
 /// Reaches the owner in this process, while there is one.
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -9,6 +9,7 @@
 use job::Epoch;
 use job::JobId;
 use job::JobSpec;
+use job::Load;
 use job::Planner;
 use job::Progress;
 use job::WorkerInfo;
@@ -36,6 +37,7 @@
 use crate::UsedWorker;
 use crate::WorkerNews;
 use crate::decode_row;
+use crate::metrics::count;
 
 /// Least time between two rounds of planning: under load, several messages
 /// share one round.
@@ -239,6 +241,7 @@
         }
         self.reported = now;
         let load = self.planner.load();
+        self.publish_load(&load);
         log::info!(
             code = 370, epoch = self.epoch, usable = load.usable, cpu = load.capacity.cpu,
             cpu_used = load.used.cpu, memory = load.capacity.memory, memory_used = load.used.memory,
@@ -247,6 +250,22 @@
         );
     }
 
+    fn publish_load(&self, load: &Load) {
+        let pool = &self.context.metrics.pool;
+        let set = |figure: &str, value: u64| {
+            let value = i64::try_from(value).unwrap_or(i64::MAX);
+            pool.with_label_values(&[figure]).set(value);
+        };
+        set("usable", load.usable as u64);
+        set("running", load.running as u64);
+        set("waiting", load.waiting as u64);
+        set("unfinished", load.unfinished as u64);
+        set("cpu", load.capacity.cpu);
+        set("cpu_used", load.used.cpu);
+        set("memory", load.capacity.memory);
+        set("memory_used", load.used.memory);
+    }
+
     fn take(&mut self, message: OwnerMessage) {
         match message {
             OwnerMessage::State(id, reply) => {
@@ -339,6 +358,7 @@
                 }
                 let taken = self.planner.newest_end(key);
                 for end in listing.ended.iter().filter(|end| end.number > taken) {
+                    count(&self.context.metrics.ends, &end.how.to_string());
                     log::info!(
                         code = 354, task:% = end.task, run = end.run, how:% = end.how,
                         number = end.number, worker = self.worker_name(key); "task ended"
@@ -347,6 +367,7 @@
                 self.planner.take_listing(key, sent, &listing);
             }
             WorkerNews::StartAnswered(task, run, reply) => {
+                count(&self.context.metrics.starts, &reply.to_string());
                 self.planner.start_reply(key, task, run, reply);
             }
             WorkerNews::StopAnswered(task, run, reply) => {
--- a/crates/cell/src/owner/saver.rs
+++ b/crates/cell/src/owner/saver.rs
@@ -24,6 +24,8 @@
 use crate::decode_row;
 use crate::encode_row;
 use crate::guard_row;
+use crate::metrics::count;
+use crate::metrics::observe;
 use crate::progress_row;
 use crate::seat_row;
 use crate::used_row;
@@ -175,6 +177,7 @@
         }
         let mut save = Save {
             batch: self.planner.take_batch(MOST_JOBS),
+            begun: now,
             ..Save::default()
         };
         let transaction = self.saver.transaction(&mut save, now);
@@ -190,8 +193,11 @@
 
     pub(super) fn take_saved(&mut self, save: Save, result: Result<Committed, StoreError>) {
         let now = self.context.now();
+        let metrics = self.context.metrics.clone();
         match result {
             Ok(Committed::Done(version)) => {
+                count(&metrics.saves, "done");
+                observe(&metrics.save, now.saturating_sub(save.begun));
                 self.saver.busy = false;
                 self.saver.guard = version;
                 self.saver.released |= save.release;
@@ -201,11 +207,13 @@
                 self.saved(save);
             }
             Ok(Committed::Conflict) => {
+                count(&metrics.saves, "conflict");
                 self.unsaved(save);
                 self.check_guard();
             }
             Err(error) => {
                 log::warn!(code = 361, epoch = self.epoch, error:% = error; "progress not saved");
+                count(&metrics.saves, "failed");
                 self.saver.busy = false;
                 self.saver.after = now + FAILED_PAUSE;
                 self.unsaved(save);
@@ -216,6 +224,10 @@
     fn saved(&mut self, save: Save) {
         for (id, progress) in &save.batch.jobs {
             if let Some(outcome) = progress.outcome {
+                if let Some(age) = self.planner.age(*id) {
+                    let job = &self.context.metrics.job;
+                    observe(&job.with_label_values(&[&outcome.to_string()]), age);
+                }
                 log::info!(code = 362, job:% = crate::hex(*id), outcome:% = outcome; "job ended");
             }
         }
--- a/crates/cell/src/owner/sender.rs
+++ b/crates/cell/src/owner/sender.rs
@@ -14,6 +14,8 @@
 use super::Pool;
 use crate::OwnerMessage;
 use crate::WorkerNews;
+use crate::metrics::count;
+use crate::metrics::observe;
 
 /// Time for a worker's answer to a start or a stop.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -32,7 +34,11 @@
                     payload,
                     checkpoint,
                     ticket,
+                    waited,
                 } => {
+                    if let Some(waited) = waited {
+                        observe(&self.context.metrics.first_start, waited);
+                    }
                     let start = Start {
                         task,
                         run,
@@ -96,6 +102,7 @@
         let Some(link) = self.links.get(&worker) else {
             return;
         };
+        count(&self.context.metrics.stops, reason);
         log::info!(code = 352, task:% = task, run = run, worker = link.id.as_str(), reason = reason; "stop");
         let (address, id) = (link.address, link.id.clone());
         let orders = self.context.orders.clone();
--- a/crates/cell/src/owner/supervise.rs
+++ b/crates/cell/src/owner/supervise.rs
@@ -28,9 +28,12 @@
             let (sender, receiver) = mpsc::channel(OWNER_QUEUE);
             let pool = Pool::open(context.clone(), epoch, sender.clone(), receiver).await;
             if let Some(pool) = pool {
+                let gauge = &context.metrics.epoch;
+                gauge.set(i64::try_from(epoch).unwrap_or(i64::MAX));
                 slot.send_replace(Some(sender));
                 pool.run().await;
                 slot.send_replace(None);
+                gauge.set(0);
             }
             continue;
         }
--- a/crates/cell/src/process.rs
+++ b/crates/cell/src/process.rs
@@ -24,6 +24,7 @@
 use crate::Change;
 use crate::Context;
 use crate::Follower;
+use crate::MetricsHandler;
 use crate::OwnerClient;
 use crate::OwnerPort;
 use crate::PeerHandler;
@@ -77,6 +78,7 @@
         let listen = &context.settings.listen;
         let callers = bind(listen.callers).await?;
         let ready = bind(listen.ready).await?;
+        let metrics = bind(listen.metrics).await?;
         let peers = bind(context.settings.peer_address()).await?;
         let mut servers = JoinSet::new();
         let limits = Limits::default();
@@ -85,7 +87,9 @@
         let handler = ReadyHandler::new(context.clone());
         servers.spawn(web::serve(ready, handler, limits, close_rx.clone()));
         let handler = PeerHandler::new(port);
-        servers.spawn(web::serve(peers, handler, limits, close_rx));
+        servers.spawn(web::serve(peers, handler, limits, close_rx.clone()));
+        let handler = MetricsHandler::new(context.metrics.clone());
+        servers.spawn(web::serve(metrics, handler, limits, close_rx));
         let mut tasks = JoinSet::new();
         tasks.spawn(follow_config(context.clone(), config_tx));
         tasks.spawn(SeatKeeper::new(context.clone(), seat_tx).run());
@@ -144,7 +148,11 @@
             Ok(Change::Full(rows) | Change::Some(rows)) => {
                 for decoded in rows.iter().filter_map(decode_config) {
                     match decoded {
-                        Ok(newer) => take_config(&config, newer),
+                        Ok(newer) => {
+                            let version = i64::try_from(newer.version).unwrap_or(i64::MAX);
+                            context.metrics.config.set(version);
+                            take_config(&config, newer);
+                        }
                         Err(error) => {
                             log::error!(code = 201, error:% = error; "configuration unreadable");
                         }
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -20,6 +20,8 @@
     pub callers: SocketAddr,
     /// The balancer's readiness checks.
     pub ready: SocketAddr,
+    /// Metrics.
+    pub metrics: SocketAddr,
 }
 
 /// How the processes talk to one another.
--- /dev/null
+++ b/crates/cell/tests/metrics.rs
@@ -0,0 +1,50 @@
+//! Metrics are served, and count what callers did.
+
+use serde_json::Value;
+use site::Caller;
+use site::SiteCell;
+use site::job;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_metrics_of_a_process_are_served() {
+    let cell = SiteCell::open(1, 1).await;
+    let caller = Caller::new();
+    let path = "/plain/00000000000000e1";
+    caller.submit(&cell.servers(), path, &job(1, "20")).await;
+    caller.wait_state(&cell.servers(), path, "completed").await;
+
+    let text = caller.text(cell.metrics(0), "/metrics").await;
+
+    assert!(
+        text.contains("clovermount_submits_total{result=\"accepted\"} 1"),
+        "{text}"
+    );
+    assert!(text.contains("clovermount_job_seconds_count{outcome=\"completed\"} 1"));
+    assert!(text.contains("clovermount_epoch 1"));
+    cell.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn readiness_follows_the_store() {
+    let cell = SiteCell::open(1, 1).await;
+    let caller = Caller::new();
+    let path = "/plain/00000000000000e2";
+    caller.submit(&cell.servers(), path, &job(1, "20")).await;
+    let ready = caller.status(cell.ready(0), "/-/readyz").await;
+
+    cell.doors[0].set_cut(true);
+
+    assert_eq!(ready, 200);
+    caller.wait_status(cell.ready(0), "/-/readyz", 503).await;
+    let (status, body) = caller
+        .send(
+            hyper::Method::POST,
+            cell.server(0),
+            "/plain/00000000000000e3",
+            &job(1, "20"),
+        )
+        .await;
+    assert_eq!((status, body["error"].is_string()), (503, true));
+    assert_ne!(body, Value::Null);
+    cell.close().await;
+}
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -75,6 +75,8 @@
         checkpoint: String,
         /// Proof that the worker may run the step.
         ticket: Option<String>,
+        /// Time from acceptance, for a job's first start.
+        waited: Option<Duration>,
     },
     /// Stop a run, whether it has arrived or not.
     Stop {
@@ -248,6 +250,13 @@
         Some(job.saved.map_or(live, Shown::from))
     }
 
+    /// Time since a job was accepted, as far as known.
+    #[must_use]
+    pub fn age(&self, id: JobId) -> Option<Duration> {
+        let job = self.jobs.get(&id)?;
+        Some(self.now.saturating_sub(job.born))
+    }
+
     /// Jobs of a queue of which no task has started.
     #[must_use]
     pub fn waiting(&self, queue: &str) -> usize {
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -316,7 +316,8 @@
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
-        job.started = true;
+        let first = !std::mem::replace(&mut job.started, true);
+        let waited = first.then(|| self.now.saturating_sub(job.born));
         let payload = job.spec.payload.clone();
         let Some((_, step)) = job.step_mut(task.step) else {
             return;
@@ -333,6 +334,7 @@
             payload,
             checkpoint,
             ticket: seat.ticket.clone(),
+            waited,
         });
     }
 
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use strum::Display;
+
 use super::Order;
 use super::Planner;
 use super::WorkerKey;
@@ -20,7 +22,8 @@
 use crate::TaskKey;
 
 /// How a worker answered a start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[strum(serialize_all = "lowercase")]
 pub enum StartReply {
     /// It runs.
     Started,
--- a/crates/site/src/caller.rs
+++ b/crates/site/src/caller.rs
@@ -52,6 +52,32 @@
         }
     }
 
+    /// Text that a server gives.
+    pub async fn text(&self, server: SocketAddr, path: &str) -> String {
+        let reply = self.client.get(server, path, ANSWER).await;
+        reply.map(|reply| reply.text()).unwrap_or_default()
+    }
+
+    /// Status that a server gives, or 0 for no answer.
+    pub async fn status(&self, server: SocketAddr, path: &str) -> u16 {
+        let reply = self.client.get(server, path, ANSWER).await;
+        reply.map_or(0, |reply| reply.status.as_u16())
+    }
+
+    /// Waits until a server gives a status.
+    ///
+    /// # Panics
+    /// It does not for a minute.
+    pub async fn wait_status(&self, server: SocketAddr, path: &str, status: u16) {
+        let looks = async {
+            while self.status(server, path).await != status {
+                tokio::time::sleep(LOOK_EVERY).await;
+            }
+        };
+        let given = tokio::time::timeout(PATIENCE, looks).await;
+        assert!(given.is_ok(), "{path} never gives {status}");
+    }
+
     /// Submits a job at each of `servers` in turn until one accepts it.
     ///
     /// # Panics
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -33,6 +33,7 @@
 const CALLER_PORT: u16 = 7001;
 const READY_PORT: u16 = 7002;
 const PEER_PORT: u16 = 7003;
+const METRICS_PORT: u16 = 7004;
 
 /// Time for a runtime to end its tasks.
 const SHUT_TIME: Duration = Duration::from_secs(5);
@@ -127,6 +128,18 @@
         SocketAddr::new(self.ip(at), CALLER_PORT)
     }
 
+    /// Where a process tells whether it is ready.
+    #[must_use]
+    pub fn ready(&self, at: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(at), READY_PORT)
+    }
+
+    /// Where a process serves its metrics.
+    #[must_use]
+    pub fn metrics(&self, at: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(at), METRICS_PORT)
+    }
+
     /// Where callers reach the processes.
     #[must_use]
     pub fn servers(&self) -> Vec<SocketAddr> {
@@ -203,6 +216,7 @@
             listen: Listen {
                 callers: SocketAddr::new(ip, CALLER_PORT),
                 ready: SocketAddr::new(ip, READY_PORT),
+                metrics: SocketAddr::new(ip, METRICS_PORT),
             },
             peers: Peers {
                 first_port: PEER_PORT,
