--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -1,8 +1,10 @@
 //! `clovermount check`.
 
+use std::path::Path;
 use std::path::PathBuf;
 
 use argh::FromArgs;
+use cell::CellSettings;
 use daemon::Settings;
 
 use crate::exit::SUCCESS;
@@ -15,14 +17,17 @@
     /// settings files (YAML)
     #[argh(positional)]
     files: Vec<PathBuf>,
+    /// the files are settings of a process on the platform
+    #[argh(switch)]
+    cell: bool,
 }
 
 impl Check {
     pub(crate) fn run(self) -> u8 {
         let mut code = SUCCESS;
         for file in &self.files {
-            match Settings::load(file) {
-                Ok(settings) => println!("{}: ok ({})", file.display(), settings.name),
+            match load(file, self.cell) {
+                Ok(name) => println!("{}: ok ({name})", file.display()),
                 Err(error) => {
                     eprintln!("{error}");
                     code = USAGE;
@@ -32,3 +37,13 @@
         code
     }
 }
+
+/// Name of the process in a settings file, or what is wrong with it.
+fn load(file: &Path, cell: bool) -> Result<String, String> {
+    if cell {
+        let settings = CellSettings::load(file).map_err(|error| error.to_string())?;
+        return Ok(settings.node);
+    }
+    let settings = Settings::load(file).map_err(|error| error.to_string())?;
+    Ok(settings.name)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod drain;
 mod error;
 mod exit;
+mod explain;
 mod hosts;
 mod keys;
 mod replay;
@@ -50,6 +51,7 @@
     Keys(keys::Keys),
     Token(token::TokenCommand),
     Check(check::Check),
+    Explain(explain::Explain),
     Demo(demo::Demo),
 }
 
@@ -87,6 +89,7 @@
         Command::Keys(command) => command.run(),
         Command::Token(_) => Ok(token::TokenCommand::run()),
         Command::Check(command) => Ok(command.run()),
+        Command::Explain(command) => command.run(),
         Command::Demo(command) => command.run().await,
     }
 }
