--- a/crates/cell/src/context.rs
+++ b/crates/cell/src/context.rs
@@ -3,12 +3,15 @@
 use std::hash::BuildHasher;
 use std::hash::Hasher;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use job::Config;
+use job::Epoch;
 use platform::OrderClient;
 use platform::Store;
 use tokio::sync::watch;
@@ -42,6 +45,8 @@
     pub metrics: Arc<CellMetrics>,
     /// Turns true when the process has been asked to stop.
     pub stop: watch::Receiver<bool>,
+    /// Owner whose process seems to have ended, by its epoch; 0 for none.
+    suspected: Arc<AtomicU64>,
     /// Origin of the process's monotonic clock.
     origin: Instant,
 }
@@ -66,6 +71,7 @@
             seat,
             metrics: Arc::default(),
             stop,
+            suspected: Arc::default(),
             origin: Instant::now(),
         }
     }
@@ -84,6 +90,17 @@
             .unwrap_or_default()
     }
 
+    /// The owner of an epoch has broken a call off: its process may have ended.
+    pub fn suspect(&self, epoch: Epoch) {
+        self.suspected.store(epoch, Ordering::Relaxed);
+    }
+
+    /// Whether the owner of an epoch seems to have ended.
+    #[must_use]
+    pub fn suspects(&self, epoch: Epoch) -> bool {
+        self.suspected.load(Ordering::Relaxed) == epoch
+    }
+
     /// Whether the store does not answer this process.
     #[must_use]
     pub fn store_silent(&self) -> bool {
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -199,6 +199,9 @@
             Ok(reply) => reply,
             Err(error) => {
                 log::warn!(code = 416, owner = owner.node.as_str(), epoch = owner.epoch, error:% = error; "owner does not answer");
+                if error.broken() {
+                    self.context.suspect(owner.epoch);
+                }
                 let until = self.context.now() + QUIET;
                 self.quiet.send_replace((owner.epoch, until));
                 return Err(NoOwner::Silent);
--- a/crates/cell/src/seat.rs
+++ b/crates/cell/src/seat.rs
@@ -37,7 +37,7 @@
 const SLOW_READ: Duration = Duration::from_millis(100);
 
 /// Longest wait of the feed for a renewal.
-const FEED_WAIT: Duration = Duration::from_millis(500);
+const FEED_WAIT: Duration = Duration::from_millis(400);
 
 /// Pause after a failed read.
 const READ_PAUSE: Duration = Duration::from_millis(150);
@@ -183,7 +183,13 @@
         let mine = seat.incarnation == me.incarnation;
         // An earlier run of this host's process is certainly over.
         let former = seat.node == me.settings.node && !mine;
-        let expired = me.now().saturating_sub(self.fresh) > self.expiry;
+        // A killed process breaks off its calls: one missed renewal is enough.
+        let expiry = if me.suspects(seat.epoch) {
+            self.expiry / 2
+        } else {
+            self.expiry
+        };
+        let expired = me.now().saturating_sub(self.fresh) > expiry;
         seat.released && !mine || former || expired && !mine
     }
 
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -54,6 +54,18 @@
     },
 }
 
+/// Reason of a call that was given up for want of a reply in time.
+const TIMEOUT: &str = "timeout";
+
+impl CallError {
+    /// Whether the server's side ended the call, rather than silence: its
+    /// process has ended, or refuses connections.
+    #[must_use]
+    pub fn broken(&self) -> bool {
+        matches!(self, CallError::Lost { reason, .. } if reason != TIMEOUT)
+    }
+}
+
 /// A whole reply.
 #[derive(Debug)]
 pub struct Reply {
@@ -139,7 +151,7 @@
         let lost = |reason: String| CallError::Lost { server, reason };
         match tokio::time::timeout(call.timeout, self.exchange(call)).await {
             Ok(reply) => reply,
-            Err(_) => Err(lost("timeout".to_owned())),
+            Err(_) => Err(lost(TIMEOUT.to_owned())),
         }
     }
 
