--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -19,7 +19,6 @@
 use platform::Row;
 use platform::StoreError;
 use platform::Transaction;
-use platform::decode_job;
 use platform::encode_shown;
 use platform::encode_waiting;
 use serde::Serialize;
@@ -27,7 +26,6 @@
 use web::Handler;
 use web::Whole;
 
-use crate::AcceptedJob;
 use crate::Context;
 use crate::OwnerClient;
 use crate::OwnerView;
@@ -35,25 +33,20 @@
 use crate::encode_row;
 use crate::job_row;
 use crate::metrics::count;
-use crate::metrics::observe;
 use crate::progress_row;
 
 /// Time for one call to the store. A slow store takes up to 1.2 s for a
 /// transaction; two tries fit into a caller's three seconds.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1300);
 
-/// Time without an answer after which a commit is tried once more. A slow store
-/// takes up to 1.2 s for one.
-const SECOND_TRY: Duration = Duration::from_millis(1300);
-
 /// Pause between two tries of a write whose answer was lost.
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
+pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// Longest time for a caller when its queue does not say.
 const LONGEST: Duration = Duration::from_secs(3);
 
 /// Part of the caller's time after which no further try is begun.
-const TRY_SHARE: f64 = 0.9;
+pub(crate) const TRY_SHARE: f64 = 0.9;
 
 /// Seconds after which a refused caller may come back: another host may
 /// serve it at once.
@@ -61,13 +54,13 @@
 
 /// Answers callers.
 pub struct CallerHandler {
-    context: Context,
-    owner: OwnerClient,
+    pub(crate) context: Context,
+    pub(crate) owner: OwnerClient,
 }
 
 /// A body that says nothing beyond the status.
 #[derive(Serialize)]
-struct Empty {}
+pub(crate) struct Empty {}
 
 /// What a request addresses.
 enum Target<'a> {
@@ -104,124 +97,6 @@
         }
     }
 
-    async fn submit(&self, config: &Config, queue: &Queue, id: JobId, asked: &Asked) -> Whole {
-        if asked.body.len() > config.body_bytes {
-            let reason = format!("body: allowed: at most {} bytes", config.body_bytes);
-            return web::error(StatusCode::PAYLOAD_TOO_LARGE, &reason);
-        }
-        let spec = match decode_job(&asked.body, queue, self.context.wall()) {
-            Ok(spec) => spec,
-            Err(error) => return web::error(StatusCode::BAD_REQUEST, &error.to_string()),
-        };
-        let transaction = Transaction {
-            expect: vec![(job_row(id), 0)],
-            puts: vec![(job_row(id), encode_row(&spec))],
-            removes: Vec::new(),
-        };
-        let job = AcceptedJob { id, spec };
-        self.accept(job, queue, &transaction).await
-    }
-
-    /// Commits the job. The row must not exist, so a try that is done late, or
-    /// by another process, makes no second job. Once an answer was lost, "not
-    /// accepted" may not be said any more: the write may still be done.
-    async fn accept(&self, job: AcceptedJob, queue: &Queue, transaction: &Transaction) -> Whole {
-        let id = job.id;
-        let begin = self.context.now();
-        let end = begin + longest(queue).mul_f64(TRY_SHARE);
-        let mut unsure = false;
-        let metrics = &self.context.metrics;
-        if self.context.store_silent() {
-            log::warn!(code = 402, job:% = hex(id), reason = "store silent"; "job refused");
-            count(&metrics.submits, "refused");
-            return unavailable("the store cannot be reached from this host");
-        }
-        loop {
-            let left = end.saturating_sub(self.context.now());
-            let result = tokio::select! {
-                result = self.commit(transaction, left) => result,
-                () = self.context.wait_silent() => {
-                    log::warn!(code = 403, job:% = hex(id), reason = "store silent"; "acceptance unknown");
-                    count(&metrics.submits, "unknown");
-                    return no_answer("the store cannot be reached from this host");
-                }
-            };
-            let took = self.context.now().saturating_sub(begin);
-            match result {
-                Ok(committed) => {
-                    let first = committed != Committed::Conflict;
-                    let label = if first { "accepted" } else { "repeated" };
-                    count(&metrics.submits, label);
-                    observe(&metrics.accept, took);
-                    log::info!(
-                        code = 401, job:% = hex(id), queue = queue.name.as_str(), first = first,
-                        ms = millis(took); "job accepted"
-                    );
-                    if first {
-                        self.tell_owner(job);
-                    }
-                    return web::json(StatusCode::OK, &Empty {});
-                }
-                Err(error) if error.certainly_not_done() && !unsure => {
-                    log::warn!(code = 402, job:% = hex(id), error:% = error, ms = millis(took); "job refused");
-                    count(&metrics.submits, "refused");
-                    return unavailable("the store does not take the job");
-                }
-                Err(error) => {
-                    unsure |= !error.certainly_not_done();
-                    log::warn!(code = 403, job:% = hex(id), error:% = error, ms = millis(took); "acceptance unknown");
-                }
-            }
-            if self.context.now() + RETRY_PAUSE >= end {
-                count(&metrics.submits, "unknown");
-                return no_answer("the store does not answer");
-            }
-            tokio::time::sleep(RETRY_PAUSE).await;
-        }
-    }
-
-    /// Commits within `left`. After [`SECOND_TRY`] without an answer, the same
-    /// is tried once more, and the first answer counts: a lost one does not
-    /// cost the caller's whole time, a slow one is not given up.
-    async fn commit(
-        &self,
-        transaction: &Transaction,
-        left: Duration,
-    ) -> Result<Committed, StoreError> {
-        let store = &self.context.store;
-        let first = store.commit(transaction, left);
-        tokio::pin!(first);
-        tokio::select! {
-            result = &mut first => return result,
-            () = tokio::time::sleep(SECOND_TRY) => {}
-        }
-        let second = store.commit(transaction, left.saturating_sub(SECOND_TRY));
-        tokio::pin!(second);
-        // A refusal of one try says nothing of the other.
-        tokio::select! {
-            result = &mut first => match result {
-                Ok(committed) => Ok(committed),
-                Err(_) => second.await.map_err(into_lost),
-            },
-            result = &mut second => match result {
-                Ok(committed) => Ok(committed),
-                Err(_) => first.await,
-            },
-        }
-    }
-
-    /// Tells the owner without making the caller wait; what it misses, the
-    /// feed brings.
-    fn tell_owner(&self, job: AcceptedJob) {
-        let owner = self.owner.clone();
-        tokio::spawn(async move {
-            let id = job.id;
-            if owner.accepted(job).await.is_err() {
-                log::debug!(code = 404, job:% = hex(id); "owner not told of a job");
-            }
-        });
-    }
-
     async fn state(&self, id: JobId) -> Whole {
         if let Ok(OwnerView::Job(shown)) = self.owner.state(id).await {
             count(&self.context.metrics.states, "owner");
@@ -357,16 +232,6 @@
     }
 }
 
-/// The first of two tries got no answer, so a refusal of the second does not
-/// mean that nothing was done.
-fn into_lost(error: StoreError) -> StoreError {
-    match error {
-        StoreError::Refused { status, .. } => StoreError::Undecided { status },
-        StoreError::Unreachable { source } => StoreError::Lost { source },
-        error => error,
-    }
-}
-
 fn shown_reply(id: JobId, shown: Shown, source: &'static str) -> Whole {
     log::debug!(code = 415, job:% = hex(id), state:% = shown, source = source; "state shown");
     web::json(StatusCode::OK, &encode_shown(shown))
@@ -374,7 +239,7 @@
 
 /// Nothing was done; the caller may come back, on a new connection that the
 /// balancer leads to a host that works.
-fn unavailable(reason: &str) -> Whole {
+pub(crate) fn unavailable(reason: &str) -> Whole {
     let mut whole = web::error(StatusCode::SERVICE_UNAVAILABLE, reason);
     let headers = whole.headers_mut();
     headers.insert(RETRY_AFTER, HeaderValue::from_static(RETRY_SECONDS));
@@ -384,14 +249,14 @@
 
 /// The job may have been accepted. A repetition with the same id, at any host,
 /// makes no second job, so the sooner the caller repeats it the better.
-fn no_answer(reason: &str) -> Whole {
+pub(crate) fn no_answer(reason: &str) -> Whole {
     let mut whole = web::error(StatusCode::GATEWAY_TIMEOUT, reason);
     let headers = whole.headers_mut();
     headers.insert(CONNECTION, HeaderValue::from_static("close"));
     whole
 }
 
-fn longest(queue: &Queue) -> Duration {
+pub(crate) fn longest(queue: &Queue) -> Duration {
     if queue.timeout.is_zero() {
         LONGEST
     } else {
@@ -399,7 +264,7 @@
     }
 }
 
-fn millis(time: Duration) -> u64 {
+pub(crate) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -14,6 +14,7 @@
 mod rows;
 mod seat;
 mod settings;
+mod submit;
 
 pub use asker::*;
 pub use callers::*;
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -10,6 +10,7 @@
 mod saver;
 mod sender;
 mod supervise;
+mod takeover;
 
 pub use messages::*;
 pub use supervise::*;
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -15,7 +15,6 @@
 use job::WorkerInfo;
 use job::WorkerKey;
 use platform::Row;
-use platform::StoreError;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
@@ -24,16 +23,15 @@
 use super::Link;
 use super::Saver;
 use super::follow_workers;
+use super::takeover::READ_PAUSE;
+use super::takeover::follow_jobs;
+use super::takeover::read_left;
 use crate::Change;
 use crate::Context;
 use crate::Follower;
-use crate::JOB_TABLE;
-use crate::OWNER_PART;
 use crate::OwnerMessage;
 use crate::OwnerView;
-use crate::PROGRESS_TABLE;
 use crate::RosterChange;
-use crate::USED_TABLE;
 use crate::UsedWorker;
 use crate::WorkerNews;
 use crate::decode_row;
@@ -50,16 +48,6 @@
 /// Time between two log lines about the pool's load.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 
-/// Time for each page of the reads at take-over.
-const READ_TIMEOUT: Duration = Duration::from_millis(1500);
-
-/// Pause after a failed read at take-over.
-const READ_PAUSE: Duration = Duration::from_millis(100);
-
-/// Time between two reads of the feed of jobs. The process that accepts a job
-/// tells the owner at once; the feed brings those of which it could not.
-const READ_EVERY: Duration = Duration::from_millis(300);
-
 /// Longest time for the last write of an owner that stops.
 const RELEASE_TIME: Duration = Duration::from_millis(1200);
 
@@ -405,73 +393,7 @@
     }
 }
 
-/// What a predecessor left in the store.
-struct Left {
-    jobs: Vec<Row>,
-    follower: Follower,
-    progress: HashMap<JobId, Progress>,
-    used: Vec<(String, UsedWorker)>,
-}
-
 fn lost(context: &Context, epoch: Epoch) -> bool {
     let view = context.seat.borrow();
     view.seat.as_ref().is_some_and(|seat| seat.epoch > epoch)
 }
-
-/// Reads the rows of the owner's part; nothing if the pool is not ours. The
-/// guard is read first: from then on no predecessor can write.
-async fn read_left(context: &Context, saver: &mut Saver) -> Result<Option<Left>, StoreError> {
-    if !saver.read_guard().await? {
-        return Ok(None);
-    }
-    let store = &context.store;
-    let progress = store.part(PROGRESS_TABLE, OWNER_PART, READ_TIMEOUT).await?;
-    let used = store.part(USED_TABLE, OWNER_PART, READ_TIMEOUT).await?;
-    let mut follower = Follower::new(store, JOB_TABLE, true);
-    let (Change::Full(jobs) | Change::Some(jobs)) = follower.next(Duration::ZERO).await?;
-    let progress = progress.rows.iter().filter_map(|row| {
-        let id = job::parse_job(&row.name.key).ok()?;
-        let value = decode_row::<Progress>(&row.value);
-        if let Err(error) = &value {
-            log::error!(code = 337, key = row.name.key.as_str(), error:% = error; "progress row unreadable");
-        }
-        Some((id, value.ok()?))
-    });
-    let used = used.rows.iter().filter_map(|row| {
-        let value = decode_row::<UsedWorker>(&row.value);
-        if let Err(error) = &value {
-            log::error!(code = 338, key = row.name.key.as_str(), error:% = error; "worker row unreadable");
-        }
-        Some((row.name.key.clone(), value.ok()?))
-    });
-    Ok(Some(Left {
-        jobs,
-        follower,
-        progress: progress.collect(),
-        used: used.collect(),
-    }))
-}
-
-async fn follow_jobs(mut jobs: Follower, sender: mpsc::Sender<OwnerMessage>) {
-    let mut away = false;
-    loop {
-        match jobs.next(Duration::ZERO).await {
-            Ok(change) => {
-                if std::mem::take(&mut away) {
-                    log::info!(code = 349; "jobs can be read again");
-                }
-                let empty = matches!(&change, Change::Some(rows) if rows.is_empty());
-                if !empty && sender.send(OwnerMessage::Jobs(change)).await.is_err() {
-                    return;
-                }
-                tokio::time::sleep(READ_EVERY).await;
-            }
-            Err(error) => {
-                if !std::mem::replace(&mut away, true) {
-                    log::warn!(code = 339, error:% = error; "jobs cannot be read");
-                }
-                tokio::time::sleep(READ_PAUSE).await;
-            }
-        }
-    }
-}
--- /dev/null
+++ b/crates/cell/src/owner/takeover.rs
@@ -0,0 +1,106 @@
+//! What a new owner reads from the store, and how it goes on reading.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use job::JobId;
+use job::Progress;
+use platform::Row;
+use platform::StoreError;
+use tokio::sync::mpsc;
+
+use super::Saver;
+use crate::Change;
+use crate::Context;
+use crate::Follower;
+use crate::JOB_TABLE;
+use crate::OWNER_PART;
+use crate::OwnerMessage;
+use crate::PROGRESS_TABLE;
+use crate::USED_TABLE;
+use crate::UsedWorker;
+use crate::decode_row;
+
+/// Time for each page of the reads at take-over.
+const READ_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Pause after a failed read.
+pub(super) const READ_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time between two reads of the feed of jobs. The process that accepts a job
+/// tells the owner at once; the feed brings those of which it could not.
+const READ_EVERY: Duration = Duration::from_millis(300);
+
+/// What a predecessor left in the store.
+pub(super) struct Left {
+    /// Rows of all accepted jobs.
+    pub(super) jobs: Vec<Row>,
+    /// Goes on where they end.
+    pub(super) follower: Follower,
+    /// Progress by job.
+    pub(super) progress: HashMap<JobId, Progress>,
+    /// Workers that may have work.
+    pub(super) used: Vec<(String, UsedWorker)>,
+}
+
+/// Reads the rows of the owner's part; nothing if the pool is not ours. The
+/// guard is read first: from then on no predecessor can write.
+pub(super) async fn read_left(
+    context: &Context,
+    saver: &mut Saver,
+) -> Result<Option<Left>, StoreError> {
+    if !saver.read_guard().await? {
+        return Ok(None);
+    }
+    let store = &context.store;
+    let progress = store.part(PROGRESS_TABLE, OWNER_PART, READ_TIMEOUT).await?;
+    let used = store.part(USED_TABLE, OWNER_PART, READ_TIMEOUT).await?;
+    let mut follower = Follower::new(store, JOB_TABLE, true);
+    let (Change::Full(jobs) | Change::Some(jobs)) = follower.next(Duration::ZERO).await?;
+    let progress = progress.rows.iter().filter_map(|row| {
+        let id = job::parse_job(&row.name.key).ok()?;
+        let value = decode_row::<Progress>(&row.value);
+        if let Err(error) = &value {
+            log::error!(code = 337, key = row.name.key.as_str(), error:% = error; "progress row unreadable");
+        }
+        Some((id, value.ok()?))
+    });
+    let used = used.rows.iter().filter_map(|row| {
+        let value = decode_row::<UsedWorker>(&row.value);
+        if let Err(error) = &value {
+            log::error!(code = 338, key = row.name.key.as_str(), error:% = error; "worker row unreadable");
+        }
+        Some((row.name.key.clone(), value.ok()?))
+    });
+    Ok(Some(Left {
+        jobs,
+        follower,
+        progress: progress.collect(),
+        used: used.collect(),
+    }))
+}
+
+/// Tells the owner of jobs that the feed brings.
+pub(super) async fn follow_jobs(mut jobs: Follower, sender: mpsc::Sender<OwnerMessage>) {
+    let mut away = false;
+    loop {
+        match jobs.next(Duration::ZERO).await {
+            Ok(change) => {
+                if std::mem::take(&mut away) {
+                    log::info!(code = 349; "jobs can be read again");
+                }
+                let empty = matches!(&change, Change::Some(rows) if rows.is_empty());
+                if !empty && sender.send(OwnerMessage::Jobs(change)).await.is_err() {
+                    return;
+                }
+                tokio::time::sleep(READ_EVERY).await;
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut away, true) {
+                    log::warn!(code = 339, error:% = error; "jobs cannot be read");
+                }
+                tokio::time::sleep(READ_PAUSE).await;
+            }
+        }
+    }
+}
--- a/crates/cell/src/process.rs
+++ b/crates/cell/src/process.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use hyper::StatusCode;
 use job::Config;
@@ -49,14 +50,17 @@
 /// after two checks, one second apart.
 const DRAIN: Duration = Duration::from_millis(2600);
 
-/// Longest time for the requests that are still open after that.
-const CLOSE: Duration = Duration::from_secs(2);
+/// Part of the grace that is left when the process has ended its requests: the
+/// kill must not come first.
+const SPARE: Duration = Duration::from_millis(800);
 
 /// A running process.
 pub struct CellProcess {
     stop: watch::Sender<bool>,
     close: watch::Sender<bool>,
     servers: JoinSet<()>,
+    /// Time between the signal to stop and the kill.
+    grace: Duration,
     owner: tokio::task::JoinHandle<()>,
     _tasks: JoinSet<()>,
 }
@@ -98,11 +102,14 @@
             code = 100, node = context.settings.node.as_str(), zone = context.settings.zone.as_str(),
             incarnation = context.incarnation; "started"
         );
+        let grace = Duration::try_from_secs_f64(context.settings.bounds.grace_s);
+        let grace = grace.unwrap_or(DRAIN);
         let owner = tokio::spawn(supervise_owner(context, slot));
         Ok(CellProcess {
             stop,
             close,
             servers,
+            grace,
             owner,
             _tasks: tasks,
         })
@@ -112,13 +119,15 @@
     /// more callers, then lets open requests finish.
     pub async fn close(mut self) {
         log::info!(code = 101; "stopping");
+        let end = Instant::now() + self.grace.saturating_sub(SPARE);
         self.stop.send_replace(true);
         // The owner ends by itself on a stop.
         let _ = self.owner.await;
         tokio::time::sleep(DRAIN).await;
         self.close.send_replace(true);
         let finish = async { while self.servers.join_next().await.is_some() {} };
-        let whole = tokio::time::timeout(CLOSE, finish).await.is_ok();
+        let left = end.saturating_duration_since(Instant::now());
+        let whole = tokio::time::timeout(left, finish).await.is_ok();
         log::info!(code = 102, whole = whole; "stopped");
     }
 }
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -35,20 +35,9 @@
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Bounds {
     /// Longest lease of a worker, in milliseconds.
-    pub worker_lease_ms: u64,
-    /// Longest time that a worker takes to stop a task, in milliseconds.
-    pub stop_ms: u64,
-    /// Longest time for which a gang's members wait for one another, in
-    /// milliseconds.
-    pub gang_ms: u64,
-    /// Time after which a leaving worker gets no new task, in milliseconds.
-    pub drain_ms: u64,
+    pub lease_ms: u64,
     /// Time between the signal to stop and the kill, in seconds.
     pub grace_s: f64,
-    /// How much slower a task is away from its data.
-    pub far_factor: f64,
-    /// Time that a task takes to resume from a checkpoint, in milliseconds.
-    pub restore_ms: u64,
 }
 
 /// Settings of a process.
@@ -141,12 +130,9 @@
     /// Figures for the planner.
     #[must_use]
     pub fn policy(&self) -> Policy {
-        let longest = Duration::from_millis(self.bounds.worker_lease_ms);
+        let longest = Duration::from_millis(self.bounds.lease_ms);
         Policy {
             lease: longest.mul_f64(LEASE_SHARE),
-            stop: Duration::from_millis(self.bounds.stop_ms),
-            gang: Duration::from_millis(self.bounds.gang_ms),
-            far: self.bounds.far_factor,
             ..Policy::default()
         }
     }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -45,17 +45,17 @@
 /// Exit code and text of a failed run.
 type Failure = (u8, String);
 
-fn failure(code: u8) -> impl Fn(&dyn std::error::Error) -> Failure {
-    move |error| (code, error.to_string())
+fn failure(code: u8, error: impl std::fmt::Display) -> Failure {
+    (code, error.to_string())
 }
 
 fn run_process(path: &std::path::Path) -> Result<(), Failure> {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let settings = Settings::load(path).map_err(|error| failure(2)(&error))?;
-    let runtime = daemon::make_runtime().map_err(|error| failure(1)(&error))?;
+    let settings = Settings::load(path).map_err(|error| failure(2, error))?;
+    let runtime = daemon::make_runtime().map_err(|error| failure(1, error))?;
     runtime
         .block_on(serve_process(&settings))
-        .map_err(|error| failure(1)(&error))
+        .map_err(|error| failure(1, error))
 }
 
 async fn serve_process(settings: &Settings) -> Result<(), DaemonError> {
@@ -73,17 +73,17 @@
 fn run_cell() -> Result<(), Failure> {
     let level = std::env::var("RUST_LOG").unwrap_or_else(|_| "info".to_owned());
     let logs = cell::start_logging(&level);
-    let path = CellSettings::path().map_err(|error| failure(2)(&error))?;
-    let settings = CellSettings::load(&path).map_err(|error| failure(2)(&error))?;
+    let path = CellSettings::path().map_err(|error| failure(2, error))?;
+    let settings = CellSettings::load(&path).map_err(|error| failure(2, error))?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
-        .map_err(|error| failure(1)(&error))?;
+        .map_err(|error| failure(1, error))?;
     runtime.block_on(async {
         let mut known = settings.clone();
         let process = CellProcess::open(settings)
             .await
-            .map_err(|error| failure(2)(&error))?;
+            .map_err(|error| failure(2, error))?;
         let mut reload = signal(SignalKind::hangup()).ok();
         let stop = stop_signal();
         tokio::pin!(stop);
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -10,6 +10,7 @@
 //!   the run;
 //! - an end counts as recorded only after the progress that holds it was saved.
 
+mod adopt;
 mod advice;
 mod batch;
 mod gang;
--- a/crates/job/src/planner/policy.rs
+++ b/crates/job/src/planner/policy.rs
@@ -9,12 +9,6 @@
 pub struct Policy {
     /// Lease that each renewal gives a worker.
     pub lease: Duration,
-    /// Longest time that a stop may take.
-    pub stop: Duration,
-    /// Longest time for which a gang's members wait for one another.
-    pub gang: Duration,
-    /// How much slower a task is away from its data.
-    pub far: f64,
     /// Least time left of a ticket for a start to be sent with it: the start's
     /// way and the worker's wait for its processor.
     pub ticket_margin: Duration,
@@ -76,9 +70,6 @@
     fn default() -> Policy {
         Policy {
             lease: Duration::from_millis(4500),
-            stop: Duration::from_millis(200),
-            gang: Duration::from_secs(3),
-            far: 3.0,
             ticket_margin: Duration::from_millis(120),
             rest: Duration::from_secs(6),
             strikes: 3,
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -9,16 +9,13 @@
 use super::Planner;
 use super::WorkerKey;
 use super::job_state::Phase;
-use super::roster::Placed;
 use super::roster::RunPhase;
 use crate::EndedTask;
-use crate::JobId;
 use crate::Listing;
 use crate::Outcome;
 use crate::RunEnd;
 use crate::RunId;
 use crate::RunningTask;
-use crate::StepSpec;
 use crate::TaskKey;
 
 /// How a worker answered a start.
@@ -216,105 +213,6 @@
         self.adopt(key, running);
     }
 
-    fn adopt(&mut self, key: WorkerKey, running: &RunningTask) {
-        let task = running.task;
-        let now = self.now;
-        let trusted = self.workers[key].trusted;
-        let Some(job) = self.jobs.get_mut(&task.step.job) else {
-            self.take_stranger(key, running);
-            return;
-        };
-        // An ended job's tasks hold their room until they have stopped.
-        let (booked, filler) = job
-            .spec
-            .steps
-            .get(task.step.step as usize)
-            .map_or_else(Default::default, StepSpec::takes);
-        let mut wanted = false;
-        if job.outcome.is_none() {
-            // A round that only the predecessor had opened.
-            while job.opened <= task.step.round && job.opened < job.spec.rounds() {
-                job.open_round();
-            }
-            job.started = true;
-            let step = job.step_mut(task.step);
-            let state = step.and_then(|(_, step)| step.tasks.get_mut(task.index as usize));
-            if let Some(state) = state {
-                wanted = trusted && state.phase == Phase::Waiting && running.run > state.void;
-                if wanted {
-                    state.phase = Phase::Active(key, running.run);
-                    state.run = running.run;
-                }
-            }
-        }
-        let placed = Placed {
-            run: running.run,
-            booked,
-            filler,
-            phase: RunPhase::Running,
-            since: now,
-            percent: running.percent,
-            moved: now,
-            checkpoint: running.checkpoint.clone(),
-        };
-        let worker = &mut self.workers[key];
-        if worker.runs.contains_key(&task) {
-            // Another run of the same task is booked here; the listed one is
-            // stopped without a booking of its own.
-            self.orders.push(Order::Stop {
-                worker: key,
-                task,
-                run: running.run,
-                reason: "other run booked",
-            });
-            return;
-        }
-        worker.book(task, placed);
-        if !wanted {
-            self.stop(key, task, running.run, "not wanted");
-        }
-    }
-
-    /// A run of a job that is not known: its size is not known either, so the
-    /// worker counts as full until it has stopped.
-    fn take_stranger(&mut self, key: WorkerKey, running: &RunningTask) {
-        let booked = self.workers[key].info.capacity;
-        let placed = Placed {
-            run: running.run,
-            booked,
-            filler: 0,
-            phase: RunPhase::Running,
-            since: self.now,
-            percent: running.percent,
-            moved: self.now,
-            checkpoint: String::new(),
-        };
-        self.workers[key].book(running.task, placed);
-        self.stop(key, running.task, running.run, "job not known");
-    }
-
-    /// Runs that workers listed before their job was known: each keeps its task
-    /// from starting elsewhere until it has stopped.
-    pub(super) fn count_strangers(&mut self, id: JobId) {
-        let mut found = Vec::new();
-        for (key, worker) in &self.workers {
-            let runs = worker.runs.iter();
-            let ours = runs.filter(|(task, _)| task.step.job == id);
-            found.extend(ours.map(|(task, placed)| (*task, key, placed.run)));
-        }
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        for (task, key, run) in found {
-            let step = job.step_mut(task.step);
-            let state = step.and_then(|(_, step)| step.tasks.get_mut(task.index as usize));
-            if let Some(state) = state.filter(|state| state.phase == Phase::Waiting) {
-                state.phase = Phase::Active(key, run);
-                state.run = state.run.max(run);
-            }
-        }
-    }
-
     /// Ends what the worker would list if it were still there.
     fn sweep(&mut self, key: WorkerKey, sent: Duration, listing: &Listing) {
         let listed: HashMap<TaskKey, RunId> = listing
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -226,13 +226,8 @@
             advice: self.services.to_string(),
             machines: self.services.to_string(),
             bounds: Bounds {
-                worker_lease_ms: 6000,
-                stop_ms: 200,
-                gang_ms: 3000,
-                drain_ms: 2000,
+                lease_ms: 6000,
                 grace_s: 6.0,
-                far_factor: 3.0,
-                restore_ms: 100,
             },
         }
     }
