Count early ends of jobs learnt later; remove the rows of old jobs

Cause: (1) found by reading: the end of a run whose job was not known yet was passed over, and the task would have run again; (2) the store and each take-over grew with every job ever accepted. A test for each; the removal itself is tested in the planner only.

--- a/crates/cell/src/owner/messages.rs
+++ b/crates/cell/src/owner/messages.rs
@@ -50,6 +50,8 @@
     Worker(WorkerKey, WorkerNews),
     /// Lives of workers that run on a machine; none if they are not known.
     Lives(Option<HashSet<WorkerId>>),
+    /// Rows of these expired jobs were removed.
+    Removed(Vec<JobId>),
     /// A transaction has ended.
     Saved(Save, Result<Committed, StoreError>),
     /// The row that guards the owner's writes was read again.
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -21,6 +21,7 @@
 use super::Helpers;
 use super::LifeCheck;
 use super::Link;
+use super::Retention;
 use super::Saver;
 use super::follow_workers;
 use super::takeover::READ_PAUSE;
@@ -62,6 +63,7 @@
     pub(super) saver: Saver,
     pub(super) helpers: Helpers,
     pub(super) lives: LifeCheck,
+    pub(super) retention: Retention,
     /// Workers with a row in the store.
     pub(super) used: HashSet<String>,
     config: Option<Arc<Config>>,
@@ -108,6 +110,7 @@
             saver,
             helpers: Helpers::default(),
             lives: LifeCheck::default(),
+            retention: Retention::default(),
             used: HashSet::new(),
             config: None,
             tasks: JoinSet::new(),
@@ -219,6 +222,7 @@
         self.send_orders();
         self.give_help(now);
         self.check_lives(now);
+        self.remove_expired(now);
         self.begin_save(now);
     }
 
@@ -274,6 +278,7 @@
             OwnerMessage::Workers(change) => self.take_workers(change),
             OwnerMessage::Worker(key, news) => self.take_news(key, news),
             OwnerMessage::Lives(lives) => self.take_lives(lives),
+            OwnerMessage::Removed(ids) => self.take_removed(&ids),
             OwnerMessage::Saved(save, result) => self.take_saved(save, result),
             OwnerMessage::Guard(result) => self.take_guard(result),
         }
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -36,6 +36,8 @@
 pub struct Bounds {
     /// Longest lease of a worker, in milliseconds.
     pub lease_ms: u64,
+    /// Time for which callers may ask for an ended job, in seconds.
+    pub keep_s: f64,
     /// Time between the signal to stop and the kill, in seconds.
     pub grace_s: f64,
 }
@@ -127,6 +129,12 @@
         self.machines.parse().ok()
     }
 
+    /// Time for which callers may ask for an ended job.
+    #[must_use]
+    pub fn retention(&self) -> Duration {
+        Duration::try_from_secs_f64(self.bounds.keep_s).unwrap_or(Duration::from_hours(1))
+    }
+
     /// Figures for the planner.
     #[must_use]
     pub fn policy(&self) -> Policy {
--- a/crates/job/src/planner/job_state.rs
+++ b/crates/job/src/planner/job_state.rs
@@ -148,6 +148,8 @@
     /// Rounds opened so far.
     pub opened: u32,
     pub outcome: Option<Outcome>,
+    /// When it ended, or became known as ended.
+    pub ended: Duration,
     /// The outcome, once it was saved.
     pub saved: Option<Outcome>,
 }
@@ -162,6 +164,7 @@
             rounds: BTreeMap::new(),
             opened: 0,
             outcome: None,
+            ended: born,
             saved: None,
         };
         if job.spec.schedule.is_none() {
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -28,6 +28,7 @@
 use slotmap::SlotMap;
 
 use crate::Config;
+use crate::EndedTask;
 use crate::Epoch;
 use crate::JobId;
 use crate::JobSpec;
@@ -138,6 +139,8 @@
     /// Share of the workers that may run a step, by queue, as learnt.
     shares: HashMap<String, f64>,
     orders: Vec<Order>,
+    /// Ends of runs of jobs that are not known yet.
+    orphans: HashMap<JobId, Vec<(WorkerKey, EndedTask)>>,
     /// Until this time, tasks that a predecessor may have started stay put.
     recovery: Option<Duration>,
     /// When this epoch began.
@@ -151,6 +154,10 @@
 /// it. Processes learn of a take-over from a feed that answers every 0.5 s.
 const HINT_LAG: Duration = Duration::from_secs(2);
 
+/// Time after a take-over within which the job of an early end becomes known, if
+/// it ever does: the longest that the store was seen to be away.
+const ORPHAN_TIME: Duration = Duration::from_secs(30);
+
 /// Time after a take-over in which workers may still become known; until then,
 /// no job is given up for want of a worker that could hold it.
 const SETTLE: Duration = Duration::from_secs(3);
@@ -177,6 +184,7 @@
             kept: HashSet::new(),
             shares: HashMap::new(),
             orders: Vec::new(),
+            orphans: HashMap::new(),
         }
     }
 
@@ -192,6 +200,24 @@
         }
     }
 
+    /// Jobs whose end was recorded longer than `keep` ago, `most` of them.
+    #[must_use]
+    pub fn expired(&self, keep: Duration, most: usize) -> Vec<JobId> {
+        let old = |job: &JobState| {
+            let ended = job.saved.is_some().then_some(job.ended);
+            ended.is_some_and(|ended| ended + keep <= self.now)
+        };
+        let old = self.jobs.iter().filter(|(_, job)| old(job));
+        old.map(|(&id, _)| id).take(most).collect()
+    }
+
+    /// Drops jobs whose rows were removed.
+    pub fn forget(&mut self, ids: &[JobId]) {
+        for id in ids {
+            self.jobs.remove(id);
+        }
+    }
+
     /// Takes a job that was accepted, or a change of it. `old` says that a
     /// predecessor may have started it.
     pub fn take_job(&mut self, id: JobId, spec: JobSpec, progress: Option<&Progress>, old: bool) {
@@ -213,6 +239,7 @@
         if let Some(progress) = progress {
             job.restore(progress);
         }
+        job.ended = self.now;
         let ended = job.outcome.is_some();
         self.jobs.insert(id, job);
         self.count_strangers(id);
@@ -221,12 +248,18 @@
             (false, true) => self.finish(id, Outcome::Canceled),
             (false, false) => self.open_steps(id),
         }
+        for (key, end) in self.orphans.remove(&id).unwrap_or_default() {
+            self.task_ended(key, &end);
+        }
     }
 
     /// Decides what starts now.
     pub fn plan(&mut self) {
         self.expire_workers();
         self.end_recovery();
+        if self.now > self.began + ORPHAN_TIME {
+            self.orphans.clear();
+        }
         self.open_rounds();
         self.refuse_impossible();
         self.place();
@@ -326,6 +359,7 @@
             return;
         };
         job.outcome = Some(outcome);
+        job.ended = self.now;
         let alive = job.alive(id);
         job.shrink();
         self.dirty.insert(id);
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -277,9 +277,11 @@
         self.give_up(task, key, run, "");
     }
 
-    fn task_ended(&mut self, key: WorkerKey, end: &EndedTask) {
+    pub(super) fn task_ended(&mut self, key: WorkerKey, end: &EndedTask) {
         let task = end.task;
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            let orphans = self.orphans.entry(task.step.job).or_default();
+            orphans.push((key, end.clone()));
             return;
         };
         if job.outcome.is_some() {
--- a/crates/job/tests/planner.rs
+++ b/crates/job/tests/planner.rs
@@ -344,3 +344,42 @@
     assert_eq!(starts.len(), 1);
     assert_ne!(starts[0].2, stuck, "the worker rests");
 }
+
+/// Symptom: a task that was done ran again after a take-over. Sequence: as
+/// above, but the old owner's run has ended as done when its worker is claimed,
+/// before the job is known.
+#[test]
+fn an_end_of_a_job_learnt_later_counts() {
+    let mut planner = planner(2);
+    let key = add(&mut planner, "w1");
+    let left = listing(vec![], vec![ended(1, task(JOB, 0, 0), 1, RunEnd::Done)]);
+    planner.take_listing(key, Duration::ZERO, &left);
+    planner.take_job(JOB, spec(vec![step(1)]), None, false);
+
+    let starts = plan_at(&mut planner, 3_000);
+
+    assert!(starts.is_empty());
+    let batch = planner.take_batch(10);
+    assert_eq!(batch.jobs[0].1.outcome, Some(Outcome::Completed));
+}
+
+#[test]
+fn an_ended_job_is_forgotten_after_its_retention() {
+    let mut planner = planner(1);
+    let mut canceled = spec(vec![step(1)]);
+    canceled.canceled = true;
+    planner.take_job(JOB, canceled, None, false);
+    let unsaved = planner.expired(Duration::ZERO, 10);
+    let batch = planner.take_batch(10);
+    planner.batch_saved(&batch);
+    let early = planner.expired(Duration::from_mins(1), 10);
+    planner.advance(Duration::from_secs(61));
+
+    let late = planner.expired(Duration::from_mins(1), 10);
+
+    assert!(unsaved.is_empty(), "its end was not recorded yet");
+    assert!(early.is_empty());
+    assert_eq!(late, vec![JOB]);
+    planner.forget(&late);
+    assert_eq!(planner.shown(JOB), None);
+}
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -227,6 +227,7 @@
             machines: self.services.to_string(),
             bounds: Bounds {
                 lease_ms: 6000,
+                keep_s: 120.0,
                 grace_s: 6.0,
             },
         }
