--- a/crates/cell/src/owner/helpers.rs
+++ b/crates/cell/src/owner/helpers.rs
@@ -14,8 +14,12 @@
 use crate::HelpResult;
 use crate::metrics::count;
 
-/// Helpers that are kept for quick calls: slow ones take most of a second, and
-/// a quick one behind them misses its objective.
+/// Part of the helpers that is kept for quick calls: slow ones take most of a
+/// second, and a quick one behind them misses its objective. At 110 quick calls
+/// a second of 15 ms, two of 32 helpers were too few.
+const QUICK_PART: usize = 4;
+
+/// Fewest helpers that are kept for quick calls, where there are as many.
 const QUICK_HELPERS: usize = 2;
 
 /// A call that takes longer than this is slow.
@@ -54,7 +58,8 @@
 impl Helpers {
     fn slow_allowed(&self) -> bool {
         let slow = self.known.values().filter(|helper| helper.slow).count();
-        let most = self.known.len().saturating_sub(QUICK_HELPERS).max(1);
+        let quick = (self.known.len() / QUICK_PART).max(QUICK_HELPERS);
+        let most = self.known.len().saturating_sub(quick).max(1);
         slow < most
     }
 }
--- a/crates/job/src/planner/advice.rs
+++ b/crates/job/src/planner/advice.rs
@@ -8,6 +8,7 @@
 use super::place::Rank;
 use super::roster::WorkerState;
 use crate::Advice;
+use crate::Queue;
 use crate::Room;
 use crate::StepKey;
 use crate::StepSpec;
@@ -64,7 +65,7 @@
         ranked.sort_unstable();
         let ask = ranked
             .into_iter()
-            .find_map(|(_, key)| self.ask_for(key, slow))?;
+            .find_map(|(rank, key)| self.ask_for(rank, key, slow))?;
         let lost = self.now + ask.cost * 2 + GRACE;
         let job = self.jobs.get_mut(&ask.step.job)?;
         let (_, step) = job.step_mut(ask.step)?;
@@ -72,7 +73,7 @@
         Some(ask)
     }
 
-    fn ask_for(&self, key: StepKey, slow: bool) -> Option<Ask> {
+    fn ask_for(&self, rank: Rank, key: StepKey, slow: bool) -> Option<Ask> {
         let job = self.jobs.get(&key.job)?;
         let advice = job.spec.queue.advice.as_ref()?;
         if !slow && advice.fixed > QUICK {
@@ -89,13 +90,7 @@
         if lasting && !advised.good.is_empty() {
             return None;
         }
-        let workers = self.named(
-            &job.spec.queue.name,
-            &job.spec.queue.service,
-            spec,
-            step,
-            advice,
-        );
+        let workers = self.named(rank, key, &job.spec.queue, spec, step, advice);
         if workers.is_empty() {
             return None;
         }
@@ -111,16 +106,18 @@
     /// else those not asked about yet.
     fn named(
         &self,
-        queue: &str,
-        service: &str,
+        rank: Rank,
+        key: StepKey,
+        queue: &Queue,
         spec: &StepSpec,
         step: &StepState,
         advice: &Advice,
     ) -> Vec<WorkerId> {
         let booked = spec.booked();
         let usable = |worker: &&WorkerState| {
-            worker.info.service == service
+            worker.info.service == queue.service
                 && self.usable(worker)
+                && !self.kept_from(worker, rank, key)
                 && (spec.label.is_empty() || worker.info.labels.contains(&spec.label))
                 && worker.info.capacity.holds(&booked)
         };
@@ -140,7 +137,17 @@
         if room(&good) >= needed {
             return good.iter().map(|worker| worker.info.id.clone()).collect();
         }
-        if !good.is_empty() && room(&rest) + room(&good) < needed {
+        let share = self
+            .shares
+            .get(&queue.name)
+            .copied()
+            .unwrap_or(DEFAULT_SHARE);
+        #[allow(clippy::cast_precision_loss)]
+        let expected = room(&good) as f64 + room(&rest) as f64 * share;
+        #[allow(clippy::cast_precision_loss)]
+        if !step.advised.asked.is_empty() && expected < needed as f64 {
+            // Asking again would not find enough: calls are scarce, and each
+            // gang that waits would make one every two seconds.
             return Vec::new();
         }
         let even = advice.fixed.as_secs_f64() / advice.each.as_secs_f64().max(1e-6);
@@ -150,10 +157,9 @@
         let chosen = if spec.gang {
             emptiest(rest)
         } else {
-            let share = self.shares.get(queue).copied().unwrap_or(DEFAULT_SHARE);
             let (kept, open): (Vec<_>, Vec<_>) = rest.into_iter().partition(|worker| {
                 let key = self.by_id.get(&worker.info.id);
-                key.is_some_and(|key| self.kept.contains(key))
+                key.is_some_and(|key| self.kept.contains_key(key))
             });
             let mut chosen = tightest(open, &booked, step.waiting(), share, most);
             if chosen.len() < FEWEST_NAMED {
@@ -168,6 +174,14 @@
             .collect()
     }
 
+    /// Whether a worker is kept free for a gang that goes before this step: its
+    /// room would not be given to the step, so asking about it is in vain.
+    fn kept_from(&self, worker: &WorkerState, rank: Rank, key: StepKey) -> bool {
+        let worker = self.by_id.get(&worker.info.id);
+        let keeper = worker.and_then(|worker| self.kept.get(worker));
+        keeper.is_some_and(|(first, gang)| *gang != key && *first < rank)
+    }
+
     /// Learns which share of the workers asked about turns out to be good.
     fn learn_share(&mut self, key: StepKey, asked: usize, good: usize) {
         let Some(job) = self.jobs.get(&key.job) else {
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -22,7 +22,6 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -42,6 +41,7 @@
 use crate::WorkerId;
 
 use job_state::JobState;
+use place::Kept;
 use roster::WorkerState;
 
 pub use advice::Ask;
@@ -135,7 +135,7 @@
     open: BTreeSet<StepKey>,
     dirty: BTreeSet<JobId>,
     /// Workers that the last pass kept free for gangs.
-    kept: HashSet<WorkerKey>,
+    kept: Kept,
     /// Share of the workers that may run a step, by queue, as learnt.
     shares: HashMap<String, f64>,
     orders: Vec<Order>,
@@ -181,7 +181,7 @@
             jobs: HashMap::new(),
             open: BTreeSet::new(),
             dirty: BTreeSet::new(),
-            kept: HashSet::new(),
+            kept: Kept::new(),
             shares: HashMap::new(),
             orders: Vec::new(),
             orphans: HashMap::new(),
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -29,6 +29,9 @@
     due: Duration,
 }
 
+/// Workers that are kept free, and for which gang.
+pub(super) type Kept = HashMap<WorkerKey, (Rank, StepKey)>;
+
 /// A late answer is worth something up to this multiple of the objective.
 const LATE_FACTOR: u32 = 3;
 
@@ -103,17 +106,17 @@
             .filter_map(|&key| Some((self.rank(key)?, key)))
             .collect();
         ranked.sort_unstable();
-        let mut kept: HashSet<WorkerKey> = HashSet::new();
+        let mut kept = Kept::new();
         #[allow(clippy::cast_precision_loss)]
         let most = self.workers.len() as f64 * MOST_KEPT;
-        for (_, key) in ranked {
+        for (rank, key) in ranked {
             let Some(spec) = self.spec_of(key) else {
                 continue;
             };
             if !spec.gang {
                 self.place_tasks(key, &spec, &kept);
             } else if !self.place_gang(key, &spec, &kept) {
-                self.keep_room(key, &spec, &mut kept, most);
+                self.keep_room(rank, key, &spec, &mut kept, most);
             }
         }
         self.kept = kept;
@@ -124,12 +127,7 @@
         job.spec.steps.get(key.step as usize).cloned()
     }
 
-    fn candidates(
-        &self,
-        key: StepKey,
-        spec: &StepSpec,
-        kept: &HashSet<WorkerKey>,
-    ) -> Vec<Candidate> {
+    fn candidates(&self, key: StepKey, spec: &StepSpec, kept: &Kept) -> Vec<Candidate> {
         let Some(job) = self.jobs.get(&key.job) else {
             return Vec::new();
         };
@@ -149,7 +147,7 @@
                 continue;
             }
             let free = worker.free();
-            if kept.contains(&worker_key) || !free.holds(&booked) {
+            if kept.contains_key(&worker_key) || !free.holds(&booked) {
                 continue;
             }
             let ticket = step.advised.good.get(&info.id);
@@ -165,7 +163,7 @@
                 spare: free.cpu.saturating_sub(worker.fillers),
                 here: u32::try_from(here).unwrap_or(u32::MAX),
                 near: spec.rack.is_empty() || info.labels.contains(&spec.rack),
-                kept: self.kept.contains(&worker_key),
+                kept: self.kept.contains_key(&worker_key),
                 strikes: worker.strikes,
                 ticket: ticket.map(|(text, _)| text.clone()),
             });
@@ -173,7 +171,7 @@
         found
     }
 
-    fn place_tasks(&mut self, key: StepKey, spec: &StepSpec, kept: &HashSet<WorkerKey>) {
+    fn place_tasks(&mut self, key: StepKey, spec: &StepSpec, kept: &Kept) {
         let mut candidates = self.candidates(key, spec, kept);
         if candidates.is_empty() {
             return;
@@ -213,7 +211,7 @@
     }
 
     /// Starts a gang whole, or not at all.
-    fn place_gang(&mut self, key: StepKey, spec: &StepSpec, kept: &HashSet<WorkerKey>) -> bool {
+    fn place_gang(&mut self, key: StepKey, spec: &StepSpec, kept: &Kept) -> bool {
         let tasks = self.waiting_tasks(key);
         if tasks.len() < spec.count as usize {
             // Members of the last run are still ending.
@@ -239,7 +237,7 @@
     /// Less urgent tasks stay off these workers, more urgent ones take them
     /// last: on a quiet day, a gang that needed a quarter of the pool waited
     /// 27 s while counter checks refilled it.
-    fn keep_room(&self, key: StepKey, spec: &StepSpec, kept: &mut HashSet<WorkerKey>, most: f64) {
+    fn keep_room(&self, rank: Rank, key: StepKey, spec: &StepSpec, kept: &mut Kept, most: f64) {
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
@@ -251,7 +249,7 @@
         let mut able: Vec<(u64, WorkerKey, u64)> = Vec::new();
         for (worker_key, worker) in &self.workers {
             let good = !advised || step.advised.good.contains_key(&worker.info.id);
-            if !good || kept.contains(&worker_key) || !self.usable(worker) {
+            if !good || kept.contains_key(&worker_key) || !self.usable(worker) {
                 continue;
             }
             let fits = worker.info.capacity.fits(&booked);
@@ -272,7 +270,7 @@
         // Too few workers in all: keeping them would not help.
         let enough = seats >= u64::from(spec.count);
         if enough && (kept.is_empty() || all <= most) {
-            kept.extend(chosen);
+            kept.extend(chosen.into_iter().map(|worker| (worker, (rank, key))));
         }
     }
 
