Take the time for each message of the owner

Left, by reading: messages of one turn shared one time, so under load a run confirmed late in a turn seemed older than a listing asked for before it, and counted as over. Change: the time is taken for each message; a 200 that cannot be read counts as unknown; the world of the invariants test lets stops take time.

--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -199,9 +199,13 @@
     }
 
     fn take_all(&mut self, message: Option<OwnerMessage>) {
-        self.planner.advance(self.context.now());
         let mut next = message;
         while let Some(message) = next {
+            // For each message anew. With one time for all of them, a start that
+            // was confirmed during a long turn seemed older than a listing that
+            // was asked for before it; its run was not listed, counted as over,
+            // and the worker was booked over its capacity.
+            self.planner.advance(self.context.now());
             self.take(message);
             next = self.messages.try_recv().ok();
         }
--- a/crates/cell/src/owner/sender.rs
+++ b/crates/cell/src/owner/sender.rs
@@ -132,7 +132,7 @@
         Ordered::Fenced => return WorkerNews::Fenced,
         Ordered::Replaced => return WorkerNews::Over,
         Ordered::Ticket => StartReply::Ticket,
-        Ordered::Unknown(_) => StartReply::Unknown,
+        Ordered::Unknown(_) | Ordered::Garbled(_) => StartReply::Unknown,
         Ordered::Old
         | Ordered::Late
         | Ordered::Full
--- a/crates/job/tests/planner.rs
+++ b/crates/job/tests/planner.rs
@@ -383,3 +383,60 @@
     planner.forget(&late);
     assert_eq!(planner.shown(JOB), None);
 }
+
+#[test]
+fn a_run_that_is_stopping_holds_its_room_until_its_end_is_listed() {
+    let mut planner = planner(1);
+    let key = add_claimed(&mut planner, "w1");
+    planner.take_job(JOB, spec(vec![step(4)]), None, false);
+    plan_at(&mut planner, 10_000);
+    for index in 0..4 {
+        planner.start_reply(key, task(JOB, 0, index), 1, StartReply::Started);
+    }
+    let mut canceled = spec(vec![step(4)]);
+    canceled.canceled = true;
+    planner.take_job(JOB, canceled, None, false);
+    for index in 0..4 {
+        planner.stop_reply(key, task(JOB, 0, index), 1, job::StopReply::Stopped);
+    }
+    planner.take_job(JOB + 1, spec(vec![step(4)]), None, false);
+    planner.advance(Duration::from_millis(10_100));
+    let stopping = (0..4).map(|index| running(task(JOB, 0, index), 1));
+    let stopping = listing(stopping.collect(), vec![]);
+    planner.take_listing(key, Duration::from_millis(10_090), &stopping);
+    let early = plan_at(&mut planner, 10_110);
+    let ends = (0..4).map(|nth| {
+        let task = task(JOB, 0, nth);
+        ended(u64::from(nth) + 1, task, 1, RunEnd::Stopped)
+    });
+    let stopped = listing(vec![], ends.collect());
+    planner.take_listing(key, Duration::from_millis(10_150), &stopped);
+
+    let late = plan_at(&mut planner, 10_160);
+
+    assert!(early.is_empty(), "what is being stopped still counts");
+    assert_eq!(late.len(), 4);
+}
+
+/// What keeps a confirmed run from being taken for gone: a listing that was
+/// asked for before the confirmation says nothing of it.
+#[test]
+fn a_listing_asked_for_before_a_start_was_confirmed_does_not_end_it() {
+    let mut planner = planner(1);
+    let key = add_claimed(&mut planner, "w1");
+    planner.take_job(JOB, spec(vec![step(4)]), None, false);
+    planner.take_job(JOB + 1, spec(vec![step(1)]), None, false);
+    plan_at(&mut planner, 10_000);
+    planner.advance(Duration::from_millis(10_010));
+    for index in 0..4 {
+        planner.start_reply(key, task(JOB, 0, index), 1, StartReply::Started);
+    }
+    let before = listing(vec![], vec![]);
+
+    planner.take_listing(key, Duration::from_millis(10_005), &before);
+
+    assert!(
+        plan_at(&mut planner, 10_020).is_empty(),
+        "the worker is full"
+    );
+}
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -29,6 +29,9 @@
 /// Workers of the world, of four cores each.
 const WORKERS: usize = 3;
 
+/// Time that a stop takes.
+const STOP_TIME: Duration = Duration::from_millis(150);
+
 /// A step of the world, decoded from two arbitrary bytes.
 #[derive(Clone, Copy, Debug)]
 pub struct Event {
@@ -51,6 +54,8 @@
     fence: u64,
     lease: Duration,
     running: BTreeMap<TaskKey, (RunId, Duration)>,
+    /// Runs that are being stopped: still listed.
+    stopping: BTreeMap<TaskKey, (RunId, Duration)>,
     ended: Vec<EndedTask>,
     count: u64,
     seen: u64,
@@ -63,8 +68,13 @@
 }
 
 impl Worker {
+    fn holds(&self, task: &TaskKey) -> bool {
+        self.running.contains_key(task) || self.stopping.contains_key(task)
+    }
+
     fn end(&mut self, task: TaskKey, how: RunEnd) {
-        let Some((run, _)) = self.running.remove(&task) else {
+        let run = self.running.remove(&task);
+        let Some((run, _)) = run.or_else(|| self.stopping.remove(&task)) else {
             return;
         };
         self.count += 1;
@@ -151,9 +161,16 @@
     fn advance(&mut self, by: Duration) {
         self.now += by;
         for worker in &mut self.workers {
+            let stopped = worker.stopping.iter();
+            let stopped = stopped.filter(|(_, (_, since))| *since + STOP_TIME <= self.now);
+            let stopped: Vec<TaskKey> = stopped.map(|(task, _)| *task).collect();
+            for task in stopped {
+                worker.end(task, RunEnd::Stopped);
+            }
             if worker.lease <= self.now {
                 worker.void = worker.count;
-                let tasks: Vec<TaskKey> = worker.running.keys().copied().collect();
+                let held = worker.running.keys().chain(worker.stopping.keys());
+                let tasks: Vec<TaskKey> = held.copied().collect();
                 for task in tasks {
                     worker.end(task, RunEnd::Lapsed);
                 }
@@ -206,6 +223,7 @@
             running: worker
                 .running
                 .iter()
+                .chain(&worker.stopping)
                 .map(|(&task, &(run, _))| RunningTask {
                     task,
                     run,
@@ -294,7 +312,10 @@
                 let over = worker.over.entry(task).or_default();
                 *over = run.max(*over);
                 if worker.running.get(&task).is_some_and(|held| held.0 == run) {
-                    worker.end(task, RunEnd::Stopped);
+                    let run = worker.running.remove(&task);
+                    worker
+                        .stopping
+                        .extend(run.map(|(run, _)| (task, (run, self.now))));
                 }
                 if answers {
                     let reply = StopReply::Stopped;
@@ -322,7 +343,7 @@
     fn check(&self, at: usize, task: TaskKey) {
         let elsewhere = self.workers.iter().enumerate();
         let twice = elsewhere
-            .filter(|(other, worker)| *other != at && worker.running.contains_key(&task))
+            .filter(|(other, worker)| *other != at && worker.holds(&task))
             .count();
         assert_eq!(twice, 0, "{task} runs on two workers");
         assert!(
@@ -330,7 +351,12 @@
             "{task} ran again when done"
         );
         let need = |task: &TaskKey| self.jobs[&task.step.job].steps[0].need;
-        let used = self.workers[at].running.keys().map(need);
+        let worker = &self.workers[at];
+        let used = worker
+            .running
+            .keys()
+            .chain(worker.stopping.keys())
+            .map(need);
         let used = used.fold(Room::default(), |sum, need| sum.plus(&need));
         assert!(used.cpu <= 4000, "worker {at} is over its capacity");
         for &before in &self.jobs[&task.step.job].steps[task.step.step as usize].after {
