--- a/crates/cell/src/process.rs
+++ b/crates/cell/src/process.rs
@@ -52,7 +52,7 @@
 
 /// Part of the grace that is left when the process has ended its requests: the
 /// kill must not come first.
-const SPARE: Duration = Duration::from_millis(800);
+const SPARE: Duration = Duration::from_millis(1500);
 
 /// A running process.
 pub struct CellProcess {
--- a/crates/cell/src/seat.rs
+++ b/crates/cell/src/seat.rs
@@ -50,7 +50,7 @@
 const STAGGER: Duration = Duration::from_millis(25);
 
 /// A host with less of a core than this takes the pool only if no larger one
-/// does: owning 350 workers takes a sixth of a core.
+/// does: owning 350 workers peaks at 0.2 to 0.3 of a core.
 const OWNER_CORES: f64 = 0.2;
 
 /// Wait of such a host for the larger ones.
