Planner: look only at workers with a ticket; bench of its rounds

Cause: at 350 workers and 300 waiting steps a round took 4.25 ms of a whole core, and the owner has half of one: advice for quick jobs came after 100 ms. Change: tickets by the worker's key, candidates from the tickets, tasks of a step counted only where they are bounded; a long round is followed by a longer pause.

--- a/crates/bench/benches/main/main.rs
+++ b/crates/bench/benches/main/main.rs
@@ -9,6 +9,7 @@
 mod figures;
 mod pack;
 mod path;
+mod plan;
 mod scale;
 mod slopes;
 
@@ -44,10 +45,11 @@
 }
 
 /// Measurements that need no cell.
-fn plain() -> [(&'static str, fn()); 3] {
+fn plain() -> [(&'static str, fn()); 4] {
     [
         ("decide", decide::run),
         ("pack", pack::run),
+        ("plan", plan::run),
         ("slopes", slopes::run),
     ]
 }
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -42,6 +42,9 @@
 /// share one round.
 const PLAN_GAP: Duration = Duration::from_millis(4);
 
+/// Time without rounds after one, as a multiple of its own time.
+const ROUND_SHARE: u32 = 2;
+
 /// Time between rounds when nothing happens: leases, rounds of repeated jobs
 /// and renewals are looked after at least this often.
 const TICK: Duration = Duration::from_millis(25);
@@ -191,7 +194,11 @@
             let now = self.context.now();
             if now >= next_plan {
                 self.round(now);
-                next_plan = self.context.now() + PLAN_GAP;
+                let end = self.context.now();
+                // A long round is followed by a long pause, so that answers to
+                // workers, helpers and callers get their share.
+                let pause = end.saturating_sub(now) * ROUND_SHARE;
+                next_plan = end + pause.max(PLAN_GAP);
                 pending = false;
             }
         }
--- a/crates/job/src/planner/advice.rs
+++ b/crates/job/src/planner/advice.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::Planner;
+use super::WorkerKey;
 use super::job_state::StepState;
 use super::place::Rank;
 use super::roster::WorkerState;
@@ -104,8 +105,8 @@
 
     /// Workers to ask about: those known to be good, if they have room, or
     /// else those not asked about yet.
-    fn named(
-        &self,
+    fn named<'a>(
+        &'a self,
         rank: Rank,
         key: StepKey,
         queue: &Queue,
@@ -114,27 +115,28 @@
         advice: &Advice,
     ) -> Vec<WorkerId> {
         let booked = spec.booked();
-        let usable = |worker: &&WorkerState| {
+        let usable = |(worker_key, worker): &(WorkerKey, &WorkerState)| {
             worker.info.service == queue.service
                 && self.usable(worker)
-                && !self.kept_from(worker, rank, key)
+                && !self.kept_from(*worker_key, rank, key)
                 && (spec.label.is_empty() || worker.info.labels.contains(&spec.label))
                 && worker.info.capacity.holds(&booked)
         };
-        let all: Vec<&WorkerState> = self.workers.values().filter(usable).collect();
-        let (good, rest): (Vec<_>, Vec<_>) = all
-            .into_iter()
-            .filter(|worker| {
-                let id = &worker.info.id;
-                step.advised.good.contains_key(id) || !step.advised.asked.contains(id)
-            })
-            .partition(|worker| step.advised.good.contains_key(&worker.info.id));
-        let room = |workers: &[&WorkerState]| -> u64 {
-            let fits = workers.iter().map(|worker| worker.free().fits(&booked));
-            fits.sum()
-        };
+        let advised = &step.advised;
+        let mut good: Vec<&WorkerState> = Vec::new();
+        let mut rest: Vec<(WorkerKey, &WorkerState)> = Vec::new();
+        for (worker_key, worker) in self.workers.iter().filter(usable) {
+            if advised.good.contains_key(&worker_key) {
+                good.push(worker);
+            } else if !advised.asked.contains(&worker_key) {
+                rest.push((worker_key, worker));
+            }
+        }
+        let fits = |worker: &WorkerState| worker.free().fits(&booked);
+        let good_room: u64 = good.iter().map(|worker| fits(worker)).sum();
+        let rest_room: u64 = rest.iter().map(|(_, worker)| fits(worker)).sum();
         let needed = if spec.gang { step.waiting() as u64 } else { 1 };
-        if room(&good) >= needed {
+        if good_room >= needed {
             return good.iter().map(|worker| worker.info.id.clone()).collect();
         }
         let share = self
@@ -143,7 +145,7 @@
             .copied()
             .unwrap_or(DEFAULT_SHARE);
         #[allow(clippy::cast_precision_loss)]
-        let expected = room(&good) as f64 + room(&rest) as f64 * share;
+        let expected = good_room as f64 + rest_room as f64 * share;
         #[allow(clippy::cast_precision_loss)]
         if !step.advised.asked.is_empty() && expected < needed as f64 {
             // Asking again would not find enough: calls are scarce, and each
@@ -155,12 +157,15 @@
         let most = (even / 2.0) as usize;
         let most = most.clamp(FEWEST_NAMED, MOST_NAMED);
         let chosen = if spec.gang {
-            emptiest(rest)
+            emptiest(rest.into_iter().map(|(_, worker)| worker).collect())
         } else {
-            let (kept, open): (Vec<_>, Vec<_>) = rest.into_iter().partition(|worker| {
-                let key = self.by_id.get(&worker.info.id);
-                key.is_some_and(|key| self.kept.contains_key(key))
-            });
+            let (kept, open): (Vec<_>, Vec<_>) = rest
+                .into_iter()
+                .partition(|(worker_key, _)| self.kept.contains_key(worker_key));
+            let only = |workers: Vec<(WorkerKey, &'a WorkerState)>| -> Vec<&'a WorkerState> {
+                workers.into_iter().map(|(_, worker)| worker).collect()
+            };
+            let (kept, open) = (only(kept), only(open));
             let mut chosen = tightest(open, &booked, step.waiting(), share, most);
             if chosen.len() < FEWEST_NAMED {
                 chosen.extend(tightest(kept, &booked, step.waiting(), share, most));
@@ -176,9 +181,8 @@
 
     /// Whether a worker is kept free for a gang that goes before this step: its
     /// room would not be given to the step, so asking about it is in vain.
-    fn kept_from(&self, worker: &WorkerState, rank: Rank, key: StepKey) -> bool {
-        let worker = self.by_id.get(&worker.info.id);
-        let keeper = worker.and_then(|worker| self.kept.get(worker));
+    fn kept_from(&self, worker: WorkerKey, rank: Rank, key: StepKey) -> bool {
+        let keeper = self.kept.get(&worker);
         keeper.is_some_and(|(first, gang)| *gang != key && *first < rank)
     }
 
@@ -202,21 +206,28 @@
         tickets: &[Ticket],
         until: Duration,
     ) {
+        // Workers that are not known any more are of no use.
+        let asked: Vec<WorkerKey> = asked.iter().filter_map(|id| self.worker_of(id)).collect();
+        let tickets: Vec<(WorkerKey, &Ticket)> = tickets
+            .iter()
+            .filter_map(|ticket| Some((self.worker_of(&ticket.worker)?, ticket)))
+            .collect();
         let job = self.jobs.get_mut(&key.job);
         let Some((_, step)) = job.and_then(|job| job.step_mut(key)) else {
             return;
         };
         let advised = &mut step.advised;
         advised.pending = None;
-        let news = asked.iter().filter(|id| !advised.asked.contains(*id));
+        let news = asked
+            .iter()
+            .filter(|worker| !advised.asked.contains(*worker));
         let new = news.count();
         let found = tickets
             .iter()
-            .filter(|ticket| !advised.asked.contains(&ticket.worker))
+            .filter(|(worker, _)| !advised.asked.contains(worker))
             .count();
-        advised.asked.extend(asked.iter().cloned());
-        for ticket in tickets {
-            let worker = ticket.worker.clone();
+        advised.asked.extend(asked);
+        for (worker, ticket) in tickets {
             advised.good.insert(worker, (ticket.text.clone(), until));
         }
         if new > 0 {
@@ -235,10 +246,10 @@
     }
 
     /// A worker refused a ticket: it is not used again.
-    pub(super) fn drop_ticket(&mut self, key: StepKey, id: &str) {
+    pub(super) fn drop_ticket(&mut self, key: StepKey, worker: WorkerKey) {
         let job = self.jobs.get_mut(&key.job);
         if let Some((_, step)) = job.and_then(|job| job.step_mut(key))
-            && let Some((_, until)) = step.advised.good.get_mut(id)
+            && let Some((_, until)) = step.advised.good.get_mut(&worker)
         {
             *until = Duration::ZERO;
         }
--- a/crates/job/src/planner/job_state.rs
+++ b/crates/job/src/planner/job_state.rs
@@ -17,7 +17,6 @@
 use crate::StepProgress;
 use crate::StepSpec;
 use crate::TaskKey;
-use crate::WorkerId;
 
 /// Where a task stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,9 +46,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Advised {
     /// Workers that were asked about; the answer for a step does not change.
-    pub asked: HashSet<WorkerId>,
+    pub asked: HashSet<WorkerKey>,
     /// Workers that may run it, with ticket and the time it ends.
-    pub good: HashMap<WorkerId, (String, Duration)>,
+    pub good: HashMap<WorkerKey, (String, Duration)>,
     /// A call is under way, and counts as lost at this time.
     pub pending: Option<Duration>,
     /// No call before this time.
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -60,7 +60,7 @@
     free: Room,
     /// Processors that nothing uses, fillers included.
     spare: u64,
-    /// Tasks of the step there.
+    /// Tasks of the step there; counted only where they are bounded.
     here: u32,
     near: bool,
     /// It is being kept free for a gang.
@@ -138,25 +138,27 @@
         let advised = job.spec.queue.advice.is_some();
         let soon = self.now + self.policy.ticket_margin;
         let mut found = Vec::new();
-        for (worker_key, worker) in &self.workers {
+        let mut add = |worker_key: WorkerKey, ticket: Option<&String>| {
+            let Some(worker) = self.workers.get(worker_key) else {
+                return;
+            };
             let info = &worker.info;
-            if info.service != job.spec.queue.service || !self.usable(worker) {
-                continue;
-            }
-            if !spec.label.is_empty() && !info.labels.contains(&spec.label) {
-                continue;
-            }
             let free = worker.free();
-            if kept.contains_key(&worker_key) || !free.holds(&booked) {
-                continue;
+            if !free.holds(&booked) || kept.contains_key(&worker_key) || !self.usable(worker) {
+                return;
             }
-            let ticket = step.advised.good.get(&info.id);
-            let ticket = ticket.filter(|(_, until)| *until > soon);
-            if advised && ticket.is_none() {
-                continue;
+            if info.service != job.spec.queue.service {
+                return;
+            }
+            if !spec.label.is_empty() && !info.labels.contains(&spec.label) {
+                return;
             }
             let same = |task: &&TaskKey| task.step == key;
-            let here = worker.runs.keys().filter(same).count();
+            let here = if spec.spread > 0 {
+                worker.runs.keys().filter(same).count()
+            } else {
+                0
+            };
             found.push(Candidate {
                 key: worker_key,
                 free,
@@ -165,8 +167,19 @@
                 near: spec.rack.is_empty() || info.labels.contains(&spec.rack),
                 kept: self.kept.contains_key(&worker_key),
                 strikes: worker.strikes,
-                ticket: ticket.map(|(text, _)| text.clone()),
+                ticket: ticket.cloned(),
             });
+        };
+        if advised {
+            for (&worker_key, (ticket, until)) in &step.advised.good {
+                if *until > soon {
+                    add(worker_key, Some(ticket));
+                }
+            }
+        } else {
+            for worker_key in self.workers.keys() {
+                add(worker_key, None);
+            }
         }
         found
     }
@@ -248,7 +261,7 @@
         let advised = job.spec.queue.advice.is_some();
         let mut able: Vec<(u64, WorkerKey, u64)> = Vec::new();
         for (worker_key, worker) in &self.workers {
-            let good = !advised || step.advised.good.contains_key(&worker.info.id);
+            let good = !advised || step.advised.good.contains_key(&worker_key);
             if !good || kept.contains_key(&worker_key) || !self.usable(worker) {
                 continue;
             }
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -72,9 +72,8 @@
                 self.not_started(task, key, run);
             }
             StartReply::Ticket => {
-                let id = worker.info.id.clone();
                 worker.release(task, run);
-                self.drop_ticket(task.step, &id);
+                self.drop_ticket(task.step, key);
                 self.not_started(task, key, run);
             }
         }
