Keep the oldest late gang's rank

Change: the gang that has waited longest beyond its objective keeps its rank; other gangs take workers kept for it last.

--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -136,6 +136,8 @@
     dirty: BTreeSet<JobId>,
     /// Workers that the last pass kept free for gangs.
     kept: Kept,
+    /// The gang that has waited longest beyond its objective.
+    elder: Option<StepKey>,
     /// Share of the workers that may run a step, by queue, as learnt.
     shares: HashMap<String, f64>,
     orders: Vec<Order>,
@@ -182,6 +184,7 @@
             open: BTreeSet::new(),
             dirty: BTreeSet::new(),
             kept: Kept::new(),
+            elder: None,
             shares: HashMap::new(),
             orders: Vec::new(),
             orphans: HashMap::new(),
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -63,7 +63,7 @@
     /// Tasks of the step there; counted only where they are bounded.
     here: u32,
     near: bool,
-    /// It is being kept free for a gang.
+    /// It is being kept free for another gang.
     kept: bool,
     strikes: u32,
     ticket: Option<String>,
@@ -84,7 +84,7 @@
         let (spec, _) = job.step(key)?;
         let due = job.born + objective;
         let ready = self.now + spec.estimate.mul_f64(HOPE);
-        let stage = if ready <= due {
+        let stage = if ready <= due || self.elder == Some(key) {
             0
         } else if ready <= job.born + objective * LATE_FACTOR {
             1
@@ -98,8 +98,23 @@
         })
     }
 
+    /// The gang that has waited longest beyond its objective. It keeps its rank:
+    /// otherwise tasks that are still in time take each processor that becomes
+    /// free, and a gang that few workers may run never starts. Only one, so that
+    /// under overload the late do not make all others late.
+    fn find_elder(&self) -> Option<StepKey> {
+        let late = self.open.iter().filter(|key| {
+            let gang = self.spec_of(**key).is_some_and(|spec| spec.gang);
+            gang && self.rank(**key).is_some_and(|rank| rank.stage > 0)
+        });
+        late.min_by_key(|key| self.jobs.get(&key.job).map(|job| job.born))
+            .copied()
+    }
+
     /// Places what can be placed, the most urgent first.
     pub(super) fn place(&mut self) {
+        self.elder = None;
+        self.elder = self.find_elder();
         let mut ranked: Vec<(Rank, StepKey)> = self
             .open
             .iter()
@@ -165,7 +180,10 @@
                 spare: free.cpu.saturating_sub(worker.fillers),
                 here: u32::try_from(here).unwrap_or(u32::MAX),
                 near: spec.rack.is_empty() || info.labels.contains(&spec.rack),
-                kept: self.kept.contains_key(&worker_key),
+                kept: self
+                    .kept
+                    .get(&worker_key)
+                    .is_some_and(|(_, gang)| *gang != key),
                 strikes: worker.strikes,
                 ticket: ticket.cloned(),
             });
@@ -410,7 +428,8 @@
     let mut order: Vec<usize> = (0..candidates.len()).collect();
     order.sort_by_key(|&at| {
         let one = &candidates[at];
-        (!one.near, one.strikes, std::cmp::Reverse(one.free.cpu))
+        let room = std::cmp::Reverse(one.free.cpu);
+        (one.kept, !one.near, one.strikes, room)
     });
     let mut seats = Vec::with_capacity(count);
     for at in order {
--- a/crates/job/tests/planner.rs
+++ b/crates/job/tests/planner.rs
@@ -440,3 +440,41 @@
         "the worker is full"
     );
 }
+
+/// Symptom: on a quiet day, a gang that only few workers may run waited 27 s.
+/// Sequence: its objective passes; less urgent tasks that are still in time go
+/// first, and take each processor as it becomes free. Cause: nothing kept room
+/// for a gang that was late.
+#[test]
+fn a_late_gang_is_not_starved_by_less_urgent_tasks() {
+    let mut planner = planner(1);
+    let key = add_claimed(&mut planner, "w1");
+    planner.take_job(JOB, spec(vec![step(4)]), None, false);
+    plan_at(&mut planner, 10_000);
+    let mut gang = step(4);
+    gang.gang = true;
+    planner.take_job(JOB + 1, spec(vec![gang]), None, false);
+    // Its objective of 3 s passes.
+    planner.advance(Duration::from_secs(14));
+    for nth in 0..4 {
+        let mut small = spec(vec![step(1)]);
+        small.queue.priority = 2;
+        planner.take_job(JOB + 2 + nth, small, None, false);
+    }
+    let mut early = Vec::new();
+    for nth in 0..4_u32 {
+        let millis = 14_000 + 100 * (u64::from(nth) + 1);
+        let rest = (nth + 1..4).map(|at| running(task(JOB, 0, at), 1));
+        let end = ended(u64::from(nth) + 1, task(JOB, 0, nth), 1, RunEnd::Done);
+        let listed = listing(rest.collect(), vec![end]);
+        planner.lease_sent(key);
+        planner.take_listing(key, Duration::from_millis(millis), &listed);
+        early.push(plan_at(&mut planner, millis));
+    }
+
+    let last = early.pop().expect("four rounds");
+
+    assert!(early.iter().all(Vec::is_empty), "room is kept: {early:?}");
+    assert_eq!(last.len(), 4);
+    assert!(last.iter().all(|(task, ..)| task.step.job == JOB + 1));
+}
