Give no work to a worker with a run of unknown size

At a take-over a worker is known by its row first, without its size; a run of a job that is not known was to fill it, and filled nothing. Change: a worker with a run of unknown size gets no work until the run has ended.

--- a/crates/job/src/planner/adopt.rs
+++ b/crates/job/src/planner/adopt.rs
@@ -8,6 +8,7 @@
 use super::roster::Placed;
 use super::roster::RunPhase;
 use crate::JobId;
+use crate::Room;
 use crate::RunningTask;
 use crate::StepSpec;
 
@@ -48,6 +49,7 @@
             run: running.run,
             booked,
             filler,
+            unsized_run: false,
             phase: RunPhase::Running,
             since: now,
             percent: running.percent,
@@ -73,13 +75,13 @@
     }
 
     /// A run of a job that is not known: its size is not known either, so the
-    /// worker counts as full until it has stopped.
+    /// worker gets no work until it has stopped.
     fn take_stranger(&mut self, key: WorkerKey, running: &RunningTask) {
-        let booked = self.workers[key].info.capacity;
         let placed = Placed {
             run: running.run,
-            booked,
+            booked: Room::default(),
             filler: 0,
+            unsized_run: true,
             phase: RunPhase::Running,
             since: self.now,
             percent: running.percent,
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -71,7 +71,7 @@
 
 impl Planner {
     pub(super) fn usable(&self, worker: &WorkerState) -> bool {
-        let there = worker.claimed && !worker.silent && !worker.gone;
+        let there = worker.claimed && !worker.silent && !worker.gone && worker.unsized_runs == 0;
         there && !worker.info.draining && worker.rest <= self.now
     }
 
@@ -334,6 +334,7 @@
             run,
             booked,
             filler,
+            unsized_run: false,
             phase: RunPhase::Sent,
             since: self.now,
             percent: 0,
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -35,6 +35,8 @@
     pub booked: Room,
     /// Processors asked for without being booked.
     pub filler: u64,
+    /// Its size is not known, since its job is not.
+    pub unsized_run: bool,
     pub phase: RunPhase,
     /// When the phase began.
     pub since: Duration,
@@ -51,6 +53,8 @@
     pub info: WorkerInfo,
     pub used: Room,
     pub fillers: u64,
+    /// Runs of unknown size: while there are any, it gets no work.
+    pub unsized_runs: u32,
     pub runs: HashMap<TaskKey, Placed>,
     /// It has accepted our epoch and told what it runs.
     pub claimed: bool,
@@ -78,6 +82,7 @@
             info,
             used: Room::default(),
             fillers: 0,
+            unsized_runs: 0,
             runs: HashMap::new(),
             claimed: false,
             trusted: true,
@@ -98,6 +103,7 @@
     pub(super) fn book(&mut self, task: TaskKey, placed: Placed) {
         self.used = self.used.plus(&placed.booked);
         self.fillers += placed.filler;
+        self.unsized_runs += u32::from(placed.unsized_run);
         self.runs.insert(task, placed);
     }
 
@@ -109,6 +115,7 @@
         let placed = self.runs.remove(&task)?;
         self.used = self.used.less(&placed.booked);
         self.fillers -= placed.filler;
+        self.unsized_runs -= u32::from(placed.unsized_run);
         Some(placed)
     }
 }
@@ -226,6 +233,7 @@
         let worker = &mut self.workers[key];
         worker.used = Room::default();
         worker.fillers = 0;
+        worker.unsized_runs = 0;
         // It must answer again before it gets work.
         worker.claimed = false;
         let runs = std::mem::take(&mut worker.runs);
--- a/crates/job/tests/planner.rs
+++ b/crates/job/tests/planner.rs
@@ -478,3 +478,29 @@
     assert_eq!(last.len(), 4);
     assert!(last.iter().all(|(task, ..)| task.step.job == JOB + 1));
 }
+
+/// Symptom: one start over a worker's capacity after a take-over. Sequence: the
+/// successor knows a worker by its row only, so not how large it is; the worker
+/// lists a run of a job that is not known; then it becomes known how large the
+/// worker is. Cause: the run was to fill the worker, but filled the nothing that
+/// was known of it.
+#[test]
+fn a_worker_with_a_run_of_unknown_size_gets_no_work() {
+    let mut planner = planner(2);
+    let mut recalled = worker("w1");
+    recalled.capacity = room(0, 0);
+    let key = planner.take_worker(recalled).expect("new worker");
+    let left = listing(vec![running(task(JOB, 0, 0), 1)], vec![]);
+    planner.take_listing(key, Duration::ZERO, &left);
+    planner.take_worker(worker("w1"));
+    planner.advance(Duration::from_secs(3));
+    planner.take_job(JOB + 1, spec(vec![step(1)]), None, false);
+    let early = plan_at(&mut planner, 3_010);
+    let gone = listing(vec![], vec![ended(1, task(JOB, 0, 0), 1, RunEnd::Stopped)]);
+    planner.take_listing(key, Duration::from_millis(3_020), &gone);
+
+    let late = plan_at(&mut planner, 3_030);
+
+    assert!(early.is_empty(), "the run may take any room");
+    assert_eq!(late.len(), 1);
+}
