--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -157,7 +157,8 @@
 const HINT_LAG: Duration = Duration::from_secs(2);
 
 /// Time after a take-over within which the job of an early end becomes known, if
-/// it ever does: the longest that the store was seen to be away.
+/// it ever does. Chosen, not measured: the recorded outages of the store last up to
+/// 9 s.
 const ORPHAN_TIME: Duration = Duration::from_secs(30);
 
 /// Time after a take-over in which workers may still become known; until then,
