--- a/crates/daemon/tests/workers.rs
+++ b/crates/daemon/tests/workers.rs
@@ -29,7 +29,7 @@
 /// Workers with work, the busiest first.
 fn busiest(cell: &Cell) -> Vec<fake::FakeWorker> {
     let mut workers = cell.platform.workers.clone();
-    workers.sort_by_key(|worker| std::cmp::Reverse(worker.running()));
+    workers.sort_by_cached_key(|worker| std::cmp::Reverse(worker.running()));
     workers
 }
 
