Look for a silent store by reads of its own; give up writes sent to it

And a write of ends that was under way went on waiting, up to 1.6 s.

Change: after the feed has failed, the row of the ownership is read, a new read every 0.15 s without waiting for those before it; the store counts as silent only if none is answered within 0.4 s, and as back with the first answer. A write that is under way when the store is back is given up; the guard tells whether it was done. New log code 307.

--- a/crates/cell/src/context.rs
+++ b/crates/cell/src/context.rs
@@ -14,6 +14,7 @@
 use job::Epoch;
 use platform::OrderClient;
 use platform::Store;
+use platform::StoreError;
 use tokio::sync::watch;
 use web::Client;
 
@@ -116,6 +117,30 @@
         }
     }
 
+    /// Gives up a call to the store once the store is back from a silence:
+    /// what was sent before may never be answered. Waited out, the write of
+    /// ends took up to 1.6 s longer.
+    ///
+    /// # Errors
+    /// Those of the call, or [`StoreError::Abandoned`].
+    pub async fn until_regained<T>(
+        &self,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let regained = async {
+            self.wait_silent().await;
+            let mut seat = self.seat.clone();
+            if seat.wait_for(|view| view.silent.is_none()).await.is_err() {
+                // The keeper is gone: the process is about to end.
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            result = call => result,
+            () = regained => Err(StoreError::Abandoned),
+        }
+    }
+
     /// Whether the process has been asked to stop.
     #[must_use]
     pub fn stopping(&self) -> bool {
--- a/crates/cell/src/owner/saver.rs
+++ b/crates/cell/src/owner/saver.rs
@@ -183,10 +183,11 @@
         let transaction = self.saver.transaction(&mut save, now);
         self.saver.busy = true;
         self.saver.after = now + SAVE_GAP;
-        let store = self.context.store.clone();
+        let context = self.context.clone();
         let sender = self.sender.clone();
         tokio::spawn(async move {
-            let result = store.commit(&transaction, SAVE_TIMEOUT).await;
+            let commit = context.store.commit(&transaction, SAVE_TIMEOUT);
+            let result = context.until_regained(commit).await;
             let _ = sender.send(OwnerMessage::Saved(save, result)).await;
         });
     }
--- a/crates/cell/src/seat.rs
+++ b/crates/cell/src/seat.rs
@@ -22,6 +22,7 @@
 use crate::Seat;
 use crate::decode_row;
 use crate::encode_row;
+use crate::first_answer;
 use crate::guard_row;
 use crate::seat_row;
 
@@ -42,6 +43,14 @@
 /// Pause after a failed read.
 const READ_PAUSE: Duration = Duration::from_millis(150);
 
+/// Time without an answer to a plain read, after the feed has failed, from
+/// which on the store counts as silent; a slow store takes 0.3 s.
+const SILENT_AFTER: Duration = Duration::from_millis(400);
+
+/// Longest time of looking for a store that is silent, before the feed is
+/// tried again.
+const PROBE_LIMIT: Duration = Duration::from_secs(5);
+
 /// Time for the transaction that takes the pool; a slow store takes up to 1.2 s.
 const TAKE_TIMEOUT: Duration = Duration::from_millis(1600);
 
@@ -110,7 +119,7 @@
         loop {
             match follower.next(FEED_WAIT).await {
                 Ok(Change::Full(rows) | Change::Some(rows)) => self.take_rows(&rows),
-                Err(error) => self.lost(&error).await,
+                Err(error) => self.feed_failed(&error).await,
             }
             if self.free() && !self.context.stopping() && self.confirmed().await {
                 self.take().await;
@@ -158,7 +167,27 @@
         });
     }
 
-    async fn lost(&mut self, error: &StoreError) {
+    /// The feed may have failed alone: while the store drops its history, feeds
+    /// hear nothing for a second and are cut, and it takes jobs all the while.
+    /// Callers were refused in vain then. So the store counts as silent only
+    /// if a plain read gets no answer either.
+    async fn feed_failed(&mut self, error: &StoreError) {
+        let store = self.context.store.clone();
+        if !error.certainly_not_done()
+            && let Some(row) = first_answer(&store, SILENT_AFTER).await
+        {
+            log::info!(code = 307, error:% = error; "feed failed, store answers");
+            self.take_rows(row.as_slice());
+            return;
+        }
+        self.lost(error);
+        tokio::time::sleep(READ_PAUSE).await;
+        if let Some(row) = first_answer(&store, PROBE_LIMIT).await {
+            self.take_rows(row.as_slice());
+        }
+    }
+
+    fn lost(&mut self, error: &StoreError) {
         let now = self.context.now();
         // Renewals cannot be seen: their absence says nothing.
         self.fresh = now;
@@ -170,7 +199,6 @@
             view.silent = Some(now);
             true
         });
-        tokio::time::sleep(READ_PAUSE).await;
     }
 
     fn free(&self) -> bool {
@@ -201,7 +229,8 @@
         let row = match store.get(&seat_row(), TAKE_TIMEOUT).await {
             Ok(row) => row,
             Err(error) => {
-                self.lost(&error).await;
+                self.lost(&error);
+                tokio::time::sleep(READ_PAUSE).await;
                 return false;
             }
         };
--- /dev/null
+++ b/crates/cell/tests/context.rs
@@ -0,0 +1,84 @@
+//! What the tasks of a process share.
+
+use std::future::pending;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cell::Bounds;
+use cell::CellSettings;
+use cell::Context;
+use cell::Listen;
+use cell::Peers;
+use cell::SeatView;
+use platform::StoreError;
+use tokio::sync::watch;
+
+/// Settings of a process that is not opened.
+fn settings() -> CellSettings {
+    let ip = Ipv4Addr::LOCALHOST.into();
+    let address = SocketAddr::new(ip, 1);
+    CellSettings {
+        node: "entry-0".to_owned(),
+        zone: "z1".to_owned(),
+        ip,
+        listen: Listen {
+            callers: address,
+            ready: address,
+            metrics: address,
+        },
+        peers: Peers { first_port: 1 },
+        cores: 1.0,
+        store: address,
+        advice: String::new(),
+        machines: String::new(),
+        bounds: Bounds {
+            lease_ms: 6000,
+            keep_s: 120.0,
+            grace_s: 6.0,
+        },
+    }
+}
+
+fn silent() -> SeatView {
+    SeatView {
+        silent: Some(Duration::ZERO),
+        ..SeatView::default()
+    }
+}
+
+/// Symptom: ends of tasks were shown to callers up to 1.6 s after the store was
+/// back. Sequence: the store falls silent with a write under way, and is back;
+/// the write is never answered. Cause: it was waited for until its timeout, and
+/// the next one behind it.
+#[tokio::test]
+async fn a_write_to_a_silent_store_is_given_up_when_the_store_is_back() {
+    let (_config, config) = watch::channel(None);
+    let (view, seat) = watch::channel(SeatView::default());
+    let (_stop, stop) = watch::channel(false);
+    let context = Context::new(settings(), config, seat, stop);
+    let write = tokio::spawn(async move {
+        let never = pending::<Result<(), StoreError>>();
+        context.until_regained(never).await
+    });
+    tokio::task::yield_now().await;
+    view.send_replace(silent());
+    tokio::task::yield_now().await;
+    view.send_replace(SeatView::default());
+
+    let result = write.await.expect("write");
+
+    assert!(matches!(result, Err(StoreError::Abandoned)), "{result:?}");
+}
+
+#[tokio::test]
+async fn a_write_goes_on_while_the_store_answers() {
+    let (_config, config) = watch::channel(None);
+    let (_view, seat) = watch::channel(SeatView::default());
+    let (_stop, stop) = watch::channel(false);
+    let context = Context::new(settings(), config, seat, stop);
+
+    let result = context.until_regained(async { Ok(7) }).await;
+
+    assert!(matches!(result, Ok(7)), "{result:?}");
+}
--- a/crates/cell/tests/failures.rs
+++ b/crates/cell/tests/failures.rs
@@ -277,3 +277,32 @@
     assert_eq!(status, 200);
     cell.close().await;
 }
+
+/// Symptom: callers were refused for 0.3 s though the store took every job.
+/// Sequence: the store drops its history; feeds hear nothing for a second and
+/// are cut; calls are answered all the while. Cause: a process whose feed
+/// failed counted the store as silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hung_feed_refuses_no_job() {
+    let cell = SiteCell::open(1, 1).await;
+    let caller = Caller::new();
+    submit_some(&cell, &caller, 1, "20").await;
+    let hung = StoreFaults {
+        hung_feed: true,
+        ..StoreFaults::default()
+    };
+    cell.store.set_faults(hung);
+    let mut statuses = Vec::new();
+
+    // Longer than the feed's own timeout of 1 s.
+    for nth in 0..30 {
+        let path = format!("/plain/{:016x}", 0xe000 + nth);
+        let small = job(1, "20");
+        let send = caller.send(Method::POST, cell.server(0), &path, &small);
+        statuses.push(send.await.0);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+
+    assert_eq!(statuses, vec![200; 30]);
+    cell.close().await;
+}
--- a/crates/site/src/store.rs
+++ b/crates/site/src/store.rs
@@ -33,6 +33,8 @@
     pub lose: usize,
     /// Each transaction takes this long.
     pub delay: Duration,
+    /// The feed does not answer; other calls are served.
+    pub hung_feed: bool,
 }
 
 #[derive(Default)]
@@ -246,7 +248,13 @@
             }
             "/-/rows-get" => self.read(&asked),
             "/-/rows-parts" => self.parts(&asked),
-            "/-/rows-feed" => self.feed(&asked).await,
+            "/-/rows-feed" => {
+                let whole = self.feed(&asked).await;
+                if self.lock().faults.hung_feed {
+                    std::future::pending::<()>().await;
+                }
+                whole
+            }
             _ => web::error(StatusCode::NOT_FOUND, "no such call"),
         }
     }
