Advice: ask about others at once when the good workers are full

The call named 34 workers at most, so a wide lookup got room for a third of its tasks. Gangs, too, waited for their tickets to end before they asked about more workers.

--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -17,6 +17,7 @@
 mod impossible;
 mod job_state;
 mod keep;
+mod naming;
 mod place;
 mod policy;
 mod preempt;
--- /dev/null
+++ b/crates/job/src/planner/naming.rs
@@ -0,0 +1,209 @@
+//! Which workers a call for advice names.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use super::Planner;
+use super::WorkerKey;
+use super::advice::DEFAULT_SHARE;
+use super::job_state::JobState;
+use super::job_state::StepState;
+use super::place::may_run;
+use super::rank::Rank;
+use super::roster::WorkerState;
+use crate::Advice;
+use crate::StepKey;
+use crate::StepSpec;
+use crate::WorkerId;
+
+/// Most workers that the service takes in one call.
+const MOST_NAMED: usize = 100;
+
+/// Fewest workers named in a first call.
+const FEWEST_NAMED: usize = 8;
+
+/// Workers that may be named for single tasks cost at most this multiple of
+/// the fixed time of a call.
+const NAMED_COST: f64 = 1.0;
+
+/// Seats that count for one worker: its room may be gone by the answer.
+const MOST_SEATS: u64 = 4;
+
+/// Seats that are asked for, as a multiple of those needed: some are taken by
+/// others before the answer is there.
+const SEAT_MARGIN: f64 = 2.5;
+
+/// A worker, and how often a task of the step fits on it now.
+#[derive(Clone, Copy)]
+struct Named<'a> {
+    key: WorkerKey,
+    worker: &'a WorkerState,
+    seats: u64,
+}
+
+/// Workers that could run a step, by what is known of them.
+#[derive(Default)]
+struct Known<'a> {
+    /// They may run it.
+    good: Vec<Named<'a>>,
+    /// They were not asked about.
+    rest: Vec<Named<'a>>,
+}
+
+fn seats(workers: &[Named]) -> u64 {
+    let each = workers.iter().map(|named| named.seats);
+    each.fold(0, u64::saturating_add)
+}
+
+impl Planner {
+    /// Workers to ask about: those known to be good, if they have room, or
+    /// else those not asked about yet.
+    pub(super) fn named(
+        &self,
+        rank: Rank,
+        key: StepKey,
+        job: &JobState,
+        spec: &StepSpec,
+        step: &StepState,
+    ) -> Vec<WorkerId> {
+        let Some(advice) = &job.spec.queue.advice else {
+            return Vec::new();
+        };
+        let known = self.known(rank, key, job, spec, step);
+        let soon = self.now + advice.fixed + self.policy.ticket_margin;
+        let fresh = step.advised.good.values().any(|(_, until)| *until > soon);
+        let needed = if spec.gang { step.waiting() as u64 } else { 1 };
+        let enough = seats(&known.good) >= needed;
+        let share = self.shares.get(&job.spec.queue.name);
+        let share = share.copied().unwrap_or(DEFAULT_SHARE);
+        #[allow(clippy::cast_precision_loss)]
+        let expected = seats(&known.good) as f64 + seats(&known.rest) as f64 * share;
+        #[allow(clippy::cast_precision_loss)]
+        let hopeless = !step.advised.asked.is_empty() && expected < needed as f64;
+        if enough && fresh || hopeless {
+            // Asking again would bring nothing new, or not enough: calls are
+            // scarce, and each gang that waits would make one every 2 s.
+            return Vec::new();
+        }
+        let again = match (spec.gang, fresh) {
+            // Tickets of single tasks need not be fresh at the same time.
+            (false, true) => Vec::new(),
+            _ => known.good,
+        };
+        if enough {
+            return ids(again);
+        }
+        let chosen = if spec.gang {
+            emptiest(known.rest)
+        } else {
+            self.fullest(known.rest, step.waiting(), share, advice)
+        };
+        ids(again.into_iter().chain(chosen))
+    }
+
+    fn known(
+        &self,
+        rank: Rank,
+        key: StepKey,
+        job: &JobState,
+        spec: &StepSpec,
+        step: &StepState,
+    ) -> Known<'_> {
+        let booked = spec.booked();
+        let queue = &job.spec.queue;
+        let mut known = Known::default();
+        for (worker_key, worker) in &self.workers {
+            let able = self.usable(worker)
+                && may_run(worker, &queue.service, spec)
+                && !self.kept_from(worker_key, rank, key)
+                && worker.info.capacity.holds(&booked);
+            let good = step.advised.good.contains_key(&worker_key);
+            if !able || !good && step.advised.asked.contains(&worker_key) {
+                continue;
+            }
+            // A gang may preempt less urgent tasks, single tasks may not.
+            let reach = self.reaches.get(worker_key).filter(|_| spec.gang);
+            let room = reach.map_or_else(|| worker.free(), |reach| reach.most(queue.priority));
+            let named = Named {
+                key: worker_key,
+                worker,
+                seats: room.fits(&booked),
+            };
+            if good {
+                known.good.push(named);
+            } else {
+                known.rest.push(named);
+            }
+        }
+        known
+    }
+
+    /// Whether a worker is kept free for a gang that goes before this step: its
+    /// room would not be given to the step, so asking about it is in vain.
+    fn kept_from(&self, worker: WorkerKey, rank: Rank, key: StepKey) -> bool {
+        let keeper = self.kept.get(&worker);
+        keeper.is_some_and(|(first, gang)| *gang != key && *first < rank)
+    }
+
+    /// The fullest workers that still have room, enough of them for `needed`
+    /// tasks if `share` of them are good; those kept for a gang only if there
+    /// are few others. Naming the emptiest instead spreads small tasks over all
+    /// workers, and gangs find none empty.
+    fn fullest<'a>(
+        &self,
+        workers: Vec<Named<'a>>,
+        needed: usize,
+        share: f64,
+        advice: &Advice,
+    ) -> Vec<Named<'a>> {
+        let most = most_named(advice.fixed, advice.each);
+        let kept = |named: &Named| self.kept.contains_key(&named.key);
+        let (kept, open): (Vec<_>, Vec<_>) = workers.into_iter().partition(kept);
+        let mut chosen = tightest(open, needed, share, most);
+        if chosen.len() < FEWEST_NAMED {
+            chosen.extend(tightest(kept, needed, share, most));
+        }
+        chosen
+    }
+}
+
+fn ids<'a>(workers: impl IntoIterator<Item = Named<'a>>) -> Vec<WorkerId> {
+    let workers = workers.into_iter().take(MOST_NAMED);
+    workers.map(|named| named.worker.info.id.clone()).collect()
+}
+
+/// Most workers to name for single tasks, by what the service takes for a call
+/// and for each worker.
+fn most_named(fixed: Duration, each: Duration) -> usize {
+    let even = fixed.as_secs_f64() / each.as_secs_f64().max(1e-6);
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let most = (even * NAMED_COST) as usize;
+    most.clamp(FEWEST_NAMED, MOST_NAMED)
+}
+
+/// All workers, the emptiest first: a gang needs them whole.
+fn emptiest(mut workers: Vec<Named>) -> Vec<Named> {
+    workers.sort_by_key(|named| Reverse(named.worker.free().cpu));
+    workers
+}
+
+/// The fullest that have room, until there are seats enough.
+fn tightest(mut workers: Vec<Named>, needed: usize, share: f64, most: usize) -> Vec<Named> {
+    workers.retain(|named| named.seats > 0);
+    workers.sort_by_key(|named| named.worker.free().cpu);
+    #[allow(clippy::cast_precision_loss)]
+    let wanted = needed as f64 * SEAT_MARGIN / share.max(0.05);
+    let mut seats: f64 = 0.0;
+    let mut chosen = Vec::new();
+    for named in workers {
+        let enough = seats >= wanted && chosen.len() >= FEWEST_NAMED;
+        if enough || chosen.len() >= most {
+            break;
+        }
+        #[allow(clippy::cast_precision_loss)]
+        let fits = named.seats.min(MOST_SEATS) as f64;
+        seats += fits;
+        chosen.push(named);
+    }
+    chosen
+}
--- a/crates/job/src/planner/rank.rs
+++ b/crates/job/src/planner/rank.rs
@@ -11,7 +11,7 @@
     /// 0 while the objective can be met, 1 while late is still worth
     /// something, 2 after that.
     pub(super) stage: u8,
-    priority: u32,
+    pub(super) priority: u32,
     due: Duration,
 }
 
