Fault soak of separate programs; heed signals from the start

Soak: four real processes, four workers, a store, a relay on each way; 5 to 9 faults of a seed in 12 s; judged by what callers and workers see.

Found: seed 5, a process ended by itself. It got SIGHUP 1 ms after its start; wait status 1; the handler was installed after the process had opened, and the signal's default ends a process. Change: handlers go first, before the settings are read; line 105 says so. The soak waits for it too, as no program can heed a signal before its own first instruction.

Found: seeds 12, 48, 57, "began, was done". Ruled out: a fault of the owner; in all, the worker was cut off, its lease ran out and the end had not been taken note of. Such an end does not stand on the platform. The judge was wrong; the stand-in marks such ends now, and only these.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,9 +3,11 @@
 mod error;
 mod process;
 mod settings;
+mod signals;
 mod uploader;
 
 pub use error::*;
 pub use process::*;
 pub use settings::*;
+pub use signals::*;
 pub use uploader::*;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,12 +6,10 @@
 use argh::FromArgs;
 use cell::CellProcess;
 use cell::CellSettings;
-use daemon::DaemonError;
+use daemon::Notice;
 use daemon::Process;
 use daemon::Settings;
-use tokio::signal::unix::Signal;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
+use daemon::Signals;
 
 /// Entry process of a clovermount cell. It runs until SIGTERM or SIGINT, then
 /// hands its work over and stops. Log level: `RUST_LOG` (default `info`).
@@ -53,16 +51,17 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let settings = Settings::load(path).map_err(|error| failure(2, error))?;
     let runtime = daemon::make_runtime().map_err(|error| failure(1, error))?;
-    runtime
-        .block_on(serve_process(&settings))
-        .map_err(|error| failure(1, error))
+    runtime.block_on(serve_process(&settings))
 }
 
-async fn serve_process(settings: &Settings) -> Result<(), DaemonError> {
-    let mut process = Process::open(settings).await?;
+async fn serve_process(settings: &Settings) -> Result<(), Failure> {
+    let mut signals = Signals::install().map_err(|error| failure(1, error))?;
+    let mut process = Process::open(settings)
+        .await
+        .map_err(|error| failure(1, error))?;
     tokio::select! {
-        error = process.crashed() => return Err(error),
-        () = stop_signal() => {}
+        error = process.crashed() => return Err(failure(1, error)),
+        () = signals.stop() => {}
     }
     process.close().await;
     Ok(())
@@ -71,53 +70,33 @@
 /// Runs a process on the platform: one thread, since an entry host has a part
 /// of a core.
 fn run_cell() -> Result<(), Failure> {
-    let level = std::env::var("RUST_LOG").unwrap_or_else(|_| "info".to_owned());
-    let logs = cell::start_logging(&level);
-    let path = CellSettings::path().map_err(|error| failure(2, error))?;
-    let settings = CellSettings::load(&path).map_err(|error| failure(2, error))?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|error| failure(1, error))?;
-    runtime.block_on(async {
-        let mut known = settings.clone();
-        let process = CellProcess::open(settings)
-            .await
-            .map_err(|error| failure(2, error))?;
-        let mut reload = signal(SignalKind::hangup()).ok();
-        let stop = stop_signal();
-        tokio::pin!(stop);
-        loop {
-            tokio::select! {
-                () = &mut stop => break,
-                () = logs.report_dropped() => {}
-                () = received(&mut reload) => cell::reload_settings(&path, &mut known),
-            }
-        }
-        process.close().await;
-        Ok(())
-    })
+    runtime.block_on(serve_cell())
 }
 
-async fn received(signal: &mut Option<Signal>) {
-    match signal {
-        Some(signal) => {
-            signal.recv().await;
+async fn serve_cell() -> Result<(), Failure> {
+    let mut signals = Signals::install().map_err(|error| failure(1, error))?;
+    let level = std::env::var("RUST_LOG").unwrap_or_else(|_| "info".to_owned());
+    let logs = cell::start_logging(&level);
+    let path = CellSettings::path().map_err(|error| failure(2, error))?;
+    log::info!(code = 105, settings:% = path.display(); "starting");
+    let settings = CellSettings::load(&path).map_err(|error| failure(2, error))?;
+    let mut known = settings.clone();
+    let process = CellProcess::open(settings)
+        .await
+        .map_err(|error| failure(2, error))?;
+    loop {
+        tokio::select! {
+            notice = signals.next() => match notice {
+                Notice::Stop => break,
+                Notice::Reload => cell::reload_settings(&path, &mut known),
+            },
+            () = logs.report_dropped() => {}
         }
-        None => std::future::pending().await,
-    }
-}
-
-/// Waits for SIGTERM or SIGINT. Without handlers the defaults end the process.
-async fn stop_signal() {
-    let (Ok(mut term), Ok(mut int)) = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    ) else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
     }
+    process.close().await;
+    Ok(())
 }
--- /dev/null
+++ b/crates/daemon/tests/soak/field.rs
@@ -0,0 +1,323 @@
+//! A cell of real processes, with a relay on each of their ways.
+
+use std::fs::File;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fake::Relay;
+use fake::RelayPlan;
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+use serde_json::json;
+use site::AdviceStand;
+use site::Caller;
+use site::RunLog;
+use site::StoreFaults;
+use site::StoreStand;
+use site::WorkerStand;
+use site::config;
+use site::registration;
+use site::serve;
+use tempfile::TempDir;
+use tokio::sync::watch;
+
+use crate::plan::Event;
+use crate::plan::HOSTS;
+use crate::plan::WORKERS;
+
+/// The program under test.
+const DAEMON: &str = env!("CARGO_BIN_EXE_clovermountd");
+
+/// Ports on the loopback address of a process.
+const CALLER_PORT: u16 = 7001;
+const READY_PORT: u16 = 7002;
+const PEER_PORT: u16 = 7003;
+const METRICS_PORT: u16 = 7004;
+
+/// Time that a process has to end after it was asked to: its settings say 6 s.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// Time between two looks.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
+struct Host {
+    ip: IpAddr,
+    store_way: Relay,
+    settings: PathBuf,
+    child: Option<Child>,
+    /// It was asked to stop.
+    stopping: bool,
+    /// How often it was started.
+    begins: usize,
+}
+
+impl Host {
+    fn signal(&self, signal: Signal) {
+        let id = self.child.as_ref().map(Child::id);
+        if let Some(id) = id.and_then(|id| i32::try_from(id).ok()) {
+            // It may have ended by itself; that is noticed elsewhere.
+            let _ = kill(Pid::from_raw(id), signal);
+        }
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().expect("kill");
+            child.wait().expect("wait");
+        }
+        self.stopping = false;
+    }
+
+    /// Whether it runs and has written its first line, or does not run.
+    fn begun(&mut self, log: &Path) -> bool {
+        let text = std::fs::read_to_string(log).unwrap_or_default();
+        let begins = text.matches("\"code\":105").count();
+        begins >= self.begins || self.ended()
+    }
+
+    fn ended(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_none_or(|child| child.try_wait().expect("wait").is_some())
+    }
+}
+
+/// The cell and everything around it.
+pub struct Field {
+    pub log: RunLog,
+    /// What processes did that they must not.
+    pub faults: Vec<String>,
+    store: Arc<StoreStand>,
+    workers: Vec<Arc<WorkerStand>>,
+    worker_ways: Vec<Relay>,
+    hosts: Vec<Host>,
+    folder: TempDir,
+    /// Ends the stand-ins when it is dropped.
+    _serving: watch::Sender<bool>,
+}
+
+impl Field {
+    /// Opens the stand-ins and starts the processes.
+    pub async fn open(seed: u64) -> Field {
+        let (serving, stop) = watch::channel(false);
+        let log = RunLog::default();
+        let store = StoreStand::new();
+        let store_address = serve(store.clone(), &stop).await;
+        let mut workers = Vec::new();
+        let mut worker_ways = Vec::new();
+        for at in 0..WORKERS {
+            let worker = WorkerStand::new(&format!("w{at}"), log.clone());
+            let way = Relay::open(serve(worker.clone(), &stop).await)
+                .await
+                .expect("relay");
+            store.write("servers", &worker.id, &registration(way.address()));
+            tokio::spawn(keep_ticking(worker.clone(), stop.clone()));
+            workers.push(worker);
+            worker_ways.push(way);
+        }
+        let services = serve(AdviceStand::new(workers.clone()), &stop).await;
+        store.write("op", "config", &config(1));
+        let folder = TempDir::new().expect("folder");
+        let net = u8::try_from(seed % 100).expect("below 100") + 100;
+        let cell = u8::try_from(std::process::id() % 200).expect("below 200") + 20;
+        let mut hosts = Vec::new();
+        for at in 0..HOSTS {
+            let last = u8::try_from(at).expect("few hosts") + 1;
+            let ip = Ipv4Addr::new(127, cell, net, last).into();
+            let store_way = Relay::open(store_address).await.expect("relay");
+            let settings = folder.path().join(format!("entry-{at}.json"));
+            let text = settings_of(at, ip, store_way.address(), services);
+            std::fs::write(&settings, text).expect("settings");
+            hosts.push(Host {
+                ip,
+                store_way,
+                settings,
+                child: None,
+                stopping: false,
+                begins: 0,
+            });
+        }
+        let mut field = Field {
+            log,
+            faults: Vec::new(),
+            store,
+            workers,
+            worker_ways,
+            hosts,
+            folder,
+            _serving: serving,
+        };
+        for at in 0..HOSTS {
+            field.start(at).await;
+        }
+        field
+    }
+
+    /// Where callers reach the processes.
+    pub fn servers(&self) -> Vec<SocketAddr> {
+        let ips = self.hosts.iter().map(|host| host.ip);
+        ips.map(|ip| SocketAddr::new(ip, CALLER_PORT)).collect()
+    }
+
+    /// Waits until each process says that it is ready.
+    pub async fn wait_serving(&self, most: Duration) {
+        let caller = Caller::new();
+        let ready = async {
+            for host in &self.hosts {
+                let server = SocketAddr::new(host.ip, READY_PORT);
+                caller.wait_status(server, "/-/readyz", 200).await;
+            }
+        };
+        let ready = tokio::time::timeout(most, ready).await;
+        assert!(ready.is_ok(), "the cell does not get ready");
+    }
+
+    async fn start(&mut self, at: usize) {
+        self.check_ended(at);
+        if self.hosts[at].stopping {
+            self.wait_stopped(at).await;
+        }
+        let host = &mut self.hosts[at];
+        if host.child.is_some() {
+            return;
+        }
+        let path = self.folder.path().join(format!("entry-{at}.log"));
+        let log = File::options().create(true).append(true).open(path);
+        let log = log.expect("log file");
+        let child = Command::new(DAEMON)
+            .arg("--cell")
+            .env("CLOVERMOUNT_BOOT", &host.settings)
+            .stdin(Stdio::null())
+            .stderr(log.try_clone().expect("log file"))
+            .stdout(log)
+            .spawn();
+        host.child = Some(child.expect("the process starts"));
+        host.begins += 1;
+    }
+
+    /// Waits until a process heeds signals, as its first line says: no program
+    /// can before its handlers are installed.
+    async fn wait_begun(&mut self, at: usize) {
+        let path = self.folder.path().join(format!("entry-{at}.log"));
+        let begun = async {
+            while !self.hosts[at].begun(&path) {
+                tokio::time::sleep(LOOK_EVERY).await;
+            }
+        };
+        let begun = tokio::time::timeout(GRACE, begun).await;
+        assert!(begun.is_ok(), "entry-{at} says nothing");
+    }
+
+    /// A process that was asked to stop must have ended within its grace.
+    async fn wait_stopped(&mut self, at: usize) {
+        let host = &mut self.hosts[at];
+        host.signal(Signal::SIGCONT);
+        let ended = async {
+            while !host.ended() {
+                tokio::time::sleep(LOOK_EVERY).await;
+            }
+        };
+        if tokio::time::timeout(GRACE, ended).await.is_err() {
+            self.faults.push(format!("entry-{at} does not stop"));
+        }
+        self.hosts[at].kill();
+    }
+
+    /// A process must not end unless it was asked to.
+    fn check_ended(&mut self, at: usize) {
+        let host = &mut self.hosts[at];
+        if host.child.is_some() && !host.stopping && host.ended() {
+            self.faults.push(format!("entry-{at} ended by itself"));
+            self.hosts[at].kill();
+        }
+    }
+
+    /// Does one thing to the cell.
+    pub async fn apply(&mut self, event: &Event) {
+        match *event {
+            Event::Kill(at) => {
+                self.check_ended(at);
+                self.hosts[at].kill();
+            }
+            Event::Stop(at) => {
+                self.check_ended(at);
+                self.hosts[at].signal(Signal::SIGTERM);
+                self.hosts[at].stopping = self.hosts[at].child.is_some();
+            }
+            Event::Start(at) => self.start(at).await,
+            Event::Pause(at) => self.hosts[at].signal(Signal::SIGSTOP),
+            Event::Resume(at) => self.hosts[at].signal(Signal::SIGCONT),
+            Event::Reload(at) => {
+                self.wait_begun(at).await;
+                self.hosts[at].signal(Signal::SIGHUP);
+            }
+            Event::StoreWay(at, plan) => self.hosts[at].store_way.set(plan),
+            Event::WorkerWay(at, plan) => self.worker_ways[at].set(plan),
+            Event::Store(faults) => self.store.set_faults(faults),
+            Event::Forget => self.store.forget(),
+            Event::LoseStarts(at, count) => self.workers[at].lose_starts(count),
+            Event::Configure(version) => self.store.write("op", "config", &config(version)),
+        }
+    }
+
+    /// Ends all faults.
+    pub async fn heal(&mut self) {
+        self.store.set_faults(StoreFaults::default());
+        for way in &self.worker_ways {
+            way.set(RelayPlan::default());
+        }
+        for at in 0..HOSTS {
+            self.hosts[at].store_way.set(RelayPlan::default());
+            self.hosts[at].signal(Signal::SIGCONT);
+            self.start(at).await;
+        }
+    }
+
+    /// Ends the processes and removes their logs.
+    pub fn close(mut self) {
+        for host in &mut self.hosts {
+            host.kill();
+        }
+    }
+
+    /// Ends the processes and keeps their logs; gives the folder.
+    pub fn keep(mut self) -> PathBuf {
+        for host in &mut self.hosts {
+            host.kill();
+        }
+        self.folder.keep()
+    }
+}
+
+/// Workers end runs by their own clock, whether anyone reaches them or not.
+async fn keep_ticking(worker: Arc<WorkerStand>, stop: watch::Receiver<bool>) {
+    // The channel closes with the field.
+    while stop.has_changed().is_ok() {
+        worker.tick();
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+fn settings_of(at: usize, ip: IpAddr, store: SocketAddr, services: SocketAddr) -> String {
+    // JSON is YAML.
+    let listen = |port| SocketAddr::new(ip, port);
+    let settings = json!({
+        "node": format!("entry-{at}"), "zone": "z1", "ip": ip,
+        "listen": {
+            "callers": listen(CALLER_PORT), "ready": listen(READY_PORT),
+            "metrics": listen(METRICS_PORT),
+        },
+        "peers": {"first_port": PEER_PORT}, "cores": 1.0, "store": store,
+        "advice": services, "machines": services,
+        "bounds": {"lease_ms": 6000, "keep_s": 120.0, "grace_s": 6.0},
+    });
+    settings.to_string()
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/plan.rs
@@ -0,0 +1,170 @@
+//! What happens when, drawn from a seed.
+
+use std::time::Duration;
+
+use fake::Mute;
+use fake::RelayPlan;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use site::StoreFaults;
+
+/// Processes of a cell.
+pub const HOSTS: usize = 4;
+
+/// Workers of four cores each.
+pub const WORKERS: usize = 4;
+
+/// Time in which faults happen; all are over at its end.
+pub const FAULT_TIME: Duration = Duration::from_secs(12);
+
+/// Faults of a seed.
+const FAULTS: std::ops::Range<usize> = 5..10;
+
+/// One thing that is done to the cell.
+#[derive(Clone, Copy, Debug)]
+pub enum Event {
+    /// A process is killed.
+    Kill(usize),
+    /// It is asked to stop.
+    Stop(usize),
+    /// It starts, if it does not run.
+    Start(usize),
+    /// It stands still.
+    Pause(usize),
+    /// It goes on.
+    Resume(usize),
+    /// It is told that its settings have changed.
+    Reload(usize),
+    /// The way of a process to the store.
+    StoreWay(usize, RelayPlan),
+    /// The way of all processes to a worker.
+    WorkerWay(usize, RelayPlan),
+    /// The store itself.
+    Store(StoreFaults),
+    /// The store drops its history.
+    Forget,
+    /// So many starts at a worker are carried out and not answered.
+    LoseStarts(usize, usize),
+    /// A newer configuration.
+    Configure(u64),
+}
+
+/// Events in the order of their times.
+pub struct Plan {
+    /// Time from the begin, and what happens.
+    pub events: Vec<(Duration, Event)>,
+}
+
+impl Plan {
+    /// The plan of a seed.
+    pub fn new(seed: u64) -> Plan {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut events = Vec::new();
+        for _ in 0..random.random_range(FAULTS) {
+            add_fault(&mut random, &mut events);
+        }
+        events.sort_by_key(|(at, _)| *at);
+        let mut version = 1;
+        for (_, event) in &mut events {
+            if let Event::Configure(number) = event {
+                version += 1;
+                *number = version;
+            }
+        }
+        Plan { events }
+    }
+}
+
+fn add_fault(random: &mut StdRng, events: &mut Vec<(Duration, Event)>) {
+    let begin = Duration::from_millis(random.random_range(0..8_000));
+    let end = begin + Duration::from_millis(random.random_range(300..4_000));
+    let host = random.random_range(0..HOSTS);
+    let worker = random.random_range(0..WORKERS);
+    let way = broken_way(random);
+    let well = RelayPlan::default();
+    let mut add = |at: Duration, event: Event| events.push((at, event));
+    match random.random_range(0..14) {
+        0 | 1 => {
+            add(begin, Event::Kill(host));
+            add(end, Event::Start(host));
+        }
+        2 => {
+            add(begin, Event::Stop(host));
+            add(end, Event::Start(host));
+        }
+        3 | 4 => {
+            add(begin, Event::Pause(host));
+            add(end, Event::Resume(host));
+        }
+        5 => {
+            for host in 0..HOSTS {
+                add(begin, Event::Kill(host));
+                add(end, Event::Start(host));
+            }
+        }
+        6 => {
+            // Replaced one after the other.
+            for host in 0..HOSTS {
+                let at = begin + Duration::from_millis(800) * u32::try_from(host).unwrap_or(0);
+                add(at, Event::Stop(host));
+                add(at + Duration::from_millis(400), Event::Start(host));
+            }
+        }
+        7 | 8 => {
+            add(begin, Event::StoreWay(host, way));
+            add(end, Event::StoreWay(host, well));
+        }
+        9 => {
+            for host in 0..HOSTS {
+                add(begin, Event::StoreWay(host, way));
+                add(end, Event::StoreWay(host, well));
+            }
+        }
+        10 => {
+            add(begin, Event::WorkerWay(worker, way));
+            add(end, Event::WorkerWay(worker, well));
+        }
+        11 => {
+            add(begin, Event::Store(store_faults(random)));
+            add(end, Event::Store(StoreFaults::default()));
+        }
+        12 => {
+            add(begin, Event::Forget);
+            add(begin, Event::Configure(0));
+            add(end, Event::Reload(host));
+        }
+        _ => add(begin, Event::LoseStarts(worker, 2)),
+    }
+}
+
+fn broken_way(random: &mut StdRng) -> RelayPlan {
+    let mute = |mute: Mute| RelayPlan {
+        mute,
+        ..RelayPlan::default()
+    };
+    match random.random_range(0..5) {
+        0 => RelayPlan {
+            cut: true,
+            ..RelayPlan::default()
+        },
+        1 => RelayPlan {
+            delay: Duration::from_millis(300),
+            ..RelayPlan::default()
+        },
+        2 => mute(Mute::Requests),
+        3 => mute(Mute::Answers),
+        _ => mute(Mute::Both),
+    }
+}
+
+fn store_faults(random: &mut StdRng) -> StoreFaults {
+    let mut faults = StoreFaults::default();
+    match random.random_range(0..4) {
+        0 => faults.down = true,
+        1 => faults.delay = Duration::from_millis(700),
+        2 => faults.lose = 5,
+        _ => faults.hung_feed = true,
+    }
+    faults
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/verdict.rs
@@ -0,0 +1,103 @@
+//! What callers and workers have seen, held against what is promised.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::Method;
+use serde_json::Value;
+use site::Caller;
+use site::Deed;
+
+use crate::field::Field;
+use crate::traffic::Fate;
+use crate::traffic::Job;
+
+/// Longest time from the end of all faults until each job has ended.
+const PATIENCE: Duration = Duration::from_mins(1);
+
+/// Time between two looks at a job.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// Tasks of one core that a worker of four has room for.
+const ROOM: usize = 4;
+
+/// Everything that is wrong, in words.
+pub async fn judge(field: &Field, jobs: &[Job]) -> Vec<String> {
+    let caller = Caller::new();
+    let servers = field.servers();
+    let mut wrong = Vec::new();
+    let until = tokio::time::Instant::now() + PATIENCE;
+    for job in jobs {
+        let expected: &[&str] = match (job.fate, job.fails) {
+            (Fate::Accepted, false) => &["completed"],
+            (Fate::Accepted, true) => &["failed"],
+            (Fate::Canceled, _) => &["canceled", "completed", "failed"],
+            (Fate::Refused | Fate::Unknown, _) => continue,
+        };
+        let looks = wait_state(&caller, &servers, &job.path, expected);
+        if tokio::time::timeout_at(until, looks).await.is_err() {
+            let last = state(&caller, servers[0], &job.path).await;
+            wrong.push(format!("{}: {:?}, shown as {last}", job.id, job.fate));
+        }
+    }
+    for job in jobs.iter().filter(|job| job.fate == Fate::Refused) {
+        if field.log.starts(&job.id) > 0 {
+            wrong.push(format!("{}: was refused, and has run", job.id));
+        }
+    }
+    wrong.extend(field.log.faults());
+    wrong.extend(over_capacity(&field.log.deeds()));
+    wrong
+}
+
+async fn wait_state(caller: &Caller, servers: &[SocketAddr], path: &str, expected: &[&str]) {
+    for server in servers.iter().cycle() {
+        let shown = state(caller, *server, path).await;
+        if expected.iter().any(|state| shown == *state) {
+            return;
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+async fn state(caller: &Caller, server: SocketAddr, path: &str) -> Value {
+    let (_, body) = caller.send(Method::GET, server, path, &Value::Null).await;
+    body["state"].clone()
+}
+
+/// Workers that ever ran more tasks than they have cores.
+fn over_capacity(deeds: &[Deed]) -> Vec<String> {
+    let mut running: HashMap<&str, usize> = HashMap::new();
+    let mut wrong = Vec::new();
+    for deed in deeds {
+        match deed {
+            Deed::Began(worker, task, _) => {
+                let count = running.entry(worker).or_default();
+                *count += 1;
+                if *count > ROOM {
+                    wrong.push(format!("{worker}: {task} is one too many"));
+                }
+            }
+            Deed::Ended(worker, ..) => {
+                let count = running.entry(worker).or_default();
+                *count = count.saturating_sub(1);
+            }
+            Deed::Void(..) => {}
+        }
+    }
+    wrong
+}
+
+/// Jobs by what became of them.
+pub fn summary(jobs: &[Job]) -> String {
+    let count = |fate: Fate| jobs.iter().filter(|job| job.fate == fate).count();
+    format!(
+        "{} jobs: {} accepted, {} cancelled, {} refused, {} unknown",
+        jobs.len(),
+        count(Fate::Accepted),
+        count(Fate::Canceled),
+        count(Fate::Refused),
+        count(Fate::Unknown)
+    )
+}
--- a/crates/fake/src/relay.rs
+++ b/crates/fake/src/relay.rs
@@ -1,4 +1,4 @@
-//! Relay for TCP that delays or cuts what passes through it.
+//! Relay for TCP that delays, swallows or cuts what passes through it.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,11 +14,37 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
 
+/// Which bytes a relay swallows; connections stay open.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mute {
+    /// None.
+    #[default]
+    Nothing,
+    /// Those towards the server: it hears nothing.
+    Requests,
+    /// Those towards the client: what was asked for is done and not answered.
+    Answers,
+    /// All: a connection gone silent.
+    Both,
+}
+
+impl Mute {
+    fn requests(self) -> bool {
+        matches!(self, Mute::Requests | Mute::Both)
+    }
+
+    fn answers(self) -> bool {
+        matches!(self, Mute::Answers | Mute::Both)
+    }
+}
+
 /// What a relay does to what passes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RelayPlan {
-    /// Nothing passes; what is sent meanwhile is lost.
+    /// Nothing passes; what is sent meanwhile is lost, connections break.
     pub cut: bool,
+    /// What is swallowed.
+    pub mute: Mute,
     /// Delay in each direction.
     pub delay: Duration,
 }
@@ -88,8 +114,8 @@
             let (client_in, client_out) = client.into_split();
             let (server_in, server_out) = upstream.into_split();
             tokio::select! {
-                () = copy(client_in, server_out, plan.clone(), &bytes) => {}
-                () = copy(server_in, client_out, plan, &bytes) => {}
+                () = copy(client_in, server_out, plan.clone(), Mute::requests, &bytes) => {}
+                () = copy(server_in, client_out, plan, Mute::answers, &bytes) => {}
             }
         });
     }
@@ -99,6 +125,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut plan: watch::Receiver<RelayPlan>,
+    muted: fn(Mute) -> bool,
     bytes: &AtomicU64,
 ) {
     let mut buffer = vec![0; 64 * 1024];
@@ -115,6 +142,9 @@
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
         }
+        if muted(plan.borrow().mute) {
+            continue;
+        }
         if plan.borrow().cut || to.write_all(&buffer[..count]).await.is_err() {
             return;
         }
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -249,7 +249,10 @@
 }
 
 /// Serves a stand-in on a free loopback port.
-async fn serve<H: Handler>(handler: Arc<H>, stop: &watch::Receiver<bool>) -> SocketAddr {
+///
+/// # Panics
+/// None can be bound.
+pub async fn serve<H: Handler>(handler: Arc<H>, stop: &watch::Receiver<bool>) -> SocketAddr {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("bind");
     let address = listener.local_addr().expect("address");
     let serving = web::serve(listener, handler, Limits::default(), stop.clone());
@@ -257,7 +260,9 @@
     address
 }
 
-fn registration(address: SocketAddr) -> Value {
+/// How a worker of four cores at `address` registers.
+#[must_use]
+pub fn registration(address: SocketAddr) -> Value {
     json!({
         "service": "desk", "address": address.to_string(), "zone": "z1", "version": "v1",
         "slots": 8, "state": "ready", "cold_left_ms": 0,
--- a/crates/site/src/runs.rs
+++ b/crates/site/src/runs.rs
@@ -13,6 +13,9 @@
     Began(String, String, u64),
     /// It ended: worker, task, run, how.
     Ended(String, String, u64, String),
+    /// The worker's lease ran out before this end was taken note of: the end
+    /// does not stand, the task may run again.
+    Void(String, u64),
 }
 
 /// The deeds of all workers, in order.
@@ -30,6 +33,12 @@
         self.lock().push(deed);
     }
 
+    /// All deeds so far.
+    #[must_use]
+    pub fn deeds(&self) -> Vec<Deed> {
+        self.lock().clone()
+    }
+
     /// Number of starts of the tasks of a job.
     #[must_use]
     pub fn starts(&self, job: &str) -> usize {
@@ -65,6 +74,11 @@
                         done.insert(task.clone(), *run);
                     }
                 }
+                Deed::Void(task, run) => {
+                    if done.get(task) == Some(run) {
+                        done.remove(task);
+                    }
+                }
             }
         }
         faults
--- a/crates/site/src/worker.rs
+++ b/crates/site/src/worker.rs
@@ -48,6 +48,8 @@
     /// Number, task, run, how.
     ended: Vec<(u64, String, u64, String)>,
     count: u64,
+    /// Ends up to this number do not stand.
+    void: u64,
     over: HashMap<String, u64>,
     silent: bool,
     dead: bool,
@@ -84,6 +86,12 @@
         u64::try_from(self.origin.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Ends what is due, also while nobody reaches the worker.
+    pub fn tick(&self) {
+        let mut state = self.lock();
+        self.settle(&mut state);
+    }
+
     /// Whether the worker answers nobody; its runs go on.
     pub fn set_silent(&self, silent: bool) {
         self.lock().silent = silent;
@@ -131,6 +139,18 @@
             };
             self.end(state, &task, how);
         }
+        if lapsed {
+            self.void_ends(state);
+        }
+    }
+
+    /// Ends that nobody has taken note of do not outlive the lease.
+    fn void_ends(&self, state: &mut State) {
+        let lost = state.ended.iter().filter(|end| end.0 > state.void);
+        for (_, task, run, _) in lost {
+            self.log.push(Deed::Void(task.clone(), *run));
+        }
+        state.void = state.count;
     }
 
     fn end(&self, state: &mut State, task: &str, how: &str) {
