--- a/crates/cell/tests/docs.rs
+++ b/crates/cell/tests/docs.rs
@@ -36,8 +36,10 @@
 #[test]
 fn the_catalogue_lists_each_line_of_the_log() {
     let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let daemon = Path::new(env!("CARGO_MANIFEST_DIR")).join("../daemon/src");
 
-    let logged = numbers(&sources(&source), "code = ");
+    let mut logged = numbers(&sources(&source), "code = ");
+    logged.extend(numbers(&sources(&daemon), "code = "));
 
     assert_eq!(numbers(PAGE, "\n| "), logged);
 }
--- a/crates/daemon/tests/store_faults.rs
+++ b/crates/daemon/tests/store_faults.rs
@@ -14,6 +14,7 @@
 use fake::verify;
 use model::Family;
 use model::Request;
+use shard::place_shards;
 
 use crate::support::mixed;
 use crate::support::open_cell;
@@ -38,6 +39,36 @@
     rows.into_iter().map(|row| (row.key, row.value)).collect()
 }
 
+/// Waits until each shard is with the process that should own it.
+///
+/// A cell may serve before that: a process that starts first claims more than
+/// its part, and passes the rest on, one shard in three seconds. Such a planned
+/// hand-over may fall into an outage and be made after it.
+async fn wait_balanced(cell: &Cell) {
+    let names: Vec<String> = (0..cell.members.len())
+        .map(|at| format!("entry-{at}"))
+        .collect();
+    let shards = u16::try_from(owners(cell).len()).expect("shards");
+    let wanted: Vec<String> = (0..shards)
+        .zip(place_shards(&names, shards))
+        .map(|(shard, at)| format!("cell/shard/{shard:04} entry-{at}-"))
+        .collect();
+    let balanced = || {
+        let rows = owners(cell);
+        wanted.iter().all(|wanted| {
+            let (key, owner) = wanted.split_once(' ').expect("two words");
+            rows.get(key).is_some_and(|row| row.contains(owner))
+        })
+    };
+    let looks = async {
+        while !balanced() {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let balanced = tokio::time::timeout(Duration::from_mins(1), looks).await;
+    assert!(balanced.is_ok(), "{:#?}", owners(cell));
+}
+
 // Symptom: bearing lookups failed while the table was down.
 // Sequence: the table refuses every call for three lease times, under load.
 // Cause: owners that stop at the end of their lease although nobody else can
@@ -45,6 +76,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn lookups_go_on_through_an_outage() {
     let cell = open_cell(3).await;
+    wait_balanced(&cell).await;
     let before = owners(&cell);
     let plan = plan_for(&cell, 100, 1000, lookups);
     let client = cell.caller.clone();
