Name what a call for advice is made for; one fixture of patient jobs

Cause: named and known of naming.rs took the same five arguments, and two tests had the same job. Change: Seeker holds them; support::patient.

--- a/crates/job/src/planner/advice.rs
+++ b/crates/job/src/planner/advice.rs
@@ -5,6 +5,7 @@
 
 use super::Planner;
 use super::WorkerKey;
+use super::naming::Seeker;
 use super::rank::Rank;
 use crate::StepKey;
 use crate::Ticket;
@@ -98,7 +99,13 @@
         if pending || self.now < advised.after || step.waiting() == 0 {
             return None;
         }
-        let workers = self.named(rank, key, job, spec, step);
+        let workers = self.named(Seeker {
+            rank,
+            key,
+            job,
+            spec,
+            step,
+        });
         let named = u32::try_from(workers.len()).unwrap_or(u32::MAX);
         Some(Ask {
             step: key,
--- a/crates/job/src/planner/naming.rs
+++ b/crates/job/src/planner/naming.rs
@@ -33,6 +33,16 @@
 /// others before the answer is there.
 const SEAT_MARGIN: f64 = 2.5;
 
+/// A step that looks for workers.
+#[derive(Clone, Copy)]
+pub(super) struct Seeker<'a> {
+    pub rank: Rank,
+    pub key: StepKey,
+    pub job: &'a JobState,
+    pub spec: &'a StepSpec,
+    pub step: &'a StepState,
+}
+
 /// A worker, and how often a task of the step fits on it now.
 #[derive(Clone, Copy)]
 struct Named<'a> {
@@ -58,18 +68,14 @@
 impl Planner {
     /// Workers to ask about: those known to be good, if they have room, or
     /// else those not asked about yet.
-    pub(super) fn named(
-        &self,
-        rank: Rank,
-        key: StepKey,
-        job: &JobState,
-        spec: &StepSpec,
-        step: &StepState,
-    ) -> Vec<WorkerId> {
+    pub(super) fn named(&self, seeker: Seeker) -> Vec<WorkerId> {
+        let Seeker {
+            job, spec, step, ..
+        } = seeker;
         let Some(advice) = &job.spec.queue.advice else {
             return Vec::new();
         };
-        let known = self.known(rank, key, job, spec, step);
+        let known = self.known(seeker);
         let soon = self.now + advice.fixed + self.policy.ticket_margin;
         let fresh = step.advised.good.values().any(|(_, until)| *until > soon);
         let needed = if spec.gang { step.waiting() as u64 } else { 1 };
@@ -101,21 +107,17 @@
         ids(again.into_iter().chain(chosen))
     }
 
-    fn known(
-        &self,
-        rank: Rank,
-        key: StepKey,
-        job: &JobState,
-        spec: &StepSpec,
-        step: &StepState,
-    ) -> Known<'_> {
+    fn known(&self, seeker: Seeker) -> Known<'_> {
+        let Seeker {
+            job, spec, step, ..
+        } = seeker;
         let booked = spec.booked();
         let queue = &job.spec.queue;
         let mut known = Known::default();
         for (worker_key, worker) in &self.workers {
             let able = self.usable(worker)
                 && may_run(worker, &queue.service, spec)
-                && !self.kept_from(worker_key, rank, key)
+                && !self.kept_from(worker_key, seeker)
                 && worker.info.capacity.holds(&booked);
             let good = step.advised.good.contains_key(&worker_key);
             if !able || !good && step.advised.asked.contains(&worker_key) {
@@ -140,9 +142,9 @@
 
     /// Whether a worker is kept free for a gang that goes before this step: its
     /// room would not be given to the step, so asking about it is in vain.
-    fn kept_from(&self, worker: WorkerKey, rank: Rank, key: StepKey) -> bool {
+    fn kept_from(&self, worker: WorkerKey, seeker: Seeker) -> bool {
         let keeper = self.kept.get(&worker);
-        keeper.is_some_and(|(first, gang)| *gang != key && *first < rank)
+        keeper.is_some_and(|(first, gang)| *gang != seeker.key && *first < seeker.rank)
     }
 
     /// The fullest workers that still have room, enough of them for `needed`
--- a/crates/job/tests/advice.rs
+++ b/crates/job/tests/advice.rs
@@ -12,6 +12,7 @@
 use job::Ticket;
 use job::WorkerId;
 use support::add_claimed;
+use support::patient;
 use support::plan_at;
 use support::planner;
 use support::room;
@@ -24,9 +25,7 @@
 
 /// A job under advice; the service takes 80 ms and 1 ms a worker.
 fn advised(step: StepSpec) -> JobSpec {
-    let mut job = spec(vec![step]);
-    job.queue.priority = 2;
-    job.queue.slack = Duration::from_secs(20);
+    let mut job = patient(step);
     job.queue.advice = Some(Advice {
         fixed: Duration::from_millis(80),
         each: Duration::from_millis(1),
--- a/crates/job/tests/preempt.rs
+++ b/crates/job/tests/preempt.rs
@@ -16,6 +16,7 @@
 use support::add_claimed;
 use support::ended;
 use support::listing;
+use support::patient;
 use support::plan_at;
 use support::planner;
 use support::running;
@@ -26,14 +27,6 @@
 const LOOKUP: u64 = 7;
 const GANG: u64 = 8;
 
-/// A lookup of four tasks that fill a worker, with time to spare.
-fn lookup(step: StepSpec) -> JobSpec {
-    let mut lookup = spec(vec![step]);
-    lookup.queue.priority = 2;
-    lookup.queue.slack = Duration::from_secs(20);
-    lookup
-}
-
 fn saving(count: u32) -> StepSpec {
     StepSpec {
         checkpointed: true,
@@ -83,7 +76,7 @@
 #[test]
 fn a_gang_takes_the_room_of_tasks_that_can_go_on_later() {
     let mut planner = planner(1);
-    planner.take_job(LOOKUP, lookup(saving(4)), None, false);
+    planner.take_job(LOOKUP, patient(saving(4)), None, false);
     let key = busy_worker(&mut planner, "w1", 10);
     planner.take_job(GANG, gang(3), None, false);
     let (early, stops) = orders_at(&mut planner, 20);
@@ -114,7 +107,7 @@
 #[test]
 fn a_preempted_task_goes_on_from_its_checkpoint() {
     let mut planner = planner(1);
-    planner.take_job(LOOKUP, lookup(saving(4)), None, false);
+    planner.take_job(LOOKUP, patient(saving(4)), None, false);
     let key = busy_worker(&mut planner, "w1", 10);
     planner.take_job(GANG, gang(4), None, false);
     let (_, stops) = orders_at(&mut planner, 20);
@@ -147,7 +140,7 @@
 #[test]
 fn tasks_that_would_lose_their_work_are_not_preempted() {
     let mut planner = planner(1);
-    planner.take_job(LOOKUP, lookup(step(4)), None, false);
+    planner.take_job(LOOKUP, patient(step(4)), None, false);
     busy_worker(&mut planner, "w1", 10);
     planner.take_job(GANG, gang(3), None, false);
 
@@ -159,7 +152,7 @@
 #[test]
 fn tasks_as_urgent_as_the_gang_are_not_preempted() {
     let mut planner = planner(1);
-    let mut equal = lookup(saving(4));
+    let mut equal = patient(saving(4));
     equal.queue.priority = 1;
     planner.take_job(LOOKUP, equal, None, false);
     busy_worker(&mut planner, "w1", 10);
@@ -174,7 +167,7 @@
 #[test]
 fn tasks_without_time_to_spare_are_not_preempted() {
     let mut planner = planner(1);
-    let mut tight = lookup(saving(4));
+    let mut tight = patient(saving(4));
     tight.queue.slack = Duration::ZERO;
     planner.take_job(LOOKUP, tight, None, false);
     busy_worker(&mut planner, "w1", 10);
@@ -188,11 +181,11 @@
 #[test]
 fn nothing_is_stopped_for_a_gang_that_would_not_fit_all_the_same() {
     let mut planner = planner(1);
-    planner.take_job(LOOKUP, lookup(saving(4)), None, false);
+    planner.take_job(LOOKUP, patient(saving(4)), None, false);
     busy_worker(&mut planner, "w1", 10);
     planner.take_job(GANG, gang(5), None, false);
     add_claimed(&mut planner, "w2");
-    let mut other = lookup(step(4));
+    let mut other = patient(step(4));
     other.queue.priority = 0;
     planner.take_job(LOOKUP + 2, other, None, false);
 
@@ -207,7 +200,7 @@
 #[test]
 fn a_task_is_preempted_twice_at_most() {
     let mut planner = planner(1);
-    planner.take_job(LOOKUP, lookup(saving(4)), None, false);
+    planner.take_job(LOOKUP, patient(saving(4)), None, false);
     let key = busy_worker(&mut planner, "w1", 10);
     let mut preempted = Vec::new();
     let mut number = 0;
--- a/crates/job/tests/support/mod.rs
+++ b/crates/job/tests/support/mod.rs
@@ -71,6 +71,14 @@
     }
 }
 
+/// A job of low priority with time to spare.
+pub fn patient(step: StepSpec) -> JobSpec {
+    let mut job = spec(vec![step]);
+    job.queue.priority = 2;
+    job.queue.slack = Duration::from_secs(20);
+    job
+}
+
 /// A worker of four cores.
 pub fn worker(id: &str) -> WorkerInfo {
     WorkerInfo {
