Say for which gang a run was preempted; typed reasons of stops

Cause: the line of a preempted run's stop (352) did not say who took its room. Change: StopReason instead of a text; 352 has the field gang, the metric keeps its labels. Tests of preempt.rs check the gang of each stop. No change of behaviour otherwise.

--- a/crates/cell/src/owner/sender.rs
+++ b/crates/cell/src/owner/sender.rs
@@ -5,6 +5,7 @@
 use job::Order;
 use job::RunId;
 use job::StartReply;
+use job::StopReason;
 use job::StopReply;
 use job::TaskKey;
 use job::WorkerKey;
@@ -98,12 +99,16 @@
         });
     }
 
-    fn send_stop(&self, worker: WorkerKey, task: TaskKey, run: RunId, reason: &'static str) {
+    fn send_stop(&self, worker: WorkerKey, task: TaskKey, run: RunId, reason: StopReason) {
         let Some(link) = self.links.get(&worker) else {
             return;
         };
-        count(&self.context.metrics.stops, reason);
-        log::info!(code = 352, task:% = task, run = run, worker = link.id.as_str(), reason = reason; "stop");
+        count(&self.context.metrics.stops, &reason.to_string());
+        let gang = reason.gang().map(|gang| gang.to_string());
+        log::info!(
+            code = 352, task:% = task, run = run, worker = link.id.as_str(), reason:% = reason, gang = gang.as_deref();
+            "stop"
+        );
         let (address, id) = (link.address, link.id.clone());
         let orders = self.context.orders.clone();
         let sender = self.sender.clone();
--- a/crates/job/src/planner/adopt.rs
+++ b/crates/job/src/planner/adopt.rs
@@ -3,6 +3,7 @@
 
 use super::Order;
 use super::Planner;
+use super::StopReason;
 use super::WorkerKey;
 use super::job_state::Phase;
 use super::roster::Placed;
@@ -64,13 +65,13 @@
                 worker: key,
                 task,
                 run: running.run,
-                reason: "other run booked",
+                reason: StopReason::OtherRun,
             });
             return;
         }
         worker.book(task, placed);
         if !wanted {
-            self.stop(key, task, running.run, "not wanted");
+            self.stop(key, task, running.run, StopReason::NotWanted);
         }
     }
 
@@ -89,7 +90,7 @@
             checkpoint: String::new(),
         };
         self.workers[key].book(running.task, placed);
-        self.stop(key, running.task, running.run, "job not known");
+        self.stop(key, running.task, running.run, StopReason::JobUnknown);
     }
 
     /// Runs that workers listed before their job was known: each keeps its task
--- a/crates/job/src/planner/gang.rs
+++ b/crates/job/src/planner/gang.rs
@@ -1,6 +1,7 @@
 //! Gangs: tasks that start, work and end together under one run number.
 
 use super::Planner;
+use super::StopReason;
 use super::job_state::Phase;
 use crate::EndedTask;
 use crate::RunEnd;
@@ -56,7 +57,7 @@
             }
         }
         for (task, worker) in alive {
-            self.stop(worker, task, run, "gang broken");
+            self.stop(worker, task, run, StopReason::GangBroken);
         }
     }
 }
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -25,6 +25,7 @@
 mod reach;
 mod report;
 mod roster;
+mod stop_reason;
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -56,6 +57,7 @@
 pub use policy::Policy;
 pub use report::StartReply;
 pub use report::StopReply;
+pub use stop_reason::StopReason;
 
 slotmap::new_key_type! {
     /// A worker known to the planner.
@@ -95,8 +97,8 @@
         task: TaskKey,
         /// The run.
         run: RunId,
-        /// Why, for the log.
-        reason: &'static str,
+        /// Why.
+        reason: StopReason,
     },
     /// The worker's life is over, or its lease: close the connection to it.
     Drop {
@@ -392,7 +394,7 @@
             self.open.remove(&key);
         }
         for (task, worker, run) in alive {
-            self.stop(worker, task, run, "job ended");
+            self.stop(worker, task, run, StopReason::JobEnded);
         }
     }
 }
--- a/crates/job/src/planner/preempt.rs
+++ b/crates/job/src/planner/preempt.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use super::Planner;
+use super::StopReason;
 use super::WorkerKey;
 use super::keep::Kept;
 use super::place::may_run;
@@ -76,7 +77,7 @@
             return false;
         };
         for (worker, victim) in victims {
-            self.preempt(worker, victim);
+            self.preempt(worker, victim, key);
         }
         keep_seats(&mut seatings, rank, key, spec, kept);
         true
@@ -128,14 +129,15 @@
         seatings.collect()
     }
 
-    fn preempt(&mut self, worker: WorkerKey, victim: Victim) {
+    fn preempt(&mut self, worker: WorkerKey, victim: Victim, gang: StepKey) {
         let job = self.jobs.get_mut(&victim.task.step.job);
         if let Some((_, step)) = job.and_then(|job| job.step_mut(victim.task.step))
             && let Some(task) = step.tasks.get_mut(victim.task.index as usize)
         {
             task.preempted += 1;
         }
-        self.stop(worker, victim.task, victim.run, "preempted");
+        let reason = StopReason::Preempted(gang);
+        self.stop(worker, victim.task, victim.run, reason);
         if let Some(state) = self.workers.get(worker) {
             let reach = self.reach(state);
             self.reaches.insert(worker, reach);
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -7,6 +7,7 @@
 
 use super::Order;
 use super::Planner;
+use super::StopReason;
 use super::WorkerKey;
 use super::job_state::Phase;
 use super::roster::RunPhase;
@@ -96,7 +97,7 @@
                 worker: key,
                 task,
                 run,
-                reason: "no answer",
+                reason: StopReason::StopUnanswered,
             }),
         }
     }
@@ -156,7 +157,7 @@
         let worker = &mut self.workers[key];
         worker.rest = worker.rest.max(rest);
         for (task, run) in stalled {
-            self.stop(key, task, run, "stands still");
+            self.stop(key, task, run, StopReason::StandsStill);
         }
     }
 
@@ -233,7 +234,7 @@
             }
         }
         for (task, run) in doubtful {
-            self.stop(key, task, run, "start got no answer");
+            self.stop(key, task, run, StopReason::StartUnanswered);
         }
         for (task, run) in over {
             let placed = self.workers[key].release(task, run);
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -5,6 +5,7 @@
 
 use super::Order;
 use super::Planner;
+use super::StopReason;
 use super::WorkerKey;
 use crate::JobId;
 use crate::Room;
@@ -248,7 +249,7 @@
         worker: WorkerKey,
         task: TaskKey,
         run: RunId,
-        reason: &'static str,
+        reason: StopReason,
     ) {
         let now = self.now;
         let placed = self
--- a/crates/job/tests/preempt.rs
+++ b/crates/job/tests/preempt.rs
@@ -61,7 +61,13 @@
     for order in planner.take_orders() {
         match order {
             Order::Start { .. } => starts += 1,
-            Order::Stop { task, run, .. } => stops.push((task, run)),
+            Order::Stop {
+                task, run, reason, ..
+            } => {
+                let gang = reason.gang().expect("preempted for a gang");
+                assert!(gang.job >= GANG, "{gang:?}");
+                stops.push((task, run));
+            }
             Order::Drop { .. } => {}
         }
     }
