--- a/crates/daemon/tests/signals.rs
+++ b/crates/daemon/tests/signals.rs
@@ -50,7 +50,9 @@
 /// ends a process. Now the first line says that signals are heeded.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_process_told_of_new_settings_while_it_starts_goes_on() {
-    let ip = Ipv4Addr::new(127, 19, 7, 1);
+    // Another run of this test may be under way on the same machine.
+    let net = u8::try_from(std::process::id() % 200).expect("below 200") + 20;
+    let ip = Ipv4Addr::new(127, net, 250, 1);
     let folder = TempDir::new().expect("folder");
     let path = folder.path().join("settings");
     std::fs::write(&path, settings(ip)).expect("settings");
