Log who counted a queue, what it knew, and what was only ordered

Cause: when a queue's length was wrong, no line said which process counted, how many jobs it knew, and how many of those it took for begun without any worker having said so.

Change: the owner logs each count (371: waiting, ordered, unfinished, epoch), the host that answers logs what it showed (417) or that it could not (418). Load and counts stand in a file of their own. No change of logic.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -197,9 +197,16 @@
     }
 
     async fn waiting(&self, queue: &Queue) -> Whole {
-        match self.owner.waiting(&queue.name).await {
-            Ok(waiting) => web::json(StatusCode::OK, &encode_waiting(waiting)),
-            Err(_) => unavailable("the owner of the pool does not answer"),
+        let name = queue.name.as_str();
+        match self.owner.waiting(name).await {
+            Ok(waiting) => {
+                log::info!(code = 417, queue = name, waiting = waiting; "queue length shown");
+                web::json(StatusCode::OK, &encode_waiting(waiting))
+            }
+            Err(reason) => {
+                log::warn!(code = 418, queue = name, reason:? = reason; "queue length not known");
+                unavailable("the owner of the pool does not answer")
+            }
         }
     }
 }
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -277,7 +277,7 @@
                 let _ = reply.send(shown.map_or(OwnerView::Unknown, OwnerView::Job));
             }
             OwnerMessage::Waiting(queue, reply) => {
-                let _ = reply.send(self.planner.waiting(&queue));
+                let _ = reply.send(self.count_queue(&queue));
             }
             OwnerMessage::Help(request, reply) => self.take_help(request, reply),
             OwnerMessage::Jobs(change) => self.take_jobs(change),
@@ -295,6 +295,16 @@
         }
     }
 
+    /// Length of a queue, for a caller.
+    fn count_queue(&self, queue: &str) -> usize {
+        let count = self.planner.count_queue(queue);
+        log::info!(
+            code = 371, queue = queue, waiting = count.waiting, ordered = count.ordered,
+            unfinished = count.unfinished, epoch = self.epoch; "queue counted"
+        );
+        count.waiting
+    }
+
     fn take_jobs(&mut self, change: Change) {
         let (Change::Full(rows) | Change::Some(rows)) = change;
         for row in rows {
--- /dev/null
+++ b/crates/job/src/planner/load.rs
@@ -0,0 +1,94 @@
+//! Load of the pool and length of its queues.
+
+use std::collections::HashSet;
+
+use super::Planner;
+use super::roster::RunPhase;
+use crate::JobId;
+use crate::Room;
+
+/// Load of a pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Workers that take tasks.
+    pub usable: usize,
+    /// What they have in all.
+    pub capacity: Room,
+    /// What is booked, on all workers.
+    pub used: Room,
+    /// Runs that hold room.
+    pub running: usize,
+    /// Tasks that wait.
+    pub waiting: usize,
+    /// Steps with tasks that wait.
+    pub open: usize,
+    /// Jobs that have not ended.
+    pub unfinished: usize,
+}
+
+/// Jobs of a queue that have not ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QueueCount {
+    /// Those of which no task has started.
+    pub waiting: usize,
+    /// Those with starts that no worker has confirmed, and no others.
+    pub ordered: usize,
+    /// All of them.
+    pub unfinished: usize,
+}
+
+impl Planner {
+    /// Counts the jobs of a queue.
+    #[must_use]
+    pub fn count_queue(&self, queue: &str) -> QueueCount {
+        let confirmed = self.confirmed_jobs();
+        let mut count = QueueCount::default();
+        let live = self.jobs.iter().filter(|(_, job)| job.outcome.is_none());
+        for (id, job) in live.filter(|(_, job)| job.spec.queue.name == queue) {
+            count.unfinished += 1;
+            count.waiting += usize::from(!job.started);
+            let ordered = !confirmed.contains(id) && !job.alive(*id).is_empty();
+            count.ordered += usize::from(ordered);
+        }
+        count
+    }
+
+    /// Jobs of which a worker has said that it runs a task.
+    fn confirmed_jobs(&self) -> HashSet<JobId> {
+        let runs = self.workers.values().flat_map(|worker| &worker.runs);
+        runs.filter(|(_, placed)| !matches!(placed.phase, RunPhase::Sent | RunPhase::Unknown))
+            .map(|(task, _)| task.step.job)
+            .collect()
+    }
+
+    /// Jobs that have not ended.
+    #[must_use]
+    pub fn unfinished(&self) -> usize {
+        let live = self.jobs.values().filter(|job| job.outcome.is_none());
+        live.count()
+    }
+
+    /// Load of the pool, for logs and metrics.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        let mut load = Load {
+            unfinished: self.unfinished(),
+            open: self.open.len(),
+            ..Load::default()
+        };
+        for worker in self.workers.values() {
+            if self.usable(worker) {
+                load.usable += 1;
+                load.capacity = load.capacity.plus(&worker.info.capacity);
+            }
+            load.used = load.used.plus(&worker.used);
+            load.running += worker.runs.len();
+        }
+        let steps = self.open.iter().filter_map(|key| {
+            let job = self.jobs.get(&key.job)?;
+            Some(job.step(*key)?.1.waiting())
+        });
+        load.waiting = steps.sum();
+        load
+    }
+}
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -17,6 +17,7 @@
 mod impossible;
 mod job_state;
 mod keep;
+mod load;
 mod naming;
 mod place;
 mod policy;
@@ -40,7 +41,6 @@
 use crate::JobSpec;
 use crate::Outcome;
 use crate::Progress;
-use crate::Room;
 use crate::RunId;
 use crate::Shown;
 use crate::StepKey;
@@ -54,6 +54,8 @@
 
 pub use advice::Ask;
 pub use batch::Batch;
+pub use load::Load;
+pub use load::QueueCount;
 pub use policy::Policy;
 pub use report::StartReply;
 pub use report::StopReply;
@@ -109,25 +111,6 @@
     },
 }
 
-/// Load of a pool.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Workers that take tasks.
-    pub usable: usize,
-    /// What they have in all.
-    pub capacity: Room,
-    /// What is booked, on all workers.
-    pub used: Room,
-    /// Runs that hold room.
-    pub running: usize,
-    /// Tasks that wait.
-    pub waiting: usize,
-    /// Steps with tasks that wait.
-    pub open: usize,
-    /// Jobs that have not ended.
-    pub unfinished: usize,
-}
-
 /// Decides for the owner of a pool.
 #[derive(Debug)]
 pub struct Planner {
@@ -307,47 +290,6 @@
         Some(self.now.saturating_sub(job.born))
     }
 
-    /// Jobs of a queue of which no task has started.
-    #[must_use]
-    pub fn waiting(&self, queue: &str) -> usize {
-        self.jobs
-            .values()
-            .filter(|job| job.outcome.is_none() && !job.started)
-            .filter(|job| job.spec.queue.name == queue)
-            .count()
-    }
-
-    /// Jobs that have not ended.
-    #[must_use]
-    pub fn unfinished(&self) -> usize {
-        let live = self.jobs.values().filter(|job| job.outcome.is_none());
-        live.count()
-    }
-
-    /// Load of the pool, for logs and metrics.
-    #[must_use]
-    pub fn load(&self) -> Load {
-        let mut load = Load {
-            unfinished: self.unfinished(),
-            open: self.open.len(),
-            ..Load::default()
-        };
-        for worker in self.workers.values() {
-            if self.usable(worker) {
-                load.usable += 1;
-                load.capacity = load.capacity.plus(&worker.info.capacity);
-            }
-            load.used = load.used.plus(&worker.used);
-            load.running += worker.runs.len();
-        }
-        let steps = self.open.iter().filter_map(|key| {
-            let job = self.jobs.get(&key.job)?;
-            Some(job.step(*key)?.1.waiting())
-        });
-        load.waiting = steps.sum();
-        load
-    }
-
     /// Whether tasks of a predecessor are still unaccounted for.
     #[must_use]
     pub fn recovering(&self) -> bool {
--- a/crates/job/tests/planner.rs
+++ b/crates/job/tests/planner.rs
@@ -213,11 +213,11 @@
 fn a_queue_counts_the_jobs_of_which_nothing_has_started() {
     let mut planner = planner(1);
     planner.take_job(JOB, spec(vec![step(1)]), None, false);
-    let before = planner.waiting(&queue(2).name);
+    let before = planner.count_queue(&queue(2).name).waiting;
     add_claimed(&mut planner, "w1");
     plan_at(&mut planner, 10);
 
-    let after = planner.waiting(&queue(2).name);
+    let after = planner.count_queue(&queue(2).name).waiting;
 
     assert_eq!((before, after), (1, 0));
 }
