A job begins when a worker says so, not when its start is ordered

Cause: the count of jobs that wait, and pending or active, rested on a mark that was set with the order of the first start and never taken back. Where workers leave orders unanswered, jobs were missing from the count though no worker had begun a task. The class: what was ordered was shown as what is known.

Change: one place (planner/begin.rs) decides it, from what workers say: an answered start, a listed run, an end. A gang has begun once all its members are there, or one of them has worked. The metric of the time until the first start is taken then, too. The world of arbitrary events compares what is shown with what its workers have begun after each event; it never looked at that.

--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -115,7 +115,10 @@
             ),
             config: gauge(&registry, "config_version", "Configuration in force"),
             accept: one("accept", "Until a submission was answered with success"),
-            first_start: one("first_start", "From acceptance to a job's first start"),
+            first_start: one(
+                "first_start",
+                "From acceptance until a worker was known to run a job's first task",
+            ),
             save: one("save", "Transactions of the owner"),
             job: register(&registry, job.expect("valid name")),
             registry,
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -231,6 +231,7 @@
         self.planner.plan();
         self.report_load(now);
         self.send_orders();
+        self.observe_starts();
         self.give_help(now);
         self.check_lives(now);
         self.remove_expired(now);
--- a/crates/cell/src/owner/sender.rs
+++ b/crates/cell/src/owner/sender.rs
@@ -25,6 +25,13 @@
 const STOP_PAUSE: Duration = Duration::from_millis(200);
 
 impl Pool {
+    /// Records how long the jobs waited that have just begun.
+    pub(super) fn observe_starts(&mut self) {
+        for waited in self.planner.take_first_starts() {
+            observe(&self.context.metrics.first_start, waited);
+        }
+    }
+
     pub(super) fn send_orders(&mut self) {
         for order in self.planner.take_orders() {
             match order {
@@ -35,11 +42,7 @@
                     payload,
                     checkpoint,
                     ticket,
-                    waited,
                 } => {
-                    if let Some(waited) = waited {
-                        observe(&self.context.metrics.first_start, waited);
-                    }
                     let start = Start {
                         task,
                         run,
--- a/crates/job/src/planner/adopt.rs
+++ b/crates/job/src/planner/adopt.rs
@@ -5,6 +5,7 @@
 use super::Planner;
 use super::StopReason;
 use super::WorkerKey;
+use super::begin::Sighting;
 use super::job_state::Phase;
 use super::roster::Placed;
 use super::roster::RunPhase;
@@ -35,7 +36,6 @@
             while job.opened <= task.step.round && job.opened < job.spec.rounds() {
                 job.open_round();
             }
-            job.started = true;
             let step = job.step_mut(task.step);
             let state = step.and_then(|(_, step)| step.tasks.get_mut(task.index as usize));
             if let Some(state) = state {
@@ -57,8 +57,8 @@
             moved: now,
             checkpoint: running.checkpoint.clone(),
         };
-        let worker = &mut self.workers[key];
-        if worker.runs.contains_key(&task) {
+        let sighting = Sighting::of_progress(running.percent);
+        if self.workers[key].runs.contains_key(&task) {
             // Another run of the same task is booked here; the listed one is
             // stopped without a booking of its own.
             self.orders.push(Order::Stop {
@@ -67,9 +67,11 @@
                 run: running.run,
                 reason: StopReason::OtherRun,
             });
+            self.sighted(task, running.run, sighting);
             return;
         }
-        worker.book(task, placed);
+        self.workers[key].book(task, placed);
+        self.sighted(task, running.run, sighting);
         if !wanted {
             self.stop(key, task, running.run, StopReason::NotWanted);
         }
@@ -105,7 +107,7 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        for (task, key, run) in found {
+        for &(task, key, run) in &found {
             let step = job.step_mut(task.step);
             let state = step.and_then(|(_, step)| step.tasks.get_mut(task.index as usize));
             if let Some(state) = state.filter(|state| state.phase == Phase::Waiting) {
@@ -113,5 +115,8 @@
                 state.run = state.run.max(run);
             }
         }
+        for (task, _, run) in found {
+            self.sighted(task, run, Sighting::There);
+        }
     }
 }
--- a/crates/job/src/planner/job_state.rs
+++ b/crates/job/src/planner/job_state.rs
@@ -148,8 +148,8 @@
     pub chain: Duration,
     /// A predecessor may have started it.
     pub old: bool,
-    /// A task has started, now or under a predecessor.
-    pub started: bool,
+    /// A worker has said that it runs a task, now or under a predecessor.
+    pub begun: bool,
     pub rounds: BTreeMap<u32, Vec<StepState>>,
     /// Rounds opened so far.
     pub opened: u32,
@@ -168,7 +168,7 @@
             spec,
             born,
             old,
-            started: false,
+            begun: false,
             rounds: BTreeMap::new(),
             opened: 0,
             outcome: None,
@@ -197,7 +197,7 @@
             let steps = self.rounds.get_mut(&round);
             if let Some(state) = steps.and_then(|steps| steps.get_mut(step as usize)) {
                 state.restore(saved);
-                self.started = true;
+                self.begun = true;
             }
         }
         if self.outcome.is_some() {
--- a/crates/job/src/planner/load.rs
+++ b/crates/job/src/planner/load.rs
@@ -29,9 +29,10 @@
 /// Jobs of a queue that have not ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct QueueCount {
-    /// Those of which no task has started.
+    /// Those of which no worker has said that it runs a task.
     pub waiting: usize,
-    /// Those with starts that no worker has confirmed, and no others.
+    /// Those with starts that no worker has confirmed, and no others; of these,
+    /// all that have not begun wait.
     pub ordered: usize,
     /// All of them.
     pub unfinished: usize,
@@ -46,7 +47,7 @@
         let live = self.jobs.iter().filter(|(_, job)| job.outcome.is_none());
         for (id, job) in live.filter(|(_, job)| job.spec.queue.name == queue) {
             count.unfinished += 1;
-            count.waiting += usize::from(!job.started);
+            count.waiting += usize::from(!job.begun);
             let ordered = !confirmed.contains(id) && !job.alive(*id).is_empty();
             count.ordered += usize::from(ordered);
         }
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -13,6 +13,7 @@
 mod adopt;
 mod advice;
 mod batch;
+mod begin;
 mod gang;
 mod impossible;
 mod job_state;
@@ -88,8 +89,6 @@
         checkpoint: String,
         /// Proof that the worker may run the step.
         ticket: Option<String>,
-        /// Time from acceptance, for a job's first start.
-        waited: Option<Duration>,
     },
     /// Stop a run, whether it has arrived or not.
     Stop {
@@ -135,6 +134,8 @@
     /// Share of the workers that may run a step, by queue, as learnt.
     shares: HashMap<String, f64>,
     orders: Vec<Order>,
+    /// Times from acceptance to the first start, of jobs that have just begun.
+    first_starts: Vec<Duration>,
     /// Ends of runs of jobs that are not known yet.
     orphans: HashMap<JobId, Vec<(WorkerKey, EndedTask)>>,
     /// Until this time, tasks that a predecessor may have started stay put.
@@ -183,6 +184,7 @@
             elder: None,
             shares: HashMap::new(),
             orders: Vec::new(),
+            first_starts: Vec::new(),
             orphans: HashMap::new(),
         }
     }
@@ -275,7 +277,7 @@
     #[must_use]
     pub fn shown(&self, id: JobId) -> Option<Shown> {
         let job = self.jobs.get(&id)?;
-        let live = if job.started {
+        let live = if job.begun {
             Shown::Active
         } else {
             Shown::Pending
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -238,8 +238,6 @@
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
-        let first = !std::mem::replace(&mut job.started, true);
-        let waited = first.then(|| self.now.saturating_sub(job.born));
         let payload = job.spec.payload.clone();
         let Some((_, step)) = job.step_mut(task.step) else {
             return;
@@ -258,7 +256,6 @@
             payload,
             checkpoint,
             ticket,
-            waited,
         });
     }
 
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -9,6 +9,7 @@
 use super::Planner;
 use super::StopReason;
 use super::WorkerKey;
+use super::begin::Sighting;
 use super::job_state::Phase;
 use super::roster::RunPhase;
 use crate::EndedTask;
@@ -55,18 +56,21 @@
             .filter(|placed| placed.run == run);
         let Some(placed) = placed else { return };
         match reply {
-            StartReply::Started if placed.phase == RunPhase::Sent => {
-                placed.phase = RunPhase::Running;
-                placed.since = now;
-                placed.moved = now;
+            StartReply::Started => {
+                // An answer that comes after a listing has told as much.
+                if placed.phase == RunPhase::Sent {
+                    placed.phase = RunPhase::Running;
+                    placed.since = now;
+                    placed.moved = now;
+                }
+                self.sighted(task, run, Sighting::There);
             }
             StartReply::Unknown if placed.phase == RunPhase::Sent => {
                 placed.phase = RunPhase::Unknown;
                 placed.since = now;
                 worker.silent = true;
             }
-            // An answer that comes after a listing has told as much.
-            StartReply::Started | StartReply::Unknown => {}
+            StartReply::Unknown => {}
             StartReply::Refused => {
                 worker.release(task, run);
                 worker.rest = worker.rest.max(now + REFUSED_REST);
@@ -186,6 +190,7 @@
         // A predecessor's end that could not be recorded before the lease ran
         // out does not stand: its task may run elsewhere by now.
         if !known && end.run <= self.run_base && !worker.trusted {
+            self.sighted(end.task, end.run, Sighting::of_end(end));
             return;
         }
         self.task_ended(key, end);
@@ -208,6 +213,8 @@
                 placed.moved = now;
             }
             placed.checkpoint.clone_from(&running.checkpoint);
+            let sighting = Sighting::of_progress(running.percent);
+            self.sighted(running.task, running.run, sighting);
             return;
         }
         self.adopt(key, running);
@@ -287,7 +294,10 @@
         if job.outcome.is_some() {
             return;
         }
-        job.started = true;
+        self.sighted(task, end.run, Sighting::of_end(end));
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
         let attempts = self
             .config
             .queue(&job.spec.queue.name)
--- a/crates/job/tests/begun.rs
+++ b/crates/job/tests/begun.rs
@@ -5,14 +5,22 @@
 use std::time::Duration;
 
 use job::Planner;
+use job::RunEnd;
+use job::RunId;
 use job::Shown;
 use job::StartReply;
 use job::StopReply;
+use job::TaskKey;
+use job::WorkerKey;
+use support::add;
 use support::add_claimed;
+use support::ended;
 use support::listing;
 use support::plan_at;
 use support::planner;
 use support::queue;
+use support::room;
+use support::running;
 use support::spec;
 use support::step;
 use support::task;
@@ -61,3 +69,87 @@
     assert_eq!(waiting(&planner), 0);
     assert_eq!(planner.shown(JOB), Some(Shown::Active));
 }
+
+/// Orders the start of a gang of two tasks, on two workers; gives its seats.
+fn gang_of_two(planner: &mut Planner) -> Vec<(TaskKey, RunId, WorkerKey)> {
+    add_claimed(planner, "w1");
+    add_claimed(planner, "w2");
+    let mut gang = step(2);
+    gang.need = room(3000, 1000);
+    gang.gang = true;
+    planner.take_job(JOB, spec(vec![gang]), None, false);
+    plan_at(planner, 10)
+}
+
+/// One member of a gang ran and waited for another, whose start had got no
+/// answer. The job was shown as active, and was missing from those that wait,
+/// though a gang starts only when all its members are there.
+#[test]
+fn a_gang_waits_until_all_its_members_are_there() {
+    let mut planner = planner(1);
+    let seats = gang_of_two(&mut planner);
+
+    planner.start_reply(seats[0].2, seats[0].0, 1, StartReply::Started);
+    planner.start_reply(seats[1].2, seats[1].0, 1, StartReply::Unknown);
+    let early = (waiting(&planner), planner.shown(JOB));
+    let late = listing(vec![running(seats[1].0, 1)], vec![]);
+    planner.take_listing(seats[1].2, Duration::from_millis(20), &late);
+
+    assert_eq!(early, (1, Some(Shown::Pending)));
+    assert_eq!(
+        (waiting(&planner), planner.shown(JOB)),
+        (0, Some(Shown::Active))
+    );
+}
+
+/// The same with a member that gave up waiting for the others: it ended
+/// without having worked.
+#[test]
+fn a_gang_whose_members_waited_in_vain_still_waits() {
+    let mut planner = planner(1);
+    for (task, run, key) in gang_of_two(&mut planner) {
+        let alone = listing(vec![], vec![ended(1, task, run, RunEnd::Alone)]);
+        planner.take_listing(key, Duration::from_millis(20), &alone);
+    }
+
+    assert_eq!(
+        (waiting(&planner), planner.shown(JOB)),
+        (1, Some(Shown::Pending))
+    );
+}
+
+/// A start got no answer, and the task ran and ended before the worker was
+/// heard again: the end tells that the job had begun.
+#[test]
+fn a_job_of_which_only_an_end_is_known_has_begun() {
+    let mut planner = planner(1);
+    let key = add_claimed(&mut planner, "w1");
+    planner.take_job(JOB, spec(vec![step(2)]), None, false);
+    plan_at(&mut planner, 10);
+    planner.start_reply(key, task(JOB, 0, 0), 1, StartReply::Unknown);
+
+    let gone = ended(1, task(JOB, 0, 0), 1, RunEnd::Stopped);
+    planner.take_listing(key, Duration::from_millis(20), &listing(vec![], vec![gone]));
+
+    assert_eq!(
+        (waiting(&planner), planner.shown(JOB)),
+        (0, Some(Shown::Active))
+    );
+}
+
+/// After a take-over, a job of which a worker lists a task has begun; one of
+/// which nothing is known waits.
+#[test]
+fn a_successor_counts_what_workers_list() {
+    let mut planner = planner(2);
+    let key = add(&mut planner, "w1");
+    planner.take_job(JOB, spec(vec![step(1)]), None, true);
+    planner.take_job(JOB + 1, spec(vec![step(1)]), None, true);
+
+    let left = listing(vec![running(task(JOB, 0, 0), 1)], vec![]);
+    planner.take_listing(key, Duration::ZERO, &left);
+
+    assert_eq!(waiting(&planner), 1);
+    assert_eq!(planner.shown(JOB), Some(Shown::Active));
+    assert_eq!(planner.shown(JOB + 1), Some(Shown::Pending));
+}
--- a/crates/job/tests/invariants.rs
+++ b/crates/job/tests/invariants.rs
@@ -8,7 +8,8 @@
 
 /// Whatever the order of events: no task on two workers at a time, none again
 /// after its recorded end, none before the steps it waits for, and no worker
-/// over its capacity. Owners die, orders are lost or carried out late, saves
+/// over its capacity; and no job is said to have begun before a worker has
+/// started a task of it. Owners die, orders are lost or carried out late, saves
 /// fail, workers are cut off until their lease is over.
 #[test]
 fn invariants_hold_for_any_order_of_events() {
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -2,6 +2,8 @@
 //! that are lost or late, owners that die, saves that fail. It checks the
 //! invariants at every start that a worker carries out.
 
+mod shown;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -26,6 +28,8 @@
 
 use crate::support;
 
+use shown::Begun;
+
 /// Workers of the world, of four cores each.
 const WORKERS: usize = 3;
 
@@ -103,6 +107,7 @@
     saving: Option<Batch>,
     /// Ends that were recorded as done.
     noted: HashMap<TaskKey, RunId>,
+    begun: Begun,
     pub starts: usize,
 }
 
@@ -119,6 +124,7 @@
             late: Vec::new(),
             saving: None,
             noted: HashMap::new(),
+            begun: Begun::new(),
             starts: 0,
         };
         world.take_over();
@@ -156,6 +162,7 @@
             12 => self.cancel(event.pick),
             _ => self.workers[at].cut = event.pick.is_multiple_of(2),
         }
+        self.check_shown();
     }
 
     fn advance(&mut self, by: Duration) {
@@ -339,6 +346,7 @@
         worker.lease = worker.lease.max(sent.lease);
         worker.running.insert(task, (run, self.now));
         self.starts += 1;
+        self.note_start(task, run);
         self.check(sent.worker, task);
         StartReply::Started
     }
@@ -388,6 +396,7 @@
         }
         let task = tasks[usize::from(pick) % tasks.len()];
         worker.end(task, how);
+        self.begun.insert(task.step.job);
         let gang = self.jobs[&task.step.job].steps[task.step.step as usize].gang;
         if gang {
             let rest = if how == RunEnd::Done {
--- /dev/null
+++ b/crates/job/tests/world/shown.rs
@@ -0,0 +1,52 @@
+//! What the world knows of jobs that have begun, against what the planner
+//! shows callers.
+
+use std::collections::BTreeSet;
+
+use job::JobId;
+use job::RunId;
+use job::Shown;
+use job::TaskKey;
+
+use super::World;
+use crate::support;
+
+impl World {
+    /// A worker has started a task. A gang begins when all its members are
+    /// there.
+    pub(super) fn note_start(&mut self, task: TaskKey, run: RunId) {
+        let step = task.step;
+        let spec = &self.jobs[&step.job].steps[step.step as usize];
+        let all = (0..spec.count).all(|index| self.runs(TaskKey { step, index }, run));
+        if !spec.gang || all {
+            self.begun.insert(task.step.job);
+        }
+    }
+
+    fn runs(&self, task: TaskKey, run: RunId) -> bool {
+        let mut held = self.workers.iter().filter_map(|one| one.running.get(&task));
+        held.any(|(number, _)| *number == run)
+    }
+
+    /// No job is shown as active, or left out of those that wait, unless a
+    /// worker has begun it.
+    pub(super) fn check_shown(&self) {
+        let mut waiting = 0;
+        for (id, spec) in &self.jobs {
+            if self.begun.contains(id) {
+                continue;
+            }
+            assert_ne!(
+                self.planner.shown(*id),
+                Some(Shown::Active),
+                "job {id} has not begun"
+            );
+            waiting += usize::from(!spec.canceled);
+        }
+        let counted = self.planner.count_queue(&support::queue(2).name).waiting;
+        assert!(counted >= waiting, "{counted} of {waiting} jobs that wait");
+    }
+}
+
+/// Jobs of which a worker has ever begun a task.
+pub(super) type Begun = BTreeSet<JobId>;
