Save that a job has begun

Cause: nothing that lasts said that a job had begun before a task of it had ended. After a take-over callers who had seen it as active were told that it is pending, and it was counted among those that wait, until the worker that runs it had answered; up to the lease's time with a silent one.

--- a/crates/job/src/planner/begin.rs
+++ b/crates/job/src/planner/begin.rs
@@ -90,6 +90,9 @@
             return;
         };
         job.begun = true;
+        // A successor shows what was saved: an active job would else be pending
+        // again until the worker that runs it has answered.
+        self.dirty.insert(id);
         let waited = self.now.saturating_sub(job.born);
         self.first_starts.push(waited);
     }
--- a/crates/job/src/planner/job_state.rs
+++ b/crates/job/src/planner/job_state.rs
@@ -213,6 +213,10 @@
         if self.outcome.is_some() {
             return progress;
         }
+        if self.begun {
+            // An entry, even an empty one, says that the job has begun.
+            progress.steps.insert((0, 0), StepProgress::default());
+        }
         for (&round, steps) in &self.rounds {
             for (step, state) in (0..).zip(steps) {
                 let told = state.progress();
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -64,6 +64,7 @@
 pub struct Progress {
     /// How it ended, once it has.
     pub outcome: Option<Outcome>,
-    /// Steps by round and number, those with anything to tell.
+    /// Steps by round and number, those with anything to tell. Any entry says
+    /// that the job has begun; its first step has an empty one if need be.
     pub steps: BTreeMap<(u32, u32), StepProgress>,
 }
--- a/crates/job/tests/begun.rs
+++ b/crates/job/tests/begun.rs
@@ -153,3 +153,23 @@
     assert_eq!(planner.shown(JOB), Some(Shown::Active));
     assert_eq!(planner.shown(JOB + 1), Some(Shown::Pending));
 }
+
+/// Callers who had seen a job as active were told after a take-over that none
+/// of its tasks had started, for as long as the worker that ran it could not be
+/// reached: nothing that lasts said that it had begun.
+#[test]
+fn a_job_that_has_begun_stays_begun_after_a_take_over() {
+    let mut former = planner(1);
+    let key = add_claimed(&mut former, "w1");
+    former.take_job(JOB, spec(vec![step(1)]), None, false);
+    plan_at(&mut former, 10);
+    former.start_reply(key, task(JOB, 0, 0), 1, StartReply::Started);
+    let batch = former.take_batch(10);
+    let saved = batch.jobs.first().map(|(_, progress)| progress);
+
+    let mut successor = planner(2);
+    successor.take_job(JOB, spec(vec![step(1)]), saved, true);
+
+    assert_eq!(waiting(&successor), 0);
+    assert_eq!(successor.shown(JOB), Some(Shown::Active));
+}
