--- /dev/null
+++ b/crates/shard/tests/world/callers.rs
@@ -0,0 +1,54 @@
+//! Callers: they submit, withdraw, and keep what they were told.
+
+use model::Family;
+use shard::Input;
+use shard::ShardAsk;
+use shard::ShardReply;
+use shard::Submission;
+use shard::WaiterKey;
+
+use super::World;
+use super::facts::TEAM;
+use super::facts::request;
+
+impl World {
+    pub(super) fn submit(&mut self, number: u8) {
+        let mut request = request(number);
+        let sent = self
+            .first_sent
+            .entry(number)
+            .or_insert(self.times.wall_millis);
+        request.sent_millis = *sent;
+        let key = model::request_key(&request.team, &request.id);
+        if request.idempotent {
+            // Unrecorded work may be submitted anew after "not run": the
+            // answer speaks of the submissions before it.
+            self.not_run.remove(&key);
+        }
+        let waiter = self.waiters.insert(key);
+        let submission = Submission {
+            request,
+            waited_millis: 0,
+            wait: true,
+        };
+        self.feed(Input::Ask(ShardAsk::Submit(submission), waiter));
+    }
+
+    pub(super) fn cancel(&mut self, number: u8) {
+        let key = model::request_key(TEAM, &request(number).id);
+        let waiter = self.waiters.insert(String::new());
+        let filter = shard::CancelFilter::One(key);
+        self.feed(Input::Ask(ShardAsk::Cancel(filter), waiter));
+    }
+
+    pub(super) fn replied(&mut self, waiter: WaiterKey, reply: &ShardReply) {
+        let key = self.waiters.remove(waiter);
+        let key = key.expect("a second reply to one call");
+        if let ShardReply::Answer(answer) = reply
+            && answer.code.family() == Family::NotRun
+            && answer.code != model::Code::IdReused
+        {
+            self.not_run.insert(key);
+        }
+    }
+}
