--- a/crates/bench/benches/main/faults.rs
+++ b/crates/bench/benches/main/faults.rs
@@ -7,10 +7,10 @@
 use fake::Cell;
 use fake::CellPlan;
 use fake::Outcome;
+use fake::begin_load;
 use fake::confirmation;
 use fake::lookup;
 use fake::restock;
-use fake::run_load;
 use fake::verify;
 use hdrhistogram::Histogram;
 use model::Request;
@@ -55,9 +55,8 @@
     for round in 0..3 {
         let mut cell = open_cell().await;
         let plan = load(&cell, 400, 8, lookups);
-        let client = cell.caller.clone();
         let began = cell.platform.log.now();
-        let task = tokio::spawn(async move { run_load(&client, plan).await });
+        let task = begin_load(&cell.caller, plan);
         tokio::time::sleep(Duration::from_secs(2)).await;
         cell.members[round].kill();
         let outcomes = task.await.expect("load");
@@ -77,9 +76,8 @@
 pub(crate) async fn run_handover() {
     let mut cell = open_cell().await;
     let plan = load(&cell, 2000, 8, lookups);
-    let client = cell.caller.clone();
     let began = cell.platform.log.now();
-    let task = tokio::spawn(async move { run_load(&client, plan).await });
+    let task = begin_load(&cell.caller, plan);
     tokio::time::sleep(Duration::from_secs(3)).await;
     cell.members[3].signal(Signal::SIGTERM);
     let stop = Instant::now();
@@ -123,9 +121,8 @@
 
 async fn pause_once(name: &str, cell: &Cell, pause: Duration) {
     let plan = load(cell, 400, 10, mixed);
-    let client = cell.caller.clone();
     let began = cell.platform.log.now();
-    let task = tokio::spawn(async move { run_load(&client, plan).await });
+    let task = begin_load(&cell.caller, plan);
     tokio::time::sleep(Duration::from_secs(2)).await;
     cell.members[1].signal(Signal::SIGSTOP);
     tokio::time::sleep(pause).await;
@@ -147,9 +144,8 @@
         deadline_millis: 5000,
         ..confirmation(&format!("confirm-{number}"))
     });
-    let (one, two) = (cell.caller.clone(), cell.caller.clone());
-    let lookups = tokio::spawn(async move { run_load(&one, plan).await });
-    let confirmations = tokio::spawn(async move { run_load(&two, durable).await });
+    let lookups = begin_load(&cell.caller, plan);
+    let confirmations = begin_load(&cell.caller, durable);
     tokio::time::sleep(Duration::from_secs(5)).await;
     cell.platform.set_down(true);
     tokio::time::sleep(Duration::from_secs(30)).await;
@@ -214,8 +210,7 @@
 pub(crate) async fn run_drain() {
     let cell = open_cell().await;
     let plan = load(&cell, 1000, 8, lookups);
-    let client = cell.caller.clone();
-    let task = tokio::spawn(async move { run_load(&client, plan).await });
+    let task = begin_load(&cell.caller, plan);
     tokio::time::sleep(Duration::from_secs(2)).await;
     let leaving = cell.platform.workers[9].id.clone();
     let marked = cell.platform.log.now();
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -12,10 +12,10 @@
 use fake::CellPlan;
 use fake::LoadPlan;
 use fake::Outcome;
+use fake::begin_load;
 use fake::confirmation;
 use fake::lookup;
 use fake::restock;
-use fake::run_load;
 use fake::verify;
 use model::Class;
 use model::Family;
@@ -118,8 +118,7 @@
         servers,
         patience: Duration::from_secs(40),
     };
-    let client = cell.caller.clone();
-    tokio::spawn(async move { run_load(&client, plan).await })
+    begin_load(&cell.caller, plan)
 }
 
 /// Every class of work.
--- a/crates/daemon/tests/guards.rs
+++ b/crates/daemon/tests/guards.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use fake::Cell;
+use fake::begin_load;
 use fake::confirmation;
-use fake::run_load;
 use fake::verify;
 use model::Request;
 
@@ -25,11 +25,10 @@
 /// them long after another process has claimed them.
 async fn kill_with_late_starts(cell: &mut Cell) -> Vec<String> {
     let plan = plan_for(cell, 60, 60, confirmations);
-    let client = cell.caller.clone();
     for worker in &cell.platform.workers {
         worker.set(|manner| manner.late_starts = LATE);
     }
-    let load = tokio::spawn(async move { run_load(&client, plan).await });
+    let load = begin_load(&cell.caller, plan);
     tokio::time::sleep(Duration::from_secs(1)).await;
     cell.members[0].kill();
     for worker in &cell.platform.workers {
--- a/crates/daemon/tests/partitions.rs
+++ b/crates/daemon/tests/partitions.rs
@@ -2,23 +2,18 @@
 
 mod support;
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
-use fake::Cell;
 use fake::UdpPlan;
+use fake::begin_load;
 use fake::run_load;
-use fake::verify;
 
+use crate::support::check_rules;
 use crate::support::mixed;
 use crate::support::open_cell;
+use crate::support::owners;
 use crate::support::plan_for;
 
-fn epochs(cell: &Cell) -> BTreeSet<String> {
-    let rows = cell.platform.table.rows("cell/shard/");
-    rows.into_iter().map(|row| row.value).collect()
-}
-
 // Symptom: shards were passed to and fro, or requests failed, while one
 // process could be reached by no other, though it reached them all.
 // Sequence: what the others send to it is dropped; all see the table.
@@ -28,23 +23,21 @@
     let cell = open_cell(3).await;
     let mut plan = plan_for(&cell, 80, 640, mixed);
     plan.patience = Duration::from_secs(25);
-    let client = cell.caller.clone();
-    let before = epochs(&cell);
+    let before = owners(&cell);
 
-    let load = tokio::spawn(async move { run_load(&client, plan).await });
+    let load = begin_load(&cell.caller, plan);
     tokio::time::sleep(Duration::from_secs(1)).await;
     cell.members[0].peer.set(UdpPlan {
         drop_in: 1.0,
         ..UdpPlan::default()
     });
     tokio::time::sleep(Duration::from_secs(5)).await;
-    let during = epochs(&cell);
+    let during = owners(&cell);
     cell.members[0].peer.set(UdpPlan::default());
     let outcomes = load.await.expect("load");
 
     assert_eq!(before, during, "shards moved");
-    let wrong = verify(&outcomes, &cell.platform.log.runs(), cell.platform.capacity);
-    assert!(wrong.is_empty(), "{wrong:#?}");
+    check_rules(&cell, &outcomes);
     cell.close();
 }
 
@@ -65,7 +58,6 @@
 
     let outcomes = run_load(&cell.caller, plan).await;
 
-    let wrong = verify(&outcomes, &cell.platform.log.runs(), cell.platform.capacity);
-    assert!(wrong.is_empty(), "{wrong:#?}");
+    check_rules(&cell, &outcomes);
     cell.close();
 }
--- a/crates/daemon/tests/store_faults.rs
+++ b/crates/daemon/tests/store_faults.rs
@@ -2,23 +2,23 @@
 
 mod support;
 
-use std::collections::HashMap;
 use std::time::Duration;
 
-use fake::Cell;
 use fake::RelayPlan;
+use fake::begin_load;
 use fake::confirmation;
 use fake::count_families;
 use fake::lookup;
-use fake::run_load;
-use fake::verify;
 use model::Family;
 use model::Request;
-use shard::place_shards;
 
+use crate::support::check_all_succeeded;
+use crate::support::check_rules;
 use crate::support::mixed;
 use crate::support::open_cell;
+use crate::support::owners;
 use crate::support::plan_for;
+use crate::support::wait_balanced;
 
 /// Longer than the lease of a process.
 const OUTAGE: Duration = Duration::from_secs(6);
@@ -34,41 +34,6 @@
     }
 }
 
-fn owners(cell: &Cell) -> HashMap<String, String> {
-    let rows = cell.platform.table.rows("cell/shard/");
-    rows.into_iter().map(|row| (row.key, row.value)).collect()
-}
-
-/// Waits until each shard is with the process that should own it.
-///
-/// A cell may serve before that: a process that starts first claims more than
-/// its part, and passes the rest on, one shard in three seconds. Such a planned
-/// hand-over may fall into an outage and be made after it.
-async fn wait_balanced(cell: &Cell) {
-    let names: Vec<String> = (0..cell.members.len())
-        .map(|at| format!("entry-{at}"))
-        .collect();
-    let shards = u16::try_from(owners(cell).len()).expect("shards");
-    let wanted: Vec<String> = (0..shards)
-        .zip(place_shards(&names, shards))
-        .map(|(shard, at)| format!("cell/shard/{shard:04} entry-{at}-"))
-        .collect();
-    let balanced = || {
-        let rows = owners(cell);
-        wanted.iter().all(|wanted| {
-            let (key, owner) = wanted.split_once(' ').expect("two words");
-            rows.get(key).is_some_and(|row| row.contains(owner))
-        })
-    };
-    let looks = async {
-        while !balanced() {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-    };
-    let balanced = tokio::time::timeout(Duration::from_mins(1), looks).await;
-    assert!(balanced.is_ok(), "{:#?}", owners(cell));
-}
-
 // Symptom: bearing lookups failed while the table was down.
 // Sequence: the table refuses every call for three lease times, under load.
 // Cause: owners that stop at the end of their lease although nobody else can
@@ -79,23 +44,16 @@
     wait_balanced(&cell).await;
     let before = owners(&cell);
     let plan = plan_for(&cell, 100, 1000, lookups);
-    let client = cell.caller.clone();
 
-    let load = tokio::spawn(async move { run_load(&client, plan).await });
+    let load = begin_load(&cell.caller, plan);
     tokio::time::sleep(Duration::from_secs(1)).await;
     cell.platform.set_down(true);
     tokio::time::sleep(OUTAGE).await;
     cell.platform.set_down(false);
     let outcomes = load.await.expect("load");
 
-    let wrong = verify(&outcomes, &cell.platform.log.runs(), cell.platform.capacity);
-    assert!(wrong.is_empty(), "{wrong:#?}");
-    let counts = count_families(&outcomes);
-    assert_eq!(
-        counts.get(&Family::Succeeded),
-        Some(&outcomes.len()),
-        "{counts:?}"
-    );
+    check_rules(&cell, &outcomes);
+    check_all_succeeded(&outcomes);
     // Nobody took anything from anybody when the table came back.
     assert_eq!(owners(&cell), before);
     cell.close();
@@ -109,17 +67,15 @@
 async fn what_could_not_be_recorded_in_time_never_runs() {
     let cell = open_cell(3).await;
     let plan = plan_for(&cell, 20, 80, hasty);
-    let client = cell.caller.clone();
 
     cell.platform.set_down(true);
-    let load = tokio::spawn(async move { run_load(&client, plan).await });
+    let load = begin_load(&cell.caller, plan);
     tokio::time::sleep(OUTAGE).await;
     cell.platform.set_down(false);
     let outcomes = load.await.expect("load");
     tokio::time::sleep(Duration::from_secs(3)).await;
 
-    let wrong = verify(&outcomes, &cell.platform.log.runs(), cell.platform.capacity);
-    assert!(wrong.is_empty(), "{wrong:#?}");
+    check_rules(&cell, &outcomes);
     let counts = count_families(&outcomes);
     assert!(
         counts.get(&Family::NotRun).is_some_and(|count| *count > 40),
@@ -135,9 +91,8 @@
 async fn lost_answers_of_the_table_change_nothing() {
     let cell = open_cell(3).await;
     let plan = plan_for(&cell, 100, 800, mixed);
-    let client = cell.caller.clone();
 
-    let load = tokio::spawn(async move { run_load(&client, plan).await });
+    let load = begin_load(&cell.caller, plan);
     for _ in 0..12 {
         tokio::time::sleep(Duration::from_millis(500)).await;
         cell.platform
@@ -147,14 +102,8 @@
     }
     let outcomes = load.await.expect("load");
 
-    let wrong = verify(&outcomes, &cell.platform.log.runs(), cell.platform.capacity);
-    assert!(wrong.is_empty(), "{wrong:#?}");
-    let counts = count_families(&outcomes);
-    assert_eq!(
-        counts.get(&Family::Succeeded),
-        Some(&outcomes.len()),
-        "{counts:?}"
-    );
+    check_rules(&cell, &outcomes);
+    check_all_succeeded(&outcomes);
     cell.close();
 }
 
@@ -165,9 +114,8 @@
 async fn a_process_cut_off_alone_stops_and_the_others_take_over() {
     let cell = open_cell(3).await;
     let plan = plan_for(&cell, 100, 1000, mixed);
-    let client = cell.caller.clone();
 
-    let load = tokio::spawn(async move { run_load(&client, plan).await });
+    let load = begin_load(&cell.caller, plan);
     tokio::time::sleep(Duration::from_secs(1)).await;
     let cut = RelayPlan {
         cut: true,
@@ -184,8 +132,7 @@
         .filter(|row| row.contains("entry-0-"))
         .count();
     assert_eq!(alone, 0, "{owned:?}");
-    let wrong = verify(&outcomes, &cell.platform.log.runs(), cell.platform.capacity);
-    assert!(wrong.is_empty(), "{wrong:#?}");
+    check_rules(&cell, &outcomes);
     cell.close();
 }
 
@@ -196,9 +143,8 @@
 async fn a_lost_answer_followed_by_the_owners_death() {
     let mut cell = open_cell(3).await;
     let plan = plan_for(&cell, 100, 600, mixed);
-    let client = cell.caller.clone();
 
-    let load = tokio::spawn(async move { run_load(&client, plan).await });
+    let load = begin_load(&cell.caller, plan);
     tokio::time::sleep(Duration::from_secs(2)).await;
     cell.platform
         .table
@@ -208,8 +154,7 @@
     cell.members[1].kill();
     let outcomes = load.await.expect("load");
 
-    let wrong = verify(&outcomes, &cell.platform.log.runs(), cell.platform.capacity);
-    assert!(wrong.is_empty(), "{wrong:#?}");
+    check_rules(&cell, &outcomes);
     cell.close();
 }
 
@@ -220,9 +165,8 @@
 async fn an_owner_that_dies_during_an_outage_is_replaced_after_it() {
     let mut cell = open_cell(3).await;
     let plan = plan_for(&cell, 100, 900, mixed);
-    let client = cell.caller.clone();
 
-    let load = tokio::spawn(async move { run_load(&client, plan).await });
+    let load = begin_load(&cell.caller, plan);
     tokio::time::sleep(Duration::from_secs(1)).await;
     cell.platform.set_down(true);
     tokio::time::sleep(Duration::from_secs(1)).await;
@@ -231,7 +175,6 @@
     cell.platform.set_down(false);
     let outcomes = load.await.expect("load");
 
-    let wrong = verify(&outcomes, &cell.platform.log.runs(), cell.platform.capacity);
-    assert!(wrong.is_empty(), "{wrong:#?}");
+    check_rules(&cell, &outcomes);
     cell.close();
 }
--- a/crates/daemon/tests/takeover.rs
+++ b/crates/daemon/tests/takeover.rs
@@ -5,13 +5,15 @@
 use std::time::Duration;
 
 use fake::LoadPlan;
-use fake::Outcome;
+use fake::begin_load;
 use fake::count_families;
 use fake::run_load;
 use fake::verify;
 use model::Family;
 use nix::sys::signal::Signal;
 
+use crate::support::check_all_succeeded;
+use crate::support::check_rules;
 use crate::support::mixed;
 use crate::support::open_cell;
 use crate::support::plan_for;
@@ -25,15 +27,13 @@
 async fn a_killed_process_loses_and_repeats_nothing() {
     let mut cell = open_cell(3).await;
     let plan = plan_for(&cell, 100, 600, mixed);
-    let client = cell.caller.clone();
 
-    let load = tokio::spawn(async move { run_load(&client, plan).await });
+    let load = begin_load(&cell.caller, plan);
     tokio::time::sleep(Duration::from_secs(2)).await;
     cell.members[1].kill();
     let outcomes = load.await.expect("load");
 
-    let wrong = verify(&outcomes, &cell.platform.log.runs(), cell.platform.capacity);
-    assert!(wrong.is_empty(), "{wrong:#?}");
+    check_rules(&cell, &outcomes);
     let succeeded = count_families(&outcomes)[&Family::Succeeded];
     assert!(
         succeeded >= outcomes.len() * 99 / 100,
@@ -52,17 +52,15 @@
 async fn a_paused_process_neither_starts_nor_answers_wrongly() {
     let cell = open_cell(3).await;
     let plan = plan_for(&cell, 100, 800, mixed);
-    let client = cell.caller.clone();
 
-    let load = tokio::spawn(async move { run_load(&client, plan).await });
+    let load = begin_load(&cell.caller, plan);
     tokio::time::sleep(Duration::from_secs(2)).await;
     cell.members[0].signal(Signal::SIGSTOP);
     tokio::time::sleep(Duration::from_secs(4)).await;
     cell.members[0].signal(Signal::SIGCONT);
     let outcomes = load.await.expect("load");
 
-    let wrong = verify(&outcomes, &cell.platform.log.runs(), cell.platform.capacity);
-    assert!(wrong.is_empty(), "{wrong:#?}");
+    check_rules(&cell, &outcomes);
     cell.close();
 }
 
@@ -73,22 +71,16 @@
 async fn a_planned_stop_fails_no_request() {
     let mut cell = open_cell(3).await;
     let plan = plan_for(&cell, 100, 600, mixed);
-    let client = cell.caller.clone();
 
-    let load = tokio::spawn(async move { run_load(&client, plan).await });
+    let load = begin_load(&cell.caller, plan);
     tokio::time::sleep(Duration::from_secs(2)).await;
     cell.members[2].signal(Signal::SIGTERM);
     let ended = cell.members[2].ended(Duration::from_secs(30)).await;
     let outcomes = load.await.expect("load");
 
     assert_eq!(ended, Some(true), "{}", cell.log(2));
-    let failed: Vec<&Outcome> = outcomes
-        .iter()
-        .filter(|outcome| outcome.family() != Family::Succeeded)
-        .collect();
-    assert!(failed.is_empty(), "{failed:#?}");
-    let wrong = verify(&outcomes, &cell.platform.log.runs(), cell.platform.capacity);
-    assert!(wrong.is_empty(), "{wrong:#?}");
+    check_all_succeeded(&outcomes);
+    check_rules(&cell, &outcomes);
     cell.close();
 }
 
@@ -118,9 +110,8 @@
 async fn all_processes_are_replaced_without_a_failed_request() {
     let mut cell = open_cell(3).await;
     let plan = plan_for(&cell, 60, 1500, mixed);
-    let client = cell.caller.clone();
 
-    let load = tokio::spawn(async move { run_load(&client, plan).await });
+    let load = begin_load(&cell.caller, plan);
     for index in 0..3 {
         cell.members[index].signal(Signal::SIGTERM);
         let ended = cell.members[index].ended(Duration::from_secs(30)).await;
@@ -132,12 +123,7 @@
     }
     let outcomes = load.await.expect("load");
 
-    let failed = outcomes
-        .iter()
-        .filter(|outcome| outcome.family() != Family::Succeeded);
-    let failed: Vec<&Outcome> = failed.collect();
-    assert!(failed.is_empty(), "{failed:#?}");
-    let wrong = verify(&outcomes, &cell.platform.log.runs(), cell.platform.capacity);
-    assert!(wrong.is_empty(), "{wrong:#?}");
+    check_all_succeeded(&outcomes);
+    check_rules(&cell, &outcomes);
     cell.close();
 }
--- a/crates/daemon/tests/workers.rs
+++ b/crates/daemon/tests/workers.rs
@@ -5,15 +5,17 @@
 use std::time::Duration;
 
 use fake::Cell;
+use fake::begin_load;
 use fake::count_families;
 use fake::lookup;
 use fake::restock;
 use fake::run_load;
-use fake::verify;
 use model::Class;
 use model::Family;
 use model::Request;
 
+use crate::support::check_all_succeeded;
+use crate::support::check_rules;
 use crate::support::mixed;
 use crate::support::open_cell;
 use crate::support::plan_for;
@@ -40,10 +42,9 @@
 async fn a_leaving_worker_gets_nothing_new_after_two_seconds() {
     let cell = open_cell(2).await;
     let plan = plan_for(&cell, 150, 900, lookups);
-    let client = cell.caller.clone();
     let leaving = cell.platform.workers[5].id.clone();
 
-    let load = tokio::spawn(async move { run_load(&client, plan).await });
+    let load = begin_load(&cell.caller, plan);
     tokio::time::sleep(Duration::from_secs(1)).await;
     cell.platform.hosts.leave(&leaving);
     let quiet = cell.platform.log.now() + Duration::from_secs(2);
@@ -60,8 +61,7 @@
         .count();
     assert!(before > 0, "the worker was never used");
     assert_eq!(late, 0);
-    let wrong = verify(&outcomes, &runs, cell.platform.capacity);
-    assert!(wrong.is_empty(), "{wrong:#?}");
+    check_rules(&cell, &outcomes);
     cell.close();
 }
 
@@ -72,9 +72,8 @@
 async fn long_work_on_a_leaving_worker_moves_by_checkpoint() {
     let cell = open_cell(2).await;
     let plan = plan_for(&cell, 100, 60, long_restocks);
-    let client = cell.caller.clone();
 
-    let load = tokio::spawn(async move { run_load(&client, plan).await });
+    let load = begin_load(&cell.caller, plan);
     tokio::time::sleep(Duration::from_secs(3)).await;
     let worker = busiest(&cell).remove(0);
     cell.platform.hosts.leave(&worker.id);
@@ -86,14 +85,8 @@
         .filter(|run| run.result == Some(worker::EndResult::Checkpointed))
         .count();
     assert!(moved > 0, "nothing was checkpointed");
-    let wrong = verify(&outcomes, &runs, cell.platform.capacity);
-    assert!(wrong.is_empty(), "{wrong:#?}");
-    let counts = count_families(&outcomes);
-    assert_eq!(
-        counts.get(&Family::Succeeded),
-        Some(&outcomes.len()),
-        "{counts:?}"
-    );
+    check_rules(&cell, &outcomes);
+    check_all_succeeded(&outcomes);
     cell.close();
 }
 
@@ -104,9 +97,8 @@
 async fn a_restarted_worker_is_not_taken_for_one_that_never_started() {
     let cell = open_cell(2).await;
     let plan = plan_for(&cell, 150, 900, mixed);
-    let client = cell.caller.clone();
 
-    let load = tokio::spawn(async move { run_load(&client, plan).await });
+    let load = begin_load(&cell.caller, plan);
     for round in 0..5 {
         tokio::time::sleep(Duration::from_millis(800)).await;
         for worker in busiest(&cell).iter().take(3 + round) {
@@ -115,8 +107,7 @@
     }
     let outcomes = load.await.expect("load");
 
-    let wrong = verify(&outcomes, &cell.platform.log.runs(), cell.platform.capacity);
-    assert!(wrong.is_empty(), "{wrong:#?}");
+    check_rules(&cell, &outcomes);
     cell.close();
 }
 
@@ -128,9 +119,8 @@
 async fn a_worker_that_stands_still_past_the_lease_runs_nothing_twice() {
     let cell = open_cell(2).await;
     let plan = plan_for(&cell, 60, 120, long_restocks);
-    let client = cell.caller.clone();
 
-    let load = tokio::spawn(async move { run_load(&client, plan).await });
+    let load = begin_load(&cell.caller, plan);
     tokio::time::sleep(Duration::from_secs(2)).await;
     let still: Vec<fake::FakeWorker> = busiest(&cell).into_iter().take(4).collect();
     for worker in &still {
@@ -142,8 +132,7 @@
     }
     let outcomes = load.await.expect("load");
 
-    let wrong = verify(&outcomes, &cell.platform.log.runs(), cell.platform.capacity);
-    assert!(wrong.is_empty(), "{wrong:#?}");
+    check_rules(&cell, &outcomes);
     cell.close();
 }
 
@@ -256,18 +245,12 @@
 
     let outcomes = run_load(&cell.caller, plan).await;
 
-    let counts = count_families(&outcomes);
-    assert_eq!(
-        counts.get(&Family::Succeeded),
-        Some(&outcomes.len()),
-        "{counts:?}"
-    );
+    check_all_succeeded(&outcomes);
     let runs = cell.platform.log.runs();
     let lent = runs
         .iter()
         .filter(|run| run.request.contains("hot-") && run.attempt.contains('~'));
     assert!(lent.count() > 100);
-    let wrong = verify(&outcomes, &runs, cell.platform.capacity);
-    assert!(wrong.is_empty(), "{wrong:#?}");
+    check_rules(&cell, &outcomes);
     cell.close();
 }
--- a/crates/fake/src/load.rs
+++ b/crates/fake/src/load.rs
@@ -9,6 +9,7 @@
 use entry::AnswerBody;
 use model::Family;
 use model::Request;
+use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 
 use crate::CellClient;
@@ -70,6 +71,13 @@
     callers.join_all().await
 }
 
+/// Sends all requests while something else goes on.
+#[must_use]
+pub fn begin_load(client: &CellClient, plan: LoadPlan) -> JoinHandle<Vec<Outcome>> {
+    let client = client.clone();
+    tokio::spawn(async move { run_load(&client, plan).await })
+}
+
 async fn call(client: &CellClient, plan: &LoadPlan, number: u32, began: Instant) -> Outcome {
     let request = (plan.request)(number);
     let sent = began.elapsed();
