Tests: what callers are told rests on what is known (failing)

Cause: several answers, states and events of a shard rest on what it ordered: a stop that was sent, a start that was sent, a record that is on its way, the workers that were claimed so far.

Change: tests that drive the shard's machine by hand; the product is as it was.

--- /dev/null
+++ b/crates/shard/tests/shown/refusals.rs
@@ -0,0 +1,90 @@
+//! "Accepted" and "not run" are said only when they are certain.
+
+use model::Code;
+use model::Resources;
+use shard::Input;
+
+use crate::desk::Desk;
+use crate::desk::confirmation;
+use crate::desk::lookup;
+
+// A caller was told that its restock is accepted, and the restock was gone
+// after a change of owner. Its first submission was on the way to the table;
+// a copy of it, sent at once, found the request in memory and was answered
+// "accepted". The owner ended before the record was written.
+#[test]
+fn a_copy_of_a_submission_hears_accepted_only_when_it_is_recorded() {
+    let mut desk = Desk::open(&["w0"]);
+    let (_, first) = desk.submit(confirmation("r1"), true);
+
+    let (copy, early) = desk.submit(confirmation("r1"), false);
+    let seen = desk.feed(Input::Written(first.ticket()));
+
+    assert_eq!(early.answer(copy), None);
+    let answer = seen.answer(copy).expect("an answer once it is recorded");
+    assert_eq!(answer.code, Code::Pending);
+}
+
+#[test]
+fn a_copy_of_a_recorded_submission_is_answered_at_once() {
+    let mut desk = Desk::open(&["w0"]);
+    let (_, first) = desk.submit(confirmation("r1"), true);
+    desk.feed(Input::Written(first.ticket()));
+
+    let (copy, seen) = desk.submit(confirmation("r1"), false);
+
+    assert!(seen.answer(copy).is_some());
+}
+
+// A caller was told "cancelled before it started", and the request ran. The
+// table was away when the request was cancelled, so answers were given before
+// their records were written; the owner ended, and the next one found the
+// request in the journal without its end.
+#[test]
+fn not_run_waits_for_its_record_while_the_table_is_away() {
+    let mut desk = Desk::open(&["w0"]);
+    let (caller, seen) = desk.submit(confirmation("r1"), true);
+    desk.feed(Input::Written(seen.ticket()));
+    let (_, cancelled) = desk.cancel("r1");
+
+    let early = desk.feed(Input::Stalled);
+    let seen = desk.feed(Input::Written(cancelled.ticket()));
+
+    assert_eq!(early.answer(caller), None);
+    let answer = seen.answer(caller).expect("an answer once it is recorded");
+    assert_eq!(answer.code, Code::Cancelled);
+}
+
+// A request was refused as one that no worker could ever hold (301), though a
+// worker of its shard had room for it. The owner had just taken the shard over
+// and had claimed the smaller of its two workers; it took the capacities that
+// it knew for all that there are.
+#[test]
+fn nothing_is_too_large_before_all_workers_are_known() {
+    let mut desk = Desk::open(&["w0", "w1"]);
+    desk.claim("w0", "run-1", 2, Vec::new());
+    let mut large = lookup("r1");
+    large.needs = Resources {
+        accelerators: 1,
+        ..Resources::default()
+    };
+
+    let (caller, seen) = desk.submit(large, true);
+
+    assert_eq!(seen.answer(caller), None);
+}
+
+#[test]
+fn what_no_worker_can_hold_is_refused_once_all_are_known() {
+    let mut desk = Desk::with_worker();
+    let mut large = lookup("r1");
+    large.needs = Resources {
+        accelerators: 1,
+        ..Resources::default()
+    };
+
+    let (caller, seen) = desk.submit(large, true);
+
+    let answer = seen.answer(caller).expect("a refusal");
+    assert_eq!(answer.code, Code::NeverFits);
+}
