Tell callers of a shard what is known, not what was ordered

Cause: a shard answered by the stop that it had sent (a task that succeeded or failed first was "stopped", one on a lost worker too), said "running on" when a start was sent, "accepted" and "cancelled before it started" while the record was on its way, "0 cancelled" to a repeated call, "too large for every worker" when it knew some of them, and counted the wait until a start was sent.

Change: the worker's word decides a cancelled attempt; what an attempt may have done is kept (nothing, seen, unseen); a copy of a submission waits for the record as the first does; answers that say that nothing will run wait for their record while the table is away; a repeated cancel call counts again and waits too, and its stop is sent again when a worker still lists the task; a refusal as too large waits until all workers of the host list were claimed, and what waited is refused then; the wait ends with the worker's word. Event 405 is recorded when a request is cancelled; 406 stop_asked is new.

--- a/crates/cli/src/cancel.rs
+++ b/crates/cli/src/cancel.rs
@@ -44,7 +44,7 @@
         if self.json {
             print_json(&done);
         } else {
-            println!("{} cancelled", done.cancelled);
+            println!("{} cancelled or told to stop", done.cancelled);
         }
         Ok(SUCCESS)
     }
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -48,7 +48,7 @@
 /// Result of a cancel call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CancelledBody {
-    /// Requests cancelled, or asked to stop.
+    /// Requests that are cancelled, or were told to stop.
     pub cancelled: u32,
 }
 
--- a/crates/event/src/kind.rs
+++ b/crates/event/src/kind.rs
@@ -76,8 +76,10 @@
     TaskEnded = 403,
     /// A request got its final answer.
     RequestAnswered = 404,
-    /// A request was cancelled.
+    /// A request was cancelled, in the queue or while it ran.
     RequestCancelled = 405,
+    /// The caller of a request that runs asked to stop it.
+    StopAsked = 406,
     /// A new configuration version is in force here.
     ConfigAdopted = 500,
     /// A patch was accepted.
--- a/crates/sched/src/core.rs
+++ b/crates/sched/src/core.rs
@@ -44,6 +44,8 @@
     /// Jobs lent to this core, whose quota is charged elsewhere.
     pub(crate) exempt: HashSet<JobKey>,
     sequence: u64,
+    /// Whether the pool has all workers that there are.
+    complete: bool,
 }
 
 impl<P: Policy> Core<P> {
@@ -57,6 +59,7 @@
             queues: Queues::default(),
             exempt: HashSet::new(),
             sequence: 0,
+            complete: true,
         }
     }
 
@@ -79,6 +82,22 @@
         self.pool.add(id, rack, capacity)
     }
 
+    /// Tells whether all workers that there are were added. Until then no job
+    /// is refused for being too large: right after a take-over the worker that
+    /// has room for it may be the one that was not heard of yet. True when
+    /// they are all known now and were not before.
+    pub fn set_complete(&mut self, complete: bool) -> bool {
+        let before = std::mem::replace(&mut self.complete, complete);
+        complete && !before
+    }
+
+    /// Whether the workers could hold a job if nothing else ran, or are not
+    /// all known.
+    #[must_use]
+    pub fn could_hold(&self, spec: &JobSpec) -> bool {
+        !self.complete || self.pool.is_empty() || self.pool.could_hold(&spec.needs, spec.members)
+    }
+
     /// Changes whether a worker takes tasks.
     pub fn set_state(&mut self, worker: WorkerKey, state: WorkerState) {
         self.pool.set_state(worker, state);
@@ -130,8 +149,7 @@
     /// # Errors
     /// The job can never run here, or its team's queue is full.
     pub fn submit(&mut self, now: Now, spec: JobSpec) -> Result<JobKey, Refused> {
-        let fits = self.pool.could_hold(&spec.needs, spec.members);
-        if !fits && !self.pool.is_empty() {
+        if !self.could_hold(&spec) {
             return Err(Refused::NeverFits);
         }
         let team = self.budgets.team(&spec.team);
--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -11,6 +11,7 @@
 use crate::Entry;
 use crate::MemberState;
 use crate::Origin;
+use crate::Past;
 
 /// Attempts of a request, restarts included.
 pub const ATTEMPTS: u32 = 4;
@@ -51,14 +52,10 @@
         );
     }
     let none_started = unstarted == entry.members.len() && extra.is_empty();
-    if entry.cancelled {
-        return if none_started && !entry.touched {
-            answer(Code::Cancelled, "cancelled before it started")
-        } else {
-            answer(Code::TaskStopped, "stopped by its caller")
-        };
+    if entry.cancelled && none_started && !entry.touched() {
+        return answer(Code::Cancelled, "cancelled before it started");
     }
-    if none_started {
+    if none_started && !entry.cancelled {
         return Verdict::Again(None);
     }
     let result = |wanted| ends.iter().any(|(_, end)| end.result == wanted);
@@ -70,6 +67,9 @@
     {
         return Verdict::Answer(success(entry, &ends));
     }
+    if entry.cancelled {
+        return Verdict::Answer(stopped(entry, &ends, gone));
+    }
     if result(EndResult::Checkpointed) && !gone && unstarted == 0 && ends.len() == 1 {
         return Verdict::Again(Some(ends[0].1.output.clone()));
     }
@@ -84,6 +84,20 @@
     answer(Code::HostLost, "it was interrupted; it may have run")
 }
 
+/// Answer to a request whose caller cancelled it while it ran. A stop that was
+/// sent is not one that was carried out: a task that ended by itself first was
+/// answered as stopped, and its caller, told that it failed, did it again.
+fn stopped(entry: &Entry, ends: &[(&str, &End)], gone: bool) -> Answer {
+    if gone || entry.past == Past::Unseen {
+        let reason = "cancelled, but nobody knows how it ended; it may have run";
+        return bare(entry, Code::HostLost, reason);
+    }
+    if ends.iter().any(|(_, end)| end.result == EndResult::Failed) {
+        return failure(entry, ends);
+    }
+    bare(entry, Code::TaskStopped, "stopped by its caller")
+}
+
 fn bare(entry: &Entry, code: Code, reason: &str) -> Answer {
     let mut answer = Answer::bare(&entry.request.id, code, reason);
     answer.waited_millis = entry.waited_millis;
--- a/crates/shard/src/entry.rs
+++ b/crates/shard/src/entry.rs
@@ -85,6 +85,26 @@
     Report,
 }
 
+/// What the attempts of a request may have done so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Past {
+    /// Nothing has started.
+    Untouched,
+    /// Something has started; how it ended is known.
+    Seen,
+    /// Something may have started whose end nobody heard of.
+    Unseen,
+}
+
+/// How far the record of a request's acceptance has come.
+#[derive(Clone, Debug)]
+pub enum Acceptance {
+    /// It is not in the table yet; these callers wait for it.
+    Recording(Vec<WaiterKey>),
+    /// It is in the table.
+    Safe,
+}
+
 /// A request as its shard remembers it.
 #[derive(Clone, Debug)]
 pub struct Entry {
@@ -108,15 +128,18 @@
     pub waiters: Vec<WaiterKey>,
     /// Whether the journal has it, or will have it with the next commit.
     pub recorded: bool,
-    /// Whether some attempt may have started.
-    pub touched: bool,
+    /// What earlier attempts may have done.
+    pub past: Past,
+    /// How far the record of its acceptance has come.
+    pub acceptance: Acceptance,
     /// Whether its caller withdrew it while it ran.
     pub cancelled: bool,
     /// Who told of it.
     pub origin: Origin,
     /// Milliseconds that it had waited elsewhere before it came here.
     pub before_millis: u64,
-    /// Milliseconds from submission to the start of its newest attempt.
+    /// Milliseconds from submission until the worker said that its newest
+    /// attempt started; until it says so, to the sending of the start.
     pub waited_millis: u64,
     /// Ends of earlier attempts that their workers still keep.
     pub spent: Vec<Member>,
@@ -139,7 +162,8 @@
             stage: Stage::Running(None),
             waiters: Vec::new(),
             recorded: false,
-            touched: false,
+            past: Past::Untouched,
+            acceptance: Acceptance::Recording(Vec::new()),
             cancelled: false,
             origin: Origin::Caller,
             before_millis: 0,
@@ -168,7 +192,7 @@
         };
         let mut entry = Entry::new(request, now, now, 0);
         entry.origin = Origin::Report;
-        entry.touched = true;
+        entry.past = Past::Seen;
         entry
     }
 
@@ -193,6 +217,32 @@
         }
     }
 
+    /// Whether a later owner will know of it as well, or does not have to.
+    #[must_use]
+    pub fn is_safe(&self) -> bool {
+        !self.recorded || matches!(self.acceptance, Acceptance::Safe)
+    }
+
+    /// Whether some attempt may have started.
+    #[must_use]
+    pub fn touched(&self) -> bool {
+        self.past != Past::Untouched
+    }
+
+    /// Takes in what an attempt may have done.
+    pub(crate) fn touch(&mut self, past: Past) {
+        self.past = self.past.max(past);
+    }
+
+    /// Takes in that its attempt starts, or was sent, at `now`. What an
+    /// earlier attempt waited stays.
+    pub(crate) fn note_wait(&mut self, now: Now) {
+        if !self.touched() {
+            let here = crate::intake::millis(now.saturating_sub(self.since));
+            self.waited_millis = self.before_millis + here;
+        }
+    }
+
     /// Whether it is answered, or the answer is on the way to the table.
     #[must_use]
     pub fn is_over(&self) -> bool {
--- a/crates/shard/src/fleet.rs
+++ b/crates/shard/src/fleet.rs
@@ -8,6 +8,7 @@
 use event::Kind;
 use model::WorkerId;
 use sched::JobKey;
+use sched::Refused;
 use sched::WorkerState;
 use store::HostState;
 use worker::Claimed;
@@ -17,6 +18,7 @@
 use crate::Machine;
 use crate::MemberState;
 use crate::Output;
+use crate::Past;
 use crate::Stage;
 use crate::StopMode;
 use crate::WorkerHost;
@@ -50,6 +52,27 @@
         }
         let workers = &self.workers;
         self.retiring.retain(|id| !workers.contains_key(id));
+        self.count_known();
+    }
+
+    /// "Too large for every worker" needs to know them all. What waits and was
+    /// not refused before they were known is refused now.
+    fn count_known(&mut self) {
+        let core = &self.core;
+        let complete = self.workers.keys().all(|id| core.worker(id).is_some());
+        if !self.core.set_complete(complete) {
+            return;
+        }
+        let core = &self.core;
+        let impossible = |entry: &Entry| {
+            matches!(entry.stage, Stage::Waiting(_)) && !core.could_hold(&Self::job_spec(entry))
+        };
+        let entries = self.ledger.iter().filter(|(_, entry)| impossible(entry));
+        let keys: Vec<String> = entries.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.withdraw(&key);
+            self.finish_interrupted(&key, Refused::NeverFits);
+        }
     }
 
     /// A worker that left the host list keeps its link until its tasks have
@@ -118,6 +141,7 @@
         };
         let worker = self.core.add_worker(id, &host.host.rack, claimed.capacity);
         self.core.set_state(worker, core_state(host.host.state));
+        self.count_known();
         self.runs.insert(id.to_owned(), claimed.incarnation.clone());
         self.event(Event::new(Kind::WorkerClaimed).worker(id));
         let mut listed: HashMap<String, Task> = HashMap::new();
@@ -168,7 +192,11 @@
             self.on_ended(id, vec![task]);
             return;
         }
-        if !self.adopt(id, &task) {
+        // A stop that was lost on its way shows as a task that runs on after
+        // its caller was told that it is cancelled; so it is sent again.
+        let key = &task.request;
+        let cancelled = self.ledger.get(key).is_some_and(|entry| entry.cancelled);
+        if !self.adopt(id, &task) || cancelled {
             let stop = Output::Stop(id.to_owned(), task.attempt, StopMode::Kill);
             self.outputs.push(stop);
         }
@@ -205,6 +233,7 @@
         let Some(worker) = self.core.worker(id) else {
             return false;
         };
+        let now = self.times.now;
         let Some(entry) = self.ledger.get_mut(key) else {
             return true;
         };
@@ -223,6 +252,7 @@
             }
             MemberState::Sent => {
                 member.state = MemberState::Started;
+                entry.note_wait(now);
                 true
             }
             MemberState::Started => true,
@@ -242,7 +272,7 @@
         let job = self.core.adopt(self.times.now, spec, worker);
         self.keys.insert(job, key.to_owned());
         if let Some(entry) = self.ledger.get_mut(key) {
-            entry.touched = true;
+            entry.touch(Past::Seen);
             entry.stage = Stage::Running(Some(job));
         }
     }
--- a/crates/shard/src/intake.rs
+++ b/crates/shard/src/intake.rs
@@ -11,20 +11,19 @@
 use sched::JobSpec;
 use sched::Refused;
 
+use crate::Acceptance;
 use crate::Accepted;
 use crate::CancelFilter;
 use crate::Entry;
 use crate::Machine;
-use crate::Output;
 use crate::Record;
 use crate::ShardAsk;
 use crate::ShardReply;
 use crate::Stage;
-use crate::StopMode;
 use crate::Submission;
 use crate::WaiterKey;
 use crate::machine::Pending;
-use crate::machine::Withdrawn;
+use crate::outcome::refusal_of;
 
 /// When a refused caller may come back, in milliseconds.
 const COME_BACK_MILLIS: u64 = 1000;
@@ -85,6 +84,12 @@
             self.reply(waiter, ShardReply::Answer(answer));
         } else if submission.wait {
             entry.waiters.push(waiter);
+        } else if entry.recorded
+            && let Acceptance::Recording(waiters) = &mut entry.acceptance
+        {
+            // Its record may never reach the table; an "accepted" now would be
+            // followed by a request that the next owner has never heard of.
+            waiters.push(waiter);
         } else {
             let answer = pending_answer(id, "accepted");
             self.reply(waiter, ShardReply::Answer(answer));
@@ -138,12 +143,10 @@
                 request: entry.request.clone(),
                 until_millis,
             });
-            let pending = if wait {
-                None
-            } else {
-                Some(Pending::Accepted(key.to_owned(), waiter))
-            };
-            self.append_accept(record, pending);
+            if !wait {
+                entry.acceptance = Acceptance::Recording(vec![waiter]);
+            }
+            self.append(record, Pending::Accepted(key.to_owned()));
         } else if !wait {
             let answer = pending_answer(&entry.request.id, "accepted");
             self.reply(waiter, ShardReply::Answer(answer));
@@ -154,25 +157,15 @@
         }
     }
 
-    fn append_accept(&mut self, record: Record, pending: Option<Pending>) {
-        match pending {
-            Some(pending) => self.append(record, pending),
-            None => self.records.push(record),
-        }
-    }
-
     /// A refused id is remembered like any other: a copy of the submission
     /// that was delayed on its way must not run after "not run" was said.
     fn refuse(&mut self, key: &str, entry: Entry, refused: Refused, waiter: WaiterKey) {
         let id = entry.request.id.clone();
-        let answer = match refused {
-            Refused::NeverFits => {
-                let reason = "no set of workers of its shard is large enough";
-                Answer::bare(&id, Code::NeverFits, reason)
-            }
-            Refused::QueueFull => Answer::bare(&id, Code::QueueFull, "the team's queue is full")
-                .retry_in(COME_BACK_MILLIS),
-        };
+        let (code, reason) = refusal_of(refused);
+        let mut answer = Answer::bare(&id, code, reason);
+        if code == Code::QueueFull {
+            answer = answer.retry_in(COME_BACK_MILLIS);
+        }
         let answer = self.make_true(&entry, answer);
         self.ledger.insert(key, entry);
         self.ledger.finish(key, answer.clone(), self.times.now);
@@ -192,105 +185,6 @@
         }
     }
 
-    fn on_status(&mut self, key: &str, waiter: WaiterKey) {
-        let Some(entry) = self.ledger.get(key) else {
-            self.reply(waiter, ShardReply::Unknown);
-            return;
-        };
-        if let Some(answer) = entry.answer() {
-            let answer = answer.clone();
-            self.reply(waiter, ShardReply::Answer(answer));
-            return;
-        }
-        let id = entry.request.id.clone();
-        let reason = match entry.stage {
-            Stage::Waiting(job) => match self.core.waits_for(job) {
-                Some(limit) => format!("waiting for {limit}"),
-                None => "waiting".to_owned(),
-            },
-            Stage::Lent => "no room in its shard; another was asked".to_owned(),
-            Stage::Recording(_) => "placed; its intent is being recorded".to_owned(),
-            Stage::Running(_) => {
-                let workers: Vec<&str> = entry.members.iter().map(|m| &*m.worker).collect();
-                format!("running on {}", workers.join(", "))
-            }
-            Stage::Closing(_) | Stage::Done(_) => "ended; its answer is being recorded".to_owned(),
-        };
-        let answer = pending_answer(&id, &reason);
-        self.reply(waiter, ShardReply::Answer(answer));
-    }
-
-    fn labelled(&self, team: &str, label: &str) -> Vec<String> {
-        let means = |entry: &Entry| {
-            !entry.is_over() && entry.request.team == team && entry.request.label == label
-        };
-        let entries = self.ledger.iter().filter(|(_, entry)| means(entry));
-        entries.map(|(key, _)| key.clone()).collect()
-    }
-
-    /// What waits is withdrawn with one record for all; what runs is stopped.
-    fn on_cancel(&mut self, keys: Vec<String>, waiter: WaiterKey) {
-        let mut recorded = Vec::new();
-        let mut count: u32 = 0;
-        for key in keys {
-            let Some(entry) = self.ledger.get(&key) else {
-                continue;
-            };
-            if entry.is_over() {
-                continue;
-            }
-            count += 1;
-            let (touched, durable) = (entry.touched, entry.recorded);
-            match entry.stage {
-                Stage::Waiting(_) | Stage::Recording(_) if !touched && durable => {
-                    self.withdraw(&key);
-                    recorded.push(key);
-                }
-                Stage::Waiting(_) | Stage::Recording(_) => {
-                    self.withdraw(&key);
-                    self.finish_cancelled(&key, touched);
-                }
-                _ => self.stop_running(&key),
-            }
-        }
-        if recorded.is_empty() {
-            self.reply(waiter, ShardReply::Cancelled(count));
-            return;
-        }
-        self.close_cancelled(&recorded);
-        let at_millis = self.times.wall_millis;
-        let keys = recorded.clone();
-        let withdrawn = Withdrawn {
-            keys: recorded,
-            count,
-            waiter,
-        };
-        let record = Record::Cancel { keys, at_millis };
-        self.append(record, Pending::Cancelled(withdrawn));
-    }
-
-    pub(crate) fn finish_cancelled_loan(&mut self, key: &str) {
-        self.finish_cancelled(key, self.ledger.get(key).is_some_and(|entry| entry.touched));
-    }
-
-    fn finish_cancelled(&mut self, key: &str, touched: bool) {
-        if touched {
-            self.finish_bare(key, Code::TaskStopped, "cancelled between two attempts");
-        } else {
-            self.finish_bare(key, Code::Cancelled, "cancelled before it started");
-        }
-    }
-
-    /// From here on nothing starts them; callers hear of it once the record
-    /// is in the table.
-    fn close_cancelled(&mut self, keys: &[String]) {
-        for key in keys {
-            if let Some(entry) = self.ledger.get_mut(key) {
-                entry.stage = Stage::Closing(crate::cancelled_answer(key));
-            }
-        }
-    }
-
     /// Takes a request that nothing was sent for out of the core.
     pub(crate) fn withdraw(&mut self, key: &str) {
         let Some(entry) = self.ledger.get_mut(key) else {
@@ -310,22 +204,6 @@
             }
         }
     }
-
-    fn stop_running(&mut self, key: &str) {
-        let Some(entry) = self.ledger.get_mut(key) else {
-            return;
-        };
-        entry.cancelled = true;
-        let open = entry
-            .members
-            .iter()
-            .filter(|member| !member.state.is_settled());
-        let stops: Vec<Output> = open
-            .map(|m| Output::Stop(m.worker.clone(), m.attempt.clone(), StopMode::Kill))
-            .collect();
-        self.outputs.extend(stops);
-        self.event(Event::new(Kind::RequestCancelled).request(key));
-    }
 }
 
 /// An answer that is not final.
--- a/crates/shard/src/launch.rs
+++ b/crates/shard/src/launch.rs
@@ -7,6 +7,7 @@
 use sched::JobKey;
 use sched::WorkerKey;
 
+use crate::Acceptance;
 use crate::Entry;
 use crate::Machine;
 use crate::Member;
@@ -19,9 +20,9 @@
 use crate::StartOrder;
 use crate::Ticket;
 use crate::attempt_id;
-use crate::intake::millis;
 use crate::intake::pending_answer;
 use crate::machine::Pending;
+use crate::outcome::stands_unrecorded;
 
 impl Machine {
     pub(crate) fn start(&mut self, job: JobKey, workers: &[WorkerKey]) {
@@ -80,10 +81,7 @@
         let Some(entry) = self.ledger.get_mut(key) else {
             return;
         };
-        if !entry.touched {
-            let here = millis(now.saturating_sub(entry.since));
-            entry.waited_millis = entry.before_millis + here;
-        }
+        entry.note_wait(now);
         let starts: Vec<Output> = entry
             .members
             .iter()
@@ -105,7 +103,7 @@
         match pending {
             Pending::Intent(key, attempt) => self.on_intent(&key, attempt),
             Pending::End(key) => self.close(&key),
-            Pending::Accepted(key, waiter) => self.on_accepted(&key, waiter),
+            Pending::Accepted(key) => self.on_accepted(&key),
             Pending::Cancelled(withdrawn) => {
                 for key in withdrawn.keys {
                     self.close(&key);
@@ -139,23 +137,33 @@
         self.send_starts(key);
     }
 
-    fn on_accepted(&mut self, key: &str, waiter: crate::WaiterKey) {
-        let Some(entry) = self.ledger.get(key) else {
+    fn on_accepted(&mut self, key: &str) {
+        let Some(entry) = self.ledger.get_mut(key) else {
             return;
         };
+        let recording = std::mem::replace(&mut entry.acceptance, Acceptance::Safe);
         let answer = match entry.answer() {
             Some(answer) => answer.clone(),
             None => pending_answer(&entry.request.id, "accepted"),
         };
-        self.reply(waiter, ShardReply::Answer(answer));
+        let Acceptance::Recording(waiters) = recording else {
+            return;
+        };
+        for waiter in waiters {
+            self.reply(waiter, ShardReply::Answer(answer.clone()));
+        }
     }
 
     /// The table takes no records for now: answers that wait for theirs are
-    /// given at once. They are true; if this process dies before they are
-    /// recorded, the workers still hold the ends that were not acknowledged.
+    /// given at once, as far as they are true without their record; if this
+    /// process dies before it is written, the workers still hold the ends that
+    /// were not acknowledged.
     pub(crate) fn on_stalled(&mut self) {
         self.stalled = true;
-        let closing = |entry: &Entry| matches!(entry.stage, Stage::Closing(_));
+        let closing = |entry: &Entry| match &entry.stage {
+            Stage::Closing(answer) => stands_unrecorded(answer.code),
+            _ => false,
+        };
         let keys: Vec<String> = self
             .ledger
             .iter()
@@ -181,7 +189,7 @@
             .map(|(key, _)| key.clone())
             .collect();
         for key in keys {
-            let touched = self.ledger.get(&key).is_some_and(|entry| entry.touched);
+            let touched = self.ledger.get(&key).is_some_and(Entry::touched);
             self.withdraw(&key);
             if touched {
                 self.finish_bare(
--- a/crates/shard/src/ledger.rs
+++ b/crates/shard/src/ledger.rs
@@ -8,9 +8,11 @@
 use model::Epoch;
 use sched::Now;
 
+use crate::Acceptance;
 use crate::Accepted;
 use crate::Entry;
 use crate::MemberState;
+use crate::Past;
 use crate::Placed;
 use crate::Record;
 use crate::Stage;
@@ -133,6 +135,7 @@
         let deadline = times.now + Duration::from_millis(left);
         let mut entry = Entry::new(request, times.now, deadline, accepted.until_millis);
         entry.recorded = true;
+        entry.acceptance = Acceptance::Safe;
         self.entries.insert(key, entry);
     }
 
@@ -145,7 +148,9 @@
         }
         entry.attempt = attempt;
         entry.epoch = epoch;
-        entry.touched = attempt > 1;
+        if attempt > 1 {
+            entry.past = Past::Unseen;
+        }
         let member = |(index, place): (usize, &Placed)| crate::Member {
             attempt: attempt_id(key, epoch, attempt, index),
             worker: place.worker.clone(),
--- a/crates/shard/src/lend.rs
+++ b/crates/shard/src/lend.rs
@@ -16,6 +16,7 @@
 use crate::Loan;
 use crate::Machine;
 use crate::Output;
+use crate::Past;
 use crate::ShardReply;
 use crate::Stage;
 use crate::Submission;
@@ -97,7 +98,7 @@
             }
             Loan::Answer(_) | Loan::Refused => self.take_back(key),
             Loan::Lost => {
-                entry.touched = true;
+                entry.touch(Past::Unseen);
                 self.take_back(key);
             }
         }
@@ -113,7 +114,7 @@
     fn take_back(&mut self, key: &str) {
         let cancelled = self.ledger.get(key).is_some_and(|entry| entry.cancelled);
         if cancelled {
-            self.finish_cancelled_loan(key);
+            self.finish_cancelled(key);
             return;
         }
         self.requeue(key, None);
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod answers;
 mod assign;
+mod cancel;
 mod claiming;
 mod context;
 mod entry;
@@ -40,6 +41,7 @@
 mod service;
 mod snapshot;
 mod staffing;
+mod standing;
 mod view;
 
 pub use answers::*;
--- a/crates/shard/src/machine.rs
+++ b/crates/shard/src/machine.rs
@@ -21,6 +21,7 @@
 use sched::Now;
 use sched::Weighted;
 
+use crate::Entry;
 use crate::Input;
 use crate::Ledger;
 use crate::Output;
@@ -60,8 +61,8 @@
     Intent(String, u32),
     /// The end of a request.
     End(String),
-    /// A caller who wants to know that the request is safe.
-    Accepted(String, WaiterKey),
+    /// The acceptance of a request.
+    Accepted(String),
     /// The ends of a cancel call.
     Cancelled(Withdrawn),
 }
@@ -71,7 +72,8 @@
 pub(crate) struct Withdrawn {
     /// Their keys.
     pub(crate) keys: Vec<String>,
-    /// All that the call cancelled, those that were running included.
+    /// All that the call cancelled or asked to stop, and those that an
+    /// earlier call had cancelled.
     pub(crate) count: u32,
     /// Who made the call.
     pub(crate) waiter: WaiterKey,
@@ -259,7 +261,7 @@
         let Some(key) = self.keys.remove(&job) else {
             return;
         };
-        let touched = self.ledger.get(&key).is_some_and(|entry| entry.touched);
+        let touched = self.ledger.get(&key).is_some_and(Entry::touched);
         if touched {
             self.finish_bare(
                 &key,
--- a/crates/shard/src/outcome.rs
+++ b/crates/shard/src/outcome.rs
@@ -6,6 +6,7 @@
 use model::Code;
 use model::Family;
 use sched::HealthChange;
+use sched::Refused;
 use worker::EndResult;
 use worker::Task;
 
@@ -15,12 +16,14 @@
 use crate::MemberState;
 use crate::NotStarted;
 use crate::Output;
+use crate::Past;
 use crate::Record;
 use crate::ShardReply;
 use crate::Stage;
 use crate::StopMode;
 use crate::Verdict;
 use crate::attempt_key;
+use crate::cancel::is_cancelled;
 use crate::judge;
 use crate::machine::Pending;
 
@@ -43,7 +46,12 @@
         }
         member.state = MemberState::Started;
         let worker = member.worker.clone();
-        let cancelled = self.ledger.get(&key).is_some_and(|entry| entry.cancelled);
+        let now = self.times.now;
+        let mut cancelled = false;
+        if let Some(entry) = self.ledger.get_mut(&key) {
+            entry.note_wait(now);
+            cancelled = entry.cancelled;
+        }
         self.event(Event::new(Kind::TaskStarted).request(&key).worker(&worker));
         if cancelled {
             let stop = Output::Stop(worker, attempt.to_owned(), StopMode::Kill);
@@ -197,7 +205,12 @@
             self.keys.remove(&job);
         }
         let started = |member: &Member| member.state != MemberState::NotStarted;
-        entry.touched |= entry.members.iter().any(started);
+        let unseen = |member: &Member| !matches!(member.state, MemberState::Ended(_));
+        if entry.members.iter().any(|m| started(m) && unseen(m)) {
+            entry.touch(Past::Unseen);
+        } else if entry.members.iter().any(started) {
+            entry.touch(Past::Seen);
+        }
         match judge(entry, &[]) {
             Verdict::Answer(answer) => self.finish(key, answer),
             Verdict::Again(checkpoint) => self.requeue(key, checkpoint),
@@ -215,7 +228,7 @@
         let failed: Vec<String> = failed.map(|m| m.worker.clone()).collect();
         let mut members = std::mem::take(&mut entry.members);
         entry.spent.append(&mut members);
-        if entry.touched {
+        if entry.touched() {
             entry.deadline = entry.deadline.max(self.times.now + crate::RESTART_GRACE);
         }
         let Some(entry) = self.ledger.get(key) else {
@@ -236,12 +249,12 @@
                     entry.stage = Stage::Waiting(job);
                 }
             }
-            Err(_) => self.finish_interrupted(key),
+            Err(refused) => self.finish_interrupted(key, refused),
         }
     }
 
-    fn finish_interrupted(&mut self, key: &str) {
-        let touched = self.ledger.get(key).is_some_and(|entry| entry.touched);
+    pub(crate) fn finish_interrupted(&mut self, key: &str, refused: Refused) {
+        let touched = self.ledger.get(key).is_some_and(Entry::touched);
         if touched {
             self.finish_bare(
                 key,
@@ -249,7 +262,8 @@
                 "interrupted, and there is no room to run it again",
             );
         } else {
-            self.finish_bare(key, Code::QueueFull, "the team's queue is full");
+            let (code, reason) = refusal_of(refused);
+            self.finish_bare(key, code, reason);
         }
     }
 
@@ -301,7 +315,7 @@
         let Some(entry) = self.ledger.get_mut(key) else {
             return;
         };
-        let recorded = entry.recorded;
+        let (recorded, code) = (entry.recorded, answer.code);
         entry.stage = Stage::Closing(answer.clone());
         if !recorded {
             self.close(key);
@@ -313,7 +327,7 @@
             at_millis: self.times.wall_millis,
         };
         self.append(record, Pending::End(key.to_owned()));
-        if self.stalled {
+        if self.stalled && stands_unrecorded(code) {
             self.answer_waiters(key);
         }
     }
@@ -346,6 +360,9 @@
         self.answer_waiters(key);
         let event = Event::new(Kind::RequestAnswered).request(key);
         self.event(event.detail(answer.code.to_string()));
+        if is_cancelled(answer.code) {
+            self.event(Event::new(Kind::RequestCancelled).request(key));
+        }
         self.ledger.finish(key, answer, self.times.now);
     }
 
@@ -363,6 +380,25 @@
     }
 }
 
+/// Whether an answer may be given before its record is in the table. One that
+/// says that nothing will run may not: if this owner ends first, the next one
+/// finds the request open and starts it, and the caller who was told "not run"
+/// sees it run. A latest start that has passed holds for the next owner too.
+pub(crate) fn stands_unrecorded(code: Code) -> bool {
+    !is_cancelled(code) && !matches!(code, Code::QueueFull | Code::NeverFits)
+}
+
+/// Code and reason of a request that the core refuses.
+pub(crate) fn refusal_of(refused: Refused) -> (Code, &'static str) {
+    match refused {
+        Refused::NeverFits => {
+            let reason = "no set of workers of its shard is large enough";
+            (Code::NeverFits, reason)
+        }
+        Refused::QueueFull => (Code::QueueFull, "the team's queue is full"),
+    }
+}
+
 fn entry_is_recorded(entry: Option<&Entry>) -> bool {
     entry.is_some_and(|entry| entry.recorded)
 }
