Tests: what a process shows of itself and the cell (failing)

Cause: a refusal of a repeated start is taken for a word on the first one too, so a confirmation may run twice; the end of a confirmed outage, a table that refuses a read and a lost answer to a patch are recorded as what they are not; "in force everywhere" leaves out processes that hand over; a silent table shows as one that answers; a request nobody knows shows as pending; a second try made for a caller looks like a first one.

--- /dev/null
+++ b/crates/daemon/tests/shown/house.rs
@@ -0,0 +1,210 @@
+//! One process's keeper and interface over the stand-ins.
+
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::time::Duration;
+
+use entry::Api;
+use entry::Flight;
+use entry::Metrics;
+use entry::Role;
+use entry::Token;
+use entry::Tokens;
+use event::Event;
+use event::Timeline;
+use peer::KeyFiles;
+use peer::Node;
+use shard::Context;
+use shard::FORMAT;
+use shard::Gate;
+use shard::Keeper;
+use shard::KeeperOrder;
+use shard::KeeperPorts;
+use shard::LeaseRow;
+use shard::LeaseState;
+use shard::MemberRow;
+use shard::Pacer;
+use shard::Router;
+use shard::Timing;
+use shard::View;
+use shard::encode_row;
+use shard::lease_key;
+use shard::member_key;
+use tempfile::TempDir;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use web::Asked;
+use web::Method;
+use worker::WorkerClient;
+
+use crate::stubs::StubHosts;
+use crate::stubs::StubObjects;
+use crate::stubs::StubTable;
+
+/// Token of an operator.
+pub(crate) const OPERATOR: &str = "the-operator";
+
+/// One process over the stand-ins.
+pub(crate) struct House {
+    pub(crate) table: StubTable,
+    pub(crate) timeline: Arc<Timeline>,
+    pub(crate) view: watch::Receiver<Arc<View>>,
+    pub(crate) api: Api<StubTable, StubObjects>,
+    keys: TempDir,
+    publish: Option<watch::Sender<Arc<View>>>,
+    orders: Option<mpsc::Receiver<KeeperOrder>>,
+    context: Arc<Context<StubTable, StubObjects, StubHosts>>,
+}
+
+impl House {
+    /// A process whose keeper does not run yet.
+    pub(crate) fn new() -> House {
+        let keys = tempfile::tempdir().expect("folder");
+        peer::make_keys(&keys.path().join("keys")).expect("keys");
+        let table = StubTable::default();
+        let timeline = Arc::new(Timeline::new("a-1"));
+        let node = open_node(&keys, ([127, 0, 0, 1], 0).into(), timeline.clone());
+        let (publish, view) = watch::channel(Arc::new(View::default()));
+        let (keeper, orders) = mpsc::channel(4);
+        let gate = Arc::new(Gate::new());
+        let api = Api {
+            router: Router::new(node.clone(), 1, view.clone()),
+            table: table.clone(),
+            objects: StubObjects,
+            tokens: operator(),
+            flight: Flight::new(8),
+            metrics: Metrics::new().expect("metrics"),
+            timeline: timeline.clone(),
+            hosts: watch::channel(None).1,
+            keeper,
+            gate: gate.clone(),
+            leaving: watch::channel(false).1,
+        };
+        let context = Context {
+            name: "a".to_owned(),
+            process: "a-1".to_owned(),
+            domain: "tacoma".to_owned(),
+            peer: nowhere(),
+            http: nowhere(),
+            shards: 1,
+            write_rate: 100,
+            reclaim: true,
+            timing: Timing::default(),
+            table: table.clone(),
+            objects: StubObjects,
+            hosts: StubHosts,
+            workers: WorkerClient::new(Duration::from_secs(1)),
+            node,
+            timeline: timeline.clone(),
+            gate,
+            pacer: Pacer::new(100.0),
+        };
+        House {
+            table,
+            timeline,
+            view,
+            api,
+            keys,
+            publish: Some(publish),
+            orders: Some(orders),
+            context: Arc::new(context),
+        }
+    }
+
+    /// A node of another process of the cell, and its address.
+    pub(crate) fn other_node(&self) -> (Node, SocketAddr) {
+        let free = UdpSocket::bind(("127.0.0.1", 0)).and_then(|socket| socket.local_addr());
+        let address = free.expect("a free address");
+        let timeline = Arc::new(Timeline::new("b-1"));
+        (open_node(&self.keys, address, timeline), address)
+    }
+
+    /// Writes the lease of another process, `b-1`.
+    pub(crate) fn add_member(&self, peer: SocketAddr, state: LeaseState) {
+        let lease = LeaseRow {
+            format: FORMAT,
+            state,
+            counter: 1,
+            config: 0,
+        };
+        let member = MemberRow {
+            format: FORMAT,
+            name: "b".to_owned(),
+            peer,
+            http: nowhere(),
+            domain: "tacoma".to_owned(),
+        };
+        self.table.put(&member_key("b-1"), &encode_row(&member));
+        self.table.put(&lease_key("b-1"), &encode_row(&lease));
+    }
+
+    /// Starts the keeper.
+    pub(crate) fn keep(&mut self) {
+        let ports = KeeperPorts {
+            hosts: watch::channel(None).1,
+            view: self.publish.take().expect("a keeper that does not run"),
+            hints: Arc::default(),
+            orders: self.orders.take().expect("a keeper that does not run"),
+        };
+        tokio::spawn(Keeper::new(self.context.clone(), ports).run());
+    }
+
+    /// What the process believes now.
+    pub(crate) fn believes(&self) -> Arc<View> {
+        self.view.borrow().clone()
+    }
+
+    /// Names of the events so far.
+    pub(crate) fn events(&self) -> Vec<String> {
+        let events = self.timeline.since(0, 1000);
+        events
+            .iter()
+            .map(|event: &Event| event.kind.to_string())
+            .collect()
+    }
+
+    /// Waits until an event was recorded; false if it was not, in 8 s.
+    pub(crate) async fn hears(&self, event: &str) -> bool {
+        for _ in 0..160 {
+            if self.events().iter().any(|name| name == event) {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        false
+    }
+}
+
+/// A call of the operator.
+pub(crate) fn call(method: Method, path: &str, body: &str) -> Asked {
+    Asked {
+        method,
+        path: path.to_owned(),
+        query: String::new(),
+        token: Some(OPERATOR.to_owned()),
+        host: String::new(),
+        body: body.to_owned().into(),
+    }
+}
+
+/// An address where nobody listens.
+pub(crate) fn nowhere() -> SocketAddr {
+    ([127, 0, 0, 1], 1).into()
+}
+
+fn open_node(keys: &TempDir, listen: SocketAddr, timeline: Arc<Timeline>) -> Node {
+    let keys = KeyFiles {
+        folder: keys.path().join("keys"),
+    };
+    Node::open(listen, &keys, timeline).expect("node")
+}
+
+fn operator() -> Tokens {
+    let token = Token {
+        sha256: model::digest(OPERATOR),
+        role: Role::Operator,
+        team: "stores".to_owned(),
+    };
+    Tokens::new(vec![token])
+}
--- /dev/null
+++ b/crates/daemon/tests/shown/stubs.rs
@@ -0,0 +1,151 @@
+//! Stand-ins for the platform, in memory, that fail on demand.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use store::Commit;
+use store::Committed;
+use store::Conflict;
+use store::Host;
+use store::HostList;
+use store::Objects;
+use store::Row;
+use store::StoreError;
+use store::Table;
+
+/// How a table fails.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// Not at all.
+    #[default]
+    None,
+    /// Reads of keys that begin so are refused.
+    Refuses(String),
+    /// The answer of each transaction is lost; it took no effect.
+    LosesCommits,
+    /// Nothing is answered, nor refused.
+    Hangs,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<String, Row>,
+    fault: Fault,
+    newest: u64,
+}
+
+/// A table in memory.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StubTable {
+    state: Arc<Mutex<State>>,
+}
+
+impl StubTable {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes how it fails.
+    pub(crate) fn fail(&self, fault: Fault) {
+        self.lock().fault = fault;
+    }
+
+    /// Writes a row as another process would.
+    pub(crate) fn put(&self, key: &str, value: &str) {
+        self.lock().put(key, value);
+    }
+
+    async fn read(&self, key: &str) -> Result<(), StoreError> {
+        let fault = self.lock().fault.clone();
+        match fault {
+            Fault::Hangs => std::future::pending().await,
+            Fault::Refuses(prefix) if key.starts_with(&prefix) => {
+                let reason = "refused".to_owned();
+                Err(StoreError::Unavailable { reason })
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+impl State {
+    fn put(&mut self, key: &str, value: &str) -> u64 {
+        self.newest += 1;
+        let row = Row {
+            key: key.to_owned(),
+            version: self.newest,
+            value: value.to_owned(),
+        };
+        self.rows.insert(key.to_owned(), row);
+        self.newest
+    }
+}
+
+impl Table for StubTable {
+    async fn get(&self, key: &str) -> Result<Option<Row>, StoreError> {
+        self.read(key).await?;
+        Ok(self.lock().rows.get(key).cloned())
+    }
+
+    async fn range(&self, prefix: &str) -> Result<Vec<Row>, StoreError> {
+        self.read(prefix).await?;
+        let state = self.lock();
+        let found = state.rows.values().filter(|r| r.key.starts_with(prefix));
+        Ok(found.cloned().collect())
+    }
+
+    async fn commit(&self, commit: &Commit) -> Result<Committed, StoreError> {
+        self.read("commit").await?;
+        let mut state = self.lock();
+        if state.fault == Fault::LosesCommits {
+            let reason = "lost".to_owned();
+            return Err(StoreError::Unknown { reason });
+        }
+        for check in &commit.checks {
+            let found = state.rows.get(&check.key).map_or(0, |row| row.version);
+            if found != check.version {
+                let key = check.key.clone();
+                return Ok(Committed::Conflict(Conflict { key, found }));
+            }
+        }
+        let mut versions = Vec::new();
+        for write in &commit.writes {
+            versions.push(match &write.value {
+                Some(value) => state.put(&write.key, value),
+                None => state.rows.remove(&write.key).map_or(0, |row| row.version),
+            });
+        }
+        Ok(Committed::Done(versions))
+    }
+}
+
+/// An object store without objects.
+#[derive(Clone, Debug)]
+pub(crate) struct StubObjects;
+
+impl Objects for StubObjects {
+    async fn put(&self, _name: &str, _body: Vec<u8>) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn fetch(&self, _name: &str) -> Result<Option<Vec<u8>>, StoreError> {
+        Ok(None)
+    }
+
+    async fn list(&self, _prefix: &str) -> Result<Vec<String>, StoreError> {
+        Ok(Vec::new())
+    }
+}
+
+/// A host list without workers.
+#[derive(Clone, Debug)]
+pub(crate) struct StubHosts;
+
+impl HostList for StubHosts {
+    async fn hosts(&self) -> Result<Vec<Host>, StoreError> {
+        Ok(Vec::new())
+    }
+}
