Show what a process knows of workers, cell and table, not what it assumes

Cause: after a lost answer to a start, a refusal of the repeated message was taken for "never started", so work that must not run twice was placed again; a stop was sent once; a worker that refused was "silent"; a patch whose answer was lost was recorded as refused; the end of a confirmed outage was recorded as the end of the outage; any failure to read was a damaged row; "in force everywhere" asked only processes that take new shards; "the table answers" was judged when the view was published, between two calls of the table; a request whose owner is silent was pending; the second try that a process makes for a caller did not tell the time of the first.

Change: such a refusal tells nothing until the next claim; stops are repeated until the worker answers; events 206 outage_unconfirmed and 503 patch_unknown are new, 301 worker_refused is recorded; only rows without sense are damaged; all processes that may act count for "everywhere"; the time of the table's last answer is shared and judged when it is asked for, also in the word to a peer about an outage; the age of the view is a metric and stands in /v1/cell; GET of a request answers 503 when nothing is known; a retry carries the time of the first try. A new configuration is in the view before the lease says so.

--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -19,6 +19,7 @@
 use shard::Patch;
 use shard::PatchError;
 use shard::Router;
+use shard::Standing;
 use shard::Submission;
 use shard::apply_patch;
 use shard::history_key;
@@ -205,11 +206,15 @@
         let id = asked.path.trim_start_matches("/v1/requests/");
         let answer = self.router.status(&request_key(&caller.team, id)).await;
         match answer {
-            Some(answer) => Ok(web::json(StatusCode::OK, &AnswerBody::from(answer))),
-            None => Err(Refusal::new(
+            Standing::Answer(answer) => Ok(web::json(StatusCode::OK, &AnswerBody::from(answer))),
+            Standing::Unknown => Err(Refusal::new(
                 StatusCode::NOT_FOUND,
                 "no such request of this team",
             )),
+            Standing::Unreached => Err(Refusal::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the owner of its shard does not answer; nothing is known of it here",
+            )),
         }
     }
 
@@ -263,7 +268,11 @@
                 Ok(web::json(StatusCode::OK, &self.config_body(&numbered)))
             }
             Err(error) => {
-                let event = Event::new(Kind::PatchRefused);
+                let kind = match error {
+                    PatchError::Unknown { .. } => Kind::PatchUnknown,
+                    _ => Kind::PatchRefused,
+                };
+                let event = Event::new(kind);
                 self.timeline
                     .record(event.detail(format!("{}: {error}", patch.id)));
                 Err(refuse_patch(&error))
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -57,7 +57,7 @@
 pub struct ConfigBody {
     /// Newest version.
     pub version: Version,
-    /// Version in force on every live process.
+    /// Version in force on every process that may act.
     pub everywhere: Version,
     /// Newest document.
     pub config: model::Config,
@@ -72,6 +72,8 @@
     pub shards: Vec<ShardBody>,
     /// Whether the table answers.
     pub reachable: bool,
+    /// Milliseconds since members and owners were read; none before that.
+    pub age_millis: Option<u128>,
 }
 
 /// Owner of one shard.
@@ -103,7 +105,8 @@
         CellBody {
             members: view.members.clone(),
             shards,
-            reachable: view.reachable,
+            reachable: view.reachable(),
+            age_millis: view.age().map(|age| age.as_millis()),
         }
     }
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -28,6 +28,7 @@
     config: IntGauge,
     reachable: IntGauge,
     lease: Gauge,
+    age: Gauge,
 }
 
 impl Metrics {
@@ -46,12 +47,15 @@
             waits: HistogramVec::new(
                 HistogramOpts::new(
                     "clovermount_wait_seconds",
-                    "Time from submission to start, by class",
+                    "Time from submission until the worker said that the task started, by class",
                 )
                 .buckets(WAIT_BOUNDS.to_vec()),
                 &["class"],
             )?,
-            shards: gauge("clovermount_shards", "Shards that this process runs")?,
+            shards: gauge(
+                "clovermount_shards",
+                "Shards whose task runs in this process",
+            )?,
             members: gauge("clovermount_members", "Live processes that this one sees")?,
             config: gauge(
                 "clovermount_config_version",
@@ -59,6 +63,10 @@
             )?,
             reachable: gauge("clovermount_table_reachable", "1 while the table answers")?,
             lease: Gauge::new("clovermount_lease_seconds", "Time left to act on the lease")?,
+            age: Gauge::new(
+                "clovermount_view_age_seconds",
+                "Time since members and owners were read",
+            )?,
         };
         metrics.register()?;
         Ok(metrics)
@@ -71,7 +79,8 @@
         self.registry.register(Box::new(self.members.clone()))?;
         self.registry.register(Box::new(self.config.clone()))?;
         self.registry.register(Box::new(self.reachable.clone()))?;
-        self.registry.register(Box::new(self.lease.clone()))
+        self.registry.register(Box::new(self.lease.clone()))?;
+        self.registry.register(Box::new(self.age.clone()))
     }
 
     /// Counts an answer.
@@ -95,8 +104,10 @@
             .set(i64::try_from(view.local.len()).unwrap_or(i64::MAX));
         self.members.set(i64::try_from(live).unwrap_or(i64::MAX));
         self.config.set(i64::try_from(version).unwrap_or(i64::MAX));
-        self.reachable.set(i64::from(view.reachable));
+        self.reachable.set(i64::from(view.reachable()));
         self.lease.set(lease);
+        let age = view.age().map_or(f64::INFINITY, |age| age.as_secs_f64());
+        self.age.set(age);
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
             log::error!("metrics: {error}");
--- a/crates/event/src/kind.rs
+++ b/crates/event/src/kind.rs
@@ -44,6 +44,9 @@
     OutageEntered = 204,
     /// The table answers again.
     OutageLeft = 205,
+    /// No peer confirms the outage any more, or it lasted too long; the table
+    /// does not answer, and shards stop.
+    OutageUnconfirmed = 206,
     /// A shard was claimed at a new epoch.
     ShardClaimed = 210,
     /// A shard serves requests.
@@ -56,7 +59,8 @@
     ShardReclaimed = 214,
     /// A worker accepted the claim of a shard.
     WorkerClaimed = 300,
-    /// A worker refused the claim: a newer epoch holds it.
+    /// A worker refused this shard: a newer fence holds it, or it has
+    /// restarted and is claimed again.
     WorkerRefused = 301,
     /// A worker does not answer.
     WorkerLost = 302,
@@ -86,6 +90,8 @@
     PatchAccepted = 501,
     /// A patch was refused.
     PatchRefused = 502,
+    /// The answer to a patch was lost: it may be in force.
+    PatchUnknown = 503,
     /// A row of the table cannot be read; it was left as it is.
     RowDamaged = 600,
 }
--- a/crates/event/src/timeline.rs
+++ b/crates/event/src/timeline.rs
@@ -62,7 +62,12 @@
 fn write_line(event: &Event) {
     let level = match event.kind {
         Kind::TaskCrashed | Kind::RowDamaged => log::Level::Error,
-        Kind::LeaseExpired | Kind::ShardFenced | Kind::WorkerLost => log::Level::Warn,
+        Kind::LeaseExpired
+        | Kind::OutageUnconfirmed
+        | Kind::ShardFenced
+        | Kind::WorkerLost
+        | Kind::WorkerRefused
+        | Kind::PatchUnknown => log::Level::Warn,
         kind if (400..500).contains(&kind.number()) => log::Level::Debug,
         _ => log::Level::Info,
     };
--- a/crates/shard/src/claiming.rs
+++ b/crates/shard/src/claiming.rs
@@ -240,7 +240,9 @@
             epoch = row.epoch + 1;
         }
         commit = commit.put(shard_key(shard), encode_row(&self.own_row(epoch)));
-        if let Committed::Done(versions) = self.context.table.commit(&commit).await? {
+        let committed = self.context.table.commit(&commit).await?;
+        self.outage.on_answer();
+        if let Committed::Done(versions) = committed {
             let fence = versions.first().copied().unwrap_or_default();
             let event = Event::new(Kind::ShardClaimed).shard(shard);
             self.record(event.detail(format!("epoch {epoch}")));
@@ -267,12 +269,16 @@
         self.opening.remove(&claim.shard);
         let recovered = match recovered {
             Ok(recovered) => recovered,
-            Err(error) => {
-                // The next tick finds the row and tries again.
+            // The next tick finds the row and tries again.
+            Err(error @ ShardError::Damaged { .. }) => {
                 let event = Event::new(Kind::RowDamaged).shard(claim.shard);
                 self.record(event.detail(error.to_string()));
                 return;
             }
+            Err(error) => {
+                log::debug!("shard {} is not open: {error}", claim.shard);
+                return;
+            }
         };
         let current = self.rows.get(&claim.shard).map(|(version, _)| *version);
         if current != Some(claim.fence) {
--- a/crates/shard/src/fleet.rs
+++ b/crates/shard/src/fleet.rs
@@ -328,10 +328,18 @@
         self.event(Event::new(Kind::WorkerLost).worker(id));
     }
 
+    pub(crate) fn on_worker_refused(&mut self, id: &str, detail: &str) {
+        let Some(worker) = self.core.worker(id) else {
+            return;
+        };
+        self.core.set_state(worker, WorkerState::Lost);
+        self.event(Event::new(Kind::WorkerRefused).worker(id).detail(detail));
+    }
+
     /// What ran there may be running still, and its end will be reported to
     /// the other shard: nobody here can tell, so nothing is run again.
     pub(crate) fn on_worker_taken(&mut self, id: &str) {
-        self.on_worker_lost(id);
+        self.on_worker_refused(id, "another shard holds it");
         self.settle_all(id, &MemberState::Missing);
     }
 
--- a/crates/shard/src/keeper.rs
+++ b/crates/shard/src/keeper.rs
@@ -44,7 +44,7 @@
 use crate::ask_peers;
 use crate::first_config;
 /// Silence of the table after which it counts as unreachable.
-const UNREACHABLE: Duration = Duration::from_millis(1200);
+pub(crate) const UNREACHABLE: Duration = Duration::from_millis(1200);
 
 /// How long a confirmed outage lets the process go on until asked again.
 const GO_ON: Duration = Duration::from_millis(1600);
@@ -278,7 +278,8 @@
         } else if self.outage.going_on {
             self.outage.going_on = false;
             self.context.gate.shut();
-            self.record(Event::new(Kind::OutageLeft).detail(format!("{word:?}")));
+            let event = Event::new(Kind::OutageUnconfirmed);
+            self.record(event.detail(format!("{word:?}")));
         }
     }
 
@@ -293,6 +294,7 @@
                 domain: member.info.domain.clone(),
                 peer: member.info.peer,
                 live: member.lease.state == LeaseState::Live && !member.is_stale(ttl),
+                expired: member.lease.state == LeaseState::Expired,
                 config: member.lease.config,
             })
             .collect();
@@ -314,7 +316,8 @@
                 .map(|(s, r)| (*s, r.owner.clone()))
                 .collect(),
             config: Some(self.config.clone()),
-            reachable: self.outage.is_reachable(UNREACHABLE),
+            answered: self.outage.answered(),
+            read: self.members.read_at(),
         };
         self.view.send_replace(Arc::new(view));
     }
--- a/crates/shard/src/link.rs
+++ b/crates/shard/src/link.rs
@@ -308,7 +308,7 @@
                 self.replied = None;
                 self.report(Input::WorkerTaken(id))?;
             } else {
-                self.report(Input::WorkerLost(id))?;
+                self.report(Input::WorkerRefused(id))?;
             }
         }
         self.check_lease()?;
@@ -339,7 +339,7 @@
                 let gate = self.facts.gate.clone();
                 let start = order.fenced(self.fence, self.turn);
                 self.sent.insert(start.attempt.clone());
-                calls.spawn(async move { Some(send_start(&client, address, &gate, start).await) });
+                calls.spawn(async move { send_start(&client, address, &gate, start).await });
             }
             LinkOrder::Stop(attempt, mode) => {
                 let stop = Stop {
@@ -348,7 +348,7 @@
                     checkpoint: mode == StopMode::Checkpoint,
                 };
                 calls.spawn(async move {
-                    let _ = client.stop(address, &stop).await;
+                    send_stop(&client, address, &stop).await;
                     None
                 });
             }
@@ -357,33 +357,38 @@
     }
 }
 
-/// Sends one start until it is known what became of it. The worker starts an
-/// attempt at most once, so repeating it is safe; after a lost answer only
-/// the worker's own answer can tell "not started".
+/// Sends one start until it is known what became of it; none when only the
+/// next claim can tell. The worker starts an attempt at most once, so repeating
+/// it is safe; after a lost answer only the worker's own answer can tell "not
+/// started", and only in the same run and under the same fence: a worker that
+/// has restarted refuses the second message, and knows nothing of the first.
 async fn send_start(
     client: &WorkerClient,
     address: std::net::SocketAddr,
     gate: &Gate,
     start: Start,
-) -> Input {
+) -> Option<Input> {
     let mut maybe = false;
     let mut tries = 0;
     loop {
         tries += 1;
         if !gate.is_open() && !maybe {
-            return Input::NotStarted(start.attempt, NotStarted::Unsent);
+            return Some(Input::NotStarted(start.attempt, NotStarted::Unsent));
         }
         match client.start(address, &start).await {
-            Ok(()) => return Input::Started(start.attempt),
+            Ok(()) => return Some(Input::Started(start.attempt)),
+            Err(WorkerError::Refused { refusal }) if maybe && is_other_life(refusal.reason) => {
+                return None;
+            }
             Err(WorkerError::Refused { refusal }) => {
                 let reason = match refusal.reason {
                     RefusalReason::Full => NotStarted::Full,
                     _ => NotStarted::Fenced,
                 };
-                return Input::NotStarted(start.attempt, reason);
+                return Some(Input::NotStarted(start.attempt, reason));
             }
             Err(WorkerError::Unreached { .. }) if !maybe && tries >= CONNECT_TRIES => {
-                return Input::NotStarted(start.attempt, NotStarted::Unsent);
+                return Some(Input::NotStarted(start.attempt, NotStarted::Unsent));
             }
             Err(WorkerError::Unreached { .. }) => {}
             Err(WorkerError::Lost { .. }) => maybe = true,
@@ -392,6 +397,23 @@
     }
 }
 
+/// Whether a refusal tells only that the worker has restarted or was claimed by
+/// another. The poll is refused as well then, and the link claims again.
+fn is_other_life(reason: RefusalReason) -> bool {
+    matches!(reason, RefusalReason::Fenced | RefusalReason::Unclaimed)
+}
+
+/// Sends one stop until the worker has answered it. The link ends it with the
+/// stretch of polling that it belongs to.
+async fn send_stop(client: &WorkerClient, address: std::net::SocketAddr, stop: &Stop) {
+    while let Err(error) = client.stop(address, stop).await {
+        if matches!(error, WorkerError::Refused { .. }) {
+            return;
+        }
+        tokio::time::sleep(jittered(RETRY_PAUSE)).await;
+    }
+}
+
 fn jittered(pause: Duration) -> Duration {
     pause.mul_f64(rand::rng().random_range(0.5..1.5))
 }
--- a/crates/shard/src/machine.rs
+++ b/crates/shard/src/machine.rs
@@ -157,6 +157,7 @@
             Input::Workers(workers) => self.on_workers(workers),
             Input::Claimed(worker, claimed) => self.on_claimed(&worker, claimed),
             Input::WorkerLost(worker) => self.on_worker_lost(&worker),
+            Input::WorkerRefused(worker) => self.on_worker_refused(&worker, "to be claimed again"),
             Input::LeaseOver(worker) => self.on_lease_over(&worker),
             Input::WorkerTaken(worker) => self.on_worker_taken(&worker),
             Input::Started(attempt) => self.on_started(&attempt),
--- a/crates/shard/src/members.rs
+++ b/crates/shard/src/members.rs
@@ -105,6 +105,12 @@
         self.known = known;
     }
 
+    /// When the newest read ended, if there was one.
+    #[must_use]
+    pub fn read_at(&self) -> Option<Instant> {
+        self.read
+    }
+
     /// A process by its run.
     #[must_use]
     pub fn get(&self, process: &str) -> Option<&PeerState> {
--- a/crates/shard/src/message.rs
+++ b/crates/shard/src/message.rs
@@ -141,8 +141,10 @@
     Workers(Vec<WorkerHost>),
     /// A worker accepted the claim.
     Claimed(model::WorkerId, Claimed),
-    /// A worker does not answer, or refused the claim.
+    /// A worker does not answer.
     WorkerLost(model::WorkerId),
+    /// A worker refused the shard's poll; it has to be claimed again.
+    WorkerRefused(model::WorkerId),
     /// The lease of all tasks of a worker is certainly over.
     LeaseOver(model::WorkerId),
     /// Another shard has claimed the worker, and renews the lease of whatever
--- a/crates/shard/src/outage.rs
+++ b/crates/shard/src/outage.rs
@@ -7,6 +7,8 @@
 //! peer stops as well.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -63,10 +65,42 @@
     weigh_words(&calls.join_all().await)
 }
 
+/// When the table last answered, as all tasks of a process see it at once.
+#[derive(Debug)]
+pub struct LastAnswer {
+    origin: Instant,
+    /// Milliseconds from the origin; `u64::MAX` before the first answer.
+    millis: AtomicU64,
+}
+
+impl LastAnswer {
+    fn note(&self) {
+        let millis = crate::intake::millis(self.origin.elapsed());
+        self.millis.store(millis, Ordering::Release);
+    }
+
+    /// Time since the answer; none before the first.
+    #[must_use]
+    pub fn age(&self) -> Option<Duration> {
+        let millis = self.millis.load(Ordering::Acquire);
+        let at = Duration::from_millis(millis);
+        (millis != u64::MAX).then(|| self.origin.elapsed().saturating_sub(at))
+    }
+}
+
+impl Default for LastAnswer {
+    fn default() -> Self {
+        LastAnswer {
+            origin: Instant::now(),
+            millis: AtomicU64::new(u64::MAX),
+        }
+    }
+}
+
 /// Keeps account of an outage.
 #[derive(Debug)]
 pub struct OutageWatch {
-    answered: Instant,
+    answered: Arc<LastAnswer>,
     /// Whether the process goes on past its lease.
     pub going_on: bool,
 }
@@ -75,27 +109,39 @@
     /// Begins with the table taken to be reachable.
     #[must_use]
     pub fn new() -> OutageWatch {
+        let answered = LastAnswer::default();
+        answered.note();
         OutageWatch {
-            answered: Instant::now(),
+            answered: Arc::new(answered),
             going_on: false,
         }
     }
 
     /// The table has answered.
-    pub fn on_answer(&mut self) {
-        self.answered = Instant::now();
+    pub fn on_answer(&self) {
+        self.answered.note();
+    }
+
+    /// When the table last answered.
+    #[must_use]
+    pub fn answered(&self) -> Arc<LastAnswer> {
+        self.answered.clone()
+    }
+
+    fn silence(&self) -> Duration {
+        self.answered.age().unwrap_or(Duration::MAX)
     }
 
     /// Whether the table has answered within `span`.
     #[must_use]
     pub fn is_reachable(&self, span: Duration) -> bool {
-        self.answered.elapsed() < span
+        self.silence() < span
     }
 
     /// Whether the process has gone on for too long.
     #[must_use]
     pub fn is_over_limit(&self) -> bool {
-        self.answered.elapsed() > OUTAGE_LIMIT
+        self.silence() > OUTAGE_LIMIT
     }
 }
 
--- a/crates/shard/src/patch.rs
+++ b/crates/shard/src/patch.rs
@@ -64,7 +64,7 @@
         found: String,
     },
     /// The table failed before anything could take effect.
-    #[snafu(display("not applied: {source}"))]
+    #[snafu(display("this call applied nothing: {source}"))]
     Unavailable {
         /// Its error.
         source: StoreError,
--- a/crates/shard/src/reading.rs
+++ b/crates/shard/src/reading.rs
@@ -24,6 +24,7 @@
 use crate::LeaseRow;
 use crate::MemberRow;
 use crate::OwnerMessage;
+use crate::PatchError;
 use crate::SHARD_PREFIX;
 use crate::SeenLease;
 use crate::ShardError;
@@ -126,8 +127,13 @@
                 self.adopt(&Arc::new(numbered));
                 Ok(())
             }
+            Err(PatchError::Damaged { reason }) => {
+                self.record(Event::new(Kind::RowDamaged).detail(reason));
+                Ok(())
+            }
+            // The row may be whole; the next tick reads it again.
             Err(error) => {
-                self.record(Event::new(Kind::RowDamaged).detail(error.to_string()));
+                log::debug!("configuration: {error}");
                 Ok(())
             }
         }
@@ -146,5 +152,7 @@
         for running in self.running.values() {
             let _ = running.owner.send(OwnerMessage::Config(config.clone()));
         }
+        // Calls are routed by it before the lease says that it is in force.
+        self.publish();
     }
 }
--- a/crates/shard/src/router.rs
+++ b/crates/shard/src/router.rs
@@ -40,6 +40,17 @@
     view: watch::Receiver<Arc<View>>,
 }
 
+/// What is known of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Its answer, or what it waits for.
+    Answer(Answer),
+    /// Its shard does not know it.
+    Unknown,
+    /// Nothing: no owner of its shard answers.
+    Unreached,
+}
+
 /// One try to ask an owner.
 enum Tried {
     /// The owner replied.
@@ -93,6 +104,7 @@
         let before = submission.waited_millis;
         let id = submission.request.id.clone();
         let key = request_key(&submission.request.team, &id);
+        let first_millis = event::wall_millis();
         let mut reached = false;
         let mut pause = PAUSE_FIRST;
         loop {
@@ -111,24 +123,22 @@
                 Tried::Lost => reached = true,
                 Tried::Reply(_) | Tried::Nothing => {}
             }
+            // The next owner has to know that this is a retry. Without the time
+            // of the first try it would say "not run" of what that one ran.
+            if reached && submission.request.sent_millis == 0 {
+                submission.request.sent_millis = first_millis;
+            }
             self.pause(&mut pause, left).await;
         }
     }
 
-    /// Asks how a request stands; none when its shard does not know it.
-    pub async fn status(&self, key: &str) -> Option<Answer> {
+    /// Asks how a request stands.
+    pub async fn status(&self, key: &str) -> Standing {
         let ask = ShardAsk::Status(key.to_owned());
         match self.plain(self.shard(key), ask).await {
-            Some(ShardReply::Answer(answer)) => Some(answer),
-            Some(ShardReply::Unknown) => None,
-            _ => {
-                let id = key.split_once('/').map_or(key, |(_, id)| id);
-                Some(Answer::bare(
-                    id,
-                    Code::Pending,
-                    "the owner of its shard cannot be reached",
-                ))
-            }
+            Some(ShardReply::Answer(answer)) => Standing::Answer(answer),
+            Some(ShardReply::Unknown) => Standing::Unknown,
+            _ => Standing::Unreached,
         }
     }
 
--- a/crates/shard/src/service.rs
+++ b/crates/shard/src/service.rs
@@ -66,7 +66,7 @@
             Ask::Shard(shard, ask) => Reply::Shard(self.ask_shard(shard, ask).await),
             Ask::Ping(_) => Reply::Pong(TableHealth {
                 process: self.process.clone(),
-                reachable: self.view.borrow().reachable,
+                reachable: self.view.borrow().reachable(),
             }),
             Ask::Hint(_) => {
                 self.hints.notify_one();
--- a/crates/shard/src/staffing.rs
+++ b/crates/shard/src/staffing.rs
@@ -48,6 +48,7 @@
         let shards: Vec<ShardId> = self.running.keys().copied().collect();
         for shard in shards {
             let row = self.context.table.get(&assign_key(shard)).await?;
+            self.outage.on_answer();
             let Some(list) = row.and_then(|row| self.readable::<AssignRow>(&row)) else {
                 // Nobody has dealt workers to this shard yet.
                 self.assigned_at = Some(now + ASSIGN_AGAIN / 4);
--- a/crates/shard/src/view.rs
+++ b/crates/shard/src/view.rs
@@ -4,6 +4,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
 use model::Incarnation;
 use model::Numbered;
@@ -11,7 +13,9 @@
 use model::Version;
 use tokio::sync::mpsc;
 
+use crate::LastAnswer;
 use crate::OwnerMessage;
+use crate::keeper::UNREACHABLE;
 
 /// Another process, or this one.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
@@ -26,6 +30,8 @@
     pub peer: SocketAddr,
     /// Whether it takes shards.
     pub live: bool,
+    /// Whether its lease was expired; then it does nothing until it holds one.
+    pub expired: bool,
     /// Configuration version in force there.
     pub config: Version,
 }
@@ -52,8 +58,10 @@
     pub local: HashMap<ShardId, mpsc::UnboundedSender<OwnerMessage>>,
     /// Configuration in force here.
     pub config: Option<Arc<Numbered>>,
-    /// Whether the table answers.
-    pub reachable: bool,
+    /// When the table last answered.
+    pub answered: Arc<LastAnswer>,
+    /// When members and owners were last read.
+    pub read: Option<Instant>,
 }
 
 /// Owner of a shard.
@@ -79,10 +87,26 @@
         member.map_or(Route::Nowhere, |m| Route::Remote(m.peer))
     }
 
-    /// Lowest configuration version in force on any live process.
+    /// Whether the table answers. It is asked for when it is shown: the view is
+    /// published between two calls of the table, so a "yes" in it would stand
+    /// for as long as the table leaves a call unanswered.
+    #[must_use]
+    pub fn reachable(&self) -> bool {
+        self.answered.age().is_some_and(|age| age < UNREACHABLE)
+    }
+
+    /// Age of what is known of members and owners; none before the first read.
+    #[must_use]
+    pub fn age(&self) -> Option<Duration> {
+        self.read.map(|at| at.elapsed())
+    }
+
+    /// Lowest configuration version in force on any process that may act.
+    /// One that leaves decides for its shards until they are handed over; left
+    /// out, it would act on an older version than is said to be in force.
     #[must_use]
     pub fn lowest_config(&self) -> Version {
-        let live = self.members.iter().filter(|member| member.live);
-        live.map(|member| member.config).min().unwrap_or_default()
+        let acting = self.members.iter().filter(|member| !member.expired);
+        acting.map(|member| member.config).min().unwrap_or_default()
     }
 }
