Count lost events; only a success brings a worker out of quarantine

Events that fell out of memory before they were stored left a gap that nothing showed.

Change: stopped tasks and leases that ran out say nothing of a worker; the uploader notes what is stored, and what drops out before that is the metric clovermount_events_lost.

--- a/crates/daemon/src/uploader.rs
+++ b/crates/daemon/src/uploader.rs
@@ -36,7 +36,10 @@
         .put(&object_name(&events, last), lines(&events))
         .await
     {
-        Ok(()) => last,
+        Ok(()) => {
+            timeline.note_stored(last);
+            last
+        }
         Err(error) => {
             log::debug!("timeline not stored: {error}");
             after
--- a/crates/daemon/tests/shown/cell.rs
+++ b/crates/daemon/tests/shown/cell.rs
@@ -154,7 +154,7 @@
 
     house.table.fail(Fault::Hangs);
     tokio::time::sleep(Duration::from_secs(3)).await;
-    let text = house.api.metrics.render(&house.believes(), 0.0);
+    let text = house.metrics();
 
     assert!(text.contains("clovermount_table_reachable 0"), "{text}");
 }
@@ -169,7 +169,7 @@
 
     house.table.fail(Fault::Hangs);
     tokio::time::sleep(Duration::from_secs(3)).await;
-    let text = house.api.metrics.render(&house.believes(), 0.0);
+    let text = house.metrics();
     let age = text
         .lines()
         .find_map(|line| line.strip_prefix("clovermount_view_age_seconds "))
--- a/crates/daemon/tests/shown/house.rs
+++ b/crates/daemon/tests/shown/house.rs
@@ -155,6 +155,11 @@
         self.view.borrow().clone()
     }
 
+    /// Its metrics now.
+    pub(crate) fn metrics(&self) -> String {
+        self.api.metrics.render(&self.believes(), 0.0)
+    }
+
     /// Names of the events so far.
     pub(crate) fn events(&self) -> Vec<String> {
         let events = self.timeline.since(0, 1000);
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -152,6 +152,7 @@
 
     fn scrape(&self) -> Whole {
         let lease = self.gate.remaining().as_secs_f64();
+        self.metrics.note_lost(self.timeline.lost());
         let text = self.metrics.render(&self.router.view(), lease);
         web::text(StatusCode::OK, text)
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -29,6 +29,7 @@
     reachable: IntGauge,
     lease: Gauge,
     age: Gauge,
+    lost: IntGauge,
 }
 
 impl Metrics {
@@ -67,6 +68,10 @@
                 "clovermount_view_age_seconds",
                 "Time since members and owners were read",
             )?,
+            lost: gauge(
+                "clovermount_events_lost",
+                "Events dropped before they were stored",
+            )?,
         };
         metrics.register()?;
         Ok(metrics)
@@ -80,7 +85,8 @@
         self.registry.register(Box::new(self.config.clone()))?;
         self.registry.register(Box::new(self.reachable.clone()))?;
         self.registry.register(Box::new(self.lease.clone()))?;
-        self.registry.register(Box::new(self.age.clone()))
+        self.registry.register(Box::new(self.age.clone()))?;
+        self.registry.register(Box::new(self.lost.clone()))
     }
 
     /// Counts an answer.
@@ -95,6 +101,11 @@
         }
     }
 
+    /// Takes in how many events were dropped before they were stored.
+    pub fn note_lost(&self, events: u64) {
+        self.lost.set(i64::try_from(events).unwrap_or(i64::MAX));
+    }
+
     /// Text for a scrape.
     #[must_use]
     pub fn render(&self, view: &View, lease: f64) -> String {
--- a/crates/event/src/timeline.rs
+++ b/crates/event/src/timeline.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use model::Incarnation;
 
@@ -11,7 +13,8 @@
 use crate::Kind;
 use crate::Stamp;
 
-/// Events kept in memory; older ones are dropped and counted.
+/// Events kept in memory; older ones are dropped, and counted as lost if they
+/// were not stored before.
 pub const RING_EVENTS: usize = 16 * 1024;
 
 /// Records events and hands them out to the timeline's readers.
@@ -20,6 +23,9 @@
     process: Incarnation,
     clock: Hlc,
     ring: Mutex<VecDeque<Event>>,
+    /// Stamp of the newest event that is stored.
+    stored: AtomicU64,
+    lost: AtomicU64,
 }
 
 impl Timeline {
@@ -30,6 +36,8 @@
             process: process.to_owned(),
             clock: Hlc::default(),
             ring: Mutex::new(VecDeque::new()),
+            stored: AtomicU64::new(0),
+            lost: AtomicU64::new(0),
         }
     }
 
@@ -44,12 +52,26 @@
         event.process.clone_from(&self.process);
         write_line(&event);
         let mut ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
-        if ring.len() == RING_EVENTS {
-            ring.pop_front();
+        if ring.len() == RING_EVENTS
+            && let Some(oldest) = ring.pop_front()
+            && oldest.stamp > self.stored.load(Ordering::Acquire)
+        {
+            self.lost.fetch_add(1, Ordering::AcqRel);
         }
         ring.push_back(event);
     }
 
+    /// All events up to `stamp` are stored.
+    pub fn note_stored(&self, stamp: Stamp) {
+        self.stored.fetch_max(stamp, Ordering::AcqRel);
+    }
+
+    /// Events that were dropped before they were stored.
+    #[must_use]
+    pub fn lost(&self) -> u64 {
+        self.lost.load(Ordering::Acquire)
+    }
+
     /// Events stamped later than `after`, oldest first, at most `limit`.
     pub fn since(&self, after: Stamp, limit: usize) -> Vec<Event> {
         let ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/shard/src/outcome.rs
+++ b/crates/shard/src/outcome.rs
@@ -100,8 +100,8 @@
             }
             return;
         }
-        let succeeded = end.result != EndResult::Failed;
-        if !self.ledger.get(&key).is_some_and(|entry| entry.cancelled) {
+        let cancelled = self.ledger.get(&key).is_some_and(|entry| entry.cancelled);
+        if !cancelled && let Some(succeeded) = verdict_on_worker(end.result) {
             self.record_health(worker, succeeded);
         }
         let event = Event::new(Kind::TaskEnded).request(&key).worker(worker);
@@ -380,6 +380,17 @@
     }
 }
 
+/// What an end says of its worker; none if it was cut short. A task that was
+/// stopped, or whose lease ran out, proves nothing: taken for a success it
+/// brought a worker out of quarantine that still fails everything.
+fn verdict_on_worker(result: EndResult) -> Option<bool> {
+    match result {
+        EndResult::Succeeded | EndResult::Checkpointed => Some(true),
+        EndResult::Failed => Some(false),
+        EndResult::Stopped | EndResult::LeaseOver => None,
+    }
+}
+
 /// Whether an answer may be given before its record is in the table. One that
 /// says that nothing will run may not: if this owner ends first, the next one
 /// finds the request open and starts it, and the caller who was told "not run"
