Show that an end just after a claim is lost

Cause: a link that claims a worker polls it once, takes the number of that poll's reply, and leaves the ends in it aside. Its next poll acknowledges that number, so the worker counts the ends as told and never tells of them again. Change: a test of the link against the stand-in of a worker, whose first poll of the new owner is on its way until the task has ended. No change of logic. Conclusion: a request whose task ends there waits until its worker is claimed again.

--- /dev/null
+++ b/crates/daemon/tests/link.rs
@@ -0,0 +1,180 @@
+//! A worker that changes owners while its tasks end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use fake::FakeWorker;
+use fake::RunLog;
+use model::Resources;
+use shard::Gate;
+use shard::Input;
+use shard::Link;
+use shard::LinkFacts;
+use shard::WorkerHost;
+use store::Host;
+use store::HostState;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use web::Asked;
+use web::Handler;
+use web::Limits;
+use web::Whole;
+use worker::Claim;
+use worker::Fence;
+use worker::Poll;
+use worker::Start;
+use worker::WorkerClient;
+
+/// How long the task runs.
+const RUN: Duration = Duration::from_millis(200);
+
+/// Lease of its worker's tasks.
+const LEASE: Duration = Duration::from_secs(10);
+
+/// A worker whose polls of one epoch are on their way until its tasks ended.
+#[derive(Clone, Debug)]
+struct Delayed {
+    worker: FakeWorker,
+    epoch: u64,
+}
+
+impl Handler for Delayed {
+    async fn handle(&self, asked: Asked) -> Whole {
+        let poll = serde_json::from_slice::<Poll>(&asked.body);
+        let late = poll.is_ok_and(|poll| poll.fence.epoch == self.epoch);
+        while late && self.worker.running() > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        self.worker.handle(asked).await
+    }
+}
+
+fn make_worker() -> FakeWorker {
+    let capacity = Resources {
+        cpu_milli: 1000,
+        slots: 1,
+        ..Resources::default()
+    };
+    FakeWorker::new("w1", capacity, RunLog::default())
+}
+
+/// Serves a worker whose polls of `epoch` are late; it ends with the sender.
+async fn serve_delayed(worker: &FakeWorker, epoch: u64) -> (SocketAddr, watch::Sender<bool>) {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let (stop, stopped) = watch::channel(false);
+    let handler = Arc::new(Delayed {
+        worker: worker.clone(),
+        epoch,
+    });
+    tokio::spawn(web::serve(listener, handler, Limits::default(), stopped));
+    (address, stop)
+}
+
+fn fence(epoch: u64) -> Fence {
+    Fence { assigned: 1, epoch }
+}
+
+/// Claims the worker for the owner of epoch 1 and starts a task there.
+async fn start_task(client: &WorkerClient, address: SocketAddr) {
+    let claim = Claim {
+        fence: fence(1),
+        shard: 0,
+        lease_millis: 10_000,
+    };
+    let claimed = client.claim(address, &claim).await.expect("claim");
+    let poll = Poll {
+        fence: fence(1),
+        turn: claimed.turn,
+        ended: Vec::new(),
+        wait_millis: 0,
+    };
+    let polled = client.poll(address, &poll).await.expect("poll");
+    let start = Start {
+        fence: fence(1),
+        run: claimed.incarnation,
+        turn: polled.turn,
+        attempt: "stores/r1#1.1.0".to_owned(),
+        request: "stores/r1".to_owned(),
+        needs: Resources::default(),
+        payload: "r1".to_owned(),
+        run_millis: u64::try_from(RUN.as_millis()).expect("millis"),
+        checkpoint: String::new(),
+    };
+    client.start(address, &start).await.expect("start");
+}
+
+/// Opens the link of the owner of epoch 2.
+fn open_link(client: WorkerClient, address: SocketAddr) -> Opened {
+    let host = Host {
+        id: "w1".to_owned(),
+        address,
+        domain: "tacoma".to_owned(),
+        rack: "r1".to_owned(),
+        state: HostState::Live,
+    };
+    let gate = Arc::new(Gate::new());
+    gate.extend(Instant::now() + Duration::from_mins(1));
+    let facts = LinkFacts {
+        host: WorkerHost { host, assigned: 1 },
+        shard: 0,
+        lease: LEASE,
+        client,
+        gate,
+    };
+    let (orders, receiver) = mpsc::unbounded_channel();
+    let (sender, inputs) = mpsc::unbounded_channel();
+    tokio::spawn(Link::new(facts, fence(2), receiver, sender).run());
+    Opened { orders, inputs }
+}
+
+/// The owner's end of a link.
+struct Opened {
+    /// Keeps the link open.
+    orders: mpsc::UnboundedSender<shard::LinkOrder>,
+    inputs: mpsc::UnboundedReceiver<Input>,
+}
+
+impl Opened {
+    /// The first report of an end, after any that the worker lists none in.
+    async fn first_end(&mut self) -> Option<worker::Task> {
+        while let Some(input) = self.inputs.recv().await {
+            if let Input::Ended(_, tasks) = input
+                && let Some(task) = tasks.into_iter().next()
+            {
+                return Some(task);
+            }
+        }
+        None
+    }
+
+    fn close(self) {
+        drop(self.orders);
+    }
+}
+
+// Now and then a restock that was running when its shard changed owners never
+// got an answer, though its worker had run it to its end. The new owner claims
+// the worker, which lists the task as running; the task ends; the poll that
+// follows the claim tells of the end. The link took that reply's number and
+// left its ends aside, and its next poll acknowledged them, so the worker did
+// not tell of them again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_end_just_after_a_claim_is_reported() {
+    let worker = make_worker();
+    let (address, stop) = serve_delayed(&worker, 2).await;
+    let client = WorkerClient::new(Duration::from_secs(1));
+    start_task(&client, address).await;
+
+    let mut opened = open_link(client, address);
+    let end = tokio::time::timeout(Duration::from_secs(5), opened.first_end()).await;
+
+    let end = end.expect("the end was never reported").expect("link");
+    assert_eq!(end.request, "stores/r1");
+    assert_eq!(worker.running(), 0);
+    opened.close();
+    stop.send_replace(true);
+}
