Hand on the ends that the first poll after a claim tells of

Cause: a link claims a worker, which lists its tasks, and polls it once to renew the lease. A task may end in between: the claim lists it as running, the poll's reply tells of its end. The link took the reply's number, which its next poll acknowledges, and left the ends aside; the worker never told of them again. The request stayed open, with its callers waiting, until its worker was claimed once more. Each change of owner has that gap for each worker, and load widens it. Change: one function takes a reply in and returns its ends, so that no number is taken without them; a link reports a claim, then those ends. Found nowhere else: the link of a cell sends its listings on whole, and acknowledges ends only once its owner has recorded them. Conclusion: the cause is mended.

--- a/crates/daemon/tests/takeover.rs
+++ b/crates/daemon/tests/takeover.rs
@@ -7,9 +7,11 @@
 use fake::LoadPlan;
 use fake::Outcome;
 use fake::count_families;
+use fake::restock;
 use fake::run_load;
 use fake::verify;
 use model::Family;
+use model::Request;
 use nix::sys::signal::Signal;
 
 use crate::support::mixed;
@@ -141,3 +143,38 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
     cell.close();
 }
+
+fn restocks(number: u32) -> Request {
+    restock(&format!("restock-{number}"), Duration::from_secs(1))
+}
+
+// Restocks that ran while their shard was handed over got no answer, and the
+// process through which they had been sent waited for them when it was stopped
+// in turn. The workers answer slowly, as on a busy machine, so many a task ends
+// between the claim of its worker and the poll that follows it. That poll's
+// reply told of the ends; it was acknowledged, and the ends were left aside.
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_that_end_while_their_shard_is_handed_over_are_answered() {
+    let cell = open_cell(3).await;
+    for worker in &cell.platform.workers {
+        worker.set(|manner| manner.latency = Duration::from_millis(250));
+    }
+    let mut plan = plan_for(&cell, 80, 480, restocks);
+    plan.servers.remove(0);
+    plan.patience = Duration::from_secs(20);
+    let client = cell.caller.clone();
+
+    let load = tokio::spawn(async move { run_load(&client, plan).await });
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    cell.members[0].signal(Signal::SIGTERM);
+    let outcomes = load.await.expect("load");
+
+    let failed = outcomes
+        .iter()
+        .filter(|outcome| outcome.family() != Family::Succeeded);
+    let failed: Vec<&Outcome> = failed.collect();
+    assert!(failed.is_empty(), "{failed:#?}");
+    let wrong = verify(&outcomes, &cell.platform.log.runs(), cell.platform.capacity);
+    assert!(wrong.is_empty(), "{wrong:#?}");
+    cell.close();
+}
--- a/crates/shard/src/link.rs
+++ b/crates/shard/src/link.rs
@@ -20,6 +20,7 @@
 use worker::RefusalReason;
 use worker::Start;
 use worker::Stop;
+use worker::Task;
 use worker::Turn;
 use worker::WorkerClient;
 use worker::WorkerError;
@@ -128,10 +129,10 @@
     /// Runs until the shard closes the link.
     pub async fn run(mut self) {
         loop {
-            let Some(claimed) = self.claim().await else {
+            let Some((claimed, ended)) = self.claim().await else {
                 return;
             };
-            if self.announce(claimed).is_err() {
+            if self.announce(claimed, ended).is_err() {
                 return;
             }
             match self.serve().await {
@@ -145,16 +146,17 @@
         self.owner.send(input).map_err(|_| ())
     }
 
-    /// Reports a claim, and the starts that were in flight before it. Those
-    /// that the worker does not list can never be carried out: either the
-    /// fence or the run that they name is an older one, or their lease was
-    /// over and the shard has given them up.
-    fn announce(&mut self, claimed: Claimed) -> Result<(), ()> {
+    /// Reports a claim, what has ended since, and the starts that were in
+    /// flight before it. Those that the worker does not list can never be
+    /// carried out: either the fence or the run that they name is an older
+    /// one, or their lease was over and the shard has given them up.
+    fn announce(&mut self, claimed: Claimed, ended: Vec<Task>) -> Result<(), ()> {
         self.lost = false;
         for task in &claimed.tasks {
             self.sent.remove(&task.attempt);
         }
         self.report(Input::Claimed(self.id().clone(), claimed))?;
+        self.report(Input::Ended(self.id().clone(), ended))?;
         for attempt in std::mem::take(&mut self.sent) {
             self.report(Input::NotStarted(attempt, NotStarted::Fenced))?;
         }
@@ -162,7 +164,7 @@
     }
 
     /// Claims until the worker accepts; none when the link is closed.
-    async fn claim(&mut self) -> Option<Claimed> {
+    async fn claim(&mut self) -> Option<(Claimed, Vec<Task>)> {
         loop {
             if self.facts.gate.is_open() {
                 match self.try_claim().await {
@@ -175,8 +177,9 @@
         }
     }
 
-    /// The poll renews the lease, which the claim alone does not.
-    async fn try_claim(&mut self) -> Result<Claimed, WorkerError> {
+    /// The poll renews the lease, which the claim alone does not; it may tell
+    /// of ends of tasks that the claim lists as running.
+    async fn try_claim(&mut self) -> Result<(Claimed, Vec<Task>), WorkerError> {
         let claim = Claim {
             fence: self.fence,
             shard: self.facts.shard,
@@ -187,8 +190,7 @@
         self.turn = claimed.turn;
         let poll = self.poll_message(Duration::ZERO);
         let polled = self.facts.client.poll(address, &poll).await?;
-        self.take_poll(&polled);
-        Ok(claimed)
+        Ok((claimed, self.take_poll(polled)))
     }
 
     /// While the worker is not claimed, nothing is sent to it.
@@ -261,9 +263,8 @@
             match polled {
                 Ok(polled) => {
                     self.forget.drain(..forgotten);
-                    self.take_poll(&polled);
-                    let ended = Input::Ended(self.id().clone(), polled.ended);
-                    if self.report(ended).is_err() {
+                    let ended = self.take_poll(polled);
+                    if self.report(Input::Ended(self.id().clone(), ended)).is_err() {
                         return Ended::Closed;
                     }
                     wait = POLL_WAIT;
@@ -325,10 +326,15 @@
         }
     }
 
-    fn take_poll(&mut self, polled: &Polled) {
+    /// Takes a reply in and hands its ends on. The next poll acknowledges the
+    /// reply, and then the worker tells of them no more: a request whose end
+    /// stayed here would wait until its worker is claimed again.
+    #[must_use]
+    fn take_poll(&mut self, polled: Polled) -> Vec<Task> {
         self.turn = polled.turn;
         self.replied = Some(Instant::now());
         self.lost = false;
+        polled.ended
     }
 
     fn dispatch(&mut self, order: LinkOrder, calls: &mut JoinSet<Option<Input>>) {
