Repeat each stop until it is confirmed, whichever run is booked

Cause: a run listed beside another booked run of its task was stopped without a booking, and an unanswered stop was sent again for the booked run only; the next try came with the next listing, if there was one. And a second run of an unknown job replaced the first one's booking, so that the worker counted a run of unknown size for good and got no more work.

An unanswered stop is now sent again as long as any run of the task is booked there, and a second run is stopped before anything is booked for it.

--- a/crates/job/src/planner/adopt.rs
+++ b/crates/job/src/planner/adopt.rs
@@ -18,6 +18,17 @@
     pub(super) fn adopt(&mut self, key: WorkerKey, running: &RunningTask) {
         let task = running.task;
         let now = self.now;
+        if self.workers[key].runs.contains_key(&task) {
+            // A booking of its own would replace that of the other run, whose
+            // room would never come back: the worker would get no more work.
+            self.orders.push(Order::Stop {
+                worker: key,
+                task,
+                run: running.run,
+                reason: StopReason::OtherRun,
+            });
+            return;
+        }
         let trusted = self.workers[key].trusted;
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             self.take_stranger(key, running);
@@ -57,19 +68,7 @@
             moved: now,
             checkpoint: running.checkpoint.clone(),
         };
-        let worker = &mut self.workers[key];
-        if worker.runs.contains_key(&task) {
-            // Another run of the same task is booked here; the listed one is
-            // stopped without a booking of its own.
-            self.orders.push(Order::Stop {
-                worker: key,
-                task,
-                run: running.run,
-                reason: StopReason::OtherRun,
-            });
-            return;
-        }
-        worker.book(task, placed);
+        self.workers[key].book(task, placed);
         if !wanted {
             self.stop(key, task, running.run, StopReason::NotWanted);
         }
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -84,15 +84,17 @@
     pub fn stop_reply(&mut self, key: WorkerKey, task: TaskKey, run: RunId, reply: StopReply) {
         let now = self.now;
         let worker = self.workers.get_mut(key);
-        let placed = worker.and_then(|worker| worker.runs.get_mut(&task));
-        let Some(placed) = placed.filter(|placed| placed.run == run) else {
+        let Some(placed) = worker.and_then(|worker| worker.runs.get_mut(&task)) else {
             return;
         };
         match reply {
-            StopReply::Stopped => {
+            // Room is given back with the run that is booked, not with another
+            // one of its task that was stopped beside it.
+            StopReply::Stopped if placed.run == run => {
                 placed.phase = RunPhase::Stopped;
                 placed.since = now;
             }
+            StopReply::Stopped => {}
             StopReply::Unknown => self.orders.push(Order::Stop {
                 worker: key,
                 task,
