Stand-in workers carry out orders late; tests of cancelled jobs' late starts

A stand-in worker may leave a share of its starts, stops and holds unanswered and carry them out later; fence, lease deadline and the highest run that was over there bind such an order like any other. Six tests with whole processes: late starts after a cancel, with late stops, under a killed owner, with the workers' registrations or their rows gone, and with half of all orders late.

--- /dev/null
+++ b/crates/cell/tests/late_orders.rs
@@ -0,0 +1,267 @@
+//! Workers leave orders unanswered and carry them out seconds later, after the
+//! job was cancelled, or after another process has taken the pool. The judge is
+//! the workers' own log: no task of a cancelled job runs on.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::Method;
+use serde_json::Value;
+use site::Caller;
+use site::LatePlan;
+use site::PATIENCE;
+use site::SiteCell;
+use site::Span;
+use site::job;
+
+const JOB: &str = "00000000000000f1";
+
+/// A task that is at work until it is stopped.
+const LONG: &str = "30000";
+
+/// Time until a late order is carried out.
+const DELAY: Duration = Duration::from_millis(2200);
+
+/// Time within which a task is gone once an owner can see it: a renewal that
+/// gets no answer lasts 0.5 s, and so does a stop.
+const SEEN: Duration = Duration::from_millis(1500);
+
+/// Time after its late start within which a task of a cancelled job has to be
+/// gone, whatever share of the orders gets no answer: 3 s for a machine to
+/// count as in touch, 3 s for the cancel and 0.2 s for the stop.
+const GONE: Duration = Duration::from_millis(6200);
+
+/// All orders of some kinds are carried out late.
+fn late(starts: bool, stops: bool, holds: bool) -> LatePlan {
+    let share = |late: bool| if late { 1.0 } else { 0.0 };
+    LatePlan {
+        starts: share(starts),
+        stops: share(stops),
+        holds: share(holds),
+        least: DELAY,
+        most: DELAY,
+    }
+}
+
+fn set_late(cell: &SiteCell, plan: LatePlan) {
+    for worker in &cell.workers {
+        worker.set_late(plan);
+    }
+}
+
+fn path(id: &str) -> String {
+    format!("/plain/{id}")
+}
+
+/// Waits until something is so.
+async fn wait_for(what: &str, is: impl Fn() -> bool) {
+    let looks = async {
+        while !is() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let come = tokio::time::timeout(PATIENCE, looks).await;
+    assert!(come.is_ok(), "{what}");
+}
+
+/// Opens a cell whose owner knows its workers.
+async fn open(processes: usize, workers: usize) -> (SiteCell, Caller) {
+    let cell = SiteCell::open(processes, workers).await;
+    let caller = Caller::new();
+    let first = path("00000000000000f0");
+    caller.submit(&cell.servers(), &first, &job(4, "20")).await;
+    caller
+        .wait_state(&cell.servers(), &first, "completed")
+        .await;
+    (cell, caller)
+}
+
+/// Hands in the job while starts get no answer, and waits for one of those.
+async fn start_late(cell: &SiteCell, caller: &Caller, plan: LatePlan) {
+    set_late(cell, plan);
+    let one = job(1, LONG);
+    caller.submit(&cell.servers(), &path(JOB), &one).await;
+    let waits = || cell.workers.iter().any(|worker| worker.late_starts() > 0);
+    wait_for("no start was sent", waits).await;
+}
+
+/// Cancels a job; any process may take the cancel.
+async fn cancel(cell: &SiteCell, caller: &Caller, id: &str) {
+    let servers = cell.servers();
+    let path = path(id);
+    let tries = async {
+        for server in servers.iter().cycle() {
+            let sent = caller.send(Method::DELETE, *server, &path, &Value::Null);
+            if sent.await.0 == 200 {
+                return;
+            }
+        }
+    };
+    let taken = tokio::time::timeout(PATIENCE, tries).await;
+    assert!(taken.is_ok(), "{id} cannot be cancelled");
+}
+
+/// Waits until no late start is left and no run of the job is at work; gives
+/// its runs.
+async fn wait_gone(cell: &SiteCell, id: &str) -> Vec<Span> {
+    let over = || {
+        let waits = cell.workers.iter().any(|worker| worker.late_starts() > 0);
+        let spans = cell.log.spans(id);
+        !waits && spans.iter().all(|span| span.end.is_some())
+    };
+    wait_for("a task runs on", over).await;
+    cell.log.spans(id)
+}
+
+/// The runs were stopped within `bound` of `from` or, if that was later, of
+/// their begin.
+fn assert_stopped(spans: &[Span], from: Instant, bound: Duration) {
+    for span in spans {
+        let Some((end, how)) = &span.end else {
+            panic!("{span:?} runs on");
+        };
+        assert_eq!(how, "stopped", "{span:?}");
+        let took = end.saturating_duration_since(span.begin.max(from));
+        assert!(took <= bound, "{span:?} ran on for {took:?}");
+    }
+}
+
+async fn wait_successor(cell: &SiteCell, owner: usize) {
+    let other = || cell.owner().is_some_and(|next| next != owner);
+    wait_for("nobody takes the pool", other).await;
+}
+
+/// Symptom feared: a task of a cancelled job begins seconds later and runs on.
+/// Sequence: its start gets no answer; the job is cancelled; the stop reaches
+/// the worker first, which then refuses the start.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_that_comes_before_the_late_start_keeps_it_from_starting() {
+    let (cell, caller) = open(2, 2).await;
+    start_late(&cell, &caller, late(true, false, false)).await;
+
+    cancel(&cell, &caller, JOB).await;
+
+    assert_eq!(wait_gone(&cell, JOB).await.len(), 0, "it never began");
+    cell.close().await;
+}
+
+/// The same with stops that get no answer either: the start is carried out
+/// first, and the stop that is answered then ends it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_start_is_stopped_though_stops_come_late_too() {
+    let (cell, caller) = open(2, 2).await;
+    start_late(&cell, &caller, late(true, true, false)).await;
+    cancel(&cell, &caller, JOB).await;
+    wait_for("no late start", || cell.log.starts(JOB) > 0).await;
+
+    set_late(&cell, LatePlan::default());
+
+    let spans = wait_gone(&cell, JOB).await;
+    assert_stopped(&spans, Instant::now(), SEEN);
+    let took = spans[0].end.as_ref().map(|(end, _)| *end - spans[0].begin);
+    assert!(took.is_some_and(|took| took <= SEEN), "{spans:?}");
+    cell.close().await;
+}
+
+/// What a successor has of the workers besides their answers.
+#[derive(Clone, Copy, Debug)]
+enum Known {
+    /// Registration, and row of a worker in use.
+    Both,
+    /// The registrations have vanished.
+    Rows,
+    /// The rows of workers in use are gone.
+    Registrations,
+}
+
+/// The owner sends a start that gets no answer and is killed; its successor
+/// gets no answer to its first renewals either, so the start is carried out;
+/// the job is cancelled meanwhile. Once renewals are answered, the task goes.
+async fn late_start_of_a_killed_owner(known: Known) {
+    let (mut cell, caller) = open(2, 2).await;
+    let owner = cell.owner().expect("an owner");
+    start_late(&cell, &caller, late(true, false, true)).await;
+    for at in 0..cell.workers.len() {
+        match known {
+            Known::Both => {}
+            Known::Rows => cell.unregister(at),
+            Known::Registrations => {
+                let id = &cell.workers[at].id;
+                cell.store
+                    .remove_from(cell::USED_TABLE, cell::OWNER_PART, id);
+            }
+        }
+    }
+    cell.kill(owner).await;
+    wait_successor(&cell, owner).await;
+    cancel(&cell, &caller, JOB).await;
+    wait_for("no late start", || cell.log.starts(JOB) > 0).await;
+    let answered = Instant::now();
+
+    set_late(&cell, LatePlan::default());
+
+    let spans = wait_gone(&cell, JOB).await;
+    assert_eq!(spans.len(), 1, "{known:?}");
+    assert_stopped(&spans, answered, SEEN);
+    cell.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_owners_late_start_is_stopped_by_its_successor() {
+    late_start_of_a_killed_owner(Known::Both).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_successor_finds_workers_whose_registration_has_vanished() {
+    late_start_of_a_killed_owner(Known::Rows).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_successor_finds_registered_workers_without_a_row() {
+    late_start_of_a_killed_owner(Known::Registrations).await;
+}
+
+/// Half of all orders get no answer and are carried out later, half of the jobs
+/// are cancelled, and the owner is killed meanwhile: the tasks of cancelled
+/// jobs go in time, those of the others run once.
+#[tokio::test(flavor = "multi_thread")]
+async fn half_of_the_orders_may_come_late() {
+    let (mut cell, caller) = open(3, 3).await;
+    let half = LatePlan {
+        starts: 0.5,
+        stops: 0.5,
+        holds: 0.5,
+        least: Duration::from_secs(2),
+        most: Duration::from_secs(5),
+    };
+    set_late(&cell, half);
+    let ids = |from: u64| (0..8).map(move |nth| format!("{:016x}", from + nth));
+    let mut canceled = Vec::new();
+    for (gone, kept) in ids(0xf100).zip(ids(0xf200)) {
+        let servers = cell.servers();
+        caller.submit(&servers, &path(&gone), &job(1, LONG)).await;
+        caller.submit(&servers, &path(&kept), &job(1, "300")).await;
+        cancel(&cell, &caller, &gone).await;
+        canceled.push((gone, Instant::now()));
+    }
+    let owner = cell.owner().expect("an owner");
+    cell.kill(owner).await;
+    wait_successor(&cell, owner).await;
+
+    for (id, at) in canceled {
+        for span in wait_gone(&cell, &id).await {
+            let (end, how) = span.end.expect("it has ended");
+            let took = end.saturating_duration_since(span.begin.max(at));
+            assert!(took <= GONE, "{id}: {how} after {took:?}");
+        }
+    }
+
+    set_late(&cell, LatePlan::default());
+    for id in ids(0xf200) {
+        caller
+            .wait_state(&cell.servers(), &path(&id), "completed")
+            .await;
+    }
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close().await;
+}
--- a/crates/daemon/tests/soak/field.rs
+++ b/crates/daemon/tests/soak/field.rs
@@ -25,6 +25,7 @@
 use site::StoreStand;
 use site::WorkerStand;
 use site::config;
+use site::keep_ticking;
 use site::registration;
 use site::serve;
 use tempfile::TempDir;
@@ -297,15 +298,6 @@
     }
 }
 
-/// Workers end runs by their own clock, whether anyone reaches them or not.
-async fn keep_ticking(worker: Arc<WorkerStand>, stop: watch::Receiver<bool>) {
-    // The channel closes with the field.
-    while stop.has_changed().is_ok() {
-        worker.tick();
-        tokio::time::sleep(LOOK_EVERY).await;
-    }
-}
-
 fn settings_of(at: usize, ip: IpAddr, store: SocketAddr, services: SocketAddr) -> String {
     // JSON is YAML.
     let listen = |port| SocketAddr::new(ip, port);
--- a/crates/site/src/advice.rs
+++ b/crates/site/src/advice.rs
@@ -2,8 +2,11 @@
 //! one that knows the machines.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use hyper::StatusCode;
 use serde_json::Value;
@@ -18,7 +21,11 @@
 #[derive(Debug)]
 pub struct AdviceStand {
     calls: AtomicUsize,
-    workers: Vec<Arc<WorkerStand>>,
+    workers: Mutex<Vec<Arc<WorkerStand>>>,
+    /// Lists of machines given, or being given.
+    lists: AtomicUsize,
+    /// How long the list of machines is under way after it was made.
+    list_delay: Mutex<Duration>,
 }
 
 impl AdviceStand {
@@ -27,10 +34,42 @@
     pub fn new(workers: Vec<Arc<WorkerStand>>) -> Arc<AdviceStand> {
         Arc::new(AdviceStand {
             calls: AtomicUsize::new(0),
-            workers,
+            workers: Mutex::new(workers),
+            lists: AtomicUsize::new(0),
+            list_delay: Mutex::default(),
         })
     }
 
+    /// A worker begins its life on a machine.
+    pub fn add(&self, worker: Arc<WorkerStand>) {
+        let mut workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
+        workers.push(worker);
+    }
+
+    /// The list of machines is under way for so long after it was made.
+    pub fn set_list_delay(&self, delay: Duration) {
+        let mut kept = self
+            .list_delay
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *kept = delay;
+    }
+
+    /// Number of lists of machines made so far.
+    #[must_use]
+    pub fn lists(&self) -> usize {
+        self.lists.load(Ordering::Relaxed)
+    }
+
+    fn machines(&self) -> Value {
+        let workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
+        let alive = workers.iter().filter(|worker| !worker.dead());
+        let machines: Vec<Value> = alive
+            .map(|worker| json!({"machine": worker.id, "state": "up", "id": worker.id}))
+            .collect();
+        json!({"machines": machines, "next_token": null})
+    }
+
     /// Number of calls for advice so far.
     #[must_use]
     pub fn calls(&self) -> usize {
@@ -41,11 +80,13 @@
 impl Handler for AdviceStand {
     async fn handle(&self, asked: Asked) -> Whole {
         if asked.path == "/-/machines" {
-            let alive = self.workers.iter().filter(|worker| !worker.dead());
-            let machines: Vec<Value> = alive
-                .map(|worker| json!({"machine": worker.id, "state": "up", "id": worker.id}))
-                .collect();
-            let body = json!({"machines": machines, "next_token": null});
+            let body = self.machines();
+            self.lists.fetch_add(1, Ordering::Relaxed);
+            let delay = *self
+                .list_delay
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            tokio::time::sleep(delay).await;
             return web::json(StatusCode::OK, &body);
         }
         self.calls.fetch_add(1, Ordering::Relaxed);
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -28,6 +28,7 @@
 use crate::StoreDoor;
 use crate::StoreStand;
 use crate::WorkerStand;
+use crate::keep_ticking;
 
 /// Ports on each loopback address of a process.
 const CALLER_PORT: u16 = 7001;
@@ -60,11 +61,12 @@
     pub log: RunLog,
     /// Each process's way to the store.
     pub doors: Vec<Arc<StoreDoor>>,
+    addresses: Vec<SocketAddr>,
     services: SocketAddr,
     stores: Vec<SocketAddr>,
     net: (u8, u8),
     members: Vec<Option<Member>>,
-    _serving: watch::Sender<bool>,
+    serving: watch::Sender<bool>,
 }
 
 impl SiteCell {
@@ -84,14 +86,7 @@
             doors.push(door);
         }
         let log = RunLog::default();
-        let mut stands = Vec::new();
-        for at in 0..workers {
-            let stand = WorkerStand::new(&format!("w{at}"), log.clone());
-            let address = serve(stand.clone(), &stop).await;
-            store.write("servers", &stand.id, &registration(address));
-            stands.push(stand);
-        }
-        let advice = AdviceStand::new(stands.clone());
+        let advice = AdviceStand::new(Vec::new());
         let services = serve(advice.clone(), &stop).await;
         store.write("op", "config", &config(1));
         let net = (
@@ -100,16 +95,20 @@
         );
         let mut cell = SiteCell {
             store,
-            workers: stands,
+            workers: Vec::new(),
             advice,
             log,
             doors,
+            addresses: Vec::new(),
             services,
             stores,
             net,
             members: Vec::new(),
-            _serving: serving,
+            serving,
         };
+        for _ in 0..workers {
+            cell.add_worker().await;
+        }
         for at in 0..processes {
             cell.members.push(None);
             cell.start(at).await;
@@ -117,6 +116,33 @@
         cell
     }
 
+    /// Adds a worker of four cores, which registers.
+    ///
+    /// # Panics
+    /// No address can be bound.
+    pub async fn add_worker(&mut self) {
+        let at = self.workers.len();
+        let stand = WorkerStand::new(&format!("w{at}"), self.log.clone());
+        let stop = self.serving.subscribe();
+        self.addresses.push(serve(stand.clone(), &stop).await);
+        tokio::spawn(keep_ticking(stand.clone(), stop));
+        self.advice.add(stand.clone());
+        self.workers.push(stand);
+        self.register(at);
+    }
+
+    /// A worker registers, or registers again.
+    pub fn register(&self, at: usize) {
+        let registration = registration(self.addresses[at]);
+        let id = &self.workers[at].id;
+        self.store.write("servers", id, &registration);
+    }
+
+    /// A worker's registration vanishes.
+    pub fn unregister(&self, at: usize) {
+        self.store.remove("servers", &self.workers[at].id);
+    }
+
     fn ip(&self, at: usize) -> IpAddr {
         let host = u8::try_from(at).unwrap_or(0) + 1;
         Ipv4Addr::new(127, self.net.0, self.net.1, host).into()
--- a/crates/site/src/runs.rs
+++ b/crates/site/src/runs.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Instant;
 
 /// One thing that a worker has done.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,25 +19,41 @@
     Void(String, u64),
 }
 
-/// The deeds of all workers, in order.
+/// A run of a task, from its begin to its end.
+#[derive(Clone, Debug)]
+pub struct Span {
+    /// The worker.
+    pub worker: String,
+    /// The task.
+    pub task: String,
+    /// The run.
+    pub run: u64,
+    /// When it began.
+    pub begin: Instant,
+    /// When it ended, and how; nothing while it runs.
+    pub end: Option<(Instant, String)>,
+}
+
+/// The deeds of all workers, in order, and when they were done.
 #[derive(Clone, Debug, Default)]
 pub struct RunLog {
-    deeds: Arc<Mutex<Vec<Deed>>>,
+    deeds: Arc<Mutex<Vec<(Instant, Deed)>>>,
 }
 
 impl RunLog {
-    fn lock(&self) -> MutexGuard<'_, Vec<Deed>> {
+    fn lock(&self) -> MutexGuard<'_, Vec<(Instant, Deed)>> {
         self.deeds.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn push(&self, deed: Deed) {
-        self.lock().push(deed);
+        self.lock().push((Instant::now(), deed));
     }
 
     /// All deeds so far.
     #[must_use]
     pub fn deeds(&self) -> Vec<Deed> {
-        self.lock().clone()
+        let deeds = self.lock();
+        deeds.iter().map(|(_, deed)| deed.clone()).collect()
     }
 
     /// Number of starts of the tasks of a job.
@@ -45,10 +62,37 @@
         let deeds = self.lock();
         let began = deeds
             .iter()
-            .filter(|deed| matches!(deed, Deed::Began(_, task, _) if task.starts_with(job)));
+            .filter(|(_, deed)| matches!(deed, Deed::Began(_, task, _) if task.starts_with(job)));
         began.count()
     }
 
+    /// Runs of the tasks of a job, in the order of their begin.
+    #[must_use]
+    pub fn spans(&self, job: &str) -> Vec<Span> {
+        let mut spans: Vec<Span> = Vec::new();
+        for (at, deed) in self.lock().iter() {
+            match deed {
+                Deed::Began(worker, task, run) if task.starts_with(job) => spans.push(Span {
+                    worker: worker.clone(),
+                    task: task.clone(),
+                    run: *run,
+                    begin: *at,
+                    end: None,
+                }),
+                Deed::Ended(worker, task, run, how) => {
+                    let ended = spans
+                        .iter_mut()
+                        .find(|span| (&span.worker, &span.task, span.run) == (worker, task, *run));
+                    if let Some(span) = ended {
+                        span.end = Some((*at, how.clone()));
+                    }
+                }
+                _ => {}
+            }
+        }
+        spans
+    }
+
     /// What must never be: a task on two workers at a time, or begun again
     /// after it was done.
     #[must_use]
@@ -56,7 +100,7 @@
         let mut alive: HashMap<String, String> = HashMap::new();
         let mut done: HashMap<String, u64> = HashMap::new();
         let mut faults = Vec::new();
-        for deed in self.lock().iter() {
+        for (_, deed) in self.lock().iter() {
             match deed {
                 Deed::Began(worker, task, run) => {
                     if let Some(other) = alive.insert(task.clone(), worker.clone()) {
--- a/crates/site/src/store.rs
+++ b/crates/site/src/store.rs
@@ -29,6 +29,8 @@
 pub struct StoreFaults {
     /// Every call is refused with 503.
     pub down: bool,
+    /// Transactions are refused with 503; reads are served.
+    pub read_only: bool,
     /// So many of the next transactions are done and not answered.
     pub lose: usize,
     /// Each transaction takes this long.
@@ -93,9 +95,14 @@
         self.version.send_replace(version);
     }
 
-    /// Removes a row.
+    /// Removes a row of the unnamed part.
     pub fn remove(&self, table: &str, key: &str) {
-        let name = (table.to_owned(), String::new(), key.to_owned());
+        self.remove_from(table, "", key);
+    }
+
+    /// Removes a row.
+    pub fn remove_from(&self, table: &str, part: &str, key: &str) {
+        let name = (table.to_owned(), part.to_owned(), key.to_owned());
         let mut rows = self.lock();
         rows.version += 1;
         let version = rows.version;
@@ -235,6 +242,9 @@
         if faults.down {
             return web::error(StatusCode::SERVICE_UNAVAILABLE, "try later");
         }
+        if faults.read_only && asked.path == "/-/rows-tx" {
+            return web::error(StatusCode::SERVICE_UNAVAILABLE, "try later");
+        }
         match asked.path.as_str() {
             "/-/rows-tx" => {
                 let body: Value = serde_json::from_slice(&asked.body).unwrap_or_default();
--- a/crates/site/src/worker.rs
+++ b/crates/site/src/worker.rs
@@ -12,12 +12,15 @@
 use hyper::StatusCode;
 use serde_json::Value;
 use serde_json::json;
+use tokio::sync::watch;
 use web::Asked;
 use web::Handler;
 use web::Whole;
 
 use crate::Deed;
+use crate::LatePlan;
 use crate::RunLog;
+use crate::late::LateOrders;
 
 /// Time between two looks for ends while a call waits for one.
 const LOOK_EVERY: Duration = Duration::from_millis(5);
@@ -54,6 +57,9 @@
     silent: bool,
     dead: bool,
     lose_starts: usize,
+    /// Orders of this epoch and later ones do not arrive.
+    deaf_from: Option<u64>,
+    late: LateOrders,
 }
 
 /// A worker.
@@ -102,6 +108,7 @@
         let mut state = self.lock();
         state.silent = true;
         state.dead = true;
+        state.late.clear();
         for (task, run) in std::mem::take(&mut state.running) {
             let how = "gone".to_owned();
             self.log
@@ -120,8 +127,36 @@
         self.lock().lose_starts = count;
     }
 
-    /// Ends what is due: by its own time, or by the lease.
+    /// Orders of `epoch` and later ones do not arrive: the worker is cut off
+    /// from later owners alone.
+    pub fn set_deaf_from(&self, epoch: Option<u64>) {
+        self.lock().deaf_from = epoch;
+    }
+
+    /// Some orders are left unanswered from now on, and carried out later.
+    pub fn set_late(&self, plan: LatePlan) {
+        self.lock().late.set_plan(plan);
+    }
+
+    /// Starts that were left unanswered and are not carried out yet.
+    #[must_use]
+    pub fn late_starts(&self) -> usize {
+        self.lock().late.starts()
+    }
+
+    /// Carries out late orders and ends what is due.
     fn settle(&self, state: &mut State) {
+        self.settle_runs(state);
+        while let Some(order) = state.late.take_due() {
+            if self.obey(state, &order.path, &order.body).is_none() {
+                self.hold(state, &order.body);
+            }
+            self.settle_runs(state);
+        }
+    }
+
+    /// Ends what is due: by its own time, or by the lease.
+    fn settle_runs(&self, state: &mut State) {
         let now = Instant::now();
         let lapsed = state.lease <= self.clock();
         let due: Vec<String> = state
@@ -257,6 +292,19 @@
         state.fence = fence;
         None
     }
+
+    /// Carries out an order. Nothing for a hold that is not refused: its
+    /// answer may have to wait.
+    fn obey(&self, state: &mut State, path: &str, body: &Value) -> Option<Whole> {
+        if let Some(refused) = self.fence(state, body) {
+            return Some(refused);
+        }
+        match path {
+            "/-/run-start" => Some(self.start(state, body)),
+            "/-/run-stop" => Some(self.stop(state, body)),
+            _ => None,
+        }
+    }
 }
 
 impl Handler for WorkerStand {
@@ -265,18 +313,14 @@
         let (whole, lost) = {
             let mut state = self.lock();
             self.settle(&mut state);
-            if state.silent {
+            let epoch = body["fencing_token"].as_u64().unwrap_or(0);
+            let deaf = state.deaf_from.is_some_and(|from| epoch >= from);
+            if state.silent || deaf || state.late.keep(&asked.path, &body) {
                 (None, true)
-            } else if let Some(whole) = self.fence(&mut state, &body) {
-                (Some(whole), false)
-            } else if asked.path == "/-/run-start" {
-                let lost = state.lose_starts > 0;
-                state.lose_starts = state.lose_starts.saturating_sub(1);
-                (Some(self.start(&mut state, &body)), lost)
-            } else if asked.path == "/-/run-stop" {
-                (Some(self.stop(&mut state, &body)), false)
             } else {
-                (None, false)
+                let lost = asked.path == "/-/run-start" && state.lose_starts > 0;
+                state.lose_starts -= usize::from(lost);
+                (self.obey(&mut state, &asked.path, &body), lost)
             }
         };
         if lost {
@@ -288,3 +332,13 @@
         }
     }
 }
+
+/// Workers end runs and carry out late orders by their own clock, whether
+/// anyone reaches them or not.
+pub async fn keep_ticking(worker: Arc<WorkerStand>, stop: watch::Receiver<bool>) {
+    // The channel closes with the test.
+    while stop.has_changed().is_ok() {
+        worker.tick();
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
