Test workers that are cut off, and rows and lists that miss them; all fail

Fail on this code: - a_deposed_owner_renews_no_lease: "run 100001 began on w1, runs on w0"; - a_worker_that_registers_again_keeps_its_row: the worker has work and no row; - a_list_of_machines_says_nothing_of_younger_workers: the job stays pending.

--- /dev/null
+++ b/crates/cell/tests/cut_workers.rs
@@ -0,0 +1,128 @@
+//! Workers that some process cannot reach, or that the store or the list of
+//! machines does not show, while they live on.
+
+use std::time::Duration;
+
+use site::Caller;
+use site::PATIENCE;
+use site::SiteCell;
+use site::StoreFaults;
+use site::job;
+
+/// Waits until something is so.
+async fn wait_for(what: &str, is: impl Fn() -> bool) {
+    let looks = async {
+        while !is() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let come = tokio::time::timeout(PATIENCE, looks).await;
+    assert!(come.is_ok(), "{what}");
+}
+
+/// Waits until a figure of the pool has a value; it is published each second.
+async fn wait_figure(cell: &SiteCell, caller: &Caller, figure: &str, value: u64) {
+    let line = format!("clovermount_pool{{figure=\"{figure}\"}} {value}");
+    let looks = async {
+        while !caller
+            .text(cell.metrics(0), "/metrics")
+            .await
+            .contains(&line)
+        {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let come = tokio::time::timeout(PATIENCE, looks).await;
+    assert!(come.is_ok(), "never {line}");
+}
+
+/// A task ran on two workers at a time: after a take-over its worker was cut
+/// off from the new owner, which waited for the worker's lease to be over and
+/// started the task elsewhere. But the lease never ended. The former owner, cut
+/// off from the store, had learnt from another worker that the pool was lost,
+/// and its links went on renewing the leases of all workers that the new owner
+/// had not reached.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deposed_owner_renews_no_lease() {
+    const IDS: [&str; 2] = ["00000000000000f3", "00000000000000f4"];
+    let cell = SiteCell::open(2, 2).await;
+    let caller = Caller::new();
+    for id in IDS {
+        let path = format!("/plain/{id}");
+        // Three on one worker, three on the other.
+        caller
+            .submit(&cell.servers(), &path, &job(3, "14000"))
+            .await;
+    }
+    let starts = || IDS.iter().map(|id| cell.log.starts(id)).sum::<usize>();
+    wait_for("tasks do not start", || starts() == 6).await;
+    let owner = cell.owner().expect("an owner");
+    cell.workers[0].set_deaf_from(Some(2));
+
+    cell.doors[owner].set_cut(true);
+
+    wait_for("the lost tasks do not start again", || starts() > 6).await;
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close().await;
+}
+
+/// A worker in use had no row, so that a successor would not have asked it what
+/// it runs. It had been cut off until its lease was over, while the store took
+/// no writes; when it registered again, the removal of its row still waited and
+/// went into the same transaction as the new row, after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_that_registers_again_keeps_its_row() {
+    let cell = SiteCell::open(1, 1).await;
+    let caller = Caller::new();
+    let path = "/plain/00000000000000f5";
+    caller.submit(&cell.servers(), path, &job(1, "9000")).await;
+    wait_figure(&cell, &caller, "running", 1).await;
+    cell.store.set_faults(StoreFaults {
+        read_only: true,
+        ..StoreFaults::default()
+    });
+    cell.workers[0].set_silent(true);
+    cell.unregister(0);
+    wait_figure(&cell, &caller, "running", 0).await;
+    cell.workers[0].set_silent(false);
+    cell.register(0);
+    // The roster is read every 0.4 s.
+    wait_figure(&cell, &caller, "waiting", 1).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    cell.store.set_faults(StoreFaults::default());
+
+    wait_figure(&cell, &caller, "running", 1).await;
+    let row = cell
+        .store
+        .raw(cell::USED_TABLE, cell::OWNER_PART, &cell.workers[0].id);
+    assert!(row.is_some(), "the worker has work and no row");
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close().await;
+}
+
+/// A new worker got no work for its whole life. It had registered while the
+/// owner, which waited for a silent worker after its take-over, was being sent
+/// the list of machines. That list was older than the worker; the owner took
+/// the worker for dead, since it had not answered yet when the list came.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_list_of_machines_says_nothing_of_younger_workers() {
+    let mut cell = SiteCell::open(1, 0).await;
+    let caller = Caller::new();
+    cell.advice.set_list_delay(Duration::from_millis(700));
+    cell.add_worker().await;
+    cell.workers[0].set_silent(true);
+    let lists = cell.advice.lists();
+    wait_for("no list is asked for", || cell.advice.lists() > lists).await;
+
+    cell.add_worker().await;
+    cell.workers[1].set_silent(true);
+    let lists = cell.advice.lists();
+    wait_for("no further list", || cell.advice.lists() > lists).await;
+    cell.workers[1].set_silent(false);
+
+    let path = "/plain/00000000000000f6";
+    caller.submit(&cell.servers(), path, &job(1, "20")).await;
+    caller.wait_state(&cell.servers(), path, "completed").await;
+    cell.close().await;
+}
