End the links of an owner that has lost the pool

Cause: the links' tasks were left running when the owner's loop ended, since dropping their handles does not stop them. Those to workers that the successor could not reach went on renewing leases, up to the worker's next owner or the end of the process. The successor gives such a worker's runs up when the last lease that its predecessor may have given is over, and starts their tasks elsewhere, beside the runs.

--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -172,6 +172,24 @@
 
     /// Owns the pool until it is lost or the process stops.
     pub(crate) async fn run(mut self) {
+        if self.own().await {
+            self.release().await;
+        }
+        self.close();
+    }
+
+    /// Ends the links. Left alone, those to workers that a successor has not
+    /// reached would renew their leases for good; it shows as workers that
+    /// answer two owners. The successor waits for these leases to be over and
+    /// then starts the workers' tasks elsewhere, beside those still at work.
+    fn close(self) {
+        for link in self.links.into_values() {
+            link.close();
+        }
+    }
+
+    /// Owns the pool; gives whether it is still ours when the process stops.
+    async fn own(&mut self) -> bool {
         let mut next_plan = self.context.now();
         let mut pending = true;
         let mut seat = self.context.seat.clone();
@@ -185,11 +203,11 @@
                 }
                 () = tokio::time::sleep(wake.saturating_sub(now)) => {}
                 _ = seat.changed() => {}
-                () = self.context.stopped() => break,
+                () = self.context.stopped() => return true,
             }
             if self.deposed || lost(&self.context, self.epoch) {
                 log::warn!(code = 332, epoch = self.epoch; "pool lost");
-                return;
+                return false;
             }
             let now = self.context.now();
             if now >= next_plan {
@@ -202,7 +220,6 @@
                 pending = false;
             }
         }
-        self.release().await;
     }
 
     fn take_all(&mut self, message: Option<OwnerMessage>) {
@@ -394,7 +411,7 @@
 
     /// Saves what is known and gives the pool up, so that a successor need
     /// not wait for the expiry.
-    async fn release(mut self) {
+    async fn release(&mut self) {
         let end = self.context.now() + RELEASE_TIME;
         self.saver.give_up();
         while self.context.now() < end && !self.saver.released() && !self.deposed {
