Keep one wish for the row of each worker

Cause: rows to write and rows to remove waited in two lists. While the store took no writes, a worker's lease ended and it registered again; then both lists held it, and one transaction wrote its row and removed it. Likewise a failed transaction put its removals back behind a newer registration, and with more than ten workers lost at once, a removal could go into a later transaction than the new row. A worker in use then had no row, and a second entry opened a second link to it, of which the first was never ended.

Rows to write and to remove are now one list of wishes, the newest of which counts.

--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -12,6 +12,7 @@
 mod sender;
 mod supervise;
 mod takeover;
+mod worker_rows;
 
 pub use messages::*;
 pub use supervise::*;
@@ -23,3 +24,4 @@
 pub(crate) use retention::Retention;
 pub(crate) use roster::follow_workers;
 pub(crate) use saver::Saver;
+pub(crate) use worker_rows::WorkerRows;
--- a/crates/cell/src/owner/saver.rs
+++ b/crates/cell/src/owner/saver.rs
@@ -15,6 +15,7 @@
 use platform::Version;
 
 use super::Pool;
+use super::WorkerRows;
 use crate::Context;
 use crate::Guard;
 use crate::OwnerMessage;
@@ -42,8 +43,8 @@
 /// are the guard, the renewal and workers.
 const MOST_JOBS: usize = 60;
 
-/// Most workers in one transaction.
-const MOST_WORKERS: usize = 30;
+/// Most workers whose rows are written or removed in one transaction.
+const MOST_WORKERS: usize = 35;
 
 /// Time for one transaction; a slow store takes up to 1.2 s.
 const SAVE_TIMEOUT: Duration = Duration::from_millis(1600);
@@ -62,8 +63,7 @@
     /// No transaction before this time.
     after: Duration,
     renewed: Duration,
-    used: Vec<(String, UsedWorker)>,
-    unused: Vec<String>,
+    workers: WorkerRows,
     giving_up: bool,
     released: bool,
 }
@@ -78,8 +78,7 @@
             busy: false,
             after: Duration::ZERO,
             renewed: Duration::ZERO,
-            used: Vec::new(),
-            unused: Vec::new(),
+            workers: WorkerRows::default(),
             giving_up: false,
             released: false,
         }
@@ -95,12 +94,12 @@
     /// A worker is about to be used: it gets a row first, so that a successor
     /// knows whom to ask.
     pub(crate) fn use_worker(&mut self, id: String, worker: UsedWorker) {
-        self.used.push((id, worker));
+        self.workers.put(id, worker);
     }
 
     /// Nothing can run on a worker any more.
     pub(crate) fn drop_worker(&mut self, id: String) {
-        self.unused.push(id);
+        self.workers.remove(id);
     }
 
     /// The next transaction gives the pool up.
@@ -114,7 +113,7 @@
 
     fn due(&self, now: Duration, unsaved: bool) -> bool {
         let renewal = now.saturating_sub(self.renewed) >= RENEW_EVERY;
-        let workers = !self.used.is_empty() || !self.unused.is_empty();
+        let workers = !self.workers.is_empty();
         let wanted = renewal || workers || unsaved || self.giving_up;
         wanted && !self.busy && !self.released && now >= self.after
     }
@@ -127,12 +126,9 @@
         let mut puts: Vec<(RowName, Vec<u8>)> = vec![(guard_row(), encode_row(&guard))];
         let progress = save.batch.jobs.iter();
         puts.extend(progress.map(|(id, progress)| (progress_row(*id), encode_row(progress))));
-        let count = self.used.len().min(MOST_WORKERS);
-        save.used.extend(self.used.drain(..count));
+        (save.used, save.unused) = self.workers.take(MOST_WORKERS);
         let used = save.used.iter();
         puts.extend(used.map(|(id, worker)| (used_row(id), encode_row(worker))));
-        let count = self.unused.len().min(MOST_WORKERS / 3);
-        save.unused.extend(self.unused.drain(..count));
         save.release = self.giving_up && save.batch.ends_complete;
         save.renews = save.release || now.saturating_sub(self.renewed) >= RENEW_EVERY;
         if save.renews {
@@ -239,7 +235,9 @@
             }
         }
         for (id, _) in save.used {
-            if let Some(key) = self.planner.worker_of(&id) {
+            if let Some(key) = self.planner.worker_of(&id)
+                && !self.links.contains_key(&key)
+            {
                 self.used.insert(id);
                 self.open_link(key);
             }
@@ -249,8 +247,7 @@
     /// Puts back what a failed transaction held.
     fn unsaved(&mut self, save: Save) {
         self.planner.batch_failed(&save.batch);
-        self.saver.used.extend(save.used);
-        self.saver.unused.extend(save.unused);
+        self.saver.workers.put_back(save.used, save.unused);
     }
 
     /// The guard has changed: by an earlier transaction of ours whose answer
