Judge only workers that were silent before the list of machines was made

Cause: the owner compared the list with the workers that were silent when the list came. A worker that began its life while the list was under way is missing from it; not yet claimed, or with a start that got no answer, it was taken for dead. Its link was closed and its row removed, it was not told of again, since its registration did not change, and whatever it ran went on unseen until its lease ended.

--- a/crates/cell/src/owner/lives.rs
+++ b/crates/cell/src/owner/lives.rs
@@ -37,7 +37,8 @@
         let Some(server) = self.context.settings.machines_address() else {
             return;
         };
-        if self.planner.doubtful().is_empty() {
+        let silent = self.planner.doubtful();
+        if silent.is_empty() {
             self.lives.since = None;
             return;
         }
@@ -54,20 +55,18 @@
             if let Err(error) = &lives {
                 log::warn!(code = 380, error:% = error; "machines cannot be listed");
             }
-            let _ = sender.send(OwnerMessage::Lives(lives.ok())).await;
+            let dead = lives.map_or_else(|_| Vec::new(), |lives| missing(silent, &lives));
+            let _ = sender.send(OwnerMessage::Dead(dead)).await;
         });
     }
 
-    /// Takes the answer: silent workers that are not on it are dead.
-    pub(super) fn take_lives(&mut self, lives: Option<HashSet<WorkerId>>) {
+    /// Takes the answer: of the workers that were silent when it was asked for,
+    /// those whose life is over.
+    pub(super) fn take_dead(&mut self, dead: &[WorkerId]) {
         self.lives.busy = false;
         self.lives.after = self.context.now() + ASK_EVERY;
-        // An empty list is no proof of anything.
-        let Some(lives) = lives.filter(|lives| !lives.is_empty()) else {
-            return;
-        };
         for id in self.planner.doubtful() {
-            if lives.contains(&id) {
+            if !dead.contains(&id) {
                 continue;
             }
             let Some(key) = self.planner.worker_of(&id) else {
@@ -78,3 +77,17 @@
         }
     }
 }
+
+/// Silent workers that the list of machines does not show. Only those that were
+/// silent before the list was made: a younger worker is missing from it, and
+/// taken for dead it would get no work for its whole life, or run on unseen.
+fn missing(silent: Vec<WorkerId>, lives: &HashSet<WorkerId>) -> Vec<WorkerId> {
+    // An empty list is no proof of anything.
+    if lives.is_empty() {
+        return Vec::new();
+    }
+    silent
+        .into_iter()
+        .filter(|id| !lives.contains(id))
+        .collect()
+}
--- a/crates/cell/src/owner/messages.rs
+++ b/crates/cell/src/owner/messages.rs
@@ -1,6 +1,5 @@
 //! Messages to the owner's task.
 
-use std::collections::HashSet;
 use std::time::Duration;
 
 use job::Batch;
@@ -48,8 +47,9 @@
     Workers(RosterChange),
     /// News from a worker.
     Worker(WorkerKey, WorkerNews),
-    /// Lives of workers that run on a machine; none if they are not known.
-    Lives(Option<HashSet<WorkerId>>),
+    /// Workers that were silent and whose life is over; none if that is not
+    /// known.
+    Dead(Vec<WorkerId>),
     /// Rows of these expired jobs were removed.
     Removed(Vec<JobId>),
     /// A transaction has ended.
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -305,7 +305,7 @@
             }
             OwnerMessage::Workers(change) => self.take_workers(change),
             OwnerMessage::Worker(key, news) => self.take_news(key, news),
-            OwnerMessage::Lives(lives) => self.take_lives(lives),
+            OwnerMessage::Dead(dead) => self.take_dead(&dead),
             OwnerMessage::Removed(ids) => self.take_removed(&ids),
             OwnerMessage::Saved(save, result) => self.take_saved(save, result),
             OwnerMessage::Guard(result) => self.take_guard(result),
