--- a/crates/job/tests/late_starts.rs
+++ b/crates/job/tests/late_starts.rs
@@ -358,7 +358,7 @@
     stops(&mut planner);
     planner.stop_reply(key, task, run, StopReply::Unknown);
     stops(&mut planner);
-    let at = Duration::from_millis(2_000);
+    let at = Duration::from_secs(2);
     planner.advance(at);
     planner.take_listing(key, at, &Listing::default());
     let held = planner.load().used;
