--- /dev/null
+++ b/crates/cell/tests/retention.rs
@@ -0,0 +1,50 @@
+//! Jobs that ended long ago: their rows go, and nothing of them comes back.
+
+use std::time::Duration;
+
+use site::Caller;
+use site::PATIENCE;
+use site::SiteCell;
+use site::StoreFaults;
+use site::job;
+
+/// Time between two looks.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// A job that was done ran again, half a minute or more after its end. The
+/// store had dropped its history, and the owner read all rows of jobs; while
+/// they were under way, the job's row was removed, since it had ended long ago,
+/// and the owner forgot the job. The rows that came then still held the job,
+/// which the owner took for a new one.
+#[tokio::test(flavor = "multi_thread")]
+async fn rows_read_before_their_removal_start_no_job_again() {
+    let cell = SiteCell::open_keeping(1, 2, 0.0).await;
+    let caller = Caller::new();
+    let ids: Vec<String> = (0..6).map(|nth| format!("{:016x}", 0xf700 + nth)).collect();
+    for id in &ids {
+        let path = format!("/plain/{id}");
+        caller.submit(&cell.servers(), &path, &job(1, "20")).await;
+        caller.wait_state(&cell.servers(), &path, "completed").await;
+        tokio::time::sleep(Duration::from_millis(700)).await;
+    }
+    cell.store.set_faults(StoreFaults {
+        slow_rows: Some((cell::JOB_TABLE, Duration::from_secs(1))),
+        ..StoreFaults::default()
+    });
+
+    let removals = async {
+        while cell.store.count(cell::JOB_TABLE) > 0 {
+            cell.store.forget();
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    };
+    let removed = tokio::time::timeout(PATIENCE, removals).await;
+
+    assert!(removed.is_ok(), "rows of old jobs stay");
+    // Rows that were read before the last removal are there by now.
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    for id in &ids {
+        assert_eq!(cell.log.starts(id), 1, "{id}");
+    }
+    cell.close().await;
+}
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -65,6 +65,7 @@
     services: SocketAddr,
     stores: Vec<SocketAddr>,
     net: (u8, u8),
+    keep_s: f64,
     members: Vec<Option<Member>>,
     serving: watch::Sender<bool>,
 }
@@ -76,6 +77,14 @@
     /// # Panics
     /// An address cannot be bound.
     pub async fn open(processes: usize, workers: usize) -> SiteCell {
+        SiteCell::open_keeping(processes, workers, 120.0).await
+    }
+
+    /// The same, with jobs that are known for `keep_s` after their end.
+    ///
+    /// # Panics
+    /// An address cannot be bound.
+    pub async fn open_keeping(processes: usize, workers: usize, keep_s: f64) -> SiteCell {
         let (serving, stop) = watch::channel(false);
         let store = StoreStand::new();
         let mut doors = Vec::new();
@@ -103,6 +112,7 @@
             services,
             stores,
             net,
+            keep_s,
             members: Vec::new(),
             serving,
         };
@@ -253,7 +263,7 @@
             machines: self.services.to_string(),
             bounds: Bounds {
                 lease_ms: 6000,
-                keep_s: 120.0,
+                keep_s: self.keep_s,
                 grace_s: 6.0,
             },
         }
--- a/crates/site/src/store.rs
+++ b/crates/site/src/store.rs
@@ -35,6 +35,8 @@
     pub lose: usize,
     /// Each transaction takes this long.
     pub delay: Duration,
+    /// Rows of this table are read at once and under way this long.
+    pub slow_rows: Option<(&'static str, Duration)>,
     /// The feed does not answer; other calls are served.
     pub hung_feed: bool,
 }
@@ -256,7 +258,16 @@
                 }
                 whole
             }
-            "/-/rows-get" => self.read(&asked),
+            "/-/rows-get" => {
+                let whole = self.read(&asked);
+                let slow = faults.slow_rows;
+                if let Some((_, delay)) =
+                    slow.filter(|(table, _)| asked.parameter("table").as_deref() == Some(table))
+                {
+                    tokio::time::sleep(delay).await;
+                }
+                whole
+            }
             "/-/rows-parts" => self.parts(&asked),
             "/-/rows-feed" => {
                 let whole = self.feed(&asked).await;
