--- a/crates/site/src/store.rs
+++ b/crates/site/src/store.rs
@@ -29,10 +29,14 @@
 pub struct StoreFaults {
     /// Every call is refused with 503.
     pub down: bool,
+    /// Transactions are refused with 503; reads are served.
+    pub read_only: bool,
     /// So many of the next transactions are done and not answered.
     pub lose: usize,
     /// Each transaction takes this long.
     pub delay: Duration,
+    /// Rows of this table are read at once and under way this long.
+    pub slow_rows: Option<(&'static str, Duration)>,
     /// The feed does not answer; other calls are served.
     pub hung_feed: bool,
 }
@@ -93,9 +97,14 @@
         self.version.send_replace(version);
     }
 
-    /// Removes a row.
+    /// Removes a row of the unnamed part.
     pub fn remove(&self, table: &str, key: &str) {
-        let name = (table.to_owned(), String::new(), key.to_owned());
+        self.remove_from(table, "", key);
+    }
+
+    /// Removes a row.
+    pub fn remove_from(&self, table: &str, part: &str, key: &str) {
+        let name = (table.to_owned(), part.to_owned(), key.to_owned());
         let mut rows = self.lock();
         rows.version += 1;
         let version = rows.version;
@@ -235,6 +244,9 @@
         if faults.down {
             return web::error(StatusCode::SERVICE_UNAVAILABLE, "try later");
         }
+        if faults.read_only && asked.path == "/-/rows-tx" {
+            return web::error(StatusCode::SERVICE_UNAVAILABLE, "try later");
+        }
         match asked.path.as_str() {
             "/-/rows-tx" => {
                 let body: Value = serde_json::from_slice(&asked.body).unwrap_or_default();
@@ -246,7 +258,16 @@
                 }
                 whole
             }
-            "/-/rows-get" => self.read(&asked),
+            "/-/rows-get" => {
+                let whole = self.read(&asked);
+                let slow = faults.slow_rows;
+                if let Some((_, delay)) =
+                    slow.filter(|(table, _)| asked.parameter("table").as_deref() == Some(table))
+                {
+                    tokio::time::sleep(delay).await;
+                }
+                whole
+            }
             "/-/rows-parts" => self.parts(&asked),
             "/-/rows-feed" => {
                 let whole = self.feed(&asked).await;
