Refuse a job only if no pool that was seen could take it

Cause: a job was ended as failed, for ever, by the workers that were known at that moment: with the only worker of a label away, half of a pool crashed, a pool still registering, or workers known only by the row of a former owner, whose size was taken for none, jobs that only had to wait were shown as failed.

Change: the planner keeps the most workers of each kind (size and labels) that were known at the same time in its epoch. The kinds are counted when workers change, no longer in each round.

Conclusion: a refusal rests on what was seen, not on what is there.

--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -17,6 +17,7 @@
 mod impossible;
 mod job_state;
 mod keep;
+mod kinds;
 mod naming;
 mod place;
 mod policy;
@@ -49,6 +50,7 @@
 
 use job_state::JobState;
 use keep::Kept;
+use kinds::Kinds;
 use reach::Reaches;
 use roster::WorkerState;
 
@@ -158,8 +160,8 @@
     recovery: Option<Duration>,
     /// When this epoch began.
     began: Duration,
-    /// From this time on, all workers that register are known.
-    settled: Duration,
+    /// The largest pools seen so far.
+    kinds: Kinds,
 }
 
 /// Time after a take-over in which another process may still tell the former
@@ -172,10 +174,6 @@
 /// 9 s.
 const ORPHAN_TIME: Duration = Duration::from_secs(30);
 
-/// Time after a take-over in which workers may still become known; until then,
-/// no job is given up for want of a worker that could hold it.
-const SETTLE: Duration = Duration::from_secs(3);
-
 impl Planner {
     /// A planner for the epoch `epoch`, taking over at `now`. `wall` is the
     /// wall-clock time, since 1970, at the origin of `now`.
@@ -184,7 +182,7 @@
         Planner {
             recovery: Some(now + policy.worst_lapse()),
             began: now,
-            settled: now + SETTLE,
+            kinds: Kinds::default(),
             policy,
             now,
             wall,
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -124,6 +124,7 @@
 impl Planner {
     /// Takes a worker's registration; gives its key if it is new.
     pub fn take_worker(&mut self, info: WorkerInfo) -> Option<WorkerKey> {
+        self.kinds.change(self.now);
         if let Some(worker) = self.worker_of(&info.id) {
             let worker = &mut self.workers[worker];
             worker.info = info;
@@ -140,6 +141,7 @@
     /// A worker's registration has vanished. What runs there stays booked
     /// until its lease is over.
     pub fn lose_worker(&mut self, id: &str) {
+        self.kinds.change(self.now);
         if let Some(key) = self.worker_of(id) {
             self.workers[key].gone = true;
         }
@@ -202,6 +204,7 @@
         let Some(worker) = self.workers.remove(key) else {
             return;
         };
+        self.kinds.change(self.now);
         let id = worker.info.id;
         self.by_id.remove(&id);
         self.orders.push(Order::Drop { worker: key, id });
