A used worker's row tells its size and labels

Cause: a successor knew the workers that died with the owner by their rows only, without size, and judged gangs by the rest of the pool.

Change: the row holds capacity and labels. Rows of earlier versions are read, with an unknown size, which stops refusals of their service; earlier versions read the new row.

Conclusion: what a predecessor knew of the pool is known to its successor.

--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -150,8 +150,8 @@
             id: id.to_owned(),
             service: worker.service,
             address: worker.address,
-            capacity: job::Room::default(),
-            labels: Vec::new(),
+            capacity: worker.capacity,
+            labels: worker.labels,
             draining: true,
             remaining: None,
         };
@@ -330,6 +330,8 @@
             let used = UsedWorker {
                 service: info.service.clone(),
                 address: info.address,
+                capacity: info.capacity,
+                labels: info.labels.clone(),
             };
             if info.draining {
                 log::info!(code = 342, worker = id.as_str(); "worker is leaving");
--- a/crates/cell/src/owner/takeover.rs
+++ b/crates/cell/src/owner/takeover.rs
@@ -20,6 +20,7 @@
 use crate::USED_TABLE;
 use crate::UsedWorker;
 use crate::decode_row;
+use crate::decode_used;
 
 /// Time for each page of the reads at take-over.
 const READ_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -66,7 +67,7 @@
         Some((id, value.ok()?))
     });
     let used = used.rows.iter().filter_map(|row| {
-        let value = decode_row::<UsedWorker>(&row.value);
+        let value = decode_used(&row.value);
         if let Err(error) = &value {
             log::error!(code = 338, key = row.name.key.as_str(), error:% = error; "worker row unreadable");
         }
--- a/crates/cell/src/rows.rs
+++ b/crates/cell/src/rows.rs
@@ -4,6 +4,7 @@
 
 use job::Epoch;
 use job::JobId;
+use job::Room;
 use platform::RowName;
 use serde::Deserialize;
 use serde::Serialize;
@@ -79,6 +80,17 @@
     pub service: String,
     /// Where it takes orders.
     pub address: SocketAddr,
+    /// Processors, memory and accelerators in all; nothing if not known.
+    pub capacity: Room,
+    /// Kind and rack.
+    pub labels: Vec<String>,
+}
+
+/// What earlier versions wrote of such a worker.
+#[derive(Deserialize)]
+struct UsedAddress {
+    service: String,
+    address: SocketAddr,
 }
 
 /// Encodes a row's value.
@@ -96,6 +108,23 @@
     postcard::from_bytes(bytes)
 }
 
+/// Decodes a row of a worker in use, also one of an earlier version, which does
+/// not tell its size.
+///
+/// # Errors
+/// The bytes are no such row.
+pub fn decode_used(bytes: &[u8]) -> Result<UsedWorker, postcard::Error> {
+    decode_row::<UsedWorker>(bytes).or_else(|_| {
+        let UsedAddress { service, address } = decode_row(bytes)?;
+        Ok(UsedWorker {
+            service,
+            address,
+            capacity: Room::default(),
+            labels: Vec::new(),
+        })
+    })
+}
+
 /// Row that each write of the owner is conditional on, and changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Guard {
