--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod cell;
 mod runs;
+mod script;
 mod store;
 mod worker;
 
@@ -12,5 +13,6 @@
 pub use caller::*;
 pub use cell::*;
 pub use runs::*;
+pub use script::*;
 pub use store::*;
 pub use worker::*;
--- a/crates/site/src/store.rs
+++ b/crates/site/src/store.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -21,6 +22,8 @@
 use web::Handler;
 use web::Whole;
 
+use crate::Act;
+
 /// Table, part and key.
 type Name = (String, String, String);
 
@@ -46,6 +49,8 @@
     /// Changes up to this version are forgotten.
     forgotten: u64,
     faults: StoreFaults,
+    /// What happens to the next transactions on a table.
+    script: (String, VecDeque<Act>),
 }
 
 /// The store.
@@ -74,6 +79,34 @@
         self.lock().faults = faults;
     }
 
+    /// Sets what happens to the next transactions that write to a table.
+    pub fn set_script(&self, table: &str, acts: &[Act]) {
+        self.lock().script = (table.to_owned(), acts.iter().copied().collect());
+    }
+
+    /// Writes a row of any part, as a process of the cell would.
+    pub fn write_row(&self, table: &str, part: &str, key: &str, value: &[u8]) {
+        let name = (table.to_owned(), part.to_owned(), key.to_owned());
+        let mut rows = self.lock();
+        rows.version += 1;
+        let version = rows.version;
+        rows.put(name, Some(STANDARD.encode(value)), version);
+        drop(rows);
+        self.version.send_replace(version);
+    }
+
+    /// What the script says of a transaction.
+    fn scripted(&self, body: &Value) -> Option<Act> {
+        let mut rows = self.lock();
+        let table = rows.script.0.clone();
+        let writes = list(body, "puts").iter().any(|put| put["table"] == table);
+        if writes {
+            rows.script.1.pop_front()
+        } else {
+            None
+        }
+    }
+
     /// Forgets the history of changes.
     pub fn forget(&self) {
         let mut rows = self.lock();
@@ -83,14 +116,7 @@
 
     /// Writes a row as the operator or a worker would.
     pub fn write(&self, table: &str, key: &str, value: &Value) {
-        let name = (table.to_owned(), String::new(), key.to_owned());
-        let value = STANDARD.encode(value.to_string());
-        let mut rows = self.lock();
-        rows.version += 1;
-        let version = rows.version;
-        rows.put(name, Some(value), version);
-        drop(rows);
-        self.version.send_replace(version);
+        self.write_row(table, "", key, value.to_string().as_bytes());
     }
 
     /// Removes a row.
@@ -238,6 +264,12 @@
         match asked.path.as_str() {
             "/-/rows-tx" => {
                 let body: Value = serde_json::from_slice(&asked.body).unwrap_or_default();
+                if let Some(act) = self.scripted(&body) {
+                    if act.done {
+                        self.transact(&body);
+                    }
+                    return act.answer().await;
+                }
                 tokio::time::sleep(faults.delay).await;
                 let whole = self.transact(&body);
                 if faults.lose > 0 {
