Say what is known of a write and of a row

Cause: (1) the refusal of one of two tries of a write stood for the other, whose answer was broken: a caller heard "not accepted" of a job that ran. (3) A cancel without an answer was said not to be stored. (4) A row of a job that cannot be decoded was taken for no row: 410 for GET and DELETE. (5) Progress that cannot be decoded at a take-over was taken for none: a completed job ran again. (6) A used worker whose row cannot be decoded was taken for none, so tasks of a predecessor did not wait for it.

Cancels and reads of the store have modules of their own.

Conclusion: "not accepted", "not stored" and "does not exist" are said only where that is known.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -1,4 +1,4 @@
-//! Callers' requests: submit, state, cancel and the length of a queue.
+//! Callers' requests: what they address, states and the length of a queue.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,15 +10,8 @@
 use hyper::header::RETRY_AFTER;
 use job::Config;
 use job::JobId;
-use job::JobSpec;
-use job::Outcome;
-use job::Progress;
 use job::Queue;
 use job::Shown;
-use platform::Committed;
-use platform::Row;
-use platform::StoreError;
-use platform::Transaction;
 use platform::encode_shown;
 use platform::encode_waiting;
 use serde::Serialize;
@@ -29,15 +22,11 @@
 use crate::Context;
 use crate::OwnerClient;
 use crate::OwnerView;
-use crate::decode_row;
-use crate::encode_row;
-use crate::job_row;
 use crate::metrics::count;
-use crate::progress_row;
 
 /// Time for one call to the store. A slow store takes up to 1.2 s for a
 /// transaction; two tries fit into a caller's three seconds.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1300);
+pub(crate) const STORE_TIMEOUT: Duration = Duration::from_millis(1300);
 
 /// Pause between two tries of a write whose answer was lost.
 pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -123,79 +112,6 @@
         }
     }
 
-    /// State of a job as the store knows it.
-    async fn stored(&self, id: JobId) -> Result<Option<Shown>, StoreError> {
-        let store = &self.context.store;
-        let row = store.get(&progress_row(id), STORE_TIMEOUT).await?;
-        let progress = row.and_then(|row| decode_row::<Progress>(&row.value).ok());
-        if let Some(outcome) = progress.as_ref().and_then(|progress| progress.outcome) {
-            return Ok(Some(outcome.into()));
-        }
-        let Some((_, spec)) = self.stored_job(id).await? else {
-            return Ok(None);
-        };
-        Ok(Some(match progress {
-            _ if spec.canceled => Outcome::Canceled.into(),
-            Some(_) => Shown::Active,
-            None => Shown::Pending,
-        }))
-    }
-
-    async fn stored_job(&self, id: JobId) -> Result<Option<(Row, JobSpec)>, StoreError> {
-        let row = self.context.store.get(&job_row(id), STORE_TIMEOUT).await?;
-        Ok(row.and_then(|row| {
-            let spec = decode_row::<JobSpec>(&row.value);
-            if let Err(error) = &spec {
-                log::error!(code = 414, job:% = hex(id), error:% = error; "job row unreadable");
-            }
-            Some((row, spec.ok()?))
-        }))
-    }
-
-    async fn cancel(&self, queue: &Queue, id: JobId) -> Whole {
-        let end = self.context.now() + longest(queue).mul_f64(TRY_SHARE);
-        loop {
-            match self.try_cancel(id).await {
-                Ok(Some(status)) => {
-                    log::info!(code = 421, job:% = hex(id), status = status.as_u16(); "cancel");
-                    count(&self.context.metrics.cancels, status.as_str());
-                    return web::json(status, &Empty {});
-                }
-                Ok(None) => {}
-                Err(error) => {
-                    log::warn!(code = 422, job:% = hex(id), error:% = error; "cancel not stored");
-                    if self.context.now() + RETRY_PAUSE >= end {
-                        count(&self.context.metrics.cancels, "0");
-                        return unavailable("the store does not take the cancel");
-                    }
-                }
-            }
-            tokio::time::sleep(RETRY_PAUSE).await;
-        }
-    }
-
-    /// One try; nothing if the row changed in between.
-    async fn try_cancel(&self, id: JobId) -> Result<Option<StatusCode>, StoreError> {
-        let Some((row, mut spec)) = self.stored_job(id).await? else {
-            return Ok(Some(StatusCode::GONE));
-        };
-        if spec.canceled {
-            return Ok(Some(StatusCode::OK));
-        }
-        spec.canceled = true;
-        let transaction = Transaction {
-            expect: vec![(job_row(id), row.version)],
-            puts: vec![(job_row(id), encode_row(&spec))],
-            removes: Vec::new(),
-        };
-        let result = self
-            .context
-            .store
-            .commit(&transaction, STORE_TIMEOUT)
-            .await?;
-        Ok((result != Committed::Conflict).then_some(StatusCode::OK))
-    }
-
     async fn waiting(&self, queue: &Queue) -> Whole {
         match self.owner.waiting(&queue.name).await {
             Ok(waiting) => web::json(StatusCode::OK, &encode_waiting(waiting)),
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod asker;
 mod callers;
+mod cancel;
 mod context;
 mod error;
 mod follow;
@@ -15,6 +16,7 @@
 mod rows;
 mod seat;
 mod settings;
+mod stored;
 mod submit;
 
 pub use asker::*;
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -32,7 +32,7 @@
     pub submits: IntCounterVec,
     /// States shown, by source: `owner`, `store`, `none`, `unreadable`.
     pub states: IntCounterVec,
-    /// Cancels by HTTP status; 0 for one that could not be stored.
+    /// Cancels by HTTP status.
     pub cancels: IntCounterVec,
     /// Answers to starts: `started`, `refused`, `ticket`, `unknown`.
     pub starts: IntCounterVec,
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -69,6 +69,9 @@
     pub(super) retention: Retention,
     /// Workers with a row in the store.
     pub(super) used: HashSet<String>,
+    /// Jobs of which it is not known how far they are: they are left alone.
+    /// Taken for jobs that had never begun, they ran again when they were done.
+    unreadable: HashSet<JobId>,
     config: Option<Arc<Config>>,
     tasks: JoinSet<()>,
     /// When the load was logged last.
@@ -115,6 +118,7 @@
             lives: LifeCheck::default(),
             retention: Retention::default(),
             used: HashSet::new(),
+            unreadable: left.unreadable,
             config: None,
             tasks: JoinSet::new(),
             reported: Duration::ZERO,
@@ -126,6 +130,9 @@
         for row in &left.jobs {
             pool.take_job(row, Some(&left.progress));
         }
+        if left.used_unreadable {
+            pool.planner.miss_worker();
+        }
         for (id, worker) in left.used {
             pool.recall(&id, worker);
         }
@@ -282,7 +289,9 @@
             OwnerMessage::Help(request, reply) => self.take_help(request, reply),
             OwnerMessage::Jobs(change) => self.take_jobs(change),
             OwnerMessage::Accepted(job, reply) => {
-                self.planner.take_job(job.id, job.spec, None, false);
+                if !self.unreadable.contains(&job.id) {
+                    self.planner.take_job(job.id, job.spec, None, false);
+                }
                 // A caller's handler that has left needs no answer.
                 let _ = reply.send(());
             }
@@ -311,6 +320,7 @@
         let id = job::parse_job(&row.name.key);
         let spec = decode_row::<JobSpec>(&row.value);
         match (id, spec) {
+            (Ok(id), Ok(_)) if self.unreadable.contains(&id) => {}
             (Ok(id), Ok(spec)) => {
                 let progress = left.and_then(|left| left.get(&id));
                 self.planner.take_job(id, spec, progress, left.is_some());
--- a/crates/cell/src/owner/takeover.rs
+++ b/crates/cell/src/owner/takeover.rs
@@ -1,6 +1,7 @@
 //! What a new owner reads from the store, and how it goes on reading.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use job::JobId;
@@ -40,8 +41,12 @@
     pub(super) follower: Follower,
     /// Progress by job.
     pub(super) progress: HashMap<JobId, Progress>,
+    /// Jobs with progress that cannot be decoded.
+    pub(super) unreadable: HashSet<JobId>,
     /// Workers that may have work.
     pub(super) used: Vec<(String, UsedWorker)>,
+    /// There are others, whose rows cannot be decoded.
+    pub(super) used_unreadable: bool,
 }
 
 /// Reads the rows of the owner's part; nothing if the pool is not ours. The
@@ -58,27 +63,48 @@
     let used = store.part(USED_TABLE, OWNER_PART, READ_TIMEOUT).await?;
     let mut follower = Follower::new(store, JOB_TABLE, true);
     let (Change::Full(jobs) | Change::Some(jobs)) = follower.next(Duration::ZERO).await?;
-    let progress = progress.rows.iter().filter_map(|row| {
-        let id = job::parse_job(&row.name.key).ok()?;
-        let value = decode_row::<Progress>(&row.value);
-        if let Err(error) = &value {
-            log::error!(code = 337, key = row.name.key.as_str(), error:% = error; "progress row unreadable");
-        }
-        Some((id, value.ok()?))
-    });
-    let used = used.rows.iter().filter_map(|row| {
-        let value = decode_used(&row.value);
-        if let Err(error) = &value {
-            log::error!(code = 338, key = row.name.key.as_str(), error:% = error; "worker row unreadable");
-        }
-        Some((row.name.key.clone(), value.ok()?))
-    });
-    Ok(Some(Left {
+    let mut left = Left {
         jobs,
         follower,
-        progress: progress.collect(),
-        used: used.collect(),
-    }))
+        progress: HashMap::new(),
+        unreadable: HashSet::new(),
+        used: Vec::new(),
+        used_unreadable: false,
+    };
+    for row in &progress.rows {
+        left.take_progress(row);
+    }
+    for row in &used.rows {
+        left.take_used(row);
+    }
+    Ok(Some(left))
+}
+
+impl Left {
+    fn take_progress(&mut self, row: &Row) {
+        let Ok(id) = job::parse_job(&row.name.key) else {
+            return;
+        };
+        match decode_row::<Progress>(&row.value) {
+            Ok(progress) => {
+                self.progress.insert(id, progress);
+            }
+            Err(error) => {
+                log::error!(code = 337, key = row.name.key.as_str(), error:% = error; "progress row unreadable");
+                self.unreadable.insert(id);
+            }
+        }
+    }
+
+    fn take_used(&mut self, row: &Row) {
+        match decode_used(&row.value) {
+            Ok(worker) => self.used.push((row.name.key.clone(), worker)),
+            Err(error) => {
+                log::error!(code = 338, key = row.name.key.as_str(), error:% = error; "worker row unreadable");
+                self.used_unreadable = true;
+            }
+        }
+    }
 }
 
 /// Tells the owner of jobs that the feed brings.
--- /dev/null
+++ b/crates/cell/src/stored.rs
@@ -0,0 +1,88 @@
+//! What the store says of a job.
+
+use job::JobId;
+use job::JobSpec;
+use job::Outcome;
+use job::Progress;
+use job::Shown;
+use platform::Row;
+use platform::StoreError;
+use serde::de::DeserializeOwned;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+use crate::CallerHandler;
+use crate::callers::STORE_TIMEOUT;
+use crate::decode_row;
+use crate::hex;
+use crate::job_row;
+use crate::progress_row;
+
+/// Why the store's rows do not tell what is asked. None of these means that
+/// there is no row.
+#[derive(Debug, Snafu)]
+pub(crate) enum StoredError {
+    /// The store did not give the row.
+    #[snafu(display("not read: {source}"))]
+    Read {
+        /// Cause.
+        source: StoreError,
+    },
+    /// The row's value is not what this version writes.
+    #[snafu(display("not decoded: {source}"))]
+    Decode {
+        /// Cause.
+        source: postcard::Error,
+    },
+}
+
+impl CallerHandler {
+    /// State of a job as the store knows it.
+    pub(crate) async fn stored(&self, id: JobId) -> Result<Option<Shown>, StoredError> {
+        let progress = self.stored_progress(id).await?;
+        if let Some(outcome) = progress.as_ref().and_then(|progress| progress.outcome) {
+            return Ok(Some(outcome.into()));
+        }
+        let Some((_, spec)) = self.stored_job(id).await? else {
+            return Ok(None);
+        };
+        Ok(Some(match progress {
+            _ if spec.canceled => Outcome::Canceled.into(),
+            Some(_) => Shown::Active,
+            None => Shown::Pending,
+        }))
+    }
+
+    async fn stored_progress(&self, id: JobId) -> Result<Option<Progress>, StoredError> {
+        let store = &self.context.store;
+        let row = store.get(&progress_row(id), STORE_TIMEOUT).await;
+        row.context(ReadSnafu)?
+            .map(|row| decode(id, &row))
+            .transpose()
+    }
+
+    /// The row of a job and what it says; nothing if there is certainly none.
+    pub(crate) async fn stored_job(
+        &self,
+        id: JobId,
+    ) -> Result<Option<(Row, JobSpec)>, StoredError> {
+        let store = &self.context.store;
+        let row = store.get(&job_row(id), STORE_TIMEOUT).await;
+        let Some(row) = row.context(ReadSnafu)? else {
+            return Ok(None);
+        };
+        let spec = decode(id, &row)?;
+        Ok(Some((row, spec)))
+    }
+}
+
+fn decode<T: DeserializeOwned>(id: JobId, row: &Row) -> Result<T, StoredError> {
+    let decoded = decode_row(&row.value);
+    if let Err(error) = &decoded {
+        log::error!(
+            code = 414, job:% = hex(id), table = row.name.table.as_str(), error:% = error;
+            "row of a job unreadable"
+        );
+    }
+    decoded.context(DecodeSnafu)
+}
--- a/crates/cell/src/submit.rs
+++ b/crates/cell/src/submit.rs
@@ -141,7 +141,8 @@
             },
             result = &mut second => match result {
                 Ok(committed) => Ok(committed),
-                Err(_) => first.await,
+                Err(error) if error.certainly_not_done() => first.await,
+                Err(_) => first.await.map_err(into_lost),
             },
         }
     }
@@ -159,8 +160,8 @@
     }
 }
 
-/// The first of two tries got no answer, so a refusal of the second does not
-/// mean that nothing was done.
+/// One of two tries got no clear answer, so a refusal of the other does not mean
+/// that nothing was done: callers were told "not accepted" of jobs that ran.
 fn into_lost(error: StoreError) -> StoreError {
     match error {
         StoreError::Refused { status, .. } => StoreError::Undecided { status },
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -158,6 +158,8 @@
     orphans: HashMap<JobId, Vec<(WorkerKey, EndedTask)>>,
     /// Until this time, tasks that a predecessor may have started stay put.
     recovery: Option<Duration>,
+    /// A predecessor may have used a worker of which we do not know.
+    missing: bool,
     /// When this epoch began.
     began: Duration,
     /// The largest pools seen so far.
@@ -181,6 +183,7 @@
     pub fn new(policy: Policy, epoch: Epoch, now: Duration, wall: Duration) -> Planner {
         Planner {
             recovery: Some(now + policy.worst_lapse()),
+            missing: false,
             began: now,
             kinds: Kinds::default(),
             policy,
@@ -346,6 +349,12 @@
         load
     }
 
+    /// A predecessor may have used a worker of which we do not know: no answer
+    /// of the others ends the wait for its lease.
+    pub fn miss_worker(&mut self) {
+        self.missing = true;
+    }
+
     /// Whether tasks of a predecessor are still unaccounted for.
     #[must_use]
     pub fn recovering(&self) -> bool {
@@ -358,7 +367,7 @@
         let Some(until) = self.recovery else { return };
         let silent = self.workers.values().any(|worker| !worker.claimed);
         let none = self.workers.is_empty();
-        if self.now < until && (silent || none) {
+        if self.now < until && (silent || none || self.missing) {
             return;
         }
         self.recovery = None;
