--- a/crates/daemon/tests/takeover.rs
+++ b/crates/daemon/tests/takeover.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fake::LoadPlan;
+use fake::Outcome;
 use fake::begin_load;
 use fake::count_families;
 use fake::restock;
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -18,6 +18,7 @@
 mod impossible;
 mod job_state;
 mod keep;
+mod kinds;
 mod load;
 mod naming;
 mod place;
@@ -50,6 +51,7 @@
 
 use job_state::JobState;
 use keep::Kept;
+use kinds::Kinds;
 use reach::Reaches;
 use roster::WorkerState;
 
@@ -140,10 +142,12 @@
     orphans: HashMap<JobId, Vec<(WorkerKey, EndedTask)>>,
     /// Until this time, tasks that a predecessor may have started stay put.
     recovery: Option<Duration>,
+    /// A predecessor may have used a worker of which we do not know.
+    missing: bool,
     /// When this epoch began.
     began: Duration,
-    /// From this time on, all workers that register are known.
-    settled: Duration,
+    /// The largest pools seen so far.
+    kinds: Kinds,
 }
 
 /// Time after a take-over in which another process may still tell the former
@@ -156,10 +160,6 @@
 /// 9 s.
 const ORPHAN_TIME: Duration = Duration::from_secs(30);
 
-/// Time after a take-over in which workers may still become known; until then,
-/// no job is given up for want of a worker that could hold it.
-const SETTLE: Duration = Duration::from_secs(3);
-
 impl Planner {
     /// A planner for the epoch `epoch`, taking over at `now`. `wall` is the
     /// wall-clock time, since 1970, at the origin of `now`.
@@ -167,8 +167,9 @@
     pub fn new(policy: Policy, epoch: Epoch, now: Duration, wall: Duration) -> Planner {
         Planner {
             recovery: Some(now + policy.worst_lapse()),
+            missing: false,
             began: now,
-            settled: now + SETTLE,
+            kinds: Kinds::default(),
             policy,
             now,
             wall,
@@ -292,6 +293,12 @@
         Some(self.now.saturating_sub(job.born))
     }
 
+    /// A predecessor may have used a worker of which we do not know: no answer
+    /// of the others ends the wait for its lease.
+    pub fn miss_worker(&mut self) {
+        self.missing = true;
+    }
+
     /// Whether tasks of a predecessor are still unaccounted for.
     #[must_use]
     pub fn recovering(&self) -> bool {
@@ -304,7 +311,7 @@
         let Some(until) = self.recovery else { return };
         let silent = self.workers.values().any(|worker| !worker.claimed);
         let none = self.workers.is_empty();
-        if self.now < until && (silent || none) {
+        if self.now < until && (silent || none || self.missing) {
             return;
         }
         self.recovery = None;
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -6,6 +6,7 @@
 mod cell;
 mod late;
 mod runs;
+mod script;
 mod store;
 mod worker;
 
@@ -14,5 +15,6 @@
 pub use cell::*;
 pub use late::*;
 pub use runs::*;
+pub use script::*;
 pub use store::*;
 pub use worker::*;
