Log when a take-over lets the former owner's tasks start

Cause: after a take-over all tasks that the former owner may have started wait for the last worker to answer, up to 4.8 s; no line said how long, nor for how many workers.

Change: line 333, with the time since the pool was opened and the workers that had not answered.

Conclusion: the hold can be measured.

--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -35,6 +35,7 @@
 use crate::RosterChange;
 use crate::UsedWorker;
 use crate::WorkerNews;
+use crate::callers::millis;
 use crate::decode_row;
 use crate::metrics::count;
 
@@ -252,7 +253,15 @@
             self.config = Some(config);
         }
         self.planner.advance(now);
+        let recovering = self.planner.recovering();
         self.planner.plan();
+        if recovering && !self.planner.recovering() {
+            let silent = self.planner.unclaimed();
+            log::info!(
+                code = 333, epoch = self.epoch, silent = silent, ms = millis(self.planner.uptime());
+                "tasks of the former owner may start"
+            );
+        }
         self.report_load(now);
         self.send_orders();
         self.observe_starts();
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -305,6 +305,19 @@
         self.recovery.is_some()
     }
 
+    /// Workers that have not answered this epoch yet.
+    #[must_use]
+    pub fn unclaimed(&self) -> usize {
+        let workers = self.workers.values();
+        workers.filter(|worker| !worker.claimed).count()
+    }
+
+    /// Time since this epoch began.
+    #[must_use]
+    pub fn uptime(&self) -> Duration {
+        self.now.saturating_sub(self.began)
+    }
+
     /// Old tasks may start again when every worker has told what it runs, or
     /// when what a silent one runs is over by its lease.
     fn end_recovery(&mut self) {
