--- a/crates/cell/tests/waiting.rs
+++ b/crates/cell/tests/waiting.rs
@@ -23,8 +23,8 @@
         starts: 1.0,
         stops: 0.0,
         holds: 0.0,
-        least: Duration::from_secs(60),
-        most: Duration::from_secs(60),
+        least: Duration::from_mins(1),
+        most: Duration::from_mins(1),
     }
 }
 
