--- a/crates/cell/src/logging.rs
+++ b/crates/cell/src/logging.rs
@@ -3,6 +3,7 @@
 //! A reader that stops reading must not hold up decisions: lines go through a
 //! bounded buffer to a thread of their own, and are dropped when it is full.
 
+use std::io::Write;
 use std::time::Duration;
 
 use structured_logger::Builder;
@@ -24,14 +25,21 @@
     dropped: ErrorCounter,
 }
 
-/// Starts logging. `level` is one of `error`, `warn`, `info`, `debug`.
+/// Starts logging to standard output. `level` is one of `error`, `warn`,
+/// `info`, `debug`.
 #[must_use]
 pub fn start_logging(level: &str) -> LogGuard {
+    start_logging_to(level, std::io::stdout())
+}
+
+/// Starts logging to `output`, which may stop taking lines for good.
+#[must_use]
+pub fn start_logging_to<W: Write + Send + 'static>(level: &str, output: W) -> LogGuard {
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(BUFFERED_LINES)
         .thread_name("log")
-        .finish(std::io::stdout());
+        .finish(output);
     let dropped = writer.error_counter();
     Builder::with_level(level)
         .with_default_writer(new_writer(writer))
