Report each dropped log line once

Cause: the count of lines told lived in the report, which is begun anew after each signal; after a reload all dropped lines were told a second time.

Change: the count lives beside the counter of dropped lines.

--- a/crates/cell/src/logging.rs
+++ b/crates/cell/src/logging.rs
@@ -4,6 +4,8 @@
 //! bounded buffer to a thread of their own, and are dropped when it is full.
 
 use std::io::Write;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use structured_logger::Builder;
@@ -23,6 +25,9 @@
 pub struct LogGuard {
     _worker: WorkerGuard,
     dropped: ErrorCounter,
+    /// Dropped lines that were reported. It outlives the report, which is
+    /// begun anew after each signal and would tell them again.
+    told: AtomicUsize,
 }
 
 /// Starts logging to standard output. `level` is one of `error`, `warn`,
@@ -47,19 +52,19 @@
     LogGuard {
         _worker: guard,
         dropped,
+        told: AtomicUsize::new(0),
     }
 }
 
 impl LogGuard {
     /// Reports now and then how many lines were dropped.
     pub async fn report_dropped(&self) {
-        let mut told = 0;
         loop {
             tokio::time::sleep(REPORT_EVERY).await;
             let dropped = self.dropped.dropped_lines();
+            let told = self.told.swap(dropped, Ordering::Relaxed);
             if dropped > told {
                 log::warn!(code = 190, lines = dropped - told; "log lines dropped");
-                told = dropped;
             }
         }
     }
