One door, plan and count for the relays of TCP and UDP

Cause: both relays of crates/fake kept an address, a plan and a count of bytes, and opened, told and changed them by the same lines.

Change: Way<P> is a relay with plan P, Passage<P> what its tasks see of it; Relay and UdpRelay are its two kinds, each with its own open. What passes, and when, is as before.

--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -16,6 +16,7 @@
 mod table;
 mod udp_relay;
 mod verify;
+mod way;
 mod worker;
 
 pub use cell::*;
@@ -31,4 +32,5 @@
 pub use table::*;
 pub use udp_relay::*;
 pub use verify::*;
+pub use way::Way;
 pub use worker::*;
--- a/crates/fake/src/udp_relay.rs
+++ b/crates/fake/src/udp_relay.rs
@@ -4,15 +4,15 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
+
+use crate::way::Passage;
+use crate::way::Way;
 
 /// What a relay does to the datagrams that pass.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -26,56 +26,22 @@
 }
 
 /// Relay for UDP towards one server.
-#[derive(Debug)]
-pub struct UdpRelay {
-    address: SocketAddr,
-    bytes: Arc<AtomicU64>,
-    plan: watch::Sender<UdpPlan>,
-}
+pub type UdpRelay = Way<UdpPlan>;
 
-impl UdpRelay {
+impl Way<UdpPlan> {
     /// Opens a relay on a free loopback port towards `server`.
     ///
     /// # Errors
     /// No port can be bound.
     pub async fn open(server: SocketAddr, seed: u64) -> std::io::Result<UdpRelay> {
         let socket = Arc::new(UdpSocket::bind(("127.0.0.1", 0)).await?);
-        let address = socket.local_addr()?;
-        let (plan, current) = watch::channel(UdpPlan::default());
-        let bytes = Arc::new(AtomicU64::new(0));
-        tokio::spawn(run(socket, server, current, seed, bytes.clone()));
-        Ok(UdpRelay {
-            address,
-            bytes,
-            plan,
-        })
-    }
-
-    /// Where the other processes send.
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Bytes received so far, both ways.
-    #[must_use]
-    pub fn bytes(&self) -> u64 {
-        self.bytes.load(Ordering::Relaxed)
-    }
-
-    /// Changes the plan.
-    pub fn set(&self, plan: UdpPlan) {
-        self.plan.send_replace(plan);
+        let (relay, passage) = Way::begin(socket.local_addr()?);
+        tokio::spawn(run(socket, server, passage, seed));
+        Ok(relay)
     }
 }
 
-async fn run(
-    socket: Arc<UdpSocket>,
-    server: SocketAddr,
-    plan: watch::Receiver<UdpPlan>,
-    seed: u64,
-    bytes: Arc<AtomicU64>,
-) {
+async fn run(socket: Arc<UdpSocket>, server: SocketAddr, passage: Passage<UdpPlan>, seed: u64) {
     let mut clients: HashMap<SocketAddr, Arc<UdpSocket>> = HashMap::new();
     let mut random = StdRng::seed_from_u64(seed);
     let mut buffer = vec![0; 64 * 1024];
@@ -92,8 +58,7 @@
                 from: upstream.clone(),
                 to: socket.clone(),
                 client,
-                plan: plan.clone(),
-                bytes: bytes.clone(),
+                passage: passage.clone(),
             };
             tokio::spawn(back.run(seed ^ u64::from(client.port())));
             e.insert(upstream);
@@ -101,8 +66,8 @@
         let Some(upstream) = clients.get(&client).cloned() else {
             continue;
         };
-        bytes.fetch_add(count as u64, Ordering::Relaxed);
-        let now = *plan.borrow();
+        passage.count(count);
+        let now = passage.now();
         if random.random_bool(now.drop_in.clamp(0.0, 1.0)) {
             continue;
         }
@@ -124,8 +89,7 @@
     from: Arc<UdpSocket>,
     to: Arc<UdpSocket>,
     client: SocketAddr,
-    plan: watch::Receiver<UdpPlan>,
-    bytes: Arc<AtomicU64>,
+    passage: Passage<UdpPlan>,
 }
 
 impl Back {
@@ -138,8 +102,8 @@
                 tokio::time::sleep(Duration::from_millis(20)).await;
                 continue;
             };
-            self.bytes.fetch_add(count as u64, Ordering::Relaxed);
-            let now = *self.plan.borrow();
+            self.passage.count(count);
+            let now = self.passage.now();
             if random.random_bool(now.drop_out.clamp(0.0, 1.0)) {
                 continue;
             }
