One copy of the settings of a process on loopback

Cause: the harness of crates/site, the soak and the test of signals each wrote ports, addresses and settings of a process on loopback; they had to be kept alike by hand.

Change: site::LoopbackHost has the address, the ports and the text of the settings. The harness parses that text now, as a process does. Addresses and values are as before; the test of signals names no services, which is the same as leaving them out.

Conclusion: a new setting has one place; nothing follows.

--- a/crates/daemon/tests/signals.rs
+++ b/crates/daemon/tests/signals.rs
@@ -2,6 +2,7 @@
 
 use std::io::BufRead;
 use std::io::BufReader;
+use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::process::Child;
@@ -12,32 +13,12 @@
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
-use serde_json::json;
 use site::Caller;
+use site::LoopbackHost;
 use tempfile::TempDir;
 
-/// Ports on the loopback address of the process.
-const CALLER_PORT: u16 = 7001;
-const READY_PORT: u16 = 7002;
-const PEER_PORT: u16 = 7003;
-const METRICS_PORT: u16 = 7004;
-
 /// Nobody answers there: the process serves its metrics all the same.
-const NOBODY: &str = "127.0.0.1:1";
-
-fn settings(ip: Ipv4Addr) -> String {
-    let listen = |port| SocketAddr::new(ip.into(), port);
-    let settings = json!({
-        "node": "entry-0", "zone": "z1", "ip": ip,
-        "listen": {
-            "callers": listen(CALLER_PORT), "ready": listen(READY_PORT),
-            "metrics": listen(METRICS_PORT),
-        },
-        "peers": {"first_port": PEER_PORT}, "cores": 1.0, "store": NOBODY,
-        "bounds": {"lease_ms": 6000, "keep_s": 120.0, "grace_s": 6.0},
-    });
-    settings.to_string()
-}
+const NOBODY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
 
 fn end(mut child: Child) {
     child.kill().expect("kill");
@@ -50,12 +31,10 @@
 /// ends a process. Now the first line says that signals are heeded.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_process_told_of_new_settings_while_it_starts_goes_on() {
-    // Another run of this test may be under way on the same machine.
-    let net = u8::try_from(std::process::id() % 200).expect("below 200") + 20;
-    let ip = Ipv4Addr::new(127, net, 250, 1);
+    let host = LoopbackHost::new(250, 0);
     let folder = TempDir::new().expect("folder");
     let path = folder.path().join("settings");
-    std::fs::write(&path, settings(ip)).expect("settings");
+    std::fs::write(&path, host.settings(NOBODY, None)).expect("settings");
     let mut child = Command::new(env!("CARGO_BIN_EXE_clovermountd"))
         .arg("--cell")
         .env("CLOVERMOUNT_BOOT", &path)
@@ -70,8 +49,7 @@
     kill(Pid::from_raw(id), Signal::SIGHUP).expect("signal");
 
     let caller = Caller::new();
-    let metrics = SocketAddr::new(ip.into(), METRICS_PORT);
-    let serving = caller.wait_status(metrics, "/metrics", 200);
+    let serving = caller.wait_status(host.metrics(), "/metrics", 200);
 
     let served = tokio::time::timeout(Duration::from_secs(20), serving).await;
     end(child);
--- a/crates/daemon/tests/soak/field.rs
+++ b/crates/daemon/tests/soak/field.rs
@@ -1,8 +1,6 @@
 //! A cell of real processes, with a relay on each of their ways.
 
 use std::fs::File;
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -17,9 +15,9 @@
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
-use serde_json::json;
 use site::AdviceStand;
 use site::Caller;
+use site::LoopbackHost;
 use site::RunLog;
 use site::StoreFaults;
 use site::StoreStand;
@@ -37,12 +35,6 @@
 /// The program under test.
 const DAEMON: &str = env!("CARGO_BIN_EXE_clovermountd");
 
-/// Ports on the loopback address of a process.
-const CALLER_PORT: u16 = 7001;
-const READY_PORT: u16 = 7002;
-const PEER_PORT: u16 = 7003;
-const METRICS_PORT: u16 = 7004;
-
 /// Time that a process has to end after it was asked to: its settings say 6 s.
 const GRACE: Duration = Duration::from_secs(8);
 
@@ -50,7 +42,7 @@
 const LOOK_EVERY: Duration = Duration::from_millis(10);
 
 struct Host {
-    ip: IpAddr,
+    place: LoopbackHost,
     store_way: Relay,
     settings: PathBuf,
     child: Option<Child>,
@@ -127,17 +119,15 @@
         store.write("op", "config", &config(1));
         let folder = TempDir::new().expect("folder");
         let net = u8::try_from(seed % 100).expect("below 100") + 100;
-        let cell = u8::try_from(std::process::id() % 200).expect("below 200") + 20;
         let mut hosts = Vec::new();
         for at in 0..HOSTS {
-            let last = u8::try_from(at).expect("few hosts") + 1;
-            let ip = Ipv4Addr::new(127, cell, net, last).into();
+            let place = LoopbackHost::new(net, at);
             let store_way = Relay::open(store_address).await.expect("relay");
             let settings = folder.path().join(format!("entry-{at}.json"));
-            let text = settings_of(at, ip, store_way.address(), services);
+            let text = place.settings(store_way.address(), Some(services));
             std::fs::write(&settings, text).expect("settings");
             hosts.push(Host {
-                ip,
+                place,
                 store_way,
                 settings,
                 child: None,
@@ -163,8 +153,8 @@
 
     /// Where callers reach the processes.
     pub fn servers(&self) -> Vec<SocketAddr> {
-        let ips = self.hosts.iter().map(|host| host.ip);
-        ips.map(|ip| SocketAddr::new(ip, CALLER_PORT)).collect()
+        let hosts = self.hosts.iter();
+        hosts.map(|host| host.place.callers()).collect()
     }
 
     /// Waits until each process says that it is ready.
@@ -172,7 +162,7 @@
         let caller = Caller::new();
         let ready = async {
             for host in &self.hosts {
-                let server = SocketAddr::new(host.ip, READY_PORT);
+                let server = host.place.ready();
                 caller.wait_status(server, "/-/readyz", 200).await;
             }
         };
@@ -305,19 +295,3 @@
         tokio::time::sleep(LOOK_EVERY).await;
     }
 }
-
-fn settings_of(at: usize, ip: IpAddr, store: SocketAddr, services: SocketAddr) -> String {
-    // JSON is YAML.
-    let listen = |port| SocketAddr::new(ip, port);
-    let settings = json!({
-        "node": format!("entry-{at}"), "zone": "z1", "ip": ip,
-        "listen": {
-            "callers": listen(CALLER_PORT), "ready": listen(READY_PORT),
-            "metrics": listen(METRICS_PORT),
-        },
-        "peers": {"first_port": PEER_PORT}, "cores": 1.0, "store": store,
-        "advice": services, "machines": services,
-        "bounds": {"lease_ms": 6000, "keep_s": 120.0, "grace_s": 6.0},
-    });
-    settings.to_string()
-}
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -1,19 +1,14 @@
 //! A whole cell on loopback: stand-ins of the platform and several processes,
 //! each on a runtime of its own that can be killed.
 
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use cell::Bounds;
 use cell::CellProcess;
 use cell::CellSettings;
-use cell::Listen;
-use cell::Peers;
 use serde_json::Value;
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -24,17 +19,12 @@
 use web::Limits;
 
 use crate::AdviceStand;
+use crate::LoopbackHost;
 use crate::RunLog;
 use crate::StoreDoor;
 use crate::StoreStand;
 use crate::WorkerStand;
 
-/// Ports on each loopback address of a process.
-const CALLER_PORT: u16 = 7001;
-const READY_PORT: u16 = 7002;
-const PEER_PORT: u16 = 7003;
-const METRICS_PORT: u16 = 7004;
-
 /// Time for a runtime to end its tasks.
 const SHUT_TIME: Duration = Duration::from_secs(5);
 
@@ -62,7 +52,8 @@
     pub doors: Vec<Arc<StoreDoor>>,
     services: SocketAddr,
     stores: Vec<SocketAddr>,
-    net: (u8, u8),
+    /// Tells its addresses apart from those of other cells.
+    net: u8,
     members: Vec<Option<Member>>,
     _serving: watch::Sender<bool>,
 }
@@ -94,10 +85,6 @@
         let advice = AdviceStand::new(stands.clone());
         let services = serve(advice.clone(), &stop).await;
         store.write("op", "config", &config(1));
-        let net = (
-            u8::try_from(std::process::id() % 200).unwrap_or(0) + 20,
-            CELLS.fetch_add(1, Ordering::Relaxed),
-        );
         let mut cell = SiteCell {
             store,
             workers: stands,
@@ -106,7 +93,7 @@
             doors,
             services,
             stores,
-            net,
+            net: CELLS.fetch_add(1, Ordering::Relaxed),
             members: Vec::new(),
             _serving: serving,
         };
@@ -117,27 +104,26 @@
         cell
     }
 
-    fn ip(&self, at: usize) -> IpAddr {
-        let host = u8::try_from(at).unwrap_or(0) + 1;
-        Ipv4Addr::new(127, self.net.0, self.net.1, host).into()
+    fn host(&self, at: usize) -> LoopbackHost {
+        LoopbackHost::new(self.net, at)
     }
 
     /// Where callers reach a process.
     #[must_use]
     pub fn server(&self, at: usize) -> SocketAddr {
-        SocketAddr::new(self.ip(at), CALLER_PORT)
+        self.host(at).callers()
     }
 
     /// Where a process tells whether it is ready.
     #[must_use]
     pub fn ready(&self, at: usize) -> SocketAddr {
-        SocketAddr::new(self.ip(at), READY_PORT)
+        self.host(at).ready()
     }
 
     /// Where a process serves its metrics.
     #[must_use]
     pub fn metrics(&self, at: usize) -> SocketAddr {
-        SocketAddr::new(self.ip(at), METRICS_PORT)
+        self.host(at).metrics()
     }
 
     /// Where callers reach the processes.
@@ -203,34 +189,13 @@
             .store
             .raw(cell::SEAT_TABLE, cell::OWNER_PART, "owner")?;
         let seat: cell::Seat = cell::decode_row(&row).ok()?;
-        let at = (0..self.members.len()).find(|&at| self.ip(at) == seat.address.ip());
+        let at = (0..self.members.len()).find(|&at| self.host(at).ip() == seat.address.ip());
         at.filter(|_| !seat.released)
     }
 
     fn settings(&self, at: usize) -> CellSettings {
-        let ip = self.ip(at);
-        CellSettings {
-            node: format!("entry-{at}"),
-            zone: "z1".to_owned(),
-            ip,
-            listen: Listen {
-                callers: SocketAddr::new(ip, CALLER_PORT),
-                ready: SocketAddr::new(ip, READY_PORT),
-                metrics: SocketAddr::new(ip, METRICS_PORT),
-            },
-            peers: Peers {
-                first_port: PEER_PORT,
-            },
-            cores: 1.0,
-            store: self.stores[at],
-            advice: self.services.to_string(),
-            machines: self.services.to_string(),
-            bounds: Bounds {
-                lease_ms: 6000,
-                keep_s: 120.0,
-                grace_s: 6.0,
-            },
-        }
+        let text = self.host(at).settings(self.stores[at], Some(self.services));
+        CellSettings::parse(&text).expect("settings")
     }
 
     /// Ends all processes.
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -4,6 +4,7 @@
 mod advice;
 mod caller;
 mod cell;
+mod loopback;
 mod runs;
 mod store;
 mod worker;
@@ -11,6 +12,7 @@
 pub use advice::*;
 pub use caller::*;
 pub use cell::*;
+pub use loopback::*;
 pub use runs::*;
 pub use store::*;
 pub use worker::*;
