--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -1,19 +1,14 @@
 //! A whole cell on loopback: stand-ins of the platform and several processes,
 //! each on a runtime of its own that can be killed.
 
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use cell::Bounds;
 use cell::CellProcess;
 use cell::CellSettings;
-use cell::Listen;
-use cell::Peers;
 use serde_json::Value;
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -24,18 +19,13 @@
 use web::Limits;
 
 use crate::AdviceStand;
+use crate::LoopbackHost;
 use crate::RunLog;
 use crate::StoreDoor;
 use crate::StoreStand;
 use crate::WorkerStand;
 use crate::keep_ticking;
 
-/// Ports on each loopback address of a process.
-const CALLER_PORT: u16 = 7001;
-const READY_PORT: u16 = 7002;
-const PEER_PORT: u16 = 7003;
-const METRICS_PORT: u16 = 7004;
-
 /// Time for a runtime to end its tasks.
 const SHUT_TIME: Duration = Duration::from_secs(5);
 
@@ -64,7 +54,8 @@
     addresses: Vec<SocketAddr>,
     services: SocketAddr,
     stores: Vec<SocketAddr>,
-    net: (u8, u8),
+    /// Tells its addresses apart from those of other cells.
+    net: u8,
     keep_s: f64,
     members: Vec<Option<Member>>,
     serving: watch::Sender<bool>,
@@ -98,10 +89,6 @@
         let advice = AdviceStand::new(Vec::new());
         let services = serve(advice.clone(), &stop).await;
         store.write("op", "config", &config(1));
-        let net = (
-            u8::try_from(std::process::id() % 200).unwrap_or(0) + 20,
-            CELLS.fetch_add(1, Ordering::Relaxed),
-        );
         let mut cell = SiteCell {
             store,
             workers: Vec::new(),
@@ -111,7 +98,7 @@
             addresses: Vec::new(),
             services,
             stores,
-            net,
+            net: CELLS.fetch_add(1, Ordering::Relaxed),
             keep_s,
             members: Vec::new(),
             serving,
@@ -153,27 +140,26 @@
         self.store.remove("servers", &self.workers[at].id);
     }
 
-    fn ip(&self, at: usize) -> IpAddr {
-        let host = u8::try_from(at).unwrap_or(0) + 1;
-        Ipv4Addr::new(127, self.net.0, self.net.1, host).into()
+    fn host(&self, at: usize) -> LoopbackHost {
+        LoopbackHost::new(self.net, at)
     }
 
     /// Where callers reach a process.
     #[must_use]
     pub fn server(&self, at: usize) -> SocketAddr {
-        SocketAddr::new(self.ip(at), CALLER_PORT)
+        self.host(at).callers()
     }
 
     /// Where a process tells whether it is ready.
     #[must_use]
     pub fn ready(&self, at: usize) -> SocketAddr {
-        SocketAddr::new(self.ip(at), READY_PORT)
+        self.host(at).ready()
     }
 
     /// Where a process serves its metrics.
     #[must_use]
     pub fn metrics(&self, at: usize) -> SocketAddr {
-        SocketAddr::new(self.ip(at), METRICS_PORT)
+        self.host(at).metrics()
     }
 
     /// Where callers reach the processes.
@@ -239,34 +225,15 @@
             .store
             .raw(cell::SEAT_TABLE, cell::OWNER_PART, "owner")?;
         let seat: cell::Seat = cell::decode_row(&row).ok()?;
-        let at = (0..self.members.len()).find(|&at| self.ip(at) == seat.address.ip());
+        let at = (0..self.members.len()).find(|&at| self.host(at).ip() == seat.address.ip());
         at.filter(|_| !seat.released)
     }
 
     fn settings(&self, at: usize) -> CellSettings {
-        let ip = self.ip(at);
-        CellSettings {
-            node: format!("entry-{at}"),
-            zone: "z1".to_owned(),
-            ip,
-            listen: Listen {
-                callers: SocketAddr::new(ip, CALLER_PORT),
-                ready: SocketAddr::new(ip, READY_PORT),
-                metrics: SocketAddr::new(ip, METRICS_PORT),
-            },
-            peers: Peers {
-                first_port: PEER_PORT,
-            },
-            cores: 1.0,
-            store: self.stores[at],
-            advice: self.services.to_string(),
-            machines: self.services.to_string(),
-            bounds: Bounds {
-                lease_ms: 6000,
-                keep_s: self.keep_s,
-                grace_s: 6.0,
-            },
-        }
+        let text = self.host(at).settings(self.stores[at], Some(self.services));
+        let mut settings = CellSettings::parse(&text).expect("settings");
+        settings.bounds.keep_s = self.keep_s;
+        settings
     }
 
     /// Ends all processes.
