Pass over rows of jobs that were removed since they were read

Cause: when the store has dropped its history, the owner reads all rows of jobs. While they are under way, the removal of a job that ended long ago may be done, and the owner forgets the job; the rows that come then hold it, and it was taken for a new one and ran again. The owner now keeps the version of each removal for a minute and passes over older rows.

rows_read_before_their_removal_start_no_job_again passes; all tests of crates/cell pass.

--- a/crates/cell/src/owner/messages.rs
+++ b/crates/cell/src/owner/messages.rs
@@ -50,8 +50,8 @@
     /// Workers that were silent and whose life is over; none if that is not
     /// known.
     Dead(Vec<WorkerId>),
-    /// Rows of these expired jobs were removed.
-    Removed(Vec<JobId>),
+    /// Rows of these expired jobs were removed, at these versions.
+    Removed(Vec<(JobId, Version)>),
     /// A transaction has ended.
     Saved(Save, Result<Committed, StoreError>),
     /// The row that guards the owner's writes was read again.
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -328,6 +328,7 @@
         let id = job::parse_job(&row.name.key);
         let spec = decode_row::<JobSpec>(&row.value);
         match (id, spec) {
+            (Ok(id), Ok(_)) if self.retention.outlived(id, row.version) => {}
             (Ok(id), Ok(spec)) => {
                 let progress = left.and_then(|left| left.get(&id));
                 self.planner.take_job(id, spec, progress, left.is_some());
--- a/crates/cell/src/owner/retention.rs
+++ b/crates/cell/src/owner/retention.rs
@@ -3,12 +3,16 @@
 //! Without that, the store and each take-over would grow with every job ever
 //! accepted.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use job::JobId;
+use platform::Committed;
+use platform::RowName;
 use platform::Store;
 use platform::StoreError;
 use platform::Transaction;
+use platform::Version;
 
 use super::Pool;
 use crate::OwnerMessage;
@@ -29,11 +33,27 @@
 /// repetition of its submission must still find it.
 const SPARE: Duration = Duration::from_secs(30);
 
-/// When rows were removed last.
+/// Time after a removal in which rows that were read before it may come. Chosen,
+/// not measured: each page of a read is given up after 1.5 s.
+const READ_TIME: Duration = Duration::from_mins(1);
+
+/// When rows were removed last, and which.
 #[derive(Debug, Default)]
 pub(crate) struct Retention {
     busy: bool,
     after: Duration,
+    /// Version and time of the removal, by job.
+    removed: HashMap<JobId, (Version, Duration)>,
+}
+
+impl Retention {
+    /// Whether a job's row of this version was removed since it was read. The
+    /// owner has forgotten the job; taken for a new one, it would run again
+    /// after it was done, and show as started twice.
+    pub(crate) fn outlived(&self, id: JobId, version: Version) -> bool {
+        let removed = self.removed.get(&id);
+        removed.is_some_and(|(removed, _)| version < *removed)
+    }
 }
 
 impl Pool {
@@ -55,7 +75,7 @@
             let mut removed = Vec::new();
             for id in ids {
                 match remove(&store, id).await {
-                    Ok(()) => removed.push(id),
+                    Ok(version) => removed.push((id, version)),
                     Err(error) => {
                         log::warn!(code = 364, job:% = crate::hex(id), error:% = error; "job not removed");
                         break;
@@ -66,21 +86,36 @@
         });
     }
 
-    pub(super) fn take_removed(&mut self, removed: &[JobId]) {
-        self.retention.busy = false;
-        self.planner.forget(removed);
+    /// Forgets jobs whose rows were removed at these versions.
+    pub(super) fn take_removed(&mut self, removed: &[(JobId, Version)]) {
+        let now = self.context.now();
+        let retention = &mut self.retention;
+        retention.busy = false;
+        retention.removed.retain(|_, (_, at)| *at + READ_TIME > now);
+        for &(id, version) in removed {
+            retention.removed.insert(id, (version, now));
+            self.planner.forget(&[id]);
+        }
     }
 }
 
 /// Removes a job's row, and then its progress: the other way round, a successor
-/// would take it for a job that never began.
-async fn remove(store: &Store, id: JobId) -> Result<(), StoreError> {
-    for row in [job_row(id), progress_row(id)] {
-        let transaction = Transaction {
-            removes: vec![row],
-            ..Transaction::default()
-        };
-        store.commit(&transaction, REMOVE_TIMEOUT).await?;
+/// would take it for a job that never began. Gives the version of the job's row
+/// at its removal.
+async fn remove(store: &Store, id: JobId) -> Result<Version, StoreError> {
+    let removed = remove_row(store, job_row(id)).await?;
+    remove_row(store, progress_row(id)).await?;
+    Ok(removed)
+}
+
+async fn remove_row(store: &Store, row: RowName) -> Result<Version, StoreError> {
+    let transaction = Transaction {
+        removes: vec![row],
+        ..Transaction::default()
+    };
+    match store.commit(&transaction, REMOVE_TIMEOUT).await? {
+        Committed::Done(version) => Ok(version),
+        // It depends on no other row.
+        Committed::Conflict => Ok(0),
     }
-    Ok(())
 }
