--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -358,6 +358,7 @@
         let spec = decode_row::<JobSpec>(&row.value);
         match (id, spec) {
             (Ok(id), Ok(_)) if self.unreadable.contains(&id) => {}
+            (Ok(id), Ok(_)) if self.retention.outlived(id, row.version) => {}
             (Ok(id), Ok(spec)) => {
                 let progress = left.and_then(|left| left.get(&id));
                 self.planner.take_job(id, spec, progress, left.is_some());
