--- a/crates/cell/tests/refusals.rs
+++ b/crates/cell/tests/refusals.rs
@@ -5,24 +5,12 @@
 use hyper::Method;
 use serde_json::Value;
 use site::Caller;
-use site::PATIENCE;
 use site::SiteCell;
 use site::job;
 
 /// Longer than a successor waits for workers to register.
 const SETTLED: Duration = Duration::from_millis(5_500);
 
-async fn wait_owner(cell: &SiteCell, is: impl Fn(Option<usize>) -> bool) -> usize {
-    let looks = async {
-        while !is(cell.owner()) {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-    };
-    let found = tokio::time::timeout(PATIENCE, looks).await;
-    assert!(found.is_ok(), "no such owner");
-    cell.owner().unwrap_or_default()
-}
-
 /// A gang was shown as failed though the pool could hold it. One of two workers
 /// died together with the owner. The successor knew of the dead one by its row
 /// only, which did not tell its size, and judged the gang by the other.
@@ -33,11 +21,11 @@
     let first = "/plain/00000000000000d1";
     caller.submit(&cell.servers(), first, &job(8, "200")).await;
     caller.wait_state(&cell.servers(), first, "completed").await;
-    let owner = wait_owner(&cell, |owner| owner.is_some()).await;
+    let owner = cell.wait_owner(|_| true).await;
     cell.workers[1].die();
     cell.store.remove("servers", &cell.workers[1].id);
     cell.kill(owner).await;
-    let next = wait_owner(&cell, |next| next.is_some_and(|next| next != owner)).await;
+    let next = cell.wait_owner(|next| next != owner).await;
     let path = "/plain/00000000000000d2";
     let mut gang = job(6, "200");
     gang["steps"][0]["gang"] = true.into();
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -24,6 +24,7 @@
 use web::Limits;
 
 use crate::AdviceStand;
+use crate::PATIENCE;
 use crate::RunLog;
 use crate::StoreDoor;
 use crate::StoreStand;
@@ -38,6 +39,9 @@
 /// Time for a runtime to end its tasks.
 const SHUT_TIME: Duration = Duration::from_secs(5);
 
+/// Pause between two looks at the store.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
 /// Tells apart the cells of one test program.
 static CELLS: AtomicU8 = AtomicU8::new(1);
 
@@ -184,6 +188,17 @@
         }
     }
 
+    /// Freezes a process: nothing of it goes on for a while, its connections
+    /// stay open.
+    pub fn freeze(&self, at: usize, time: Duration) {
+        if let Some(member) = &self.members[at] {
+            // The runtime has one thread.
+            member
+                .runtime
+                .spawn(async move { std::thread::sleep(time) });
+        }
+    }
+
     /// Asks a process to stop, and waits until it has.
     pub async fn stop(&mut self, at: usize) {
         let Some(mut member) = self.members[at].take() else {
@@ -233,6 +248,23 @@
         }
     }
 
+    /// Waits until the store names an owner such as `is` wants; gives it.
+    ///
+    /// # Panics
+    /// It does not for a minute.
+    pub async fn wait_owner(&self, is: impl Fn(usize) -> bool) -> usize {
+        let looks = async {
+            loop {
+                if let Some(owner) = self.owner().filter(|&owner| is(owner)) {
+                    return owner;
+                }
+                tokio::time::sleep(LOOK_EVERY).await;
+            }
+        };
+        let found = tokio::time::timeout(PATIENCE, looks).await;
+        found.expect("no such owner")
+    }
+
     /// Ends all processes.
     pub async fn close(mut self) {
         for at in 0..self.members.len() {
