Show a state only where it is known

Cause: the store hears of ends, not of starts. While no owner answered, a job of which nothing had ended was shown as pending after it had been active, and one with a stored cancel as canceled, though it may prove completed. A successor did the same until the workers had told what they run.

Change: without the owner, a state comes from a recorded end or from recorded progress (active); else it is not known here (503). An owner that has taken over says so of jobs that a predecessor may have started. A job that the owner does not know while its row is there is pending, as before: nobody has started it.

The price: polls of jobs of which nothing has ended get 503 instead of a guess while the owner changes.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -100,14 +100,16 @@
     }
 
     async fn state(&self, id: JobId) -> Whole {
-        if let Ok(OwnerView::Job(shown)) = self.owner.state(id).await {
+        let view = self.owner.state(id).await;
+        if let Ok(OwnerView::Job(shown)) = view {
             count(&self.context.metrics.states, "owner");
             return shown_reply(id, shown, "owner");
         }
+        let untouched = view == Ok(OwnerView::Unknown);
         if self.context.store_silent() {
             return unavailable("neither the owner nor the store can be reached from this host");
         }
-        match self.stored(id).await {
+        match self.stored(id, untouched).await {
             Ok(Some(shown)) => {
                 count(&self.context.metrics.states, "store");
                 shown_reply(id, shown, "store")
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -319,6 +319,9 @@
 
     /// What is known of a job.
     fn view(&self, id: JobId) -> OwnerView {
+        if self.planner.undecided(id) {
+            return OwnerView::Undecided;
+        }
         let shown = self.planner.shown(id);
         shown.map_or(OwnerView::Unknown, OwnerView::Job)
     }
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -85,8 +85,10 @@
 pub enum OwnerView {
     /// Its state.
     Job(Shown),
-    /// Not known here; the store knows more.
+    /// Not known here, so nothing of it has started; the store knows more.
     Unknown,
+    /// A predecessor may have started it.
+    Undecided,
 }
 
 /// Why the owner did not answer.
--- a/crates/cell/src/stored.rs
+++ b/crates/cell/src/stored.rs
@@ -2,7 +2,6 @@
 
 use job::JobId;
 use job::JobSpec;
-use job::Outcome;
 use job::Progress;
 use job::Shown;
 use platform::Row;
@@ -28,6 +27,10 @@
         /// Cause.
         source: StoreError,
     },
+    /// The store has only its acceptance; whether a task has started is known to
+    /// the owner alone.
+    #[snafu(display("nothing is recorded but its acceptance"))]
+    Open,
     /// The row's value is not what this version writes.
     #[snafu(display("not decoded: {source}"))]
     Decode {
@@ -37,8 +40,17 @@
 }
 
 impl CallerHandler {
-    /// State of a job as the store knows it.
-    pub(crate) async fn stored(&self, id: JobId) -> Result<Option<Shown>, StoredError> {
+    /// State of a job as the store knows it. `untouched` says that the owner
+    /// does not know of it, so nothing of it has started.
+    ///
+    /// The store hears of ends, not of starts. Without the owner, a job of which
+    /// nothing has ended was shown as pending after it had been active, and one
+    /// whose cancel was stored as canceled, which may yet prove completed.
+    pub(crate) async fn stored(
+        &self,
+        id: JobId,
+        untouched: bool,
+    ) -> Result<Option<Shown>, StoredError> {
         let progress = self.stored_progress(id).await?;
         if let Some(outcome) = progress.as_ref().and_then(|progress| progress.outcome) {
             return Ok(Some(outcome.into()));
@@ -46,11 +58,12 @@
         let Some((_, spec)) = self.stored_job(id).await? else {
             return Ok(None);
         };
-        Ok(Some(match progress {
-            _ if spec.canceled => Outcome::Canceled.into(),
-            Some(_) => Shown::Active,
-            None => Shown::Pending,
-        }))
+        match (progress, untouched) {
+            (Some(_), _) => Ok(Some(Shown::Active)),
+            (None, true) if spec.canceled => Ok(Some(Shown::Canceled)),
+            (None, true) => Ok(Some(Shown::Pending)),
+            (None, false) => OpenSnafu.fail(),
+        }
     }
 
     async fn stored_progress(&self, id: JobId) -> Result<Option<Progress>, StoredError> {
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -301,6 +301,15 @@
         Some(job.saved.map_or(live, Shown::from))
     }
 
+    /// Whether a predecessor may have started a job, and the workers that can
+    /// tell have not all answered. Shown as pending meanwhile, jobs went back
+    /// from active.
+    #[must_use]
+    pub fn undecided(&self, id: JobId) -> bool {
+        let open = |job: &JobState| job.old && !job.started && job.saved.is_none();
+        self.recovery.is_some() && self.jobs.get(&id).is_none_or(open)
+    }
+
     /// Time since a job was accepted, as far as known.
     #[must_use]
     pub fn age(&self, id: JobId) -> Option<Duration> {
