--- a/crates/cell/tests/metrics.rs
+++ b/crates/cell/tests/metrics.rs
@@ -48,3 +48,31 @@
     assert_ne!(body, Value::Null);
     cell.close().await;
 }
+
+/// A process that had lost the pool showed the load of the day it had it: the
+/// figures were set by the owner and cleared by nobody.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_former_owner_shows_no_load() {
+    let cell = SiteCell::open(2, 1).await;
+    let caller = Caller::new();
+    let path = "/plain/00000000000000e4";
+    caller.submit(&cell.servers(), path, &job(1, "20")).await;
+    caller.wait_state(&cell.servers(), path, "completed").await;
+    let former = cell.wait_owner(|_| true).await;
+    cell.doors[former].set_cut(true);
+    cell.wait_owner(|next| next != former).await;
+    cell.doors[former].set_cut(false);
+    let epoch = "clovermount_epoch 0";
+    while !caller
+        .text(cell.metrics(former), "/metrics")
+        .await
+        .contains(epoch)
+    {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+
+    let text = caller.text(cell.metrics(former), "/metrics").await;
+
+    assert!(!text.contains("clovermount_pool{"), "{text}");
+    cell.close().await;
+}
--- /dev/null
+++ b/crates/job/tests/load.rs
@@ -0,0 +1,31 @@
+//! Figures of the pool for operators.
+
+mod support;
+
+use job::StartReply;
+use support::add_claimed;
+use support::plan_at;
+use support::planner;
+use support::spec;
+use support::step;
+use support::task;
+
+const JOB: u64 = 7;
+
+/// Operators were shown four tasks at work on a worker that had answered no
+/// start: what was ordered counted as running.
+#[test]
+fn a_run_counts_as_running_once_it_is_confirmed() {
+    let mut planner = planner(1);
+    let key = add_claimed(&mut planner, "w1");
+    planner.take_job(JOB, spec(vec![step(4)]), None, false);
+    plan_at(&mut planner, 10);
+    let ordered = planner.load().running;
+    planner.start_reply(key, task(JOB, 0, 0), 1, StartReply::Started);
+    planner.start_reply(key, task(JOB, 0, 1), 1, StartReply::Unknown);
+
+    let load = planner.load();
+
+    assert_eq!((ordered, load.running), (0, 1));
+    assert_eq!(load.used.cpu, 4000, "room is held all the same");
+}
