Figures for operators say what is known and what was ordered

Cause: runs that were only ordered, or that may be there, were shown as running; a former owner showed the load of the pool until it ended; the time of a job was said to begin at its acceptance, but begins when the owner learns of it.

Change: `placed` are the runs that hold room, `running` those that workers have confirmed; the load is cleared with the ownership; the pages say what each figure measures.

--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -44,8 +44,8 @@
     pub advice: IntCounterVec,
     /// Transactions of the owner by result: `done`, `conflict`, `failed`.
     pub saves: IntCounterVec,
-    /// Figures of the pool, on its owner: `usable`, `running`, `waiting`,
-    /// `unfinished`, `cpu`, `cpu_used`, `memory`, `memory_used`.
+    /// Figures of the pool, on its owner: `usable`, `placed`, `running`,
+    /// `waiting`, `unfinished`, `cpu`, `cpu_used`, `memory`, `memory_used`.
     pub pool: IntGaugeVec,
     /// Epoch of the ownership that this process has; 0 for none.
     pub epoch: IntGauge,
@@ -55,7 +55,8 @@
     pub accept: Histogram,
     /// Time from acceptance to a job's first start.
     pub first_start: Histogram,
-    /// Time from acceptance until a job's end was recorded, by outcome.
+    /// Time until a job's end was recorded, by outcome, from when the owner
+    /// learnt of the job; from acceptance for those of a predecessor.
     pub job: HistogramVec,
     /// Time that a transaction of the owner took.
     pub save: Histogram,
@@ -91,7 +92,10 @@
         let pool = Opts::new("clovermount_pool", "Figures of the pool, on its owner");
         let pool = IntGaugeVec::new(pool, &["figure"]).expect("valid name");
         let job = HistogramVec::new(
-            histogram("job", "From acceptance to the recorded end of a job"),
+            histogram(
+                "job",
+                "From when the owner learnt of a job to its recorded end",
+            ),
             &["outcome"],
         );
         let one = |name, help| {
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -261,7 +261,7 @@
         log::info!(
             code = 370, epoch = self.epoch, usable = load.usable, cpu = load.capacity.cpu,
             cpu_used = load.used.cpu, memory = load.capacity.memory, memory_used = load.used.memory,
-            running = load.running, waiting = load.waiting, steps = load.open,
+            placed = load.placed, running = load.running, waiting = load.waiting, steps = load.open,
             unfinished = load.unfinished; "load of the pool"
         );
     }
@@ -273,6 +273,7 @@
             pool.with_label_values(&[figure]).set(value);
         };
         set("usable", load.usable as u64);
+        set("placed", load.placed as u64);
         set("running", load.running as u64);
         set("waiting", load.waiting as u64);
         set("unfinished", load.unfinished as u64);
--- a/crates/cell/src/owner/supervise.rs
+++ b/crates/cell/src/owner/supervise.rs
@@ -34,6 +34,8 @@
                 pool.run().await;
                 slot.send_replace(None);
                 gauge.set(0);
+                // A former owner knows nothing of the pool's load.
+                context.metrics.pool.reset();
             }
             continue;
         }
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -52,6 +52,7 @@
 use keep::Kept;
 use kinds::Kinds;
 use reach::Reaches;
+use roster::RunPhase;
 use roster::WorkerState;
 
 pub use advice::Ask;
@@ -120,7 +121,10 @@
     pub capacity: Room,
     /// What is booked, on all workers.
     pub used: Room,
-    /// Runs that hold room.
+    /// Runs that hold room, whether they are at work or only ordered, or may
+    /// be there, or are being stopped.
+    pub placed: usize,
+    /// Runs that their workers have confirmed and that are not being stopped.
     pub running: usize,
     /// Tasks that wait.
     pub waiting: usize,
@@ -348,7 +352,9 @@
                 load.capacity = load.capacity.plus(&worker.info.capacity);
             }
             load.used = load.used.plus(&worker.used);
-            load.running += worker.runs.len();
+            load.placed += worker.runs.len();
+            let phases = worker.runs.values().map(|placed| placed.phase);
+            load.running += phases.filter(|phase| *phase == RunPhase::Running).count();
         }
         let steps = self.open.iter().filter_map(|key| {
             let job = self.jobs.get(&key.job)?;
