--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -37,6 +37,10 @@
 /// Part of the caller's time after which no further try is begun.
 pub(crate) const TRY_SHARE: f64 = 0.9;
 
+/// Age of the configuration from which on it denies no queue: two reads in a row
+/// have failed.
+const CONFIG_OLD: Duration = Duration::from_secs(4);
+
 /// Seconds after which a refused caller may come back: another host may
 /// serve it at once.
 const RETRY_SECONDS: &str = "1";
@@ -70,6 +74,7 @@
             return unavailable("no configuration yet");
         };
         match find(&config, asked) {
+            Err(whole) if whole.status() == StatusCode::NOT_FOUND => self.denied(*whole),
             Ok(Target::Queue(queue)) if asked.method == Method::GET => self.waiting(queue).await,
             Ok(Target::Job(queue, id)) if asked.method == Method::POST => {
                 self.submit(&config, queue, id, asked).await
@@ -86,15 +91,25 @@
         }
     }
 
+    /// A queue that may just have been added is not denied.
+    fn denied(&self, whole: Whole) -> Whole {
+        if self.context.config_age() > CONFIG_OLD {
+            return unavailable("the configuration cannot be read from this host");
+        }
+        whole
+    }
+
     async fn state(&self, id: JobId) -> Whole {
-        if let Ok(OwnerView::Job(shown)) = self.owner.state(id).await {
+        let view = self.owner.state(id).await;
+        if let Ok(OwnerView::Job(shown)) = view {
             count(&self.context.metrics.states, "owner");
             return shown_reply(id, shown, "owner");
         }
+        let untouched = view == Ok(OwnerView::Unknown);
         if self.context.store_silent() {
             return unavailable("neither the owner nor the store can be reached from this host");
         }
-        match self.stored(id).await {
+        match self.stored(id, untouched).await {
             Ok(Some(shown)) => {
                 count(&self.context.metrics.states, "store");
                 shown_reply(id, shown, "store")
@@ -121,7 +136,7 @@
             }
             Err(reason) => {
                 log::warn!(code = 418, queue = name, reason:? = reason; "queue length not known");
-                unavailable("the owner of the pool does not answer")
+                unavailable("no owner of the pool knows how many jobs wait")
             }
         }
     }
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -24,6 +24,7 @@
 use super::Retention;
 use super::Saver;
 use super::follow_workers;
+use super::standing::Standing;
 use super::takeover::READ_PAUSE;
 use super::takeover::follow_jobs;
 use super::takeover::read_left;
@@ -73,6 +74,7 @@
     /// Jobs of which it is not known how far they are: they are left alone.
     /// Taken for jobs that had never begun, they ran again when they were done.
     unreadable: HashSet<JobId>,
+    pub(super) standing: Standing,
     config: Option<Arc<Config>>,
     tasks: JoinSet<()>,
     /// When the load was logged last.
@@ -92,12 +94,13 @@
     ) -> Option<Pool> {
         let begin = context.now();
         let mut saver = Saver::new(&context, epoch);
-        let left = loop {
+        let (left, standing) = loop {
             if lost(&context, epoch) {
                 return None;
             }
+            let standing = Standing::new(context.now());
             match read_left(&context, &mut saver).await {
-                Ok(Some(left)) => break left,
+                Ok(Some(left)) => break (left, standing),
                 Ok(None) => return None,
                 Err(error) => {
                     log::warn!(code = 331, epoch = epoch, error:% = error; "take-over cannot read");
@@ -120,6 +123,7 @@
             retention: Retention::default(),
             used: HashSet::new(),
             unreadable: left.unreadable,
+            standing,
             config: None,
             tasks: JoinSet::new(),
             reported: Duration::ZERO,
@@ -147,7 +151,8 @@
     }
 
     fn follow(&mut self, jobs: Follower) {
-        self.tasks.spawn(follow_jobs(jobs, self.sender.clone()));
+        let jobs = follow_jobs(self.context.clone(), jobs, self.sender.clone());
+        self.tasks.spawn(jobs);
         let workers = follow_workers(self.context.clone(), self.sender.clone());
         self.tasks.spawn(workers);
     }
@@ -252,6 +257,7 @@
             self.planner.configure(&config);
             self.config = Some(config);
         }
+        self.check_standing(now);
         self.planner.advance(now);
         let recovering = self.planner.recovering();
         self.planner.plan();
@@ -282,7 +288,7 @@
         log::info!(
             code = 370, epoch = self.epoch, usable = load.usable, cpu = load.capacity.cpu,
             cpu_used = load.used.cpu, memory = load.capacity.memory, memory_used = load.used.memory,
-            running = load.running, waiting = load.waiting, steps = load.open,
+            placed = load.placed, running = load.running, waiting = load.waiting, steps = load.open,
             unfinished = load.unfinished; "load of the pool"
         );
     }
@@ -294,6 +300,7 @@
             pool.with_label_values(&[figure]).set(value);
         };
         set("usable", load.usable as u64);
+        set("placed", load.placed as u64);
         set("running", load.running as u64);
         set("waiting", load.waiting as u64);
         set("unfinished", load.unfinished as u64);
@@ -305,16 +312,23 @@
 
     fn take(&mut self, message: OwnerMessage) {
         match message {
+            // Without a reply, the caller hears that no owner answers.
             OwnerMessage::State(id, reply) => {
-                let shown = self.planner.shown(id);
-                // A caller that has left does not need the answer.
-                let _ = reply.send(shown.map_or(OwnerView::Unknown, OwnerView::Job));
+                if self.owned() {
+                    // A caller that has left does not need the answer.
+                    let _ = reply.send(self.view(id));
+                }
             }
             OwnerMessage::Waiting(queue, reply) => {
-                let _ = reply.send(self.count_queue(&queue));
+                if self.knows_jobs() {
+                    let _ = reply.send(self.count_queue(&queue));
+                }
             }
             OwnerMessage::Help(request, reply) => self.take_help(request, reply),
-            OwnerMessage::Jobs(change) => self.take_jobs(change),
+            OwnerMessage::Jobs(change, begun) => {
+                self.take_jobs(change);
+                self.standing.read(begun);
+            }
             OwnerMessage::Accepted(job, reply) => {
                 if !self.unreadable.contains(&job.id) {
                     self.planner.take_job(job.id, job.spec, None, false);
@@ -335,12 +349,21 @@
     fn count_queue(&self, queue: &str) -> usize {
         let count = self.planner.count_queue(queue);
         log::info!(
-            code = 371, queue = queue, waiting = count.waiting, ordered = count.ordered,
+            code = 372, queue = queue, waiting = count.waiting, ordered = count.ordered,
             unfinished = count.unfinished, epoch = self.epoch; "queue counted"
         );
         count.waiting
     }
 
+    /// What is known of a job.
+    fn view(&self, id: JobId) -> OwnerView {
+        if self.planner.undecided(id) {
+            return OwnerView::Undecided;
+        }
+        let shown = self.planner.shown(id);
+        shown.map_or(OwnerView::Unknown, OwnerView::Job)
+    }
+
     fn take_jobs(&mut self, change: Change) {
         let (Change::Full(rows) | Change::Some(rows)) = change;
         for row in rows {
@@ -402,6 +425,7 @@
             WorkerNews::Listed(sent, listing) => {
                 if let Some(link) = self.links.get_mut(&key) {
                     link.set_clock(listing.clock, self.context.now());
+                    link.hear(sent);
                 }
                 if !self.planner.claimed(key) {
                     log::info!(
--- a/crates/job/tests/late_starts.rs
+++ b/crates/job/tests/late_starts.rs
@@ -93,12 +93,12 @@
     assert_eq!(stops(planner), vec![sent], "sent again after a listing");
     planner.stop_reply(key, task, run, StopReply::Stopped);
     list(planner, at + 10, sent);
-    assert_eq!(planner.load().running, 1, "it is still ending");
+    assert_eq!(planner.load().placed, 1, "it is still ending");
     let over = listing(vec![], vec![ended(1, task, run, RunEnd::Stopped)]);
     planner.advance(Duration::from_millis(at + 20));
     planner.take_listing(key, Duration::from_millis(at + 20), &over);
     assert_eq!(stops(planner), vec![]);
-    assert_eq!(planner.load().running, 0);
+    assert_eq!(planner.load().placed, 0);
     assert_eq!(planner.load().used, Room::default());
 }
 
@@ -140,7 +140,7 @@
     let sent = unanswered_start(&mut planner);
     cancel(&mut planner);
     plan_at(&mut planner, LAPSED);
-    assert_eq!(planner.load().running, 0, "given up with the lease");
+    assert_eq!(planner.load().placed, 0, "given up with the lease");
 
     list(&mut planner, LAPSED + 100, sent);
 
@@ -265,7 +265,7 @@
     assert!(booked > 1);
     planner.stop_reply(key, task, 1, StopReply::Stopped);
     assert_eq!(stops(&mut planner), vec![], "confirmed");
-    assert_eq!(planner.load().running, 1, "the booked run goes on");
+    assert_eq!(planner.load().placed, 1, "the booked run goes on");
 }
 
 /// Symptom: a worker got no work for good. Sequence: it lists two runs of a
