Bench: one core under caps, tables of what is printed, no panic in the daemon

Cause: decide and pack each made a core with one unlimited team; the families of answers and the parts of an idle cost were printed by the same lines once for each. The daemon of the bench panicked when one of its tasks had ended.

Change: cores.rs makes the core; families and parts stand in tables; the daemon prints the cause and ends with a failure. pack's team may hold accelerators, of which its jobs ask for none. Names and units printed are as before.

--- /dev/null
+++ b/crates/bench/benches/main/cores.rs
@@ -0,0 +1,34 @@
+//! Cores of the measurements that need no cell.
+
+use model::Resources;
+use sched::Core;
+use sched::Grants;
+use sched::Policy;
+use sched::TeamGrant;
+
+/// Team that all jobs are of.
+pub(crate) const TEAM: &str = "stores";
+
+/// A core without workers, whose one team is held back by power only.
+pub(crate) fn capped_core<P: Policy>(policy: P, site_watts: u32, rack_watts: u32) -> Core<P> {
+    let quota = Resources {
+        cpu_milli: u32::MAX,
+        memory_mib: u32::MAX,
+        accelerators: u32::MAX,
+        slots: u32::MAX,
+        power_watts: u32::MAX,
+    };
+    let team = TeamGrant {
+        quota,
+        queue: u32::MAX,
+    };
+    let mut grants = Grants {
+        site_watts,
+        rack_watts,
+        ..Grants::default()
+    };
+    grants.teams.insert(TEAM.to_owned(), team);
+    let mut core = Core::new(policy);
+    core.grant(&grants);
+    core
+}
--- a/crates/bench/benches/main/decide.rs
+++ b/crates/bench/benches/main/decide.rs
@@ -9,13 +9,13 @@
 use sched::Core;
 use sched::Decision;
 use sched::FirstFit;
-use sched::Grants;
 use sched::JobSpec;
 use sched::LeastLoaded;
 use sched::Policy;
-use sched::TeamGrant;
 use sched::Weighted;
 
+use crate::cores::TEAM;
+use crate::cores::capped_core;
 use crate::figures::count;
 use crate::figures::new_histogram;
 use crate::figures::print;
@@ -25,25 +25,7 @@
 
 /// A core with workers of 8 slots and one team without practical limits.
 pub(crate) fn core<P: Policy>(policy: P, workers: usize) -> Core<P> {
-    let mut core = Core::new(policy);
-    let most = Resources {
-        cpu_milli: u32::MAX,
-        memory_mib: u32::MAX,
-        accelerators: u32::MAX,
-        slots: u32::MAX,
-        power_watts: u32::MAX,
-    };
-    let mut grants = Grants {
-        site_watts: u32::MAX,
-        rack_watts: u32::MAX,
-        ..Grants::default()
-    };
-    let team = TeamGrant {
-        quota: most,
-        queue: u32::MAX,
-    };
-    grants.teams.insert("stores".to_owned(), team);
-    core.grant(&grants);
+    let mut core = capped_core(policy, u32::MAX, u32::MAX);
     let capacity = Resources {
         cpu_milli: 16_000,
         memory_mib: 65_536,
@@ -60,7 +42,7 @@
 /// A short job.
 pub(crate) fn spec() -> JobSpec {
     JobSpec {
-        team: "stores".to_owned(),
+        team: TEAM.to_owned(),
         class: Class::Interactive,
         needs: Resources {
             cpu_milli: 500,
--- a/crates/bench/benches/main/figures.rs
+++ b/crates/bench/benches/main/figures.rs
@@ -87,31 +87,15 @@
             outcome.request.id, outcome.took
         );
     }
-    let number = |family| outcomes.iter().filter(|o| o.family() == family).count();
     print(&format!("{name}.requests"), count(outcomes.len()), "count");
-    print(
-        &format!("{name}.succeeded"),
-        count(number(Family::Succeeded)),
-        "count",
-    );
-    print(
-        &format!("{name}.failed"),
-        count(number(Family::Failed)),
-        "count",
-    );
-    print(
-        &format!("{name}.not_run"),
-        count(number(Family::NotRun)),
-        "count",
-    );
-    print(
-        &format!("{name}.may_have_run"),
-        count(number(Family::MayHaveRun)),
-        "count",
-    );
-    print(
-        &format!("{name}.unanswered"),
-        count(number(Family::Pending)),
-        "count",
-    );
+    for (what, family) in [
+        ("succeeded", Family::Succeeded),
+        ("failed", Family::Failed),
+        ("not_run", Family::NotRun),
+        ("may_have_run", Family::MayHaveRun),
+        ("unanswered", Family::Pending),
+    ] {
+        let number = outcomes.iter().filter(|o| o.family() == family).count();
+        print(&format!("{name}.{what}"), count(number), "count");
+    }
 }
--- a/crates/bench/benches/main/main.rs
+++ b/crates/bench/benches/main/main.rs
@@ -4,6 +4,7 @@
 
 mod cell;
 mod control;
+mod cores;
 mod decide;
 mod faults;
 mod figures;
@@ -14,6 +15,7 @@
 mod slopes;
 
 use std::path::PathBuf;
+use std::process::ExitCode;
 
 use daemon::Process;
 use daemon::Settings;
@@ -21,13 +23,12 @@
 /// First argument with which this program runs as the daemon.
 const DAEMON: &str = "daemon";
 
-fn main() {
+fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     if arguments.first().is_some_and(|first| first == DAEMON) {
         let file = PathBuf::from(arguments.last().expect("a settings file"));
         let runtime = daemon::make_runtime().expect("a runtime");
-        runtime.block_on(run_daemon(file));
-        return;
+        return runtime.block_on(run_daemon(file));
     }
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
     let names: Vec<&str> = arguments
@@ -42,6 +43,7 @@
         }
     }
     runtime.block_on(run_cells(wanted));
+    ExitCode::SUCCESS
 }
 
 /// Measurements that need no cell.
@@ -93,14 +95,20 @@
     }
 }
 
-async fn run_daemon(file: PathBuf) {
+/// Runs the daemon until it is asked to stop, or one of its tasks ends.
+async fn run_daemon(file: PathBuf) -> ExitCode {
     let settings = Settings::load(&file).expect("settings");
     let mut process = Process::open(&settings).await.expect("process");
     let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
         .expect("signal handler");
-    tokio::select! {
-        error = process.crashed() => panic!("{error}"),
-        _ = term.recv() => {}
+    let crash = tokio::select! {
+        error = process.crashed() => Some(error),
+        _ = term.recv() => None,
+    };
+    if let Some(error) = crash {
+        eprintln!("{error}");
+        return ExitCode::FAILURE;
     }
     process.close().await;
+    ExitCode::SUCCESS
 }
--- a/crates/bench/benches/main/pack.rs
+++ b/crates/bench/benches/main/pack.rs
@@ -8,14 +8,14 @@
 use sched::Core;
 use sched::Decision;
 use sched::FirstFit;
-use sched::Grants;
 use sched::JobSpec;
 use sched::LeastLoaded;
 use sched::Policy;
-use sched::TeamGrant;
 use sched::Weighted;
 use shard::share;
 
+use crate::cores::TEAM;
+use crate::cores::capped_core;
 use crate::figures::print;
 
 const WORKERS: u32 = 48;
@@ -63,7 +63,7 @@
     let cpu_milli = site.cpu_milli / 20 + mix.next(site.cpu_milli / part);
     let memory_mib = site.memory_mib / 40 + mix.next(site.memory_mib / part);
     JobSpec {
-        team: "stores".to_owned(),
+        team: TEAM.to_owned(),
         class: Class::Batch,
         needs: Resources {
             cpu_milli,
@@ -80,25 +80,7 @@
 }
 
 fn shard_core<P: Policy>(policy: P, site: &Site, shard: u16, shards: u16) -> Core<P> {
-    let mut core = Core::new(policy);
-    let most = Resources {
-        cpu_milli: u32::MAX,
-        memory_mib: u32::MAX,
-        accelerators: 0,
-        slots: u32::MAX,
-        power_watts: u32::MAX,
-    };
-    let mut grants = Grants {
-        site_watts: share(site.watts, shard, shards),
-        rack_watts: site.watts,
-        ..Grants::default()
-    };
-    let team = TeamGrant {
-        quota: most,
-        queue: u32::MAX,
-    };
-    grants.teams.insert("stores".to_owned(), team);
-    core.grant(&grants);
+    let mut core = capped_core(policy, share(site.watts, shard, shards), site.watts);
     let capacity = Resources {
         cpu_milli: site.cpu_milli,
         memory_mib: site.memory_mib,
--- a/crates/bench/benches/main/scale.rs
+++ b/crates/bench/benches/main/scale.rs
@@ -54,43 +54,25 @@
     cost
 }
 
+/// A part of the cost: its name, its unit, and how it is read.
+type Part = (&'static str, &'static str, fn(&Cost) -> f64);
+
+const PARTS: [Part; 5] = [
+    ("core", "percent", |cost| cost.core),
+    ("memory", "MiB", |cost| cost.memory),
+    ("bytes", "B/s", |cost| cost.bytes),
+    ("writes", "rows/s", |cost| cost.writes),
+    ("reads", "reads/s", |cost| cost.reads),
+];
+
 fn report_costs(by: &str, per: &str, costs: &[(f64, Cost)]) {
-    let points = |pick: fn(&Cost) -> f64| -> Vec<Point> {
-        costs
+    for (what, unit, pick) in PARTS {
+        let points: Vec<Point> = costs
             .iter()
             .map(|(size, cost)| (*size, pick(cost)))
-            .collect()
-    };
-    report(
-        &format!("idle_core_by_{by}"),
-        "percent",
-        per,
-        &points(|cost| cost.core),
-    );
-    report(
-        &format!("idle_memory_by_{by}"),
-        "MiB",
-        per,
-        &points(|cost| cost.memory),
-    );
-    report(
-        &format!("idle_bytes_by_{by}"),
-        "B/s",
-        per,
-        &points(|cost| cost.bytes),
-    );
-    report(
-        &format!("idle_writes_by_{by}"),
-        "rows/s",
-        per,
-        &points(|cost| cost.writes),
-    );
-    report(
-        &format!("idle_reads_by_{by}"),
-        "reads/s",
-        per,
-        &points(|cost| cost.reads),
-    );
+            .collect();
+        report(&format!("idle_{what}_by_{by}"), unit, per, &points);
+    }
     print(
         &format!("scale.{by}.sizes"),
         f64::from(u32::try_from(costs.len()).unwrap_or(0)),
