Split the older interface's stand-in of a worker by subject

Change: worker/ with a file for each; State makes and restarts itself and lists what runs. Names outside, replies and times are as before.

--- /dev/null
+++ b/crates/fake/src/worker/fake_worker.rs
@@ -0,0 +1,205 @@
+//! The worker itself: it is claimed, starts and stops tasks, tells of ends.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use model::Resources;
+use model::WorkerId;
+use model::digest;
+use tokio::sync::Notify;
+use worker::Claim;
+use worker::Claimed;
+use worker::End;
+use worker::EndResult;
+use worker::Poll;
+use worker::Polled;
+use worker::Refusal;
+use worker::RefusalReason;
+use worker::Start;
+use worker::Stop;
+use worker::Task;
+
+use super::FAIL_PAYLOAD;
+use super::Manner;
+use super::state::Running;
+use super::state::State;
+use crate::RunLog;
+use crate::run_log::own_key;
+
+/// Stand-in of a worker; clones share it.
+#[derive(Clone, Debug)]
+pub struct FakeWorker {
+    /// Name in the host list.
+    pub id: WorkerId,
+    capacity: Resources,
+    pub(super) log: RunLog,
+    state: Arc<Mutex<State>>,
+    pub(super) news: Arc<Notify>,
+}
+
+impl FakeWorker {
+    /// An idle worker.
+    #[must_use]
+    pub fn new(id: &str, capacity: Resources, log: RunLog) -> FakeWorker {
+        FakeWorker {
+            id: id.to_owned(),
+            capacity,
+            log,
+            state: Arc::new(Mutex::new(State::new(id))),
+            news: Arc::default(),
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes how it behaves.
+    pub fn set(&self, change: impl FnOnce(&mut Manner)) {
+        change(&mut self.lock().manner);
+    }
+
+    /// Forgets everything and stops all tasks, as a restart does.
+    pub fn restart(&self) {
+        let mut state = self.lock();
+        for task in state.running() {
+            self.log.end(&self.id, &task.attempt, EndResult::Stopped);
+        }
+        state.restart(&self.id);
+    }
+
+    /// Tasks that run now.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.lock().running().count()
+    }
+
+    pub(super) fn claim(&self, claim: &Claim) -> Result<Claimed, Refusal> {
+        let mut state = self.lock();
+        if claim.fence < state.fence && !state.manner.unfenced {
+            return Err(state.refusal(RefusalReason::Fenced));
+        }
+        state.fence = claim.fence;
+        state.claimed = true;
+        state.lease = Duration::from_millis(claim.lease_millis);
+        let turn = state.next_turn();
+        Ok(Claimed {
+            incarnation: state.run.clone(),
+            turn,
+            capacity: self.capacity,
+            tasks: state
+                .tasks
+                .values()
+                .map(|running| running.task.clone())
+                .collect(),
+        })
+    }
+
+    pub(super) fn start(&self, start: &Start) -> Result<(), Refusal> {
+        let mut state = self.lock();
+        if state.has_started(&start.attempt) {
+            return Ok(());
+        }
+        if let Some(reason) = state.refuses(start, &self.capacity) {
+            state.close_attempt(start.attempt.clone(), false);
+            return Err(state.refusal(reason));
+        }
+        let task = Task {
+            attempt: start.attempt.clone(),
+            request: start.request.clone(),
+            needs: start.needs,
+            end: None,
+        };
+        state
+            .tasks
+            .insert(start.attempt.clone(), Running { task, told: 0 });
+        self.log.start(&self.id, start);
+        let fails = state.manner.fails || start.payload == FAIL_PAYLOAD;
+        drop(state);
+        let worker = self.clone();
+        let start = start.clone();
+        tokio::spawn(async move { worker.run_task(start, fails).await });
+        Ok(())
+    }
+
+    async fn run_task(&self, start: Start, fails: bool) {
+        let run = if fails { 0 } else { start.run_millis };
+        tokio::time::sleep(Duration::from_millis(run)).await;
+        let result = if fails {
+            EndResult::Failed
+        } else {
+            EndResult::Succeeded
+        };
+        let output = format!("{}:{}", own_key(&start.request), start.payload);
+        self.finish(&start.run, &start.attempt, result, output);
+    }
+
+    fn finish(&self, run: &str, attempt: &str, result: EndResult, output: String) {
+        let mut state = self.lock();
+        if state.run != run {
+            return;
+        }
+        let Some(running) = state.tasks.get_mut(attempt) else {
+            return;
+        };
+        if running.task.end.is_some() {
+            return;
+        }
+        let digest = digest(&output);
+        running.task.end = Some(End {
+            result,
+            output,
+            digest,
+        });
+        self.log.end(&self.id, attempt, result);
+        drop(state);
+        self.news.notify_waiters();
+    }
+
+    pub(super) fn stop(&self, stop: &Stop) -> Result<(), Refusal> {
+        let mut state = self.lock();
+        if stop.fence < state.fence {
+            return Err(state.refusal(RefusalReason::Fenced));
+        }
+        if !state.has_started(&stop.attempt) {
+            state.close_attempt(stop.attempt.clone(), false);
+        }
+        let run = state.run.clone();
+        drop(state);
+        let (result, output) = if stop.checkpoint {
+            (
+                EndResult::Checkpointed,
+                format!("checkpoint/{}", stop.attempt),
+            )
+        } else {
+            (EndResult::Stopped, String::new())
+        };
+        self.finish(&run, &stop.attempt, result, output);
+        Ok(())
+    }
+
+    pub(super) async fn poll(&self, poll: &Poll) -> Result<Polled, Refusal> {
+        let until = Instant::now() + Duration::from_millis(poll.wait_millis);
+        self.lock().take_poll(poll)?;
+        loop {
+            let news = self.news.notified();
+            tokio::pin!(news);
+            news.as_mut().enable();
+            {
+                let mut state = self.lock();
+                if state.fence != poll.fence && !state.manner.unfenced {
+                    return Err(state.refusal(RefusalReason::Fenced));
+                }
+                let fresh = state.has_news(poll.turn);
+                if fresh || Instant::now() >= until {
+                    return Ok(state.polled(poll.turn));
+                }
+            }
+            let _ = tokio::time::timeout_at(until.into(), news).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/worker/handler.rs
@@ -0,0 +1,80 @@
+//! The interface of a worker.
+
+use std::time::Duration;
+
+use web::Asked;
+use web::Handler;
+use web::StatusCode;
+use web::Whole;
+use worker::Claim;
+use worker::Poll;
+use worker::Refusal;
+use worker::Start;
+use worker::Stop;
+
+use super::FakeWorker;
+
+/// Interval at which a paused worker looks whether it goes on.
+const PAUSED_TICK: Duration = Duration::from_millis(20);
+
+impl Handler for FakeWorker {
+    async fn handle(&self, asked: Asked) -> Whole {
+        loop {
+            let manner = self.lock().manner;
+            if !manner.paused {
+                tokio::time::sleep(manner.latency).await;
+                break;
+            }
+            tokio::time::sleep(PAUSED_TICK).await;
+        }
+        let body = &asked.body;
+        match asked.path.as_str() {
+            "/v1/claim" => match serde_json::from_slice::<Claim>(body) {
+                Ok(claim) => reply(self.claim(&claim)),
+                Err(error) => bad(&error),
+            },
+            "/v1/start" => match serde_json::from_slice::<Start>(body) {
+                Ok(start) => self.start_late(start).await,
+                Err(error) => bad(&error),
+            },
+            "/v1/stop" => match serde_json::from_slice::<Stop>(body) {
+                Ok(stop) => reply(self.stop(&stop)),
+                Err(error) => bad(&error),
+            },
+            "/v1/poll" => match serde_json::from_slice::<Poll>(body) {
+                Ok(poll) => reply(self.poll(&poll).await),
+                Err(error) => bad(&error),
+            },
+            _ => web::error(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+}
+
+impl FakeWorker {
+    async fn start_late(&self, start: Start) -> Whole {
+        let late = self.lock().manner.late_starts;
+        if late.is_zero() {
+            return reply(self.start(&start));
+        }
+        let worker = self.clone();
+        let arrival = tokio::spawn(async move {
+            tokio::time::sleep(late).await;
+            worker.start(&start)
+        });
+        match arrival.await {
+            Ok(result) => reply(result),
+            Err(error) => web::error(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+        }
+    }
+}
+
+fn reply<T: serde::Serialize>(result: Result<T, Refusal>) -> Whole {
+    match result {
+        Ok(value) => web::json(StatusCode::OK, &value),
+        Err(refusal) => web::json(StatusCode::CONFLICT, &refusal),
+    }
+}
+
+fn bad(error: &serde_json::Error) -> Whole {
+    web::error(StatusCode::BAD_REQUEST, &error.to_string())
+}
