--- a/crates/site/src/advice.rs
+++ b/crates/site/src/advice.rs
@@ -2,8 +2,12 @@
 //! one that knows the machines.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use hyper::StatusCode;
 use serde_json::Value;
@@ -18,7 +22,15 @@
 #[derive(Debug)]
 pub struct AdviceStand {
     calls: AtomicUsize,
+    lists: AtomicUsize,
+    known: Mutex<Known>,
+}
+
+#[derive(Debug)]
+struct Known {
     workers: Vec<Arc<WorkerStand>>,
+    /// Time between the look at the machines and the answer.
+    list_delay: Duration,
 }
 
 impl AdviceStand {
@@ -27,10 +39,49 @@
     pub fn new(workers: Vec<Arc<WorkerStand>>) -> Arc<AdviceStand> {
         Arc::new(AdviceStand {
             calls: AtomicUsize::new(0),
-            workers,
+            lists: AtomicUsize::new(0),
+            known: Mutex::new(Known {
+                workers,
+                list_delay: Duration::ZERO,
+            }),
         })
     }
 
+    fn lock(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Another machine runs a worker.
+    pub fn add(&self, worker: Arc<WorkerStand>) {
+        self.lock().workers.push(worker);
+    }
+
+    /// Lists of machines are answered this long after they were made.
+    pub fn set_list_delay(&self, delay: Duration) {
+        self.lock().list_delay = delay;
+    }
+
+    /// Number of lists of machines so far.
+    #[must_use]
+    pub fn lists(&self) -> usize {
+        self.lists.load(Ordering::Relaxed)
+    }
+
+    async fn list(&self) -> Whole {
+        let (machines, delay) = {
+            let known = self.lock();
+            let alive = known.workers.iter().filter(|worker| !worker.dead());
+            let machines: Vec<Value> = alive
+                .map(|worker| json!({"machine": worker.id, "state": "up", "id": worker.id}))
+                .collect();
+            (machines, known.list_delay)
+        };
+        self.lists.fetch_add(1, Ordering::Relaxed);
+        tokio::time::sleep(delay).await;
+        let body = json!({"machines": machines, "next_token": null});
+        web::json(StatusCode::OK, &body)
+    }
+
     /// Number of calls for advice so far.
     #[must_use]
     pub fn calls(&self) -> usize {
@@ -41,12 +92,7 @@
 impl Handler for AdviceStand {
     async fn handle(&self, asked: Asked) -> Whole {
         if asked.path == "/-/machines" {
-            let alive = self.workers.iter().filter(|worker| !worker.dead());
-            let machines: Vec<Value> = alive
-                .map(|worker| json!({"machine": worker.id, "state": "up", "id": worker.id}))
-                .collect();
-            let body = json!({"machines": machines, "next_token": null});
-            return web::json(StatusCode::OK, &body);
+            return self.list().await;
         }
         self.calls.fetch_add(1, Ordering::Relaxed);
         let body: Value = serde_json::from_slice(&asked.body).unwrap_or_default();
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -68,7 +68,7 @@
     stores: Vec<SocketAddr>,
     net: (u8, u8),
     members: Vec<Option<Member>>,
-    _serving: watch::Sender<bool>,
+    serving: watch::Sender<bool>,
 }
 
 impl SiteCell {
@@ -112,7 +112,7 @@
             stores,
             net,
             members: Vec::new(),
-            _serving: serving,
+            serving,
         };
         for at in 0..processes {
             cell.members.push(None);
@@ -121,6 +121,17 @@
         cell
     }
 
+    /// Another worker joins; it answers nobody yet.
+    pub async fn add_silent_worker(&mut self, id: &str) {
+        let stand = WorkerStand::new(id, self.log.clone());
+        stand.set_silent(true);
+        let address = serve(stand.clone(), &self.serving.subscribe()).await;
+        self.advice.add(stand.clone());
+        self.store
+            .write("servers", &stand.id, &registration(address));
+        self.workers.push(stand);
+    }
+
     fn ip(&self, at: usize) -> IpAddr {
         let host = u8::try_from(at).unwrap_or(0) + 1;
         Ipv4Addr::new(127, self.net.0, self.net.1, host).into()
