A list of machines tells nothing of a newer worker

Cause: silent workers that a list did not name were given up as dead, also those that had registered while the list was on its way; they were never used again.

Change: only workers that were silent when the list was asked for are given up.

--- a/crates/cell/src/owner/lives.rs
+++ b/crates/cell/src/owner/lives.rs
@@ -29,6 +29,10 @@
     /// Since when some worker has been silent without a break.
     since: Option<Duration>,
     after: Duration,
+    /// Workers that were silent when the question was asked. The answer tells
+    /// nothing of one that has come since: it was taken for dead, and never
+    /// used again.
+    asked: HashSet<WorkerId>,
 }
 
 impl Pool {
@@ -37,7 +41,8 @@
         let Some(server) = self.context.settings.machines_address() else {
             return;
         };
-        if self.planner.doubtful().is_empty() {
+        let doubtful = self.planner.doubtful();
+        if doubtful.is_empty() {
             self.lives.since = None;
             return;
         }
@@ -47,6 +52,7 @@
             return;
         }
         self.lives.busy = true;
+        self.lives.asked = doubtful.into_iter().collect();
         let client = MachineClient::new(self.context.client.clone(), server);
         let sender = self.sender.clone();
         tokio::spawn(async move {
@@ -62,12 +68,13 @@
     pub(super) fn take_lives(&mut self, lives: Option<HashSet<WorkerId>>) {
         self.lives.busy = false;
         self.lives.after = self.context.now() + ASK_EVERY;
+        let asked = std::mem::take(&mut self.lives.asked);
         // An empty list is no proof of anything.
         let Some(lives) = lives.filter(|lives| !lives.is_empty()) else {
             return;
         };
         for id in self.planner.doubtful() {
-            if lives.contains(&id) {
+            if lives.contains(&id) || !asked.contains(&id) {
                 continue;
             }
             let Some(key) = self.planner.worker_of(&id) else {
--- a/crates/job/tests/recovery.rs
+++ b/crates/job/tests/recovery.rs
@@ -2,14 +2,39 @@
 
 mod support;
 
+use std::time::Duration;
+
+use job::Shown;
+use support::add;
 use support::add_claimed;
+use support::listing;
 use support::plan_at;
 use support::planner;
+use support::running;
 use support::spec;
 use support::step;
+use support::task;
 
 const JOB: u64 = 7;
 
+/// A job went from active back to pending: the owner died, and its successor
+/// had not yet asked the worker that ran the job.
+#[test]
+fn a_job_is_undecided_until_the_workers_have_told() {
+    let mut planner = planner(2);
+    let key = add(&mut planner, "w1");
+    planner.take_job(JOB, spec(vec![step(1)]), None, true);
+    plan_at(&mut planner, 10);
+    let before = planner.undecided(JOB);
+    let listed = listing(vec![running(task(JOB, 0, 0), 1)], vec![]);
+    planner.take_listing(key, Duration::from_millis(20), &listed);
+
+    let after = planner.undecided(JOB);
+
+    assert_eq!((before, after), (true, false));
+    assert_eq!(planner.shown(JOB), Some(Shown::Active));
+}
+
 /// A task ran in two places after a take-over. The row of a worker that a
 /// predecessor had used could not be decoded, so the worker was not known, and
 /// the tasks of a predecessor did not wait for it.
