Show that a stop waits for tasks that run elsewhere

Cause: a process that is asked to stop hands its shards over within 0.1 s, then waits up to 60 s for the answers to requests that came in through it, wherever they run; before that it may wait 60 s for the end of the hand-over. A platform gives some 30 s in all. Change: a test with a task of a minute, which was submitted through the process that stops. No change of logic.

--- a/crates/daemon/tests/takeover.rs
+++ b/crates/daemon/tests/takeover.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use entry::AnswerBody;
+use fake::Cell;
 use fake::LoadPlan;
 use fake::Outcome;
 use fake::count_families;
@@ -13,6 +15,8 @@
 use model::Family;
 use model::Request;
 use nix::sys::signal::Signal;
+use tokio::task::JoinHandle;
+use web::CallError;
 
 use crate::support::mixed;
 use crate::support::open_cell;
@@ -178,3 +182,41 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
     cell.close();
 }
+
+/// Submits a task of a minute through a process and waits until it runs.
+async fn submit_long(cell: &Cell, index: usize) -> JoinHandle<Result<AnswerBody, CallError>> {
+    let (client, server) = (cell.caller.clone(), cell.http(index));
+    let request = restock("long", Duration::from_mins(1));
+    let patience = Duration::from_mins(2);
+    let caller = tokio::spawn(async move { client.submit(server, &request, patience).await });
+    let runs = || cell.platform.log.runs();
+    while !runs().iter().any(|run| run.request.ends_with("/long")) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    caller
+}
+
+// A process that was asked to stop did not end within the half minute that
+// platforms give, and was killed with its callers' connections. It had handed
+// its shards over within 0.1 s; then it waited for the answers to requests that
+// ran elsewhere, for up to a minute. Nothing is lost by not waiting: the caller
+// is told that there is no answer yet, and asks another process.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_does_not_wait_for_long_tasks() {
+    let mut cell = open_cell(2).await;
+    let caller = submit_long(&cell, 1).await;
+
+    cell.members[1].signal(Signal::SIGTERM);
+    let ended = cell.members[1].ended(Duration::from_secs(25)).await;
+
+    assert_eq!(ended, Some(true), "{}", cell.log(1));
+    let answer = caller.await.expect("caller").expect("a whole answer");
+    assert_eq!(answer.family, Family::Pending, "{answer:?}");
+    let status = cell.caller.status(cell.http(0), "long").await;
+    let status = status.expect("status").expect("known");
+    assert_eq!(status.family, Family::Pending, "{status:?}");
+    let runs = cell.platform.log.runs();
+    let long = runs.iter().filter(|run| run.request.ends_with("/long"));
+    assert_eq!(long.count(), 1, "it was started again");
+    cell.close();
+}
