Bound each step of a planned stop; tell waiting callers to ask elsewhere

Cause: a stop could take over two minutes: 60 s for the hand-over, which does not begin while the table is away, and 60 s for the answers to open requests, which may run for hours elsewhere. A platform kills the process after some 30 s and breaks the connections of its callers. Each step is an event (104) with its time and what it left undone; the hand-over tells what the table has confirmed, not what was sent to it.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 mod process;
 mod settings;
 mod signals;
+mod stop;
 mod uploader;
 
 pub use error::*;
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -43,7 +43,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use worker::WorkerClient;
@@ -51,7 +50,6 @@
 use crate::DaemonError;
 use crate::Settings;
 use crate::upload_events;
-use crate::upload_since;
 
 /// Threads that run a process's tasks. An entry host is small, and each more
 /// thread costs memory (an arena of its own) and wake-ups.
@@ -69,13 +67,6 @@
 /// Longest wait for one call to a worker.
 const WORKER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time for which a leaving process still takes requests, so that the
-/// balancer has seen its health and none is refused.
-const BALANCER_GRACE: Duration = Duration::from_millis(1500);
-
-/// Longest wait for requests in progress at a planned stop.
-const DRAIN_TIMEOUT: Duration = Duration::from_mins(1);
-
 /// Pause before the facts of the cell are read again.
 const FACTS_PAUSE: Duration = Duration::from_millis(300);
 
@@ -85,25 +76,37 @@
 /// A running process.
 #[derive(Debug)]
 pub struct Process {
-    context: Arc<HttpContext>,
-    node: Node,
+    pub(crate) context: Arc<HttpContext>,
+    pub(crate) node: Node,
     address: SocketAddr,
-    keeper: mpsc::Sender<KeeperOrder>,
-    leaving: watch::Sender<bool>,
-    stop: watch::Sender<bool>,
-    tasks: Tasks,
+    pub(crate) keeper: mpsc::Sender<KeeperOrder>,
+    pub(crate) flight: Flight,
+    pub(crate) leaving: watch::Sender<bool>,
+    pub(crate) stop: watch::Sender<bool>,
+    pub(crate) dismiss: watch::Sender<bool>,
+    pub(crate) tasks: Tasks,
 }
 
 /// Tasks that the process cannot do without.
 #[derive(Debug)]
-struct Tasks {
+pub(crate) struct Tasks {
     hosts: JoinHandle<()>,
     peers: JoinHandle<()>,
     keeper: JoinHandle<()>,
-    http: JoinHandle<()>,
+    pub(crate) http: JoinHandle<()>,
     upload: JoinHandle<()>,
 }
 
+impl Tasks {
+    /// Ends all of them.
+    pub(crate) fn close(self) {
+        let tasks = [self.hosts, self.peers, self.keeper, self.http, self.upload];
+        for task in tasks {
+            task.abort();
+        }
+    }
+}
+
 impl Process {
     /// Starts a process.
     ///
@@ -124,6 +127,8 @@
         let (keeper, orders) = mpsc::channel(64);
         let (leaving, leaving_view) = watch::channel(false);
         let (stop, stop_view) = watch::channel(false);
+        let (dismiss, dismiss_view) = watch::channel(false);
+        let flight = Flight::new(settings.http.in_flight);
         let hints = Arc::new(Notify::new());
         let ports = KeeperPorts {
             hosts: hosts.clone(),
@@ -136,13 +141,14 @@
             table: context.table.clone(),
             objects: context.objects.clone(),
             tokens: Tokens::new(settings.tokens.clone()),
-            flight: Flight::new(settings.http.in_flight),
+            flight: flight.clone(),
             metrics: Metrics::new()?,
             timeline: context.timeline.clone(),
             hosts,
             keeper: keeper.clone(),
             gate: context.gate.clone(),
             leaving: leaving_view,
+            dismiss: dismiss_view,
         };
         let service = CellService::new(&context.process, view, hints);
         let node = context.node.clone();
@@ -170,8 +176,10 @@
             context,
             address,
             keeper,
+            flight,
             leaving,
             stop,
+            dismiss,
             tasks,
         })
     }
@@ -196,27 +204,6 @@
         self.context.timeline.record(event);
         DaemonError::Crashed { task }
     }
-
-    /// Planned stop: hands the shards over, lets the requests in progress
-    /// finish, refuses none.
-    pub async fn close(self) {
-        self.context.timeline.record(Event::new(Kind::StopBegan));
-        self.leaving.send_replace(true);
-        let (done, left) = oneshot::channel();
-        if self.keeper.send(KeeperOrder::Leave(done)).await.is_ok() {
-            let _ = tokio::time::timeout(DRAIN_TIMEOUT, left).await;
-        }
-        tokio::time::sleep(BALANCER_GRACE).await;
-        self.stop.send_replace(true);
-        let _ = tokio::time::timeout(DRAIN_TIMEOUT, self.tasks.http).await;
-        self.tasks.keeper.abort();
-        self.tasks.hosts.abort();
-        self.tasks.peers.abort();
-        self.tasks.upload.abort();
-        self.node.close().await;
-        self.context.timeline.record(Event::new(Kind::Stopped));
-        upload_since(&self.context.objects, &self.context.timeline, 0).await;
-    }
 }
 
 fn limits(settings: &Settings) -> web::Limits {
--- a/crates/daemon/tests/takeover.rs
+++ b/crates/daemon/tests/takeover.rs
@@ -220,3 +220,22 @@
     assert_eq!(long.count(), 1, "it was started again");
     cell.close();
 }
+
+// A process that was asked to stop while the table was away did not end within
+// the half minute that platforms give. It hands its shards over only after it
+// has renewed its lease, so it waited for the end of a hand-over that had not
+// begun, for up to a minute. The others can take its shards without it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_does_not_wait_for_the_table() {
+    let mut cell = open_cell(2).await;
+    cell.platform.set_down(true);
+
+    cell.members[1].signal(Signal::SIGTERM);
+    let ended = cell.members[1].ended(Duration::from_secs(25)).await;
+    cell.platform.set_down(false);
+
+    assert_eq!(ended, Some(true), "{}", cell.log(1));
+    let served = cell.settled(Duration::from_secs(30)).await;
+    assert_eq!(served, Ok(()), "{}", cell.log(0));
+    cell.close();
+}
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -88,6 +88,8 @@
     pub gate: Arc<Gate>,
     /// Turns true when a planned stop begins.
     pub leaving: watch::Receiver<bool>,
+    /// Turns true when callers that still wait are sent to other processes.
+    pub dismiss: watch::Receiver<bool>,
 }
 
 impl<T: Table, O: Objects> Handler for Api<T, O> {
@@ -191,7 +193,8 @@
             waited_millis: 0,
             wait,
         };
-        let answer = self.router.submit(submission, patience).await;
+        let dismiss = self.dismiss.clone();
+        let answer = self.router.submit(submission, patience, dismiss).await;
         Ok(self.reply(StatusCode::OK, answer, class))
     }
 
--- a/crates/entry/src/flight.rs
+++ b/crates/entry/src/flight.rs
@@ -10,11 +10,11 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 
-/// Requests in flight by team.
-#[derive(Debug)]
+/// Requests in flight by team; clones share them.
+#[derive(Clone, Debug)]
 pub struct Flight {
     most: usize,
-    teams: Mutex<HashMap<TeamId, Arc<Semaphore>>>,
+    teams: Arc<Mutex<HashMap<TeamId, Arc<Semaphore>>>>,
 }
 
 impl Flight {
@@ -23,7 +23,7 @@
     pub fn new(most: usize) -> Flight {
         Flight {
             most,
-            teams: Mutex::default(),
+            teams: Arc::default(),
         }
     }
 
@@ -35,4 +35,14 @@
             .or_insert_with(|| Arc::new(Semaphore::new(self.most)));
         places.clone().try_acquire_owned().ok()
     }
+
+    /// Requests in flight of all teams.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        let teams = self.teams.lock().unwrap_or_else(PoisonError::into_inner);
+        let open = teams
+            .values()
+            .map(|places| self.most - places.available_permits());
+        open.sum()
+    }
 }
--- a/crates/event/src/kind.rs
+++ b/crates/event/src/kind.rs
@@ -28,10 +28,12 @@
     ProcessStarted = 100,
     /// A planned stop began.
     StopBegan = 101,
-    /// The planned stop is complete.
+    /// The planned stop is over; the steps before tell what it left undone.
     Stopped = 102,
     /// A task of the process ended unexpectedly; the process stops.
     TaskCrashed = 103,
+    /// A step of a planned stop is over; the detail says how it went.
+    StopStep = 104,
     /// The process holds a fresh lease.
     LeaseAcquired = 200,
     /// The lease lapsed and nobody had expired it; state is kept.
--- a/crates/shard/src/keeper.rs
+++ b/crates/shard/src/keeper.rs
@@ -52,12 +52,25 @@
 /// Orders to the keeper.
 #[derive(Debug)]
 pub enum KeeperOrder {
-    /// Hand all shards over, give the lease up, then end.
-    Leave(oneshot::Sender<()>),
+    /// Hand all shards over, give the lease up, then tell how that went.
+    Leave(oneshot::Sender<Handover>),
     /// Adopt a configuration that this process has just made.
     Adopt(Arc<Numbered>),
 }
 
+/// What a leaving process knows of its shards and its lease: what the table
+/// has confirmed, not what was sent to it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Handover {
+    /// Shards whose rows name their next owner.
+    pub handed: u16,
+    /// Shards that nobody could be named for, or whose rows may not have been
+    /// written; they are claimed from the lease.
+    pub unnamed: u16,
+    /// Whether the lease is gone; if not, the others wait for its end.
+    pub gave_up: bool,
+}
+
 /// A shard that this process runs.
 #[derive(Debug)]
 pub(crate) struct Running {
@@ -93,7 +106,8 @@
     pub(crate) assigned_at: Option<Instant>,
     pub(crate) assigned_hosts: Hosts,
     pub(crate) moved_at: Instant,
-    pub(crate) leaving: Option<oneshot::Sender<()>>,
+    pub(crate) leaving: Option<oneshot::Sender<Handover>>,
+    pub(crate) handover: Handover,
 }
 
 /// Channels of a keeper.
@@ -133,6 +147,7 @@
             assigned_hosts: None,
             moved_at: Instant::now(),
             leaving: None,
+            handover: Handover::default(),
         }
     }
 
@@ -162,9 +177,9 @@
             }
         }
         self.context.gate.shut();
-        self.lease.give_up().await;
+        self.handover.gave_up = self.lease.give_up().await;
         if let Some(done) = self.leaving.take() {
-            let _ = done.send(());
+            let _ = done.send(self.handover);
         }
         self.follow().await;
     }
@@ -197,6 +212,7 @@
         match order {
             KeeperOrder::Leave(done) => {
                 self.lease.leave();
+                self.handover = Handover::default();
                 self.leaving = Some(done);
             }
             KeeperOrder::Adopt(config) => {
--- a/crates/shard/src/lease.rs
+++ b/crates/shard/src/lease.rs
@@ -139,15 +139,20 @@
         }
     }
 
-    /// Gives the lease up; the others need not wait for the TTL.
-    pub async fn give_up(&self) {
+    /// Gives the lease up; the others need not wait for the TTL. Whether the
+    /// table has confirmed that it is gone.
+    pub async fn give_up(&self) -> bool {
         let key = lease_key(&self.context.process);
         let commit = Commit::default()
             .check(key.clone(), self.version)
             .delete(key)
             .delete(member_key(&self.context.process));
-        if let Err(error) = self.context.table.commit(&commit).await {
-            log::debug!("lease not given up: {error}");
+        match self.context.table.commit(&commit).await {
+            Ok(committed) => matches!(committed, Committed::Done(_)),
+            Err(error) => {
+                log::debug!("lease not given up: {error}");
+                false
+            }
         }
     }
 }
--- a/crates/shard/src/moving.rs
+++ b/crates/shard/src/moving.rs
@@ -70,6 +70,7 @@
         };
         let wanted = self.wanted_owners();
         let Some(next) = wanted.get(usize::from(shard)).cloned() else {
+            self.handover.unnamed += 1;
             return;
         };
         let row = ShardRow {
@@ -87,13 +88,17 @@
                 let event = Event::new(Kind::ShardReleased).shard(shard);
                 self.record(event.detail(format!("to {next} at epoch {}", row.epoch)));
                 self.rows.insert(shard, (version, row));
+                self.handover.handed += 1;
                 self.publish();
                 self.hint(&next);
             }
             Ok(Committed::Conflict(_)) => {}
             // The row names this process or the next one; the next tick
             // reads which, and opens the shard here again if need be.
-            Err(error) => log::debug!("hand-over of {shard}: {error}"),
+            Err(error) => {
+                self.handover.unnamed += 1;
+                log::debug!("hand-over of {shard}: {error}");
+            }
         }
     }
 
--- a/crates/shard/src/router.rs
+++ b/crates/shard/src/router.rs
@@ -82,13 +82,19 @@
         self.view.borrow().clone()
     }
 
-    /// Submits a request and waits for its reply, at most `patience`.
+    /// Submits a request and waits for its reply, at most `patience`, or until
+    /// `leave` turns true: the process stops, and another can be asked.
     ///
     /// A retry reaches either the same owner, which knows the id, or a later
     /// one, which has the journal and the workers' reports; so the tries add
     /// up to one submission. "Not run" is said here only when no try can have
     /// reached an owner.
-    pub async fn submit(&self, mut submission: Submission, patience: Duration) -> Answer {
+    pub async fn submit(
+        &self,
+        mut submission: Submission,
+        patience: Duration,
+        mut leave: watch::Receiver<bool>,
+    ) -> Answer {
         let began = Instant::now();
         let before = submission.waited_millis;
         let id = submission.request.id.clone();
@@ -97,12 +103,16 @@
         let mut pause = PAUSE_FIRST;
         loop {
             let left = patience.saturating_sub(began.elapsed());
-            if left.is_zero() {
+            if left.is_zero() || *leave.borrow() {
                 return give_up(&id, &submission, reached);
             }
             submission.waited_millis = before + crate::intake::millis(began.elapsed());
             let ask = ShardAsk::Submit(submission.clone());
-            match self.ask(self.shard(&key), ask, left).await {
+            let tried = tokio::select! {
+                tried = self.ask(self.shard(&key), ask, left) => tried,
+                () = told(&mut leave) => Tried::Lost,
+            };
+            match tried {
                 Tried::Reply(ShardReply::Answer(answer)) => return answer,
                 Tried::Reply(ShardReply::Moved) => {
                     reached = true;
@@ -215,6 +225,11 @@
     }
 }
 
+/// Waits until a flag turns true; a vanished sender counts as that.
+async fn told(flag: &mut watch::Receiver<bool>) {
+    let _ = flag.wait_for(|set| *set).await;
+}
+
 fn cancelled(reply: Option<&ShardReply>) -> Option<u32> {
     match reply {
         Some(ShardReply::Cancelled(count)) => Some(*count),
