End the processes of a test that fails; an address for each test process

Cause: a test that fails does not get to close its cell, and std's Child ends nothing when it is dropped; the processes went on and joined the cells of later tests whose table had got the port of their own. Change: a member of a test's cell kills its process when it is dropped. The stand-ins, relays and processes of a test use a loopback address made from the id of the test's process, since a test that is killed drops nothing. Conclusion: mended for failed tests; for killed ones a process is still left, but finds no table. The product still joins whatever table answers at its address; that is left open.

--- a/crates/fake/src/cell.rs
+++ b/crates/fake/src/cell.rs
@@ -1,6 +1,7 @@
 //! A whole cell: the stand-ins, relays in front of each process, and the
 //! settings of the processes. Tests start real processes with it.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::UdpSocket;
@@ -133,6 +134,15 @@
     }
 }
 
+/// A test that fails does not get to close its cell, and its processes would
+/// run on: one such joined the cell of a later test, whose table had the port of
+/// its own, and owned shards there that nobody could reach.
+impl Drop for Member {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
 /// A whole cell.
 #[derive(Debug)]
 pub struct Cell {
@@ -388,10 +398,19 @@
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         // Spread the processes of a test run over the range.
         let port = FIRST_PORT + (process.wrapping_mul(97).wrapping_add(step) % PORTS);
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let address = SocketAddr::from((loopback(), port));
         if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
-    SocketAddr::from(([127, 0, 0, 1], 0))
+    SocketAddr::from((loopback(), 0))
+}
+
+/// Loopback address of this test's process, from its id. A test that is killed
+/// cannot end its processes; they look for their table at its address, where no
+/// later test has one, though ports are used again.
+#[must_use]
+pub fn loopback() -> Ipv4Addr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 | (high & 63), middle, low)
 }
--- a/crates/fake/src/platform.rs
+++ b/crates/fake/src/platform.rs
@@ -18,6 +18,7 @@
 use crate::FakeWorker;
 use crate::RunLog;
 use crate::TableRates;
+use crate::loopback;
 
 /// Workers in one rack.
 const RACK_WORKERS: usize = 8;
@@ -151,7 +152,7 @@
     handler: H,
     stop: &watch::Receiver<bool>,
 ) -> std::io::Result<SocketAddr> {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+    let listener = TcpListener::bind((loopback(), 0)).await?;
     let address = listener.local_addr()?;
     let limits = Limits {
         body_bytes: 64 * 1024 * 1024,
--- a/crates/fake/src/relay.rs
+++ b/crates/fake/src/relay.rs
@@ -14,6 +14,8 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
 
+use crate::loopback;
+
 /// Which bytes a relay swallows; connections stay open.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mute {
@@ -63,7 +65,7 @@
     /// # Errors
     /// No port can be bound.
     pub async fn open(server: SocketAddr) -> std::io::Result<Relay> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let listener = TcpListener::bind((loopback(), 0)).await?;
         let address = listener.local_addr()?;
         let (plan, seen) = watch::channel(RelayPlan::default());
         let bytes = Arc::new(AtomicU64::new(0));
--- a/crates/fake/src/udp_relay.rs
+++ b/crates/fake/src/udp_relay.rs
@@ -14,6 +14,8 @@
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
+use crate::loopback;
+
 /// What a relay does to the datagrams that pass.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct UdpPlan {
@@ -39,7 +41,7 @@
     /// # Errors
     /// No port can be bound.
     pub async fn open(server: SocketAddr, seed: u64) -> std::io::Result<UdpRelay> {
-        let socket = Arc::new(UdpSocket::bind(("127.0.0.1", 0)).await?);
+        let socket = Arc::new(UdpSocket::bind((loopback(), 0)).await?);
         let address = socket.local_addr()?;
         let (plan, current) = watch::channel(UdpPlan::default());
         let bytes = Arc::new(AtomicU64::new(0));
@@ -81,7 +83,7 @@
     let mut buffer = vec![0; 64 * 1024];
     while let Ok((count, client)) = socket.recv_from(&mut buffer).await {
         if let std::collections::hash_map::Entry::Vacant(e) = clients.entry(client) {
-            let Ok(upstream) = UdpSocket::bind(("127.0.0.1", 0)).await else {
+            let Ok(upstream) = UdpSocket::bind((loopback(), 0)).await else {
                 continue;
             };
             if upstream.connect(server).await.is_err() {
