Show that a start is called running before its worker said so

Cause: the status of a request names its workers as running it as soon as the starts are sent, or an earlier owner's intent is found. Change: a test whose starts are 3 s late on their way. No change of logic. Conclusion: what was ordered was shown as known.

--- a/crates/daemon/tests/workers.rs
+++ b/crates/daemon/tests/workers.rs
@@ -271,3 +271,31 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
     cell.close();
 }
+
+// A caller who asked how a request stands was told that it ran on a worker,
+// which had not even got the order to start it. Whatever was sent counted as
+// running; only the worker's own word tells that it does.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_not_called_running_before_its_worker_said_so() {
+    let cell = open_cell(1).await;
+    for worker in &cell.platform.workers {
+        worker.set(|manner| manner.late_starts = Duration::from_secs(3));
+    }
+    let request = restock("late", Duration::from_secs(1));
+
+    let accepted = cell.caller.detach(cell.http(0), &request).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let status = cell.caller.status(cell.http(0), "late").await;
+
+    assert!(accepted.is_ok(), "{accepted:?}");
+    let reason = status.expect("status").expect("known").answer.reason;
+    assert!(
+        cell.platform
+            .log
+            .runs()
+            .iter()
+            .all(|run| run.request != "stores/late")
+    );
+    assert!(reason.starts_with("sent to "), "{reason}");
+    cell.close();
+}
