Call a task running only when its worker said so

Cause: the status of a request called all workers of its attempt running, whatever was known of them. Change: it tells apart what runs by the worker's word, what was sent, and what an earlier owner had recorded. "Pending" no longer says "accepted": it is also given when no owner has confirmed the request. Conclusion: what is only ordered is no longer shown as known, here.

--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -71,7 +71,7 @@
     OwnerLost = 401,
     /// The id is older than the retention of answers.
     Forgotten = 402,
-    /// Accepted; waiting or running.
+    /// No final answer yet: accepted, or perhaps still on its way to its owner.
     Pending = 500,
 }
 
--- a/crates/shard/src/intake.rs
+++ b/crates/shard/src/intake.rs
@@ -15,6 +15,8 @@
 use crate::CancelFilter;
 use crate::Entry;
 use crate::Machine;
+use crate::Member;
+use crate::MemberState;
 use crate::Output;
 use crate::Record;
 use crate::ShardAsk;
@@ -210,10 +212,7 @@
             },
             Stage::Lent => "no room in its shard; another was asked".to_owned(),
             Stage::Recording(_) => "placed; its intent is being recorded".to_owned(),
-            Stage::Running(_) => {
-                let workers: Vec<&str> = entry.members.iter().map(|m| &*m.worker).collect();
-                format!("running on {}", workers.join(", "))
-            }
+            Stage::Running(_) => describe(&entry.members),
             Stage::Closing(_) | Stage::Done(_) => "ended; its answer is being recorded".to_owned(),
         };
         let answer = pending_answer(&id, &reason);
@@ -328,6 +327,28 @@
     }
 }
 
+/// What is known of an attempt: the workers' own word apart from what was only
+/// sent to them or recorded for them, which may never reach them.
+fn describe(members: &[Member]) -> String {
+    let groups = [
+        ("running on", MemberState::Started),
+        ("sent to", MemberState::Sent),
+        ("recorded for", MemberState::Unknown),
+    ];
+    let mut parts = Vec::new();
+    for (word, state) in groups {
+        let here = members.iter().filter(|member| member.state == state);
+        let workers: Vec<&str> = here.map(|member| &*member.worker).collect();
+        if !workers.is_empty() {
+            parts.push(format!("{word} {}", workers.join(", ")));
+        }
+    }
+    if parts.is_empty() {
+        return "between two attempts".to_owned();
+    }
+    parts.join("; ")
+}
+
 /// An answer that is not final.
 pub(crate) fn pending_answer(id: &str, reason: &str) -> Answer {
     Answer::bare(id, Code::Pending, reason).retry_in(COME_BACK_MILLIS)
