--- a/crates/shard/src/keeper.rs
+++ b/crates/shard/src/keeper.rs
@@ -63,10 +63,10 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Handover {
     /// Shards whose rows name their next owner.
-    pub handed: u16,
+    pub handed: u32,
     /// Shards that nobody could be named for, or whose rows may not have been
     /// written; they are claimed from the lease.
-    pub unnamed: u16,
+    pub unnamed: u32,
     /// Whether the lease is gone; if not, the others wait for its end.
     pub gave_up: bool,
 }
