--- a/crates/daemon/tests/shown/answers.rs
+++ b/crates/daemon/tests/shown/answers.rs
@@ -73,8 +73,9 @@
     };
     let before = event::wall_millis();
 
-    let asking =
-        tokio::spawn(async move { router.submit(submission, Duration::from_secs(5)).await });
+    let (_dismiss, dismissed) = watch::channel(false);
+    let patience = Duration::from_secs(5);
+    let asking = tokio::spawn(async move { router.submit(submission, patience, dismissed).await });
     let first = next_submission(&mut inbox, None).await;
     let ok = Answer::bare("r1", Code::Ok, "");
     let second = next_submission(&mut inbox, Some(ok)).await;
--- a/crates/daemon/tests/shown/house.rs
+++ b/crates/daemon/tests/shown/house.rs
@@ -80,6 +80,7 @@
             keeper,
             gate: gate.clone(),
             leaving: watch::channel(false).1,
+            dismiss: watch::channel(false).1,
         };
         let context = Context {
             name: "a".to_owned(),
--- a/crates/fake/src/relay.rs
+++ b/crates/fake/src/relay.rs
@@ -13,6 +13,8 @@
 use crate::way::Passage;
 use crate::way::Way;
 
+use crate::loopback;
+
 /// Which bytes a relay swallows; connections stay open.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mute {
@@ -57,7 +59,7 @@
     /// # Errors
     /// No port can be bound.
     pub async fn open(server: SocketAddr) -> std::io::Result<Relay> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let listener = TcpListener::bind((loopback(), 0)).await?;
         let (relay, passage) = Way::begin(listener.local_addr()?);
         tokio::spawn(accept(listener, server, passage));
         Ok(relay)
--- a/crates/fake/src/udp_relay.rs
+++ b/crates/fake/src/udp_relay.rs
@@ -14,6 +14,8 @@
 use crate::way::Passage;
 use crate::way::Way;
 
+use crate::loopback;
+
 /// What a relay does to the datagrams that pass.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct UdpPlan {
@@ -34,7 +36,7 @@
     /// # Errors
     /// No port can be bound.
     pub async fn open(server: SocketAddr, seed: u64) -> std::io::Result<UdpRelay> {
-        let socket = Arc::new(UdpSocket::bind(("127.0.0.1", 0)).await?);
+        let socket = Arc::new(UdpSocket::bind((loopback(), 0)).await?);
         let (relay, passage) = Way::begin(socket.local_addr()?);
         tokio::spawn(run(socket, server, passage, seed));
         Ok(relay)
@@ -47,7 +49,7 @@
     let mut buffer = vec![0; 64 * 1024];
     while let Ok((count, client)) = socket.recv_from(&mut buffer).await {
         if let std::collections::hash_map::Entry::Vacant(e) = clients.entry(client) {
-            let Ok(upstream) = UdpSocket::bind(("127.0.0.1", 0)).await else {
+            let Ok(upstream) = UdpSocket::bind((loopback(), 0)).await else {
                 continue;
             };
             if upstream.connect(server).await.is_err() {
