Wait for a balanced cell before a one-way partition

Cause: the test looked at the owners before the cell was balanced; planned hand-overs (event 212) to the owners that the ring names came afterwards and were taken for shards that the partition moved.

Change: it waits for the balanced cell first, as the tests of outages do.

Conclusion: a fault of the test; the owners are compared from a settled state.

--- a/crates/daemon/tests/partitions.rs
+++ b/crates/daemon/tests/partitions.rs
@@ -13,6 +13,7 @@
 use crate::support::open_cell;
 use crate::support::owners;
 use crate::support::plan_for;
+use crate::support::wait_balanced;
 
 // Symptom: shards were passed to and fro, or requests failed, while one
 // process could be reached by no other, though it reached them all.
@@ -23,6 +24,7 @@
     let cell = open_cell(3).await;
     let mut plan = plan_for(&cell, 80, 640, mixed);
     plan.patience = Duration::from_secs(25);
+    wait_balanced(&cell).await;
     let before = owners(&cell);
 
     let load = begin_load(&cell.caller, plan);
