Recorded progress says active only if a task has begun

Cause: members of a gang that waited for the others in vain end without having worked; their ends leave a row of progress with nothing in it, and without an owner any row of progress was shown as active.

Change: progress tells by itself whether a task has begun, for the planner's restored jobs and for the store's answers.

Conclusion: the same rule with and without an owner.

--- a/crates/cell/src/stored.rs
+++ b/crates/cell/src/stored.rs
@@ -43,9 +43,10 @@
     /// State of a job as the store knows it. `untouched` says that the owner
     /// does not know of it, so nothing of it has started.
     ///
-    /// The store hears of ends, not of starts. Without the owner, a job of which
-    /// nothing has ended was shown as pending after it had been active, and one
-    /// whose cancel was stored as canceled, which may yet prove completed.
+    /// The store hears of a start a moment later than the worker. Without the
+    /// owner, a job that it had not heard of was shown as pending after it had
+    /// been active, and one whose cancel was stored as canceled, which may yet
+    /// prove completed.
     pub(crate) async fn stored(
         &self,
         id: JobId,
@@ -58,11 +59,12 @@
         let Some((_, spec)) = self.stored_job(id).await? else {
             return Ok(None);
         };
-        match (progress, untouched) {
-            (Some(_), _) => Ok(Some(Shown::Active)),
-            (None, true) if spec.canceled => Ok(Some(Shown::Canceled)),
-            (None, true) => Ok(Some(Shown::Pending)),
-            (None, false) => OpenSnafu.fail(),
+        let begun = progress.is_some_and(|progress| progress.begun());
+        match (begun, untouched) {
+            (true, _) => Ok(Some(Shown::Active)),
+            (false, true) if spec.canceled => Ok(Some(Shown::Canceled)),
+            (false, true) => Ok(Some(Shown::Pending)),
+            (false, false) => OpenSnafu.fail(),
         }
     }
 
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -68,3 +68,12 @@
     /// that the job has begun; its first step has an empty one if need be.
     pub steps: BTreeMap<(u32, u32), StepProgress>,
 }
+
+impl Progress {
+    /// Whether a worker has begun a task. Members of a gang that waited for the
+    /// others in vain leave progress without any.
+    #[must_use]
+    pub fn begun(&self) -> bool {
+        !self.steps.is_empty()
+    }
+}
--- a/crates/job/tests/begun.rs
+++ b/crates/job/tests/begun.rs
@@ -111,11 +111,16 @@
         let alone = listing(vec![], vec![ended(1, task, run, RunEnd::Alone)]);
         planner.take_listing(key, Duration::from_millis(20), &alone);
     }
+    let batch = planner.take_batch(10);
 
     assert_eq!(
         (waiting(&planner), planner.shown(JOB)),
         (1, Some(Shown::Pending))
     );
+    assert!(
+        !batch.jobs[0].1.begun(),
+        "nor does its saved progress say so"
+    );
 }
 
 /// A start got no answer, and the task ran and ended before the worker was
