--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -204,7 +204,7 @@
     }
     calls.join_all().await;
     let cancelled = cell.caller.cancel_label(cell.http(1), "day").await?;
-    println!("{cancelled} of {DAY_RESTOCKS} restocks withdrawn by one call");
+    println!("{cancelled} of {DAY_RESTOCKS} restocks cancelled or told to stop by one call");
     let short = cancelled != DAY_RESTOCKS;
     Ok(short.then(|| format!("{cancelled} of {DAY_RESTOCKS} restocks were withdrawn")))
 }
--- a/crates/cli/src/replay.rs
+++ b/crates/cli/src/replay.rs
@@ -144,7 +144,10 @@
                         label: Some(label.clone()),
                     };
                     let done: CancelledBody = api.post("/v1/cancel", &body, None).await?;
-                    println!("{} ms: {} requests withdrawn", step.at, done.cancelled);
+                    println!(
+                        "{} ms: {} requests cancelled or told to stop",
+                        step.at, done.cancelled
+                    );
                 }
                 Act::Patch(patch) => {
                     let version = apply(&api, patch).await?;
