Test: a restart that comes too late is not "not run" (failing)

Cause: when an intent is written after its latest start, the answer leaves out that an earlier attempt ran. Change: a test.

--- a/crates/shard/tests/shown/desk.rs
+++ b/crates/shard/tests/shown/desk.rs
@@ -135,9 +135,14 @@
 
     /// Lets time pass.
     pub(crate) fn wait(&mut self, millis: u64) -> Seen {
+        self.pass(millis);
+        self.feed(Input::Tick)
+    }
+
+    /// Lets time pass while the process may not act, so without a tick.
+    pub(crate) fn pass(&mut self, millis: u64) {
         self.times.now += Duration::from_millis(millis);
         self.times.wall_millis += millis;
-        self.feed(Input::Tick)
     }
 
     /// A worker accepts the claim.
--- a/crates/shard/tests/shown/refusals.rs
+++ b/crates/shard/tests/shown/refusals.rs
@@ -1,5 +1,6 @@
 //! "Accepted" and "not run" are said only when they are certain.
 
+use model::Class;
 use model::Code;
 use model::Resources;
 use shard::Input;
@@ -88,3 +89,26 @@
     let answer = seen.answer(caller).expect("a refusal");
     assert_eq!(answer.code, Code::NeverFits);
 }
+
+// A restock that had run in part was answered "not run: its latest start has
+// passed". Its worker was lost, and it was placed again; the table was silent
+// while the intent was on its way, and the process could not act. When the
+// intent was written at last, the first news, the time for a restart was over,
+// and the first attempt was left out of the answer.
+#[test]
+fn a_restart_that_comes_too_late_is_not_said_to_be_not_run() {
+    let mut desk = Desk::with_worker();
+    let mut restock = lookup("r1");
+    restock.class = Class::Batch;
+    let (caller, seen) = desk.submit(restock, true);
+    let seen = desk.feed(Input::Written(seen.ticket()));
+    desk.feed(Input::Started(seen.starts().remove(0)));
+    let again = desk.feed(Input::LeaseOver("w0".to_owned()));
+
+    desk.pass(20_000);
+    let late = desk.feed(Input::Written(again.ticket()));
+    let seen = desk.feed(Input::Written(late.ticket()));
+
+    let answer = seen.answer(caller).expect("a final answer");
+    assert_eq!(answer.code, Code::HostLost, "{answer:?}");
+}
