--- a/crates/shard/src/launch.rs
+++ b/crates/shard/src/launch.rs
@@ -130,7 +130,7 @@
         }
         if entry.deadline < self.times.now {
             self.withdraw(key);
-            self.finish_bare(key, Code::DeadlinePassed, "its latest start has passed");
+            self.finish_too_late(key);
             return;
         }
         entry.stage = Stage::Running(Some(job));
--- a/crates/shard/src/machine.rs
+++ b/crates/shard/src/machine.rs
@@ -262,15 +262,18 @@
         let Some(key) = self.keys.remove(&job) else {
             return;
         };
-        let touched = self.ledger.get(&key).is_some_and(Entry::touched);
-        if touched {
-            self.finish_bare(
-                &key,
-                Code::HostLost,
-                "interrupted, and no room before its deadline",
-            );
+        self.finish_too_late(&key);
+    }
+
+    /// Ends a request that can't start any more. An earlier attempt counts
+    /// wherever this is noticed; left out, the caller of work that ran in part
+    /// is told "not run" and does it again.
+    pub(crate) fn finish_too_late(&mut self, key: &str) {
+        if self.ledger.get(key).is_some_and(Entry::touched) {
+            let reason = "interrupted, and no room before its deadline";
+            self.finish_bare(key, Code::HostLost, reason);
         } else {
-            self.finish_bare(&key, Code::DeadlinePassed, "its latest start has passed");
+            self.finish_bare(key, Code::DeadlinePassed, "its latest start has passed");
         }
     }
 
