Test: the next owner knows of an attempt that is over (failing)

Cause: a segment holds no intent of a request that waits for another attempt, so the next owner takes it for one that never started. Change: a test.

--- a/crates/shard/tests/shown/desk.rs
+++ b/crates/shard/tests/shown/desk.rs
@@ -111,7 +111,7 @@
             wall_millis: 1_000_000,
         };
         let mut desk = Desk {
-            machine: machine(times),
+            machine: machine(Ledger::default(), times),
             times,
             waiters: SlotMap::with_key(),
         };
@@ -133,6 +133,20 @@
         Seen { outputs }
     }
 
+    /// The next owner, which finds what this one stores of itself and no
+    /// worker.
+    pub(crate) fn succeeded(&mut self) -> Desk {
+        let mut ledger = Ledger::default();
+        for record in self.machine.make_segment(1).open {
+            ledger.replay(&record, self.times);
+        }
+        Desk {
+            machine: machine(ledger, self.times),
+            times: self.times,
+            waiters: SlotMap::with_key(),
+        }
+    }
+
     /// Lets time pass.
     pub(crate) fn wait(&mut self, millis: u64) -> Seen {
         self.pass(millis);
@@ -248,7 +262,7 @@
     WorkerHost { host, assigned: 1 }
 }
 
-fn machine(times: Times) -> Machine {
+fn machine(ledger: Ledger, times: Times) -> Machine {
     let quota = Resources {
         cpu_milli: 1000,
         memory_mib: 1000,
@@ -276,5 +290,5 @@
         retention: Duration::from_mins(10),
         missing_at: times.now + Duration::from_secs(20),
     };
-    Machine::new(facts, Ledger::default(), Arc::new(numbered), times)
+    Machine::new(facts, ledger, Arc::new(numbered), times)
 }
--- a/crates/shard/tests/shown/refusals.rs
+++ b/crates/shard/tests/shown/refusals.rs
@@ -112,3 +112,24 @@
     let answer = seen.answer(caller).expect("a final answer");
     assert_eq!(answer.code, Code::HostLost, "{answer:?}");
 }
+
+// A restock that had run in part was answered "not run" by the next owner. Its
+// first worker was lost and it waited for another; the owner stored its state,
+// in which the attempt had no members left and so no intent, and ended.
+#[test]
+fn the_next_owner_knows_of_an_attempt_that_is_over() {
+    let mut desk = Desk::with_worker();
+    let mut restock = lookup("r1");
+    restock.class = Class::Batch;
+    let (_, seen) = desk.submit(restock, true);
+    let seen = desk.feed(Input::Written(seen.ticket()));
+    desk.feed(Input::Started(seen.starts().remove(0)));
+    desk.feed(Input::WorkerLost("w0".to_owned()));
+    desk.feed(Input::LeaseOver("w0".to_owned()));
+
+    let mut next = desk.succeeded();
+    let late = next.wait(20_000);
+    next.feed(Input::Written(late.ticket()));
+
+    assert_eq!(next.status("r1").code, Code::HostLost);
+}
