Keep the intent of an attempt that is over in segments

Cause: a request whose attempt was over and that waited for the next one stood in a segment without an intent; the next owner took it for one that never started, and said 303, not run, when its latest start passed. Change: its intent is kept, with no places; read back, it says that something may have started. Older processes read it as an attempt without members, as they take such a request now.

--- a/crates/shard/src/ledger.rs
+++ b/crates/shard/src/ledger.rs
@@ -148,7 +148,7 @@
         }
         entry.attempt = attempt;
         entry.epoch = epoch;
-        if attempt > 1 {
+        if attempt > 1 || placed.is_empty() {
             entry.past = Past::Unseen;
         }
         let member = |(index, place): (usize, &Placed)| crate::Member {
--- a/crates/shard/src/record.rs
+++ b/crates/shard/src/record.rs
@@ -49,7 +49,7 @@
         epoch: Epoch,
         /// Number of the attempt.
         attempt: u32,
-        /// Where its members run.
+        /// Where its members run; empty when the attempt is over.
         placed: Vec<Placed>,
     },
     /// The final answer.
--- a/crates/shard/src/snapshot.rs
+++ b/crates/shard/src/snapshot.rs
@@ -20,7 +20,9 @@
         let wanted = |entry: &Entry| entry.recorded && entry.answer().is_none();
         for (key, entry) in self.ledger.iter().filter(|(_, entry)| wanted(entry)) {
             open.push(accept_record(&entry.request, entry.until_millis));
-            if !entry.members.is_empty() {
+            // An attempt that is over has no members left. Without its intent
+            // the next owner would say "not run" of what ran in part.
+            if !entry.members.is_empty() || entry.touched() {
                 open.push(intent_record(key, entry));
             }
         }
