Test an owner that shares no worker with its successor; fails, not mended

Fails on this code: an_owner_that_shares_no_worker_with_its_successor_renews_no_lease, "run 100001 began on w1, runs on w0". An owner that is cut off from the store learns that the pool is lost only from a worker that its successor has reached.

--- a/crates/cell/tests/cut_workers.rs
+++ b/crates/cell/tests/cut_workers.rs
@@ -126,3 +126,31 @@
     caller.wait_state(&cell.servers(), path, "completed").await;
     cell.close().await;
 }
+
+/// A task runs on two workers at a time: the owner is cut off from the store
+/// and from some workers, and goes on with the others, which no successor
+/// reaches. Nobody tells it that the pool is lost, so it renews their leases for
+/// good, while its successor counts them as over.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_shares_no_worker_with_its_successor_renews_no_lease() {
+    const IDS: [&str; 2] = ["00000000000000f7", "00000000000000f8"];
+    let cell = SiteCell::open(2, 2).await;
+    let caller = Caller::new();
+    for id in IDS {
+        let path = format!("/plain/{id}");
+        caller
+            .submit(&cell.servers(), &path, &job(3, "14000"))
+            .await;
+    }
+    let starts = || IDS.iter().map(|id| cell.log.starts(id)).sum::<usize>();
+    wait_for("tasks do not start", || starts() == 6).await;
+    let owner = cell.owner().expect("an owner");
+    cell.workers[0].set_deaf_from(Some(2));
+    cell.workers[1].set_deaf_upto(1);
+
+    cell.doors[owner].set_cut(true);
+
+    wait_for("the lost tasks do not start again", || starts() > 6).await;
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close().await;
+}
--- a/crates/site/src/worker.rs
+++ b/crates/site/src/worker.rs
@@ -59,6 +59,8 @@
     lose_starts: usize,
     /// Orders of this epoch and later ones do not arrive.
     deaf_from: Option<u64>,
+    /// Orders of this epoch and earlier ones do not arrive.
+    deaf_upto: u64,
     late: LateOrders,
 }
 
@@ -133,6 +135,12 @@
         self.lock().deaf_from = epoch;
     }
 
+    /// Orders of `epoch` and earlier ones do not arrive: the worker is cut off
+    /// from those owners alone.
+    pub fn set_deaf_upto(&self, epoch: u64) {
+        self.lock().deaf_upto = epoch;
+    }
+
     /// Some orders are left unanswered from now on, and carried out later.
     pub fn set_late(&self, plan: LatePlan) {
         self.lock().late.set_plan(plan);
@@ -314,7 +322,8 @@
             let mut state = self.lock();
             self.settle(&mut state);
             let epoch = body["fencing_token"].as_u64().unwrap_or(0);
-            let deaf = state.deaf_from.is_some_and(|from| epoch >= from);
+            let later = state.deaf_from.is_some_and(|from| epoch >= from);
+            let deaf = later || epoch <= state.deaf_upto;
             if state.silent || deaf || state.late.keep(&asked.path, &body) {
                 (None, true)
             } else {
