Red: ends behind begins, refused jobs that wait, silence taken for nothing

Cause: found by a review. (1) That jobs have begun is saved with ends and outcomes, in the order of ids: ends wait behind it. (2) A job that was refused and not saved so is shown as pending and missing from those that wait. (3) A store that refuses reads and does transactions counts as silent, and while it is silent the owner takes all jobs for known.

Change: three tests that fail; three more that pass, for ways of learning of a run that no test would have missed; the random world also checks that what a worker lists is not shown as pending.

--- a/crates/cell/tests/cut_workers.rs
+++ b/crates/cell/tests/cut_workers.rs
@@ -5,6 +5,7 @@
 
 use site::Caller;
 use site::PATIENCE;
+use site::Refuses;
 use site::SiteCell;
 use site::StoreFaults;
 use site::job;
@@ -78,7 +79,7 @@
     caller.submit(&cell.servers(), path, &job(1, "9000")).await;
     wait_figure(&cell, &caller, "running", 1).await;
     cell.store.set_faults(StoreFaults {
-        read_only: true,
+        refuses: Refuses::Writes,
         ..StoreFaults::default()
     });
     cell.workers[0].set_silent(true);
--- a/crates/cell/tests/stale.rs
+++ b/crates/cell/tests/stale.rs
@@ -5,6 +5,7 @@
 use hyper::Method;
 use serde_json::Value;
 use site::Caller;
+use site::Refuses;
 use site::SiteCell;
 use site::StoreFaults;
 use site::job;
@@ -36,6 +37,16 @@
     send.await
 }
 
+/// A job is accepted of which the owner is not told.
+fn accept_untold(cell: &SiteCell) {
+    let known = cell::job_row(0x70);
+    let row = cell.store.raw(&known.table, &known.part, &known.key);
+    let copy = row.expect("row of the first job");
+    let other = cell::job_row(0x71);
+    cell.store
+        .write_row(&other.table, &other.part, &other.key, &copy);
+}
+
 fn faults(down: bool, hung_feed: bool) -> StoreFaults {
     StoreFaults {
         down,
@@ -87,12 +98,7 @@
 async fn an_owner_that_cannot_read_new_jobs_gives_no_count() {
     let (cell, caller) = open(1, 1).await;
     cell.store.set_faults(faults(false, true));
-    let full = cell::job_row(0x70);
-    let row = cell.store.raw(&full.table, &full.part, &full.key);
-    let other = cell::job_row(0x71);
-    let copy = row.expect("row of the first job");
-    cell.store
-        .write_row(&other.table, &other.part, &other.key, &copy);
+    accept_untold(&cell);
     tokio::time::sleep(TOO_OLD).await;
 
     let (status, body) = get(&cell, &caller, 0, "/plain/").await;
@@ -101,6 +107,26 @@
     cell.close().await;
 }
 
+/// The same with a store that refuses reads and does transactions. It counted
+/// as silent, so that nothing could be accepted, and the owner went on telling
+/// what it knew for as long as that lasted.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_may_write_and_not_read_gives_no_count() {
+    let (cell, caller) = open(1, 1).await;
+    let refused = StoreFaults {
+        refuses: Refuses::Reads,
+        ..StoreFaults::default()
+    };
+    cell.store.set_faults(refused);
+    accept_untold(&cell);
+    tokio::time::sleep(TOO_OLD * 2).await;
+
+    let (status, body) = get(&cell, &caller, 0, "/plain/").await;
+
+    assert_eq!(status, 503, "{body}");
+    cell.close().await;
+}
+
 /// While the store is away for all, nothing is accepted and nobody else takes
 /// the pool: what the owner knows stays true, and it goes on telling. Over half
 /// of the workers vouch for it, so one that answers late does not matter.
--- a/crates/job/tests/begun.rs
+++ b/crates/job/tests/begun.rs
@@ -178,3 +178,46 @@
     assert_eq!(waiting(&successor), 0);
     assert_eq!(successor.shown(JOB), Some(Shown::Active));
 }
+
+/// The owner learns of a run in three more ways. Each tells that the job has
+/// begun: a worker lists another run of a task than the one that is booked
+/// there,
+#[test]
+fn another_run_of_a_booked_task_has_begun() {
+    let mut planner = planner(2);
+    let key = add_claimed(&mut planner, "w1");
+    planner.take_job(JOB, spec(vec![step(1)]), None, false);
+    plan_at(&mut planner, 2_100);
+    let other = listing(vec![running(task(JOB, 0, 0), 3)], vec![]);
+
+    planner.take_listing(key, Duration::from_millis(2_110), &other);
+
+    assert_eq!(planner.shown(JOB), Some(Shown::Active));
+}
+
+/// or a run of a job that becomes known later,
+#[test]
+fn a_run_listed_before_its_job_was_known_has_begun() {
+    let mut planner = planner(2);
+    let key = add(&mut planner, "w1");
+    let left = listing(vec![running(task(JOB, 0, 0), 1)], vec![]);
+    planner.take_listing(key, Duration::ZERO, &left);
+
+    planner.take_job(JOB, spec(vec![step(1)]), None, false);
+
+    assert_eq!(waiting(&planner), 0);
+}
+
+/// or an end that does not count any more, since the lease was over.
+#[test]
+fn an_end_that_comes_too_late_has_begun() {
+    let mut planner = planner(2);
+    let key = add(&mut planner, "w1");
+    planner.take_job(JOB, spec(vec![step(1)]), None, true);
+    plan_at(&mut planner, 9_000);
+    let late = listing(vec![], vec![ended(1, task(JOB, 0, 0), 1, RunEnd::Done)]);
+
+    planner.take_listing(key, Duration::from_millis(9_010), &late);
+
+    assert_eq!(planner.shown(JOB), Some(Shown::Active));
+}
--- /dev/null
+++ b/crates/job/tests/saving.rs
@@ -0,0 +1,91 @@
+//! What is saved first, and what is shown of that which is not saved yet.
+
+mod support;
+
+use std::time::Duration;
+
+use job::Planner;
+use job::RunEnd;
+use job::RunId;
+use job::Shown;
+use job::StartReply;
+use job::TaskKey;
+use job::WorkerKey;
+use support::add_claimed;
+use support::ended;
+use support::listing;
+use support::plan_at;
+use support::planner;
+use support::queue;
+use support::room;
+use support::spec;
+use support::step;
+
+/// Jobs that begin at the same time.
+const JOBS: u64 = 200;
+
+/// Jobs in a transaction.
+const BATCH: usize = 60;
+
+/// Starts one task on each of as many workers; gives where.
+fn start_all(planner: &mut Planner) -> Vec<(TaskKey, RunId, WorkerKey)> {
+    for id in 0..JOBS {
+        add_claimed(planner, &format!("w{id}"));
+        let mut whole = step(1);
+        whole.need = room(4000, 1000);
+        planner.take_job(id, spec(vec![whole]), None, false);
+    }
+    let starts = plan_at(planner, 10);
+    for &(task, run, key) in &starts {
+        planner.start_reply(key, task, run, StartReply::Started);
+    }
+    starts
+}
+
+/// Ends were recorded, and completed shown, seconds late when room for many
+/// tasks appeared at once. That a job has begun is saved, too; the batches were
+/// filled with it in the order of the jobs' ids, and no end counts as recorded
+/// before all of it is saved.
+#[test]
+fn ends_are_saved_before_begins() {
+    let mut planner = planner(1);
+    let starts = start_all(&mut planner);
+    let &(task, run, key) = starts.iter().max_by_key(|start| start.0).expect("starts");
+    let done = listing(vec![], vec![ended(1, task, run, RunEnd::Done)]);
+    planner.take_listing(key, Duration::from_millis(20), &done);
+
+    let first = planner.take_batch(BATCH);
+    let mut jobs = first.jobs.len();
+    while planner.unsaved() {
+        jobs += planner.take_batch(BATCH).jobs.len();
+    }
+
+    let outcome = first.jobs.iter().find(|(id, _)| *id == task.step.job);
+    assert!(outcome.is_some_and(|(_, progress)| progress.outcome.is_some()));
+    assert!(first.ends.contains(&(key, 1)), "its end counts as recorded");
+    assert_eq!(first.jobs.len(), BATCH, "begins take the room that is left");
+    assert_eq!(jobs, 200, "each job is saved once");
+}
+
+/// A job that no worker could take was shown as pending and was missing from
+/// those that wait: it counted as ended when that was decided, and is shown so
+/// only once that is saved. A successor that knows no workers yet lets it wait.
+#[test]
+fn a_refused_job_waits_until_that_is_saved() {
+    let mut planner = planner(1);
+    add_claimed(&mut planner, "w1");
+    plan_at(&mut planner, 10_000);
+    let mut huge = step(1);
+    huge.need = room(64_000, 1);
+    planner.take_job(7, spec(vec![huge]), None, false);
+    plan_at(&mut planner, 20_000);
+    let waiting = |planner: &Planner| planner.count_queue(&queue(2).name).waiting;
+    let before = (planner.shown(7), waiting(&planner));
+    let batch = planner.take_batch(BATCH);
+    planner.batch_saved(&batch);
+
+    let after = (planner.shown(7), waiting(&planner));
+
+    assert_eq!(before, (Some(Shown::Pending), 1));
+    assert_eq!(after, (Some(Shown::Failed), 0));
+}
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -250,6 +250,7 @@
                 .collect(),
         };
         self.planner.take_listing(key, self.now, &listing);
+        self.check_listed(at);
     }
 
     fn plan(&mut self, pick: u8) {
--- a/crates/job/tests/world/shown.rs
+++ b/crates/job/tests/world/shown.rs
@@ -28,6 +28,19 @@
         held.any(|(number, _)| *number == run)
     }
 
+    /// Each job of which a listed worker runs a single task has begun. A cancel
+    /// that comes first ends the job as far as callers are concerned.
+    pub(super) fn check_listed(&self, at: usize) {
+        for task in self.workers[at].running.keys() {
+            let spec = &self.jobs[&task.step.job];
+            let gang = spec.steps[task.step.step as usize].gang;
+            let shown = self.planner.shown(task.step.job);
+            if !gang && !spec.canceled {
+                assert_ne!(shown, Some(Shown::Pending), "{task} runs");
+            }
+        }
+    }
+
     /// No job is shown as active, or left out of those that wait, unless a
     /// worker has begun it.
     pub(super) fn check_shown(&self) {
--- a/crates/site/src/store.rs
+++ b/crates/site/src/store.rs
@@ -27,13 +27,25 @@
 /// Table, part and key.
 type Name = (String, String, String);
 
+/// Which calls a store refuses.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Refuses {
+    /// None.
+    #[default]
+    Nothing,
+    /// All but transactions.
+    Reads,
+    /// Transactions.
+    Writes,
+}
+
 /// What the store does to calls.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreFaults {
     /// Every call is refused with 503.
     pub down: bool,
-    /// Transactions are refused with 503; reads are served.
-    pub read_only: bool,
+    /// Some calls are refused with 503; the others are served.
+    pub refuses: Refuses,
     /// So many of the next transactions are done and not answered.
     pub lose: usize,
     /// Each transaction takes this long.
@@ -270,7 +282,13 @@
         if faults.down {
             return web::error(StatusCode::SERVICE_UNAVAILABLE, "try later");
         }
-        if faults.read_only && asked.path == "/-/rows-tx" {
+        let write = asked.path == "/-/rows-tx";
+        let refused = match faults.refuses {
+            Refuses::Nothing => false,
+            Refuses::Reads => !write,
+            Refuses::Writes => write,
+        };
+        if refused {
             return web::error(StatusCode::SERVICE_UNAVAILABLE, "try later");
         }
         match asked.path.as_str() {
