Split the owner's task by subject: intake, news, load

Change: what becomes of each message, news of jobs and workers, and the pool's load have files of their own; nothing else changes.

Conclusion: one subject a file; no change of behaviour.

--- /dev/null
+++ b/crates/cell/src/owner/load.rs
@@ -0,0 +1,45 @@
+//! The pool's load, for logs and metrics.
+
+use std::time::Duration;
+
+use job::Load;
+
+use super::Pool;
+
+/// Time between two log lines about the pool's load.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+
+impl Pool {
+    /// Logs the pool's load now and then.
+    pub(super) fn report_load(&mut self, now: Duration) {
+        if now < self.reported + REPORT_EVERY {
+            return;
+        }
+        self.reported = now;
+        let load = self.planner.load();
+        self.publish_load(&load);
+        log::info!(
+            code = 370, epoch = self.epoch, usable = load.usable, cpu = load.capacity.cpu,
+            cpu_used = load.used.cpu, memory = load.capacity.memory, memory_used = load.used.memory,
+            placed = load.placed, running = load.running, waiting = load.waiting, steps = load.open,
+            unfinished = load.unfinished; "load of the pool"
+        );
+    }
+
+    fn publish_load(&self, load: &Load) {
+        let pool = &self.context.metrics.pool;
+        let set = |figure: &str, value: u64| {
+            let value = i64::try_from(value).unwrap_or(i64::MAX);
+            pool.with_label_values(&[figure]).set(value);
+        };
+        set("usable", load.usable as u64);
+        set("placed", load.placed as u64);
+        set("running", load.running as u64);
+        set("waiting", load.waiting as u64);
+        set("unfinished", load.unfinished as u64);
+        set("cpu", load.capacity.cpu);
+        set("cpu_used", load.used.cpu);
+        set("memory", load.capacity.memory);
+        set("memory_used", load.used.memory);
+    }
+}
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -2,9 +2,12 @@
 //! links to workers, the writer of progress and the helpers.
 
 mod helpers;
+mod intake;
 mod link;
 mod lives;
+mod load;
 mod messages;
+mod news;
 mod pool;
 mod retention;
 mod roster;
--- /dev/null
+++ b/crates/cell/src/owner/news.rs
@@ -0,0 +1,117 @@
+//! News of jobs and workers: from the store, and from the workers.
+
+use std::collections::HashMap;
+
+use job::JobId;
+use job::JobSpec;
+use job::Progress;
+use job::WorkerKey;
+use platform::Row;
+
+use super::Pool;
+use crate::Change;
+use crate::RosterChange;
+use crate::UsedWorker;
+use crate::WorkerNews;
+use crate::decode_row;
+use crate::metrics::count;
+
+impl Pool {
+    pub(super) fn take_jobs(&mut self, change: Change) {
+        let (Change::Full(rows) | Change::Some(rows)) = change;
+        for row in rows {
+            self.take_job(&row, None);
+        }
+    }
+
+    /// Takes a job's row. `left` is what a predecessor left of all jobs, when
+    /// the row was read at take-over.
+    pub(super) fn take_job(&mut self, row: &Row, left: Option<&HashMap<JobId, Progress>>) {
+        if row.removed {
+            return;
+        }
+        let id = job::parse_job(&row.name.key);
+        let spec = decode_row::<JobSpec>(&row.value);
+        match (id, spec) {
+            (Ok(id), Ok(_)) if self.unreadable.contains(&id) => {}
+            (Ok(id), Ok(_)) if self.retention.outlived(id, row.version) => {}
+            (Ok(id), Ok(spec)) => {
+                let progress = left.and_then(|left| left.get(&id));
+                self.planner.take_job(id, spec, progress, left.is_some());
+            }
+            (_, Err(error)) => {
+                log::error!(code = 334, key = row.name.key.as_str(), error:% = error; "job row unreadable");
+            }
+            (Err(error), _) => {
+                log::error!(code = 334, key = row.name.key.as_str(), error:% = error; "job row unreadable");
+            }
+        }
+    }
+
+    pub(super) fn take_workers(&mut self, change: RosterChange) {
+        for info in change.present {
+            let id = info.id.clone();
+            let used = UsedWorker {
+                service: info.service.clone(),
+                address: info.address,
+                capacity: info.capacity,
+                labels: info.labels.clone(),
+            };
+            if info.draining {
+                log::info!(code = 342, worker = id.as_str(); "worker is leaving");
+            }
+            if self.planner.take_worker(info).is_some() {
+                log::info!(code = 340, worker = id.as_str(), address:% = used.address; "worker registered");
+                self.saver.use_worker(id, used);
+            }
+        }
+        for id in change.gone {
+            log::info!(code = 341, worker = id.as_str(); "worker's registration is gone");
+            self.planner.lose_worker(&id);
+        }
+    }
+
+    pub(super) fn take_news(&mut self, key: WorkerKey, news: WorkerNews) {
+        match news {
+            WorkerNews::LeaseSent => self.planner.lease_sent(key),
+            WorkerNews::Silent => self.planner.worker_silent(key),
+            WorkerNews::Listed(sent, listing) => {
+                if let Some(link) = self.links.get_mut(&key) {
+                    link.set_clock(listing.clock, self.context.now());
+                    link.hear(sent);
+                }
+                if !self.planner.claimed(key) {
+                    log::info!(
+                        code = 343, worker = self.worker_name(key), epoch = self.epoch,
+                        running = listing.running.len(), ended = listing.ended.len();
+                        "worker claimed"
+                    );
+                }
+                let taken = self.planner.newest_end(key);
+                for end in listing.ended.iter().filter(|end| end.number > taken) {
+                    count(&self.context.metrics.ends, &end.how.to_string());
+                    log::info!(
+                        code = 354, task:% = end.task, run = end.run, how:% = end.how,
+                        number = end.number, worker = self.worker_name(key); "task ended"
+                    );
+                }
+                self.planner.take_listing(key, sent, &listing);
+            }
+            WorkerNews::StartAnswered(task, run, reply) => {
+                count(&self.context.metrics.starts, &reply.to_string());
+                self.planner.start_reply(key, task, run, reply);
+            }
+            WorkerNews::StopAnswered(task, run, reply) => {
+                self.planner.stop_reply(key, task, run, reply);
+            }
+            WorkerNews::Fenced => {
+                log::warn!(code = 335, worker = self.worker_name(key), epoch = self.epoch; "worker obeys a newer owner");
+                self.deposed = true;
+            }
+            WorkerNews::Over => {
+                log::info!(code = 344, worker = self.worker_name(key); "worker's life is over");
+                self.planner.worker_over(key);
+            }
+        }
+    }
+}
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -8,13 +8,9 @@
 use job::Config;
 use job::Epoch;
 use job::JobId;
-use job::JobSpec;
-use job::Load;
 use job::Planner;
-use job::Progress;
 use job::WorkerInfo;
 use job::WorkerKey;
-use platform::Row;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
@@ -28,17 +24,11 @@
 use super::takeover::READ_PAUSE;
 use super::takeover::follow_jobs;
 use super::takeover::read_left;
-use crate::Change;
 use crate::Context;
 use crate::Follower;
 use crate::OwnerMessage;
-use crate::OwnerView;
-use crate::RosterChange;
 use crate::UsedWorker;
-use crate::WorkerNews;
 use crate::callers::millis;
-use crate::decode_row;
-use crate::metrics::count;
 
 /// Least time between two rounds of planning: under load, several messages
 /// share one round.
@@ -51,9 +41,6 @@
 /// and renewals are looked after at least this often.
 const TICK: Duration = Duration::from_millis(25);
 
-/// Time between two log lines about the pool's load.
-const REPORT_EVERY: Duration = Duration::from_secs(1);
-
 /// Longest time for the last write of an owner that stops.
 const RELEASE_TIME: Duration = Duration::from_millis(1200);
 
@@ -73,12 +60,12 @@
     pub(super) used: HashSet<String>,
     /// Jobs of which it is not known how far they are: they are left alone.
     /// Taken for jobs that had never begun, they ran again when they were done.
-    unreadable: HashSet<JobId>,
+    pub(super) unreadable: HashSet<JobId>,
     pub(super) standing: Standing,
     config: Option<Arc<Config>>,
     tasks: JoinSet<()>,
     /// When the load was logged last.
-    reported: Duration,
+    pub(super) reported: Duration,
     /// Another process owns the pool.
     pub(super) deposed: bool,
 }
@@ -277,191 +264,6 @@
         self.begin_save(now);
     }
 
-    /// Logs the pool's load now and then.
-    fn report_load(&mut self, now: Duration) {
-        if now < self.reported + REPORT_EVERY {
-            return;
-        }
-        self.reported = now;
-        let load = self.planner.load();
-        self.publish_load(&load);
-        log::info!(
-            code = 370, epoch = self.epoch, usable = load.usable, cpu = load.capacity.cpu,
-            cpu_used = load.used.cpu, memory = load.capacity.memory, memory_used = load.used.memory,
-            placed = load.placed, running = load.running, waiting = load.waiting, steps = load.open,
-            unfinished = load.unfinished; "load of the pool"
-        );
-    }
-
-    fn publish_load(&self, load: &Load) {
-        let pool = &self.context.metrics.pool;
-        let set = |figure: &str, value: u64| {
-            let value = i64::try_from(value).unwrap_or(i64::MAX);
-            pool.with_label_values(&[figure]).set(value);
-        };
-        set("usable", load.usable as u64);
-        set("placed", load.placed as u64);
-        set("running", load.running as u64);
-        set("waiting", load.waiting as u64);
-        set("unfinished", load.unfinished as u64);
-        set("cpu", load.capacity.cpu);
-        set("cpu_used", load.used.cpu);
-        set("memory", load.capacity.memory);
-        set("memory_used", load.used.memory);
-    }
-
-    fn take(&mut self, message: OwnerMessage) {
-        match message {
-            // Without a reply, the caller hears that no owner answers.
-            OwnerMessage::State(id, reply) => {
-                if self.owned() {
-                    // A caller that has left does not need the answer.
-                    let _ = reply.send(self.view(id));
-                }
-            }
-            OwnerMessage::Waiting(queue, reply) => {
-                if self.knows_jobs() {
-                    let _ = reply.send(self.count_queue(&queue));
-                }
-            }
-            OwnerMessage::Help(request, reply) => self.take_help(request, reply),
-            OwnerMessage::Jobs(change, begun) => {
-                self.take_jobs(change);
-                self.standing.read(begun);
-            }
-            OwnerMessage::Accepted(job, reply) => {
-                if !self.unreadable.contains(&job.id) {
-                    self.planner.take_job(job.id, job.spec, None, false);
-                }
-                // A caller's handler that has left needs no answer.
-                let _ = reply.send(());
-            }
-            OwnerMessage::Workers(change) => self.take_workers(change),
-            OwnerMessage::Worker(key, news) => self.take_news(key, news),
-            OwnerMessage::Dead(dead) => self.take_dead(&dead),
-            OwnerMessage::Removed(ids) => self.take_removed(&ids),
-            OwnerMessage::Saved(save, result) => self.take_saved(save, result),
-            OwnerMessage::Guard(result) => self.take_guard(result),
-        }
-    }
-
-    /// Length of a queue, for a caller.
-    fn count_queue(&self, queue: &str) -> usize {
-        let count = self.planner.count_queue(queue);
-        log::info!(
-            code = 372, queue = queue, waiting = count.waiting, ordered = count.ordered,
-            unfinished = count.unfinished, epoch = self.epoch; "queue counted"
-        );
-        count.waiting
-    }
-
-    /// What is known of a job.
-    fn view(&self, id: JobId) -> OwnerView {
-        if self.planner.undecided(id) {
-            return OwnerView::Undecided;
-        }
-        let shown = self.planner.shown(id);
-        shown.map_or(OwnerView::Unknown, OwnerView::Job)
-    }
-
-    fn take_jobs(&mut self, change: Change) {
-        let (Change::Full(rows) | Change::Some(rows)) = change;
-        for row in rows {
-            self.take_job(&row, None);
-        }
-    }
-
-    /// Takes a job's row. `left` is what a predecessor left of all jobs, when
-    /// the row was read at take-over.
-    fn take_job(&mut self, row: &Row, left: Option<&HashMap<JobId, Progress>>) {
-        if row.removed {
-            return;
-        }
-        let id = job::parse_job(&row.name.key);
-        let spec = decode_row::<JobSpec>(&row.value);
-        match (id, spec) {
-            (Ok(id), Ok(_)) if self.unreadable.contains(&id) => {}
-            (Ok(id), Ok(_)) if self.retention.outlived(id, row.version) => {}
-            (Ok(id), Ok(spec)) => {
-                let progress = left.and_then(|left| left.get(&id));
-                self.planner.take_job(id, spec, progress, left.is_some());
-            }
-            (_, Err(error)) => {
-                log::error!(code = 334, key = row.name.key.as_str(), error:% = error; "job row unreadable");
-            }
-            (Err(error), _) => {
-                log::error!(code = 334, key = row.name.key.as_str(), error:% = error; "job row unreadable");
-            }
-        }
-    }
-
-    fn take_workers(&mut self, change: RosterChange) {
-        for info in change.present {
-            let id = info.id.clone();
-            let used = UsedWorker {
-                service: info.service.clone(),
-                address: info.address,
-                capacity: info.capacity,
-                labels: info.labels.clone(),
-            };
-            if info.draining {
-                log::info!(code = 342, worker = id.as_str(); "worker is leaving");
-            }
-            if self.planner.take_worker(info).is_some() {
-                log::info!(code = 340, worker = id.as_str(), address:% = used.address; "worker registered");
-                self.saver.use_worker(id, used);
-            }
-        }
-        for id in change.gone {
-            log::info!(code = 341, worker = id.as_str(); "worker's registration is gone");
-            self.planner.lose_worker(&id);
-        }
-    }
-
-    fn take_news(&mut self, key: WorkerKey, news: WorkerNews) {
-        match news {
-            WorkerNews::LeaseSent => self.planner.lease_sent(key),
-            WorkerNews::Silent => self.planner.worker_silent(key),
-            WorkerNews::Listed(sent, listing) => {
-                if let Some(link) = self.links.get_mut(&key) {
-                    link.set_clock(listing.clock, self.context.now());
-                    link.hear(sent);
-                }
-                if !self.planner.claimed(key) {
-                    log::info!(
-                        code = 343, worker = self.worker_name(key), epoch = self.epoch,
-                        running = listing.running.len(), ended = listing.ended.len();
-                        "worker claimed"
-                    );
-                }
-                let taken = self.planner.newest_end(key);
-                for end in listing.ended.iter().filter(|end| end.number > taken) {
-                    count(&self.context.metrics.ends, &end.how.to_string());
-                    log::info!(
-                        code = 354, task:% = end.task, run = end.run, how:% = end.how,
-                        number = end.number, worker = self.worker_name(key); "task ended"
-                    );
-                }
-                self.planner.take_listing(key, sent, &listing);
-            }
-            WorkerNews::StartAnswered(task, run, reply) => {
-                count(&self.context.metrics.starts, &reply.to_string());
-                self.planner.start_reply(key, task, run, reply);
-            }
-            WorkerNews::StopAnswered(task, run, reply) => {
-                self.planner.stop_reply(key, task, run, reply);
-            }
-            WorkerNews::Fenced => {
-                log::warn!(code = 335, worker = self.worker_name(key), epoch = self.epoch; "worker obeys a newer owner");
-                self.deposed = true;
-            }
-            WorkerNews::Over => {
-                log::info!(code = 344, worker = self.worker_name(key); "worker's life is over");
-                self.planner.worker_over(key);
-            }
-        }
-    }
-
     pub(super) fn worker_name(&self, key: WorkerKey) -> &str {
         self.planner.worker(key).map_or("", |info| info.id.as_str())
     }
