An owner renews while it reads what its predecessor left

Cause: the site at its small size (links of 2 Mbit/s): after the owner was cut off, 36 take-overs in a row started nothing. Reading 500 jobs took 2.3 to 3.9 s, an ownership lasts 1.2 s without renewal, and an owner renewed only once it had read everything. Pages that share a thin link also ran out of time together. Change: renewals beside the reads, for 20 s at most; pages of these reads are tried again with twice the time, up to 6 s.

--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use platform::Patience;
 use platform::Row;
 use platform::Store;
 use platform::StoreError;
@@ -14,6 +15,12 @@
 /// Time for each page of a full read.
 const READ_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// The same where much is read, by an owner that renews meanwhile.
+pub(crate) const LONG_READ: Patience = Patience {
+    first: READ_TIMEOUT,
+    most: Duration::from_secs(6),
+};
+
 /// What has become known of a table.
 #[derive(Debug)]
 pub enum Change {
@@ -31,6 +38,7 @@
     /// All parts, or only the unnamed one.
     parts: bool,
     after: Option<Version>,
+    patience: Patience,
 }
 
 impl Follower {
@@ -43,6 +51,15 @@
             table,
             parts,
             after: None,
+            patience: Patience::once(READ_TIMEOUT),
+        }
+    }
+
+    /// Waits longer for full reads, see [`LONG_READ`].
+    pub(crate) fn patient(self) -> Follower {
+        Follower {
+            patience: LONG_READ,
+            ..self
         }
     }
 
@@ -70,9 +87,9 @@
 
     async fn read(&mut self) -> Result<Change, StoreError> {
         let rows = if self.parts {
-            self.store.table(self.table, READ_TIMEOUT).await?
+            self.store.table(self.table, self.patience).await?
         } else {
-            self.store.part(self.table, "", READ_TIMEOUT).await?
+            self.store.part(self.table, "", self.patience).await?
         };
         self.after = Some(rows.version);
         Ok(Change::Full(rows.rows))
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -24,7 +24,7 @@
 use super::standing::Standing;
 use super::takeover::READ_PAUSE;
 use super::takeover::follow_jobs;
-use super::takeover::read_left;
+use super::takeover::take_over;
 use crate::Context;
 use crate::Follower;
 use crate::OwnerMessage;
@@ -88,10 +88,11 @@
                 return None;
             }
             let reading = context.now();
-            match read_left(&context, &mut saver).await {
+            match take_over(&context, &mut saver).await {
                 Ok(Some(left)) => {
                     let workers = left.used.iter().map(|(id, _)| id.clone());
-                    let tenure = Tenure::new(reading, workers);
+                    let mut tenure = Tenure::new(reading, workers);
+                    tenure.wrote(saver.written());
                     break (left, Standing::new(reading, tenure));
                 }
                 Ok(None) => return None,
--- a/crates/cell/src/owner/saver.rs
+++ b/crates/cell/src/owner/saver.rs
@@ -15,6 +15,7 @@
 use platform::StoreError;
 use platform::Transaction;
 use platform::Version;
+use tokio::sync::oneshot;
 
 use super::Pool;
 use super::WorkerRows;
@@ -49,6 +50,11 @@
 /// Most workers whose rows are written or removed in one transaction.
 const MOST_WORKERS: usize = 35;
 
+/// Longest time for which an owner renews that still reads what its predecessor
+/// left. A megabyte takes 4 s on a link of 2 Mbit/s; a host that has not read all by
+/// then leaves the pool to another.
+const TAKE_OVER_LIMIT: Duration = Duration::from_secs(20);
+
 /// Time for one transaction; a slow store takes up to 1.2 s.
 const SAVE_TIMEOUT: Duration = Duration::from_millis(1600);
 
@@ -66,6 +72,8 @@
     /// No transaction before this time.
     after: Duration,
     renewed: Duration,
+    /// When the newest renewal of the take-over began that was done.
+    written: Duration,
     workers: WorkerRows,
     giving_up: bool,
     released: bool,
@@ -80,7 +88,8 @@
             beat: 0,
             busy: false,
             after: Duration::ZERO,
-            renewed: Duration::ZERO,
+            renewed: context.now(),
+            written: Duration::ZERO,
             workers: WorkerRows::default(),
             giving_up: false,
             released: false,
@@ -94,6 +103,46 @@
         Ok(version.is_some())
     }
 
+    /// Renews the ownership until `reading` is closed, for [`TAKE_OVER_LIMIT`] at
+    /// most. False if the pool belongs to another.
+    pub(super) async fn renew_until(&mut self, mut reading: oneshot::Receiver<()>) -> bool {
+        let end = self.context.now() + TAKE_OVER_LIMIT;
+        loop {
+            tokio::select! {
+                _ = &mut reading => return true,
+                () = tokio::time::sleep(RENEW_EVERY) => {}
+            }
+            let now = self.context.now();
+            if now < end && !self.renew(now).await {
+                return false;
+            }
+        }
+    }
+
+    /// Renews the ownership; false if the pool belongs to another.
+    async fn renew(&mut self, now: Duration) -> bool {
+        let transaction = self.transaction(&mut Save::default(), now);
+        match self.context.store.commit(&transaction, SAVE_TIMEOUT).await {
+            Ok(Committed::Done(version)) => {
+                self.guard = version;
+                self.renewed = now;
+                self.written = now;
+                true
+            }
+            // By an earlier renewal without an answer, or by a successor.
+            Ok(Committed::Conflict) => self.read_guard().await.unwrap_or(true),
+            Err(error) => {
+                log::warn!(code = 308, epoch = self.epoch, error:% = error; "no renewal while reading");
+                true
+            }
+        }
+    }
+
+    /// When the newest renewal of the take-over began that was done.
+    pub(super) fn written(&self) -> Duration {
+        self.written
+    }
+
     /// A worker is about to be used: it gets a row first, so that a successor
     /// knows whom to ask.
     pub(crate) fn use_worker(&mut self, id: String, worker: UsedWorker) {
--- a/crates/cell/src/owner/takeover.rs
+++ b/crates/cell/src/owner/takeover.rs
@@ -10,12 +10,14 @@
 use platform::StoreError;
 use prometheus::IntCounterVec;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 
 use super::Saver;
 use crate::Change;
 use crate::Context;
 use crate::Follower;
 use crate::JOB_TABLE;
+use crate::LONG_READ;
 use crate::OWNER_PART;
 use crate::OwnerMessage;
 use crate::PROGRESS_TABLE;
@@ -25,9 +27,6 @@
 use crate::decode_used;
 use crate::metrics::count;
 
-/// Time for each page of the reads at take-over.
-const READ_TIMEOUT: Duration = Duration::from_millis(1500);
-
 /// Pause after a failed read.
 pub(super) const READ_PAUSE: Duration = Duration::from_millis(100);
 
@@ -51,19 +50,36 @@
     pub(super) used_unreadable: usize,
 }
 
-/// Reads the rows of the owner's part; nothing if the pool is not ours. The
-/// guard is read first: from then on no predecessor can write.
-pub(super) async fn read_left(
+/// Reads what a predecessor left and renews the ownership meanwhile; nothing if
+/// the pool is not ours. The guard is read first: from then on no predecessor can
+/// write.
+///
+/// On a thin link the reads take seconds. Without renewals the pool was taken by
+/// the next host before they had ended, whose reads took as long: 36 take-overs in
+/// a row started nothing. It shows as `pool opened` and `pool lost` in turn.
+pub(super) async fn take_over(
     context: &Context,
     saver: &mut Saver,
 ) -> Result<Option<Left>, StoreError> {
     if !saver.read_guard().await? {
         return Ok(None);
     }
+    let (done, reading) = oneshot::channel::<()>();
+    let read = async move {
+        let left = read_left(context).await;
+        drop(done);
+        left
+    };
+    let (left, ours) = tokio::join!(read, saver.renew_until(reading));
+    if ours { left.map(Some) } else { Ok(None) }
+}
+
+/// Reads the rows of the owner's part, and all jobs.
+async fn read_left(context: &Context) -> Result<Left, StoreError> {
     let store = &context.store;
-    let progress = store.part(PROGRESS_TABLE, OWNER_PART, READ_TIMEOUT).await?;
-    let used = store.part(USED_TABLE, OWNER_PART, READ_TIMEOUT).await?;
-    let mut follower = Follower::new(store, JOB_TABLE, true);
+    let progress = store.part(PROGRESS_TABLE, OWNER_PART, LONG_READ).await?;
+    let used = store.part(USED_TABLE, OWNER_PART, LONG_READ).await?;
+    let mut follower = Follower::new(store, JOB_TABLE, true).patient();
     let (Change::Full(jobs) | Change::Some(jobs)) = follower.next(Duration::ZERO).await?;
     let mut left = Left {
         jobs,
@@ -80,7 +96,7 @@
     for row in &used.rows {
         left.take_used(row, unreadable);
     }
-    Ok(Some(left))
+    Ok(left)
 }
 
 impl Left {
