--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -21,6 +21,12 @@
     most: Duration::from_secs(6),
 };
 
+/// Rows from which on an answer of the feed may have left some out; the store gives
+/// 500 at most. Read no further until the next turn 0.4 s later, the feed of 3,000
+/// workers, which write 2,000 rows a second, fell behind by ten seconds: workers
+/// that were leaving went on getting work.
+const FULL_PAGE: usize = 250;
+
 /// What has become known of a table.
 #[derive(Debug)]
 pub enum Change {
@@ -75,7 +81,12 @@
         match self.store.feed(self.table, after, wait, FEED_TIMEOUT).await {
             Ok(rows) => {
                 self.after = Some(rows.version.max(after));
-                Ok(Change::Some(rows.rows))
+                let mut full = rows.rows.len() >= FULL_PAGE;
+                let mut rows = rows.rows;
+                while full {
+                    full = self.append(&mut rows).await;
+                }
+                Ok(Change::Some(rows))
             }
             Err(StoreError::Forgotten) => {
                 log::info!(code = 310, table = self.table, after = after; "store history dropped, reading all");
@@ -85,6 +96,20 @@
         }
     }
 
+    /// Reads on after a full answer; gives whether this one was full, too. What it
+    /// cannot read is left to the next call.
+    async fn append(&mut self, rows: &mut Vec<Row>) -> bool {
+        let after = self.after.unwrap_or_default();
+        let feed = self
+            .store
+            .feed(self.table, after, Duration::ZERO, FEED_TIMEOUT);
+        let Ok(more) = feed.await else { return false };
+        self.after = Some(more.version.max(after));
+        let full = more.rows.len() >= FULL_PAGE;
+        rows.extend(more.rows);
+        full
+    }
+
     async fn read(&mut self) -> Result<Change, StoreError> {
         let rows = if self.parts {
             self.store.table(self.table, self.patience).await?
--- a/crates/cell/src/owner/intake.rs
+++ b/crates/cell/src/owner/intake.rs
@@ -43,8 +43,9 @@
     }
 
     /// Length of a queue, for a caller.
-    fn count_queue(&self, queue: &str) -> usize {
-        let count = self.planner.count_queue(queue);
+    fn count_queue(&mut self, queue: &str) -> usize {
+        let now = self.context.now();
+        let count = self.counts.of(queue, now, &self.planner);
         log::info!(
             code = 372, queue = queue, waiting = count.waiting, ordered = count.ordered,
             unfinished = count.unfinished, epoch = self.epoch; "queue counted"
--- a/crates/cell/src/owner/link.rs
+++ b/crates/cell/src/owner/link.rs
@@ -1,6 +1,7 @@
 //! The link to one worker: renews its lease and listens for ends.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use job::Epoch;
@@ -9,6 +10,7 @@
 use job::WorkerKey;
 use platform::Hold;
 use platform::Ordered;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -17,12 +19,6 @@
 use crate::OwnerMessage;
 use crate::WorkerNews;
 
-/// Longest wait of the worker for an end: also the time between renewals. A call
-/// that is left unanswered hides the worker's ends until it is given up. With
-/// 1 s here and 0.5 s below, ends came to light up to 1.7 s late; lookups that
-/// failed on three days with a third of all orders unanswered 705, with this 346.
-const HOLD_WAIT: Duration = Duration::from_millis(400);
-
 /// Time for the worker's answer beyond that wait; it usually takes 5 ms.
 const HOLD_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -48,6 +44,22 @@
     }
 }
 
+/// Workers that are claimed at the same time. An owner that takes 3,000 workers over
+/// claimed all at once: its own renewals waited behind them for 1.2 s, and the pool was
+/// lost as soon as it was open, again and again.
+pub(crate) const CLAIMS: usize = 128;
+
+/// What all links of an owner follow.
+#[derive(Clone, Debug)]
+pub(crate) struct LinkPace {
+    /// Until when leases may be renewed.
+    pub(crate) tenure: watch::Receiver<Duration>,
+    /// How long a worker is to wait for an end.
+    pub(crate) wait: watch::Receiver<Duration>,
+    /// Permits to claim a worker, [`CLAIMS`] of them.
+    pub(crate) claims: Arc<Semaphore>,
+}
+
 /// The owner's end of a link.
 pub(crate) struct Link {
     /// Where the worker takes orders.
@@ -69,7 +81,7 @@
         info: &WorkerInfo,
         epoch: Epoch,
         sender: mpsc::Sender<OwnerMessage>,
-        tenure: watch::Receiver<Duration>,
+        pace: LinkPace,
     ) -> Link {
         let (seen, seen_rx) = watch::channel(0);
         let holder = Holder {
@@ -80,7 +92,7 @@
             epoch,
             lease: context.settings.policy().lease,
             sender,
-            tenure,
+            pace,
             seen: seen_rx,
             clock: None,
             renews: false,
@@ -139,8 +151,7 @@
     epoch: Epoch,
     lease: Duration,
     sender: mpsc::Sender<OwnerMessage>,
-    /// Until when leases may be renewed.
-    tenure: watch::Receiver<Duration>,
+    pace: LinkPace,
     seen: watch::Receiver<u64>,
     clock: Option<ClockGuess>,
     /// The worker answered the last call, so the next one renews its lease.
@@ -154,9 +165,12 @@
 impl Holder {
     async fn run(mut self) {
         let mut reached = true;
+        // Fails only if the semaphore is closed, which nobody does.
+        let mut permit = self.pace.claims.clone().acquire_owned().await.ok();
         loop {
             let sent = self.context.now();
             let answer = self.hold(sent).await;
+            permit.take();
             let failed = match answer {
                 Ordered::Done(listing) => {
                     self.take(sent, listing).await;
@@ -191,11 +205,11 @@
         let seen = *self.seen.borrow_and_update();
         let kept = self.listed > seen;
         let clock = self.clock.filter(|_| self.renews);
-        let tenured = sent < *self.tenure.borrow();
+        let tenured = sent < *self.pace.tenure.borrow();
         let wait = if kept || clock.is_none() {
             Duration::ZERO
         } else {
-            HOLD_WAIT
+            *self.pace.wait.borrow()
         };
         let hold = Hold {
             epoch: self.epoch,
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -1,7 +1,9 @@
 //! The owner of the pool: one task that holds the planner, and around it the
 //! links to workers, the writer of progress and the helpers.
 
+mod counts;
 mod helpers;
+mod hold_pace;
 mod intake;
 mod link;
 mod lives;
@@ -18,11 +20,15 @@
 mod takeover;
 mod worker_rows;
 
+pub use hold_pace::hold_wait;
 pub use messages::*;
 pub use supervise::*;
 
+pub(crate) use counts::Counts;
 pub(crate) use helpers::Helpers;
+pub(crate) use link::CLAIMS;
 pub(crate) use link::Link;
+pub(crate) use link::LinkPace;
 pub(crate) use lives::LifeCheck;
 pub(crate) use pool::Pool;
 pub(crate) use retention::Retention;
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -12,15 +12,21 @@
 use job::Tenure;
 use job::WorkerInfo;
 use job::WorkerKey;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use super::CLAIMS;
+use super::Counts;
 use super::Helpers;
 use super::LifeCheck;
 use super::Link;
+use super::LinkPace;
 use super::Retention;
 use super::Saver;
 use super::follow_workers;
+use super::hold_wait;
 use super::standing::Standing;
 use super::takeover::READ_PAUSE;
 use super::takeover::follow_jobs;
@@ -42,6 +48,10 @@
 /// and renewals are looked after at least this often.
 const TICK: Duration = Duration::from_millis(25);
 
+/// Answers to writes that wait: one write is under way at a time, and one read of
+/// the guard.
+const RESULT_QUEUE: usize = 4;
+
 /// Part of the grace of a planned stop within which an owner tries to give the
 /// pool up: a slow store takes up to 1.2 s for a write, and one may be under way.
 const RELEASE_SHARE: f64 = 0.5;
@@ -53,6 +63,10 @@
     pub(super) planner: Planner,
     pub(super) sender: mpsc::Sender<OwnerMessage>,
     messages: mpsc::Receiver<OwnerMessage>,
+    /// Answers to the owner's writes, which go before all other messages: behind
+    /// those of 3,000 links, renewals were a second apart.
+    results: mpsc::Receiver<OwnerMessage>,
+    pub(super) result_sender: mpsc::Sender<OwnerMessage>,
     pub(super) links: HashMap<WorkerKey, Link>,
     pub(super) saver: Saver,
     pub(super) helpers: Helpers,
@@ -64,6 +78,10 @@
     /// Taken for jobs that had never begun, they ran again when they were done.
     pub(super) unreadable: HashSet<JobId>,
     pub(super) standing: Standing,
+    pub(super) counts: Counts,
+    /// How long each worker is to wait for an end.
+    holds: watch::Sender<Duration>,
+    claims: Arc<Semaphore>,
     config: Option<Arc<Config>>,
     tasks: JoinSet<()>,
     /// When the load was logged last.
@@ -105,7 +123,10 @@
         let wall = context.wall().saturating_sub(context.now());
         let policy = context.settings.policy();
         let planner = Planner::new(policy, epoch, context.now(), wall);
+        let (result_sender, results) = mpsc::channel(RESULT_QUEUE);
         let mut pool = Pool {
+            results,
+            result_sender,
             planner,
             epoch,
             sender,
@@ -118,6 +139,9 @@
             used: HashSet::new(),
             unreadable: left.unreadable,
             standing,
+            counts: Counts::default(),
+            holds: watch::Sender::new(hold_wait(0, 1.0, 1.0)),
+            claims: Arc::new(Semaphore::new(CLAIMS)),
             config: None,
             tasks: JoinSet::new(),
             reported: Duration::ZERO,
@@ -172,12 +196,26 @@
         let Some(info) = self.planner.worker(key) else {
             return;
         };
-        let tenure = self.standing.follow_tenure();
+        let pace = LinkPace {
+            tenure: self.standing.follow_tenure(),
+            wait: self.holds.subscribe(),
+            claims: self.claims.clone(),
+        };
         let sender = self.sender.clone();
-        let link = Link::open(&self.context, key, info, self.epoch, sender, tenure);
+        let link = Link::open(&self.context, key, info, self.epoch, sender, pace);
         self.links.insert(key, link);
     }
 
+    fn publish_holds(&self) {
+        let settings = &self.context.settings;
+        let wait = hold_wait(self.links.len(), settings.cores, settings.link_mbps);
+        self.holds.send_if_modified(|known| {
+            let changed = *known != wait;
+            *known = wait;
+            changed
+        });
+    }
+
     /// Owns the pool until it is lost or the process stops.
     pub(crate) async fn run(mut self) {
         if self.own().await {
@@ -205,6 +243,10 @@
             let now = self.context.now();
             let wake = if pending { next_plan } else { now + TICK };
             tokio::select! {
+                message = self.results.recv() => {
+                    self.take_all(message);
+                    pending = true;
+                }
                 message = self.messages.recv() => {
                     self.take_all(message);
                     pending = true;
@@ -239,7 +281,8 @@
             // and the worker was booked over its capacity.
             self.planner.advance(self.context.now());
             self.take(message);
-            next = self.messages.try_recv().ok();
+            let first = self.results.try_recv();
+            next = first.or_else(|_| self.messages.try_recv()).ok();
         }
     }
 
@@ -254,6 +297,7 @@
         }
         self.check_standing(now);
         self.publish_tenure(now);
+        self.publish_holds();
         self.planner.advance(now);
         let recovering = self.planner.recovering();
         if self.owned() {
@@ -295,10 +339,13 @@
             }
             self.round(now);
             let next = self.context.now() + PLAN_GAP;
-            match tokio::time::timeout(TICK, self.messages.recv()).await {
-                Ok(message) => self.take_all(message),
-                Err(_) => self.planner.advance(self.context.now()),
-            }
+            let message = tokio::select! {
+                message = self.results.recv() => message,
+                message = self.messages.recv() => message,
+                () = tokio::time::sleep(TICK) => None,
+            };
+            self.planner.advance(self.context.now());
+            self.take_all(message);
             let rest = next.saturating_sub(self.context.now());
             tokio::time::sleep(rest).await;
         }
--- a/crates/cell/src/owner/saver.rs
+++ b/crates/cell/src/owner/saver.rs
@@ -236,7 +236,7 @@
         self.saver.busy = true;
         self.saver.after = now + SAVE_GAP;
         let context = self.context.clone();
-        let sender = self.sender.clone();
+        let sender = self.result_sender.clone();
         tokio::spawn(async move {
             let commit = context.store.commit(&transaction, SAVE_TIMEOUT);
             let result = context.until_regained(commit).await;
@@ -325,7 +325,7 @@
     /// was lost, or by a successor.
     fn check_guard(&self) {
         let context = self.context.clone();
-        let sender = self.sender.clone();
+        let sender = self.result_sender.clone();
         let epoch = self.epoch;
         tokio::spawn(async move {
             let result = find_guard(&context, epoch).await;
--- a/crates/cell/src/seat.rs
+++ b/crates/cell/src/seat.rs
@@ -56,9 +56,9 @@
 /// Time for the transaction that takes the pool; a slow store takes up to 1.2 s.
 const TAKE_TIMEOUT: Duration = Duration::from_millis(1600);
 
-/// Hosts try to take a free pool one after the other, this far apart, so that
-/// seven of eight do not write in vain.
-const STAGGER: Duration = Duration::from_millis(25);
+/// Hosts try to take a free pool one after the other within this time. A write and
+/// its read take 12 ms: of 8 hosts one writes, of 300 some twenty.
+const STAGGER: Duration = Duration::from_millis(200);
 
 /// A host with less of a core than this takes the pool only if no larger one
 /// does: owning 350 workers peaks at 0.2 to 0.3 of a core.
@@ -67,8 +67,8 @@
 /// Wait of such a host for the larger ones.
 const SMALL_WAIT: Duration = Duration::from_millis(400);
 
-/// Hosts that are told apart by the stagger.
-const STAGGERED: u64 = 8;
+/// Places within the stagger.
+const PLACES: u32 = 1024;
 
 /// Who owns the pool, as far as this process knows.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -123,8 +123,11 @@
                 Ok(Change::Full(rows) | Change::Some(rows)) => self.take_rows(&rows),
                 Err(error) => self.feed_failed(&error).await,
             }
-            if self.free() && !self.context.stopping() && self.confirmed().await {
-                self.take().await;
+            if self.free() && !self.context.stopping() {
+                tokio::time::sleep(self.stagger()).await;
+                if self.confirmed().await {
+                    self.take().await;
+                }
             }
         }
     }
@@ -263,8 +266,13 @@
         seat.released && !mine || former || expired && !mine
     }
 
-    /// Reads the row once more before the pool is taken for want of renewals:
-    /// the feed may have hung, or the store may be slow.
+    /// Reads the row once more before the pool is taken: the feed may have hung, the
+    /// store may be slow, or another host was faster.
+    ///
+    /// Read before the stagger alone, the row was out of date by the time of the
+    /// write: of 299 hosts most wrote in vain, up to 100 of these writes waited in
+    /// the owner's part of the store, the new owner's renewals behind them, and the
+    /// pool was free again: 12 times in 30 s.
     async fn confirmed(&mut self) -> bool {
         let begin = self.context.now();
         let store = &self.context.store;
@@ -283,7 +291,6 @@
     }
 
     async fn take(&mut self) {
-        tokio::time::sleep(self.stagger()).await;
         let view = self.view.borrow().clone();
         let epoch = self.newest_epoch().await + 1;
         let seat = Seat {
@@ -319,11 +326,11 @@
     }
 
     fn stagger(&self) -> Duration {
-        let name = self.context.settings.node.bytes();
-        let hash = name.fold(0u64, |hash, byte| hash.wrapping_mul(31) + u64::from(byte));
-        let place = u32::try_from(hash % STAGGERED).unwrap_or(0);
+        // Names differ in their last digits; sums of their bytes lay side by side.
+        let hash = xxhash_rust::xxh3::xxh3_64(self.context.settings.node.as_bytes());
+        let place = u32::try_from(hash % u64::from(PLACES)).unwrap_or(0);
         let small = self.context.settings.cores < OWNER_CORES;
         let last = if small { SMALL_WAIT } else { Duration::ZERO };
-        STAGGER * place + last
+        STAGGER * place / PLACES + last
     }
 }
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -59,6 +59,9 @@
     pub peers: Peers,
     /// Cores of the host, or the part of one that it has.
     pub cores: f64,
+    /// Bandwidth of the host's link, in megabits a second.
+    #[serde(default = "usual_link")]
+    pub link_mbps: f64,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Address of the service that knows which workers may run a step; empty
@@ -84,6 +87,11 @@
 /// of a worker that died silently start again soon.
 const LEASE_SHARE: f64 = 0.75;
 
+/// Link of a host whose settings do not tell it, in megabits a second.
+fn usual_link() -> f64 {
+    1000.0
+}
+
 impl CellSettings {
     /// Path of the settings file from the environment.
     ///
--- a/crates/cell/tests/context.rs
+++ b/crates/cell/tests/context.rs
@@ -29,6 +29,7 @@
         },
         peers: Peers { first_port: 1 },
         cores: 1.0,
+        link_mbps: 1000.0,
         store: address,
         advice: String::new(),
         machines: String::new(),
--- /dev/null
+++ b/crates/cell/tests/feed.rs
@@ -0,0 +1,37 @@
+//! A feed that brings more than one answer holds.
+
+use std::time::Duration;
+
+use cell::Change;
+use cell::Follower;
+use platform::Store;
+use site::StoreStand;
+use site::serve;
+use tokio::sync::watch;
+use web::Client;
+
+const TABLE: &str = "servers";
+
+/// Symptom: workers that were leaving went on getting work for ten seconds. Sequence:
+/// 3,000 workers write 2,000 rows a second; an answer of the feed holds 500; the owner
+/// reads one each 0.4 s and falls behind. Cause: it did not read on after a full one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_feed_is_read_until_its_answers_are_not_full() {
+    let stand = StoreStand::new();
+    let (_stop, stopped) = watch::channel(false);
+    let address = serve(stand.clone(), &stopped).await;
+    let store = Store::new(Client::new(Duration::from_secs(1)), address);
+    let mut follower = Follower::new(&store, TABLE, false);
+    let first = follower.next(Duration::ZERO).await.expect("full read");
+    for nth in 0..1200 {
+        stand.write_row(TABLE, "", &format!("w{nth:04}"), b"{}");
+    }
+
+    let change = follower.next(Duration::ZERO).await.expect("changes");
+
+    assert!(matches!(first, Change::Full(rows) if rows.is_empty()));
+    let Change::Some(rows) = change else {
+        panic!("not a change");
+    };
+    assert_eq!(rows.len(), 1200);
+}
--- a/crates/cell/tests/thin_links.rs
+++ b/crates/cell/tests/thin_links.rs
@@ -20,7 +20,7 @@
     caller.submit(&cell.servers(), path, &job(4, "1500")).await;
     let owner = cell.wait_owner(|_| true).await;
     cell.store.set_faults(StoreFaults {
-        slow_rows: Some(("jobs", Duration::from_millis(2000))),
+        slow_rows: Some(("jobs", Duration::from_secs(2))),
         ..StoreFaults::default()
     });
 
--- a/crates/site/src/store.rs
+++ b/crates/site/src/store.rs
@@ -24,6 +24,9 @@
 
 use crate::Act;
 
+/// Most rows in one answer of the feed.
+const FEED_ROWS: usize = 500;
+
 /// Table, part and key.
 type Name = (String, String, String);
 
@@ -67,6 +70,8 @@
     /// Changes up to this version are forgotten.
     forgotten: u64,
     faults: StoreFaults,
+    /// Transactions that were asked for, by the tables of their conditions.
+    asked: BTreeMap<String, usize>,
     /// What happens to the next transactions on a table.
     script: (String, VecDeque<Act>),
 }
@@ -113,6 +118,21 @@
         self.version.send_replace(version);
     }
 
+    /// How many transactions were asked for that are conditional on rows of a table.
+    pub fn asked(&self, table: &str) -> usize {
+        self.lock().asked.get(table).copied().unwrap_or(0)
+    }
+
+    fn note_conditions(&self, body: &Value) {
+        let conditions = list(body, "precondition");
+        let tables = conditions.iter().filter_map(|row| row["table"].as_str());
+        let tables: BTreeSet<String> = tables.map(str::to_owned).collect();
+        let mut rows = self.lock();
+        for table in tables {
+            *rows.asked.entry(table).or_default() += 1;
+        }
+    }
+
     /// What the script says of a transaction.
     fn scripted(&self, body: &Value) -> Option<Act> {
         let mut rows = self.lock();
@@ -256,14 +276,19 @@
             return Some(web::error(StatusCode::GONE, "forgotten"));
         }
         let changes = rows.changes.iter();
-        let found: Vec<Value> = changes
+        let found: Vec<(u64, Value)> = changes
             .filter(|(version, name, _)| *version > after && name.0 == table)
-            .map(|(version, name, value)| row_json(name, value.as_ref(), *version))
+            .take(FEED_ROWS)
+            .map(|(version, name, value)| (*version, row_json(name, value.as_ref(), *version)))
             .collect();
         if found.is_empty() && !empty {
             return None;
         }
-        let body = json!({"rows": found, "ver": rows.version, "now_ms": 0});
+        // A full answer goes as far as its last row.
+        let last = found.last().filter(|_| found.len() == FEED_ROWS);
+        let version = last.map_or(rows.version, |(version, _)| *version);
+        let found: Vec<Value> = found.into_iter().map(|(_, row)| row).collect();
+        let body = json!({"rows": found, "ver": version, "now_ms": 0});
         Some(web::json(StatusCode::OK, &body))
     }
 }
@@ -299,6 +324,7 @@
         match asked.path.as_str() {
             "/-/rows-tx" => {
                 let body: Value = serde_json::from_slice(&asked.body).unwrap_or_default();
+                self.note_conditions(&body);
                 if let Some(act) = self.scripted(&body) {
                     if act.done {
                         self.transact(&body);
