A host that has to stop while it reads gives the pool up

Since an owner renews while it reads, a host that is asked to stop in that time held the pool until it had read everything. Change: it gives the pool up at once, also if it has not begun to read.

--- a/crates/cell/src/owner/saver.rs
+++ b/crates/cell/src/owner/saver.rs
@@ -104,13 +104,19 @@
     }
 
     /// Renews the ownership until `reading` is closed, for [`TAKE_OVER_LIMIT`] at
-    /// most. False if the pool belongs to another.
+    /// most. False if the pool belongs to another, or was given up since the process
+    /// has to stop: held until all was read, it stood idle for as long.
     pub(super) async fn renew_until(&mut self, mut reading: oneshot::Receiver<()>) -> bool {
         let end = self.context.now() + TAKE_OVER_LIMIT;
         loop {
             tokio::select! {
                 _ = &mut reading => return true,
                 () = tokio::time::sleep(RENEW_EVERY) => {}
+                () = self.context.stopped() => {
+                    self.give_up();
+                    self.renew(self.context.now()).await;
+                    return false;
+                }
             }
             let now = self.context.now();
             if now < end && !self.renew(now).await {
@@ -121,7 +127,10 @@
 
     /// Renews the ownership; false if the pool belongs to another.
     async fn renew(&mut self, now: Duration) -> bool {
-        let transaction = self.transaction(&mut Save::default(), now);
+        let mut save = Save::default();
+        // Nothing was taken in yet, so no end is left unsaved.
+        save.batch.ends_complete = true;
+        let transaction = self.transaction(&mut save, now);
         match self.context.store.commit(&transaction, SAVE_TIMEOUT).await {
             Ok(Committed::Done(version)) => {
                 self.guard = version;
--- a/crates/cell/src/owner/supervise.rs
+++ b/crates/cell/src/owner/supervise.rs
@@ -12,11 +12,13 @@
 /// Sender to the owner in this process, while there is one.
 pub type OwnerSlot = watch::Sender<Option<mpsc::Sender<OwnerMessage>>>;
 
-/// Opens the pool whenever it is ours, until the process stops.
+/// Opens the pool whenever it is ours, until the process stops. One that was taken
+/// just before is opened all the same, which gives it up at once: else it would be
+/// free only when the ownership has run out.
 pub async fn supervise_owner(context: Context, slot: OwnerSlot) {
     let mut seat = context.seat.clone();
     let mut served: Epoch = 0;
-    while !context.stopping() {
+    loop {
         let epoch = seat
             .borrow_and_update()
             .owner()
@@ -39,6 +41,9 @@
             }
             continue;
         }
+        if context.stopping() {
+            return;
+        }
         tokio::select! {
             changed = seat.changed() => if changed.is_err() { return },
             () = context.stopped() => return,
--- a/crates/cell/src/owner/takeover.rs
+++ b/crates/cell/src/owner/takeover.rs
@@ -70,8 +70,15 @@
         drop(done);
         left
     };
-    let (left, ours) = tokio::join!(read, saver.renew_until(reading));
-    if ours { left.map(Some) } else { Ok(None) }
+    tokio::pin!(read);
+    let renewals = saver.renew_until(reading);
+    tokio::pin!(renewals);
+    tokio::select! {
+        biased;
+        // Not ours any more: what is still being read is of no use.
+        ours = &mut renewals => if ours { read.await.map(Some) } else { Ok(None) },
+        left = &mut read => if renewals.await { left.map(Some) } else { Ok(None) },
+    }
 }
 
 /// Reads the rows of the owner's part, and all jobs.
--- a/crates/cell/src/seat.rs
+++ b/crates/cell/src/seat.rs
@@ -125,7 +125,7 @@
             }
             if self.free() && !self.context.stopping() {
                 tokio::time::sleep(self.stagger()).await;
-                if self.confirmed().await {
+                if self.confirmed().await && !self.context.stopping() {
                     self.take().await;
                 }
             }
