--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -27,6 +27,10 @@
 /// that were leaving went on getting work.
 const FULL_PAGE: usize = 250;
 
+/// Most answers that are read on: a slow store may bring full ones for seconds, and
+/// what they tell would be known only after the last.
+const MOST_PAGES: usize = 8;
+
 /// What has become known of a table.
 #[derive(Debug)]
 pub enum Change {
@@ -83,7 +87,10 @@
                 self.after = Some(rows.version.max(after));
                 let mut full = rows.rows.len() >= FULL_PAGE;
                 let mut rows = rows.rows;
-                while full {
+                for _ in 1..MOST_PAGES {
+                    if !full {
+                        break;
+                    }
                     full = self.append(&mut rows).await;
                 }
                 Ok(Change::Some(rows))
