A part of a large pool is looked at for a call about single tasks

Change: for single tasks 1,000 workers are looked at, another part each 20 ms; pools up to that size as before. Test: advice.rs, free_workers_of_a_large_pool_are_found_wherever_they_are (guards the change: the part moves on).

--- a/crates/job/src/planner/naming.rs
+++ b/crates/job/src/planner/naming.rs
@@ -12,6 +12,7 @@
 use super::rank::Rank;
 use super::roster::WorkerState;
 use crate::Advice;
+use crate::JobId;
 use crate::StepKey;
 use crate::StepSpec;
 use crate::WorkerId;
@@ -26,6 +27,14 @@
 /// the fixed time of a call.
 const NAMED_COST: f64 = 1.0;
 
+/// Most workers that are looked at for a call about single tasks, ten times as many as
+/// one call names. With 3,000 workers, an owner of half a core that looked at all made
+/// some 100 calls a second while 4,000 tasks waited.
+const MOST_LOOKED: usize = 1000;
+
+/// Time after which another part of a large pool is looked at: a part may be full.
+const NEXT_PART: Duration = Duration::from_millis(20);
+
 /// Seats that count for one worker: its room may be gone by the answer.
 const MOST_SEATS: u64 = 4;
 
@@ -138,43 +147,34 @@
         ids(emptiest(known.rest, most_called(seeker, advice)))
     }
 
+    /// Workers that could run a step. For single tasks of a large pool not all others
+    /// are looked at, but a part that differs by job and from one moment to the
+    /// next.
     fn known(&self, seeker: Seeker) -> Known<'_> {
-        let Seeker {
-            job, spec, step, ..
-        } = seeker;
-        let booked = spec.booked();
-        let queue = &job.spec.queue;
+        let advised = &seeker.step.advised;
         let mut known = Known::default();
-        for (worker_key, worker) in &self.workers {
-            let able = self.usable(worker)
-                && may_run(worker, &queue.service, spec)
-                && worker.info.capacity.holds(&booked);
-            let good = step.advised.good.contains_key(&worker_key);
-            if !able || !good && step.advised.asked.contains(&worker_key) {
+        for &key in advised.good.keys() {
+            known.good.extend(self.could_run(key, seeker));
+        }
+        let count = self.workers.len();
+        let most = if seeker.spec.gang { count } else { MOST_LOOKED };
+        let first = if count > most {
+            self.part_of(seeker.key.job, count)
+        } else {
+            0
+        };
+        let keys = self.workers.keys();
+        let turned = keys.clone().skip(first).chain(keys.take(first));
+        for key in turned.take(most) {
+            if advised.asked.contains(&key) || advised.good.contains_key(&key) {
                 continue;
             }
-            // A gang may preempt less urgent tasks, single tasks may not.
-            let reach = self.reaches.get(worker_key).filter(|_| spec.gang);
-            let room = reach.map_or_else(|| worker.free(), |reach| reach.most(queue.priority));
-            // What is kept for a gang that goes before is not to be had.
-            let room = self
-                .kept
-                .rest_for(worker_key, room, seeker.rank, seeker.key);
-            let named = Named {
-                key: worker_key,
-                worker,
-                seats: room.fits(&booked),
-                slow: self.slow(worker),
+            let Some(named) = self.could_run(key, seeker) else {
+                continue;
             };
-            let asked = &worker.info.id;
-            if good {
-                known.good.push(named);
-            } else if step
-                .advised
-                .calls
-                .iter()
-                .any(|call| call.workers.contains(asked))
-            {
+            let id = &named.worker.info.id;
+            let mut calls = advised.calls.iter();
+            if calls.any(|call| call.workers.contains(id)) {
                 known.called.push(named);
             } else {
                 known.rest.push(named);
@@ -183,6 +183,38 @@
         known
     }
 
+    /// Where the part of a large pool begins that is looked at for a job now.
+    fn part_of(&self, job: JobId, count: usize) -> usize {
+        let parts = self.now.as_millis() / NEXT_PART.as_millis();
+        let first = u128::from(job) + parts * MOST_LOOKED as u128;
+        usize::try_from(first % count as u128).unwrap_or(0)
+    }
+
+    /// A worker that could run a step, with the seats that it has for it.
+    fn could_run(&self, key: WorkerKey, seeker: Seeker) -> Option<Named<'_>> {
+        let Seeker { job, spec, .. } = seeker;
+        let queue = &job.spec.queue;
+        let booked = spec.booked();
+        let worker = self.workers.get(key)?;
+        let able = self.usable(worker)
+            && may_run(worker, &queue.service, spec)
+            && worker.info.capacity.holds(&booked);
+        if !able {
+            return None;
+        }
+        // A gang may preempt less urgent tasks, single tasks may not.
+        let reach = self.reaches.get(key).filter(|_| spec.gang);
+        let room = reach.map_or_else(|| worker.free(), |reach| reach.most(queue.priority));
+        // What is kept for a gang that goes before is not to be had.
+        let room = self.kept.rest_for(key, room, seeker.rank, seeker.key);
+        Some(Named {
+            key,
+            worker,
+            seats: room.fits(&booked),
+            slow: self.slow(worker),
+        })
+    }
+
     /// The fullest workers that still have room, enough of them for the
     /// tasks that wait if `share` of them are good; those kept for a gang only if there
     /// are few others. Naming the emptiest instead spreads small tasks over all
--- a/crates/job/tests/advice.rs
+++ b/crates/job/tests/advice.rs
@@ -120,3 +120,29 @@
 
     assert_eq!(ask.workers.len(), 80, "30 tasks, if two in five may run it");
 }
+
+/// Symptom: with thousands of workers single tasks waited for good beside free ones.
+/// Sequence: only a part of a large pool is looked at for a call; it is full, and so is
+/// the part that is looked at next. Cause ruled out: the part moves on.
+#[test]
+fn free_workers_of_a_large_pool_are_found_wherever_they_are() {
+    let mut planner = planner(1);
+    for nth in 0..2400 {
+        add_claimed(&mut planner, &format!("full-{nth}"));
+    }
+    planner.take_job(FILLING, spec(vec![step(9600)]), None, false);
+    plan_at(&mut planner, 5);
+    for nth in 0..100 {
+        add_claimed(&mut planner, &format!("empty-{nth}"));
+    }
+    planner.take_job(LOOKUP, advised(step(8)), None, false);
+
+    let mut asked = None;
+    for at in 1..=8 {
+        planner.advance(Duration::from_millis(5 + 30 * at));
+        asked = asked.or(planner.next_ask(FreeHelpers::Some));
+    }
+
+    let asked = asked.expect("a call");
+    assert!(asked.workers.iter().all(|id| id.starts_with("empty")));
+}
