--- a/crates/cell/src/seat.rs
+++ b/crates/cell/src/seat.rs
@@ -121,14 +121,17 @@
     pub async fn run(mut self) {
         let store = self.context.store.clone();
         let mut follower = Follower::new(&store, SEAT_TABLE, true);
+        let mut turn = None;
         loop {
-            match follower.next(FEED_WAIT).await {
+            let now = self.context.now();
+            let left = turn.map_or(FEED_WAIT, |turn: Duration| turn.saturating_sub(now));
+            match follower.next(left.min(FEED_WAIT)).await {
                 Ok(Change::Full(rows) | Change::Some(rows)) => self.take_rows(&rows),
                 Err(error) => self.feed_failed(&error).await,
             }
-            if self.free() && !self.context.stopping() {
-                let settings = &self.context.settings;
-                tokio::time::sleep(take_turn(&settings.node, settings.cores)).await;
+            turn = self.next_turn(turn);
+            if turn.is_some_and(|turn| self.context.now() >= turn) {
+                turn = None;
                 if self.confirmed().await && !self.context.stopping() {
                     self.take().await;
                 }
@@ -247,6 +250,18 @@
         });
     }
 
+    /// When this host may take the pool; never while it is not free. The feed is
+    /// followed until then: a host that slept instead did not hear of the new owner, and
+    /// one that the store turned away in that time knew nobody to pass jobs on to.
+    fn next_turn(&self, turn: Option<Duration>) -> Option<Duration> {
+        if !self.free() || self.context.stopping() {
+            return None;
+        }
+        let settings = &self.context.settings;
+        let wait = take_turn(&settings.node, settings.cores);
+        turn.or_else(|| Some(self.context.now() + wait))
+    }
+
     fn free(&self) -> bool {
         let view = self.view.borrow();
         if view.silent.is_some() || !view.read {
