Runs that are lost are logged with their cause

Cause: no line told why a task waits again: a crash of its worker, a lease that was over and a listing without the run looked alike, as did a run that was confirmed and one that was not. Change: the planner notes each lost run (cause, confirmed, age, runs beside it); line 355 and the counter of lost runs tell it. A recalled worker is no longer called leaving, which it may not be; it takes no work before it registers, as before. No decision changes. Measured: cargo test -p job -p cell (docs, planner, takeover, recovery, invariants): pass.

--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -40,6 +40,8 @@
     pub ends: IntCounterVec,
     /// Stops ordered, by reason.
     pub stops: IntCounterVec,
+    /// Runs that were lost without an end, by cause.
+    pub losses: IntCounterVec,
     /// Advice calls by result: `answered`, `failed`.
     pub advice: IntCounterVec,
     /// Transactions of the owner by result: `done`, `conflict`, `failed`.
@@ -111,6 +113,7 @@
             starts: counters(&registry, "starts", "Answers to starts", "result"),
             ends: counters(&registry, "ends", "Ends of runs", "how"),
             stops: counters(&registry, "stops", "Stops ordered by reason", "reason"),
+            losses: counters(&registry, "lost_runs", "Runs lost by cause", "cause"),
             advice: counters(&registry, "advice", "Advice calls by result", "result"),
             saves: counters(&registry, "saves", "Transactions of the owner", "result"),
             unreadable: counters(&registry, "unreadable_rows", "Rows not decoded", "table"),
--- a/crates/cell/src/owner/load.rs
+++ b/crates/cell/src/owner/load.rs
@@ -1,10 +1,12 @@
-//! The pool's load, for logs and metrics.
+//! The pool's load and its losses, for logs and metrics.
 
 use std::time::Duration;
 
 use job::Load;
 
 use super::Pool;
+use crate::callers::millis;
+use crate::metrics::count;
 
 /// Time between two log lines about the pool's load.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
@@ -26,6 +28,18 @@
         );
     }
 
+    /// Logs runs that were lost, and why their tasks wait again.
+    pub(super) fn report_losses(&mut self) {
+        for lost in self.planner.take_losses() {
+            count(&self.context.metrics.losses, &lost.cause.to_string());
+            log::info!(
+                code = 355, task:% = lost.task, run = lost.run, worker = lost.worker.as_str(),
+                cause:% = lost.cause, confirmed = lost.confirmed, age_ms = millis(lost.age), beside = lost.beside;
+                "run lost"
+            );
+        }
+    }
+
     fn publish_load(&self, load: &Load) {
         let pool = &self.context.metrics.pool;
         let set = |figure: &str, value: u64| {
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -183,7 +183,7 @@
             address: worker.address,
             capacity: worker.capacity,
             labels: worker.labels,
-            draining: true,
+            draining: false,
             remaining: None,
         };
         self.used.insert(id.to_owned());
@@ -313,6 +313,7 @@
             );
         }
         self.report_load(now);
+        self.report_losses();
         self.send_orders();
         self.observe_starts();
         self.give_help(now);
--- a/crates/cell/tests/docs.rs
+++ b/crates/cell/tests/docs.rs
@@ -55,6 +55,7 @@
         &metrics.starts,
         &metrics.ends,
         &metrics.stops,
+        &metrics.losses,
         &metrics.advice,
         &metrics.saves,
         &metrics.unreadable,
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -21,6 +21,7 @@
 mod keep;
 mod kinds;
 mod load;
+mod loss;
 mod naming;
 mod place;
 mod policy;
@@ -67,6 +68,8 @@
 pub use load::Load;
 pub use load::QueueCount;
 pub use load::Timing;
+pub use loss::Loss;
+pub use loss::LostRun;
 pub use policy::Policy;
 pub use report::StartReply;
 pub use report::StopReply;
@@ -162,6 +165,8 @@
     orders: Vec<Order>,
     /// Times from acceptance to the first start, of jobs that have just begun.
     first_starts: Vec<Duration>,
+    /// Runs that were lost without an end that counts.
+    losses: Vec<LostRun>,
     /// Ends of runs of jobs that are not known yet.
     orphans: HashMap<JobId, Vec<(WorkerKey, EndedTask)>>,
     /// Tasks that a predecessor may have started stay put.
@@ -220,6 +225,7 @@
             shares: HashMap::new(),
             orders: Vec::new(),
             first_starts: Vec::new(),
+            losses: Vec::new(),
             orphans: HashMap::new(),
         }
     }
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -5,6 +5,8 @@
 
 use strum::Display;
 
+use super::Loss;
+use super::LostRun;
 use super::Order;
 use super::Planner;
 use super::StopReason;
@@ -255,10 +257,16 @@
         for (task, run) in doubtful {
             self.stop(key, task, run, StopReason::StartUnanswered);
         }
+        let beside = self.workers[key].runs.len().saturating_sub(1);
         for (task, run) in over {
-            let placed = self.workers[key].release(task, run);
-            let checkpoint = placed.map(|placed| placed.checkpoint).unwrap_or_default();
-            self.give_up(task, key, run, &checkpoint);
+            let worker = &mut self.workers[key];
+            let Some(placed) = worker.release(task, run) else {
+                continue;
+            };
+            let id = worker.info.id.clone();
+            let lost = LostRun::new((task, &placed), id, (Loss::Unlisted, beside), self.now);
+            self.losses.push(lost);
+            self.give_up(task, key, run, &placed.checkpoint);
         }
     }
 
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::Loss;
+use super::LostRun;
 use super::Order;
 use super::Planner;
 use super::StopReason;
@@ -222,6 +224,17 @@
 
     /// This life of the worker is over, and with it all that it ran.
     pub fn worker_over(&mut self, key: WorkerKey) {
+        let worker = self.workers.get(key);
+        let left = worker.is_some_and(|worker| worker.info.draining);
+        let cause = if left { Loss::Left } else { Loss::Crashed };
+        self.drop_worker(key, cause);
+    }
+
+    fn drop_worker(&mut self, key: WorkerKey, cause: Loss) {
+        if !self.workers.contains_key(key) {
+            return;
+        }
+        self.lose_runs(key, cause);
         let Some(worker) = self.workers.remove(key) else {
             return;
         };
@@ -229,7 +242,20 @@
         let id = worker.info.id;
         self.by_id.remove(&id);
         self.orders.push(Order::Drop { worker: key, id });
-        for (task, placed) in worker.runs {
+    }
+
+    /// Gives up all runs of a worker.
+    fn lose_runs(&mut self, key: WorkerKey, cause: Loss) {
+        let now = self.now;
+        let worker = &mut self.workers[key];
+        let runs = std::mem::take(&mut worker.runs);
+        let beside = runs.len().saturating_sub(1);
+        let lost = runs.iter().map(|(&task, placed)| {
+            let id = worker.info.id.clone();
+            LostRun::new((task, placed), id, (cause, beside), now)
+        });
+        self.losses.extend(lost);
+        for (task, placed) in runs {
             self.give_up(task, key, placed.run, &placed.checkpoint);
         }
     }
@@ -248,7 +274,7 @@
             .collect();
         for key in expired {
             if self.workers[key].gone {
-                self.worker_over(key);
+                self.drop_worker(key, Loss::Lapsed);
             } else {
                 self.expire_runs(key);
             }
@@ -262,10 +288,7 @@
         worker.unsized_runs = 0;
         // It must answer again before it gets work.
         worker.claimed = false;
-        let runs = std::mem::take(&mut worker.runs);
-        for (task, placed) in runs {
-            self.give_up(task, key, placed.run, &placed.checkpoint);
-        }
+        self.lose_runs(key, Loss::Lapsed);
     }
 
     /// Orders a stop; the room stays booked until the run has ended.
