A task that crashes the workers it starts on is given up

Cause: nothing was remembered of a run whose worker's life was over; only listed ends counted, and a worker that crashes lists none. Change: a crash counts for each run on the worker, and is saved with the job's progress. From the first crash on, the next start is recorded before it is sent (for 0.3 s at most while the task is not suspected). With two crashes a task is tried alone on a worker, a second later; it is given up if that worker crashes too and no worker without suspects went down with it, and after five crashes in any case. Rows of both versions are read by both. Lines 356 to 359, a counter, suspects in 330.

--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -42,6 +42,9 @@
     pub stops: IntCounterVec,
     /// Runs that were lost without an end, by cause.
     pub losses: IntCounterVec,
+    /// Findings of tasks under which workers crashed: `suspected`, `tried`, `cleared`,
+    /// `given_up`.
+    pub suspects: IntCounterVec,
     /// Advice calls by result: `answered`, `failed`.
     pub advice: IntCounterVec,
     /// Transactions of the owner by result: `done`, `conflict`, `failed`.
@@ -114,6 +117,12 @@
             ends: counters(&registry, "ends", "Ends of runs", "how"),
             stops: counters(&registry, "stops", "Stops ordered by reason", "reason"),
             losses: counters(&registry, "lost_runs", "Runs lost by cause", "cause"),
+            suspects: counters(
+                &registry,
+                "suspects",
+                "Suspected tasks by finding",
+                "finding",
+            ),
             advice: counters(&registry, "advice", "Advice calls by result", "result"),
             saves: counters(&registry, "saves", "Transactions of the owner", "result"),
             unreadable: counters(&registry, "unreadable_rows", "Rows not decoded", "table"),
--- a/crates/cell/src/owner/load.rs
+++ b/crates/cell/src/owner/load.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use job::Finding;
 use job::Load;
+use job::Suspect;
 
 use super::Pool;
 use crate::callers::millis;
@@ -40,6 +42,30 @@
         }
     }
 
+    /// Logs what was found of tasks under which workers crashed.
+    pub(super) fn report_suspects(&mut self) {
+        for suspect in self.planner.take_findings() {
+            let Suspect {
+                task, run, crashes, ..
+            } = suspect;
+            count(&self.context.metrics.suspects, &suspect.finding.to_string());
+            match suspect.finding {
+                Finding::Suspected => {
+                    log::warn!(code = 356, task:% = task, run = run, crashes = crashes; "task will be tried alone");
+                }
+                Finding::Tried => {
+                    log::info!(code = 357, task:% = task, run = run, crashes = crashes; "task is tried alone");
+                }
+                Finding::Cleared => {
+                    log::info!(code = 358, task:% = task, run = run, crashes = crashes; "run is no longer counted as a crash");
+                }
+                Finding::GivenUp => {
+                    log::warn!(code = 359, task:% = task, run = run, crashes = crashes; "task given up: its workers crash");
+                }
+            }
+        }
+    }
+
     fn publish_load(&self, load: &Load) {
         let pool = &self.context.metrics.pool;
         let set = |figure: &str, value: u64| {
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -163,7 +163,8 @@
         let took = pool.context.now().saturating_sub(begin);
         log::info!(
             code = 330, epoch = epoch, workers = pool.used.len(), jobs = left.jobs.len(),
-            unfinished = pool.planner.unfinished(), ms = took.as_millis(); "pool opened"
+            unfinished = pool.planner.unfinished(), suspects = pool.planner.suspects(),
+            ms = took.as_millis(); "pool opened"
         );
         Some(pool)
     }
@@ -314,6 +315,7 @@
         }
         self.report_load(now);
         self.report_losses();
+        self.report_suspects();
         self.send_orders();
         self.observe_starts();
         self.give_help(now);
--- a/crates/cell/src/owner/takeover.rs
+++ b/crates/cell/src/owner/takeover.rs
@@ -23,7 +23,7 @@
 use crate::PROGRESS_TABLE;
 use crate::USED_TABLE;
 use crate::UsedWorker;
-use crate::decode_row;
+use crate::decode_progress;
 use crate::decode_used;
 use crate::metrics::count;
 
@@ -116,7 +116,7 @@
                 return;
             }
         };
-        match decode_row::<Progress>(&row.value) {
+        match decode_progress(&row.value) {
             Ok(progress) => {
                 self.progress.insert(id, progress);
             }
--- a/crates/cell/src/rows.rs
+++ b/crates/cell/src/rows.rs
@@ -1,11 +1,15 @@
 //! Rows that the project keeps in the store, and their encoding.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use job::Epoch;
 use job::IdError;
 use job::JobId;
+use job::Outcome;
+use job::Progress;
 use job::Room;
+use job::StepProgress;
 use platform::RowName;
 use serde::Deserialize;
 use serde::Serialize;
@@ -160,6 +164,28 @@
     })
 }
 
+/// What earlier versions wrote of a job's progress: without crashes.
+#[derive(Deserialize)]
+struct EarlierProgress {
+    outcome: Option<Outcome>,
+    steps: BTreeMap<(u32, u32), StepProgress>,
+}
+
+/// Decodes a row of a job's progress, also one of an earlier version.
+///
+/// # Errors
+/// The bytes are no such row.
+pub fn decode_progress(bytes: &[u8]) -> Result<Progress, postcard::Error> {
+    decode_row::<Progress>(bytes).or_else(|_| {
+        let EarlierProgress { outcome, steps } = decode_row(bytes)?;
+        Ok(Progress {
+            outcome,
+            steps,
+            ..Progress::default()
+        })
+    })
+}
+
 /// Row that each write of the owner is conditional on, and changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Guard {
--- a/crates/cell/src/stored.rs
+++ b/crates/cell/src/stored.rs
@@ -6,12 +6,12 @@
 use job::Shown;
 use platform::Row;
 use platform::StoreError;
-use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 use snafu::Snafu;
 
 use crate::CallerHandler;
 use crate::callers::STORE_TIMEOUT;
+use crate::decode_progress;
 use crate::decode_row;
 use crate::hex;
 use crate::job_rows;
@@ -77,7 +77,7 @@
         let store = &self.context.store;
         let row = store.get(&progress_row(id), STORE_TIMEOUT).await;
         row.context(ReadSnafu)?
-            .map(|row| decode(id, &row))
+            .map(|row| checked(id, &row, decode_progress(&row.value)))
             .transpose()
     }
 
@@ -95,7 +95,7 @@
                     continue;
                 }
             };
-            let spec: JobSpec = decode(id, &row)?;
+            let spec: JobSpec = checked(id, &row, decode_row(&row.value))?;
             match &mut found {
                 Some(job) => job.spec.canceled |= spec.canceled,
                 None => {
@@ -125,8 +125,8 @@
     pub(crate) unread: Option<StoreError>,
 }
 
-fn decode<T: DeserializeOwned>(id: JobId, row: &Row) -> Result<T, StoredError> {
-    let decoded = decode_row(&row.value);
+/// Logs it if a row of a job was not decoded.
+fn checked<T>(id: JobId, row: &Row, decoded: Result<T, postcard::Error>) -> Result<T, StoredError> {
     if let Err(error) = &decoded {
         log::error!(
             code = 414, job:% = hex(id), table = row.name.table.as_str(), error:% = error;
--- a/crates/cell/tests/docs.rs
+++ b/crates/cell/tests/docs.rs
@@ -56,6 +56,7 @@
         &metrics.ends,
         &metrics.stops,
         &metrics.losses,
+        &metrics.suspects,
         &metrics.advice,
         &metrics.saves,
         &metrics.unreadable,
--- a/crates/cell/tests/rows.rs
+++ b/crates/cell/tests/rows.rs
@@ -1,12 +1,19 @@
 //! Rows that the project keeps in the store.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use cell::UsedWorker;
+use cell::decode_progress;
 use cell::decode_row;
 use cell::decode_used;
 use cell::encode_row;
+use job::CrashRecord;
+use job::Outcome;
+use job::Progress;
 use job::Room;
+use job::StepProgress;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -66,3 +73,54 @@
 
     assert_eq!(decoded, Ok(former()));
 }
+
+/// Progress of a job without crashes.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct FormerProgress {
+    outcome: Option<Outcome>,
+    steps: BTreeMap<(u32, u32), StepProgress>,
+}
+
+fn steps() -> BTreeMap<(u32, u32), StepProgress> {
+    let step = StepProgress {
+        done: vec![0, 2],
+        ..StepProgress::default()
+    };
+    BTreeMap::from([((0, 0), step.clone()), ((0, 1), step)])
+}
+
+fn with_crashes() -> Progress {
+    let record = CrashRecord {
+        runs: BTreeSet::from([1, 2]),
+        ahead: Some(3),
+    };
+    Progress {
+        outcome: None,
+        steps: steps(),
+        crashes: BTreeMap::from([((0, 1, 1), record)]),
+    }
+}
+
+#[test]
+fn progress_tells_of_crashes() {
+    let decoded = decode_progress(&encode_row(&with_crashes()));
+
+    assert_eq!(decoded, Ok(with_crashes()));
+}
+
+/// While a cell is updated, processes of both versions own the pool in turn. A row that
+/// the other version could not read would leave its job alone for good.
+#[test]
+fn progress_of_both_versions_is_read_by_both() {
+    let former = FormerProgress {
+        outcome: None,
+        steps: steps(),
+    };
+
+    let by_this = decode_progress(&encode_row(&former)).expect("a former row");
+    let by_former = decode_row::<FormerProgress>(&encode_row(&with_crashes()));
+
+    assert_eq!(by_this.steps, steps());
+    assert!(by_this.crashes.is_empty());
+    assert_eq!(by_former, Ok(former));
+}
--- a/crates/job/src/planner/adopt.rs
+++ b/crates/job/src/planner/adopt.rs
@@ -44,6 +44,7 @@
             .get(task.step.step as usize)
             .map_or_else(Default::default, StepSpec::takes);
         let mut wanted = false;
+        let trial = job.isolates(task);
         if job.outcome.is_none() {
             // A round that only the predecessor had opened.
             while job.opened <= task.step.round && job.opened < job.spec.rounds() {
@@ -70,6 +71,7 @@
             moved: now,
             checkpoint: running.checkpoint.clone(),
             whole: false,
+            trial,
         };
         self.workers[key].book(task, placed);
         self.sighted(task, running.run, sighting);
@@ -92,6 +94,7 @@
             moved: self.now,
             checkpoint: String::new(),
             whole: false,
+            trial: false,
         };
         self.workers[key].book(running.task, placed);
         self.stop(key, running.task, running.run, StopReason::JobUnknown);
--- a/crates/job/src/planner/batch.rs
+++ b/crates/job/src/planner/batch.rs
@@ -53,6 +53,7 @@
             if let Some(job) = self.jobs.get_mut(id) {
                 job.saved = progress.outcome;
             }
+            self.ahead_saved(*id, progress);
         }
     }
 
--- /dev/null
+++ b/crates/job/src/planner/blame.rs
@@ -0,0 +1,157 @@
+//! Counts crashes, and gives up the tasks that are to blame for them; see
+//! [`super::suspicion`].
+
+use std::time::Duration;
+
+use super::Finding;
+use super::Planner;
+use super::Suspect;
+use super::job_state::Phase;
+use super::roster::Placed;
+use super::roster::RunPhase;
+use super::suspicion::Suspicion;
+use crate::Outcome;
+use crate::RunId;
+use crate::TaskKey;
+
+/// Least crashes of a task that is given up: two that may have been others', and one
+/// that it met alone.
+const GIVEN_UP: usize = 3;
+
+/// Pause before a trial. All workers that went down together are known to be dead by
+/// then: the list of machines is asked for each 0.5 s.
+const TRIAL_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time around a crash in which other workers that go down speak for a common cause:
+/// twice the time between two lists of machines.
+const COMMON_CAUSE: Duration = Duration::from_secs(1);
+
+impl Planner {
+    /// Findings since the last call.
+    pub fn take_findings(&mut self) -> Vec<Suspect> {
+        std::mem::take(&mut self.findings)
+    }
+
+    /// Tasks that start only alone.
+    #[must_use]
+    pub fn suspects(&self) -> usize {
+        let isolates = |task: &&TaskKey| {
+            let job = self.jobs.get(&task.step.job);
+            job.is_some_and(|job| job.isolates(**task))
+        };
+        self.suspects.iter().filter(isolates).count()
+    }
+
+    pub(super) fn suspicion_of(&mut self, task: TaskKey) -> Option<&mut Suspicion> {
+        self.jobs.get_mut(&task.step.job)?.suspicion_mut(task)
+    }
+
+    pub(super) fn note(&mut self, task: TaskKey, run: RunId, finding: Finding) {
+        let crashes = self.suspicion_of(task);
+        let crashes = crashes.map_or(0, |suspicion| suspicion.crashes.len());
+        self.findings.push(Suspect {
+            task,
+            run,
+            finding,
+            crashes,
+        });
+    }
+
+    /// A worker has crashed under these runs, which have been given up; `known` says
+    /// that they are all that it ran.
+    pub(super) fn blame(&mut self, runs: &[(TaskKey, Placed)], known: bool) {
+        let alone = known && runs.len() == 1;
+        let mut guilty = false;
+        for (task, placed) in runs {
+            // A start without an answer may have come too late for the crash.
+            let certain = placed.phase == RunPhase::Running;
+            guilty |= self.suspect(*task, placed.run, alone && certain);
+        }
+        if known && !guilty {
+            self.deaths.push_back(self.now);
+        }
+        // It may have had a run that its former owner has recorded ahead.
+        self.unseen_crash |= !known && self.recovering;
+    }
+
+    /// Counts a crash; gives whether the task starts only alone now.
+    fn suspect(&mut self, task: TaskKey, run: RunId, alone: bool) -> bool {
+        let now = self.now;
+        let job = self.jobs.get_mut(&task.step.job);
+        let Some(job) = job.filter(|job| job.outcome.is_none()) else {
+            return false;
+        };
+        let Some((_, step)) = job.step_mut(task.step) else {
+            return false;
+        };
+        let state = step.tasks.get_mut(task.index as usize);
+        let Some(state) = state.filter(|state| state.phase != Phase::Done) else {
+            return false;
+        };
+        let suspicion = state.suspicion.get_or_insert_default();
+        suspicion.ahead = suspicion.ahead.filter(|ahead| ahead.run != run);
+        suspicion.crashes.insert(run);
+        let isolates = suspicion.isolates();
+        if isolates {
+            suspicion.rest = now + TRIAL_PAUSE;
+            suspicion.alone = alone.then_some(now);
+        }
+        self.dirty.insert(task.step.job);
+        self.suspects.insert(task);
+        if isolates {
+            self.note(task, run, Finding::Suspected);
+        }
+        isolates
+    }
+
+    /// A run has ended in another way than with its worker.
+    pub(super) fn acquit(&mut self, task: TaskKey, run: RunId) {
+        let Some(suspicion) = self.suspicion_of(task) else {
+            return;
+        };
+        if !suspicion.acquit(run) {
+            return;
+        }
+        let isolates = suspicion.isolates();
+        self.dirty.insert(task.step.job);
+        if isolates {
+            self.note(task, run, Finding::Cleared);
+        }
+    }
+
+    /// Gives up the suspects that are proven to be to blame.
+    pub(super) fn judge(&mut self) {
+        let now = self.now;
+        self.deaths
+            .retain(|death| *death + COMMON_CAUSE + TRIAL_PAUSE >= now);
+        let mut proven = Vec::new();
+        for task in std::mem::take(&mut self.suspects) {
+            let job = self.jobs.get_mut(&task.step.job);
+            let Some(job) = job.filter(|job| job.outcome.is_none()) else {
+                continue;
+            };
+            let Some(suspicion) = job.suspicion_mut(task) else {
+                continue;
+            };
+            self.suspects.insert(task);
+            if now < suspicion.rest {
+                continue;
+            }
+            let alone = suspicion.alone.take();
+            let near = |at: Duration| move |death: &Duration| death.abs_diff(at) < COMMON_CAUSE;
+            let proof = alone.is_some_and(|at| !self.deaths.iter().any(near(at)));
+            let run = suspicion.crashes.last().copied();
+            if proof && suspicion.crashes.len() >= GIVEN_UP {
+                proven.extend(run.map(|run| (task, run)));
+            }
+        }
+        for (task, run) in proven {
+            self.convict(task, run);
+        }
+    }
+
+    pub(super) fn convict(&mut self, task: TaskKey, run: RunId) {
+        self.note(task, run, Finding::GivenUp);
+        self.finish(task.step.job, Outcome::Failed);
+    }
+}
--- a/crates/job/src/planner/job_state.rs
+++ b/crates/job/src/planner/job_state.rs
@@ -10,6 +10,8 @@
 use super::WorkerKey;
 use super::expected::Expected;
 use super::run_times::RunTimes;
+use super::suspicion::Suspicion;
+use crate::CrashRecord;
 use crate::JobId;
 use crate::JobSpec;
 use crate::Outcome;
@@ -43,6 +45,8 @@
     /// Runs that ended as failed.
     pub failures: BTreeSet<RunId>,
     pub checkpoint: String,
+    /// What is known against it, if workers crashed under it.
+    pub suspicion: Option<Box<Suspicion>>,
     /// How often it was preempted, by this owner.
     pub preempted: u32,
 }
@@ -86,6 +90,7 @@
             void: 0,
             failures: BTreeSet::new(),
             checkpoint: String::new(),
+            suspicion: None,
             preempted: 0,
         };
         StepState {
@@ -136,6 +141,13 @@
         progress
     }
 
+    /// What is known against tasks that are not done.
+    fn crashes(&self) -> impl Iterator<Item = (u32, CrashRecord)> {
+        let open = (0..).zip(&self.tasks);
+        let open = open.filter(|(_, task)| task.phase != Phase::Done);
+        open.filter_map(|(index, task)| Some((index, task.suspicion.as_ref()?.record()?)))
+    }
+
     fn restore(&mut self, progress: &StepProgress) {
         for (index, task) in (0..).zip(&mut self.tasks) {
             if progress.done.contains(&index) {
@@ -212,6 +224,14 @@
                 self.begun = true;
             }
         }
+        for (&(round, step, index), record) in &progress.crashes {
+            let steps = self.rounds.get_mut(&round);
+            let state = steps.and_then(|steps| steps.get_mut(step as usize));
+            let task = state.and_then(|state| state.tasks.get_mut(index as usize));
+            if let Some(task) = task.filter(|task| task.phase != Phase::Done) {
+                task.suspicion = Some(Box::new(Suspicion::restored(record)));
+            }
+        }
         if self.outcome.is_some() {
             self.shrink();
         }
@@ -235,6 +255,9 @@
                 if told != StepProgress::default() {
                     progress.steps.insert((round, step), told);
                 }
+                let crashes = state.crashes();
+                let crashes = crashes.map(|(index, record)| ((round, step, index), record));
+                progress.crashes.extend(crashes);
             }
         }
         progress
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -12,8 +12,10 @@
 
 mod adopt;
 mod advice;
+mod ahead;
 mod batch;
 mod begin;
+mod blame;
 mod expected;
 mod gang;
 mod impossible;
@@ -33,9 +35,12 @@
 mod run_times;
 mod speed;
 mod stop_reason;
+mod suspicion;
+mod trial;
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -74,6 +79,8 @@
 pub use report::StartReply;
 pub use report::StopReply;
 pub use stop_reason::StopReason;
+pub use suspicion::Finding;
+pub use suspicion::Suspect;
 
 slotmap::new_key_type! {
     /// A worker known to the planner.
@@ -165,6 +172,14 @@
     orders: Vec<Order>,
     /// Times from acceptance to the first start, of jobs that have just begun.
     first_starts: Vec<Duration>,
+    /// Tasks that start only alone, since workers crashed under them.
+    suspects: BTreeSet<TaskKey>,
+    /// A worker went down before it told us what a predecessor had it run.
+    unseen_crash: bool,
+    /// When workers without suspects crashed, of late.
+    deaths: VecDeque<Duration>,
+    /// What was found of suspects.
+    findings: Vec<Suspect>,
     /// Runs that were lost without an end that counts.
     losses: Vec<LostRun>,
     /// Ends of runs of jobs that are not known yet.
@@ -226,6 +241,10 @@
             orders: Vec::new(),
             first_starts: Vec::new(),
             losses: Vec::new(),
+            suspects: BTreeSet::new(),
+            unseen_crash: false,
+            deaths: VecDeque::new(),
+            findings: Vec::new(),
             orphans: HashMap::new(),
         }
     }
@@ -281,6 +300,7 @@
         self.learn_work(&job.spec.queue.name, job.expected.work);
         if let Some(progress) = progress {
             job.restore(progress);
+            self.recall_suspects(id, progress);
         }
         job.ended = self.now;
         let ended = job.outcome.is_some();
@@ -307,6 +327,7 @@
     pub fn settle(&mut self) {
         self.expire_workers();
         self.end_recovery();
+        self.judge();
         if self.now > self.began + ORPHAN_TIME {
             self.orphans.clear();
         }
@@ -392,6 +413,7 @@
             return;
         }
         self.recovering = false;
+        self.settle_ahead();
         for worker in self.workers.values_mut() {
             worker.trusted = worker.claimed;
             if std::mem::take(&mut worker.inherited) && !worker.claimed {
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -31,11 +31,14 @@
 }
 
 /// A worker that may take tasks of a step, during one pass.
-struct Candidate {
-    key: WorkerKey,
-    free: Room,
+#[allow(clippy::struct_excessive_bools)] // independent facts
+pub(super) struct Candidate {
+    pub(super) key: WorkerKey,
+    pub(super) free: Room,
     /// Processors that nothing uses, fillers included.
     spare: u64,
+    /// Nothing runs there.
+    pub(super) idle: bool,
     /// Tasks of the step there; counted only where they are bounded.
     here: u32,
     near: bool,
@@ -48,7 +51,8 @@
 impl Planner {
     pub(super) fn usable(&self, worker: &WorkerState) -> bool {
         let there = worker.claimed && !worker.silent && !worker.gone && worker.unsized_runs == 0;
-        there && !worker.info.draining && worker.rest <= self.now
+        let open = there && worker.trials == 0;
+        open && !worker.info.draining && worker.rest <= self.now
     }
 
     /// Places what can be placed, the most urgent first.
@@ -64,6 +68,7 @@
         let mut kept = Kept::default();
         self.pool_cpu = self.usable_cpu();
         self.find_reaches();
+        self.place_trials(&ranked, &mut kept);
         for (rank, key) in ranked {
             let Some(spec) = self.spec_of(key) else {
                 continue;
@@ -73,7 +78,7 @@
                 continue;
             }
             let in_time = rank.stage == 0;
-            let seated = self.place_gang(key, &spec, &kept)
+            let seated = self.place_gang(rank, key, &spec, &mut kept)
                 || in_time && self.make_room(rank, key, &spec, &mut kept);
             if !seated {
                 self.keep_room(rank, key, &spec, &mut kept);
@@ -82,12 +87,12 @@
         self.kept = kept;
     }
 
-    fn spec_of(&self, key: StepKey) -> Option<StepSpec> {
+    pub(super) fn spec_of(&self, key: StepKey) -> Option<StepSpec> {
         let job = self.jobs.get(&key.job)?;
         job.spec.steps.get(key.step as usize).cloned()
     }
 
-    fn candidates(&self, key: StepKey, spec: &StepSpec, kept: &Kept) -> Vec<Candidate> {
+    pub(super) fn candidates(&self, key: StepKey, spec: &StepSpec, kept: &Kept) -> Vec<Candidate> {
         let Some(job) = self.jobs.get(&key.job) else {
             return Vec::new();
         };
@@ -110,6 +115,7 @@
                 key: worker_key,
                 free,
                 spare: free.cpu.saturating_sub(worker.fillers),
+                idle: worker.runs.is_empty(),
                 here: members(worker, key, spec),
                 near: spec.rack.is_empty() || info.labels.contains(&spec.rack),
                 kept: self.kept.holds(worker_key, key),
@@ -138,18 +144,24 @@
     }
 
     fn place_tasks(&mut self, key: StepKey, spec: &StepSpec, kept: &Kept) {
+        let mut waiting = self.waiting_tasks(key);
+        if let Some(job) = self.jobs.get(&key.job) {
+            waiting.retain(|task| !job.isolates(*task) && self.may_start(*task));
+        }
+        if waiting.is_empty() {
+            return;
+        }
         let mut candidates = self.candidates(key, spec, kept);
         if candidates.is_empty() {
             return;
         }
-        let waiting = self.waiting_tasks(key);
         let tolerant = self.tolerant(key);
         for task in waiting {
             let Some(at) = self.choose(&candidates, task, spec, tolerant) else {
                 return;
             };
             let run = self.next_run(task);
-            self.start(task, run, spec, &mut candidates[at]);
+            self.start((task, run), false, spec, &mut candidates[at]);
         }
         self.close_step(key);
     }
@@ -186,12 +198,19 @@
     }
 
     /// Starts a gang whole, or not at all.
-    fn place_gang(&mut self, key: StepKey, spec: &StepSpec, kept: &Kept) -> bool {
+    fn place_gang(&mut self, rank: Rank, key: StepKey, spec: &StepSpec, kept: &mut Kept) -> bool {
         let tasks = self.waiting_tasks(key);
         if tasks.len() < spec.count as usize {
             // Members of the last run are still ending.
             return true;
         }
+        if !tasks.iter().all(|task| self.may_start(*task)) {
+            return true;
+        }
+        let trials = self.waiting_trials(key);
+        if !trials.is_empty() {
+            return self.place_suspected_gang(rank, key, spec, (trials, kept));
+        }
         let mut candidates = self.candidates(key, spec, kept);
         let Some(seats) = seats(&candidates, tasks.len(), spec) else {
             return false;
@@ -199,13 +218,13 @@
         let run = tasks.iter().map(|&task| self.next_run(task)).max();
         let run = run.unwrap_or(self.run_base + 1);
         for (&task, at) in tasks.iter().zip(seats) {
-            self.start(task, run, spec, &mut candidates[at]);
+            self.start((task, run), false, spec, &mut candidates[at]);
         }
         self.close_step(key);
         true
     }
 
-    fn waiting_tasks(&self, key: StepKey) -> Vec<TaskKey> {
+    pub(super) fn waiting_tasks(&self, key: StepKey) -> Vec<TaskKey> {
         let job = self.jobs.get(&key.job);
         let Some((_, step)) = job.and_then(|job| job.step(key)) else {
             return Vec::new();
@@ -217,7 +236,7 @@
             .collect()
     }
 
-    fn next_run(&self, task: TaskKey) -> RunId {
+    pub(super) fn next_run(&self, task: TaskKey) -> RunId {
         let job = self.jobs.get(&task.step.job);
         let step = job.and_then(|job| job.step(task.step));
         let state = step.and_then(|(_, step)| step.tasks.get(task.index as usize));
@@ -225,7 +244,14 @@
         last.max(self.run_base) + 1
     }
 
-    fn start(&mut self, task: TaskKey, run: RunId, spec: &StepSpec, seat: &mut Candidate) {
+    /// Starts a run on a seat; a trial alone.
+    pub(super) fn start(
+        &mut self,
+        (task, run): (TaskKey, RunId),
+        trial: bool,
+        spec: &StepSpec,
+        seat: &mut Candidate,
+    ) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
@@ -255,6 +281,7 @@
             moved: self.now,
             checkpoint: String::new(),
             whole: checkpoint.is_empty(),
+            trial,
         };
         self.workers[seat.key].book(task, placed);
         if let Some(reach) = self.reaches.get_mut(seat.key) {
@@ -272,7 +299,7 @@
     }
 
     /// Takes a step off the open ones once none of its tasks waits.
-    fn close_step(&mut self, key: StepKey) {
+    pub(super) fn close_step(&mut self, key: StepKey) {
         let job = self.jobs.get(&key.job);
         let step = job.and_then(|job| job.step(key));
         if step.is_none_or(|(_, step)| step.waiting() == 0) {
@@ -298,7 +325,7 @@
 
 /// Seats for `count` members, or nothing if they do not all fit. Fast workers
 /// first, and the emptiest of them, so that a gang touches few of them.
-fn seats(candidates: &[Candidate], count: usize, spec: &StepSpec) -> Option<Vec<usize>> {
+pub(super) fn seats(candidates: &[Candidate], count: usize, spec: &StepSpec) -> Option<Vec<usize>> {
     let booked = spec.booked();
     let mut order: Vec<usize> = (0..candidates.len()).collect();
     order.sort_by_key(|&at| {
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -52,6 +52,8 @@
     pub checkpoint: String,
     /// We started it, from the beginning: its end tells how long it takes.
     pub whole: bool,
+    /// Workers crashed under its task: it runs alone.
+    pub trial: bool,
 }
 
 #[derive(Debug)]
@@ -62,6 +64,8 @@
     pub fillers: u64,
     /// Runs of unknown size: while there are any, it gets no work.
     pub unsized_runs: u32,
+    /// Runs that must stay alone: while there are any, it gets no work.
+    pub trials: u32,
     pub runs: HashMap<TaskKey, Placed>,
     /// It has accepted our epoch and told what it runs.
     pub claimed: bool,
@@ -95,6 +99,7 @@
             used: Room::default(),
             fillers: 0,
             unsized_runs: 0,
+            trials: 0,
             runs: HashMap::new(),
             claimed: false,
             inherited: false,
@@ -118,6 +123,7 @@
         self.used = self.used.plus(&placed.booked);
         self.fillers += placed.filler;
         self.unsized_runs += u32::from(placed.unsized_run);
+        self.trials += u32::from(placed.trial);
         self.runs.insert(task, placed);
     }
 
@@ -130,6 +136,7 @@
         self.used = self.used.less(&placed.booked);
         self.fillers -= placed.filler;
         self.unsized_runs -= u32::from(placed.unsized_run);
+        self.trials -= u32::from(placed.trial);
         Some(placed)
     }
 }
@@ -248,6 +255,7 @@
     fn lose_runs(&mut self, key: WorkerKey, cause: Loss) {
         let now = self.now;
         let worker = &mut self.workers[key];
+        let known = worker.claimed || !worker.inherited;
         let runs = std::mem::take(&mut worker.runs);
         let beside = runs.len().saturating_sub(1);
         let lost = runs.iter().map(|(&task, placed)| {
@@ -255,8 +263,15 @@
             LostRun::new((task, placed), id, (cause, beside), now)
         });
         self.losses.extend(lost);
-        for (task, placed) in runs {
-            self.give_up(task, key, placed.run, &placed.checkpoint);
+        let runs: Vec<(TaskKey, Placed)> = runs.into_iter().collect();
+        for (task, placed) in &runs {
+            self.give_up(*task, key, placed.run, &placed.checkpoint);
+            if cause != Loss::Crashed {
+                self.acquit(*task, placed.run);
+            }
+        }
+        if cause == Loss::Crashed {
+            self.blame(&runs, known);
         }
     }
 
@@ -286,6 +301,7 @@
         worker.used = Room::default();
         worker.fillers = 0;
         worker.unsized_runs = 0;
+        worker.trials = 0;
         // It must answer again before it gets work.
         worker.claimed = false;
         self.lose_runs(key, Loss::Lapsed);
--- /dev/null
+++ b/crates/job/src/planner/suspicion.rs
@@ -0,0 +1,155 @@
+//! Tasks under which workers crashed: which of them are to blame.
+//!
+//! A task that takes its worker down lists no end, so nothing but its worker's fate
+//! tells of it; without a count it is started for as long as there are workers, and each
+//! start costs the runs beside it. But of the runs on a worker that crashed all but one
+//! are victims, and a whole rack may go down for a reason of its own. So:
+//!
+//! - a crash counts for each run that was on the worker, and for nothing else: not a
+//!   lease that is over, a worker that has left as announced, or a refused start;
+//! - after the first crash, each start is recorded before it is sent: a successor that
+//!   finds neither the run nor all workers alive counts it as a crash;
+//! - with [`TRIED_ALONE`] crashes, a task is tried alone on a worker, some time later;
+//! - it is given up when that worker crashes too, unless other workers without suspects
+//!   went down at the same time, and after [`MOST_CRASHES`] in any case.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use strum::Display;
+
+use super::job_state::JobState;
+use super::job_state::Phase;
+use crate::CrashRecord;
+use crate::RunId;
+use crate::TaskKey;
+
+/// Crashes after which a task is tried alone. A sound task rarely meets two: a worker
+/// that goes down takes the runs of all its cores with it.
+const TRIED_ALONE: usize = 2;
+
+/// Crashes after which a task is given up whatever else went down meanwhile. The
+/// platform bears two more starts after three crashes.
+pub(super) const MOST_CRASHES: usize = 5;
+
+/// Longest wait of a task with fewer crashes for its start to be recorded: it is most
+/// likely sound, and a store that takes longer is slow or away.
+const RECORD_WAIT: Duration = Duration::from_millis(300);
+
+/// What is known against a task.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Suspicion {
+    /// Runs whose worker crashed.
+    pub(super) crashes: BTreeSet<RunId>,
+    /// The start that is recorded ahead, until its end is known.
+    pub(super) ahead: Option<Ahead>,
+    /// No trial before this time.
+    pub(super) rest: Duration,
+    /// When it was alone on a worker that crashed, if that is not judged yet.
+    pub(super) alone: Option<Duration>,
+}
+
+/// A start that is recorded before it is sent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ahead {
+    pub(super) run: RunId,
+    /// Since when it is to be recorded.
+    pub(super) since: Duration,
+    pub(super) saved: bool,
+}
+
+impl Suspicion {
+    /// What a predecessor has recorded.
+    pub(super) fn restored(record: &CrashRecord) -> Suspicion {
+        let ahead = record.ahead.map(|run| Ahead {
+            run,
+            since: Duration::ZERO,
+            saved: true,
+        });
+        Suspicion {
+            crashes: record.runs.clone(),
+            ahead,
+            ..Suspicion::default()
+        }
+    }
+
+    /// What a successor has to know; nothing if there is nothing against the task.
+    pub(super) fn record(&self) -> Option<CrashRecord> {
+        let record = CrashRecord {
+            runs: self.crashes.clone(),
+            ahead: self.ahead.map(|ahead| ahead.run),
+        };
+        (record != CrashRecord::default()).then_some(record)
+    }
+
+    /// Whether the task starts only alone.
+    pub(super) fn isolates(&self) -> bool {
+        self.crashes.len() >= TRIED_ALONE
+    }
+
+    /// Whether the next start may be sent.
+    pub(super) fn may_start(&self, now: Duration) -> bool {
+        let Some(ahead) = self.ahead else {
+            return self.crashes.is_empty();
+        };
+        let waited = !self.isolates() && now >= ahead.since + RECORD_WAIT;
+        now >= self.rest && (ahead.saved || waited)
+    }
+
+    /// A run has ended in another way than with its worker; gives whether that is news.
+    pub(super) fn acquit(&mut self, run: RunId) -> bool {
+        let ahead = self.ahead.take_if(|ahead| ahead.run == run);
+        self.crashes.remove(&run) || ahead.is_some()
+    }
+}
+
+/// What was found of a task under which workers crashed.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Finding {
+    /// It will be tried alone.
+    Suspected,
+    /// It is being tried.
+    Tried,
+    /// Its trial has ended in another way than with a crash.
+    Cleared,
+    /// It was given up, and its job with it.
+    GivenUp,
+}
+
+/// A finding, for logs and metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Suspect {
+    /// The task.
+    pub task: TaskKey,
+    /// The run that the finding rests on.
+    pub run: RunId,
+    /// What was found.
+    pub finding: Finding,
+    /// Crashes counted so far.
+    pub crashes: usize,
+}
+
+impl JobState {
+    pub(super) fn suspicion(&self, task: TaskKey) -> Option<&Suspicion> {
+        let (_, step) = self.step(task.step)?;
+        step.tasks.get(task.index as usize)?.suspicion.as_deref()
+    }
+
+    pub(super) fn suspicion_mut(&mut self, task: TaskKey) -> Option<&mut Suspicion> {
+        let (_, step) = self.step_mut(task.step)?;
+        let state = step.tasks.get_mut(task.index as usize)?;
+        state.suspicion.as_deref_mut()
+    }
+
+    /// Whether a task starts only alone.
+    pub(super) fn isolates(&self, task: TaskKey) -> bool {
+        self.suspicion(task).is_some_and(Suspicion::isolates)
+    }
+
+    /// Where a task stands.
+    pub(super) fn phase(&self, task: TaskKey) -> Option<Phase> {
+        let (_, step) = self.step(task.step)?;
+        Some(step.tasks.get(task.index as usize)?.phase)
+    }
+}
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -59,6 +59,15 @@
     pub checkpoints: BTreeMap<u32, String>,
 }
 
+/// What is known against a task under which workers crashed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashRecord {
+    /// Runs whose worker crashed.
+    pub runs: BTreeSet<RunId>,
+    /// A run that may be under way: it is recorded before it is sent.
+    pub ahead: Option<RunId>,
+}
+
 /// Progress of a job: only what an owner may not forget.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
@@ -67,6 +76,9 @@
     /// Steps by round and number, those with anything to tell. Any entry says
     /// that the job has begun; its first step has an empty one if need be.
     pub steps: BTreeMap<(u32, u32), StepProgress>,
+    /// What is known against tasks, by round, step and task. The last field: earlier
+    /// versions read a row without it.
+    pub crashes: BTreeMap<(u32, u32, u32), CrashRecord>,
 }
 
 impl Progress {
--- a/crates/job/tests/crashes.rs
+++ b/crates/job/tests/crashes.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use job::Shown;
+use job::TaskKey;
 
 use field::Field;
 use support::task;
@@ -45,3 +46,311 @@
         assert_eq!(field.shown(id), Some(Shown::Completed), "job {id}");
     }
 }
+
+/// Time of a crash after the start, as it was seen.
+const AT_ONCE: Duration = Duration::from_millis(10);
+
+/// A pool that is nearly full, with bad tasks among sound ones.
+fn busy(workers: usize, bad: &[u64]) -> Field {
+    let mut field = Field::new(workers);
+    for id in 1..=3 * workers as u64 {
+        field.submit_tasks(id, 2, 1000 + 40 * id);
+    }
+    for &id in bad {
+        field.bad.insert(task(id, 0, 0), AT_ONCE);
+    }
+    field
+}
+
+fn assert_bounded(field: &Field, bad: &[u64]) {
+    for &id in bad {
+        let starts = field.starts_of(task(id, 0, 0));
+        assert!(starts <= MOST_STARTS, "job {id}: {starts} starts");
+    }
+}
+
+/// Of the runs on a worker that crashes only one is to blame. Their neighbours start
+/// again, some of them beside the next bad task; counted alike, they would be given up.
+#[test]
+fn neighbours_of_several_bad_tasks_are_completed() {
+    let bad = [3, 8, 13, 18, 23];
+    let mut field = busy(12, &bad);
+
+    let ended = field.run_until(Duration::from_secs(90), |field| {
+        (1..=36).all(|id| {
+            field
+                .shown(id)
+                .is_some_and(|shown| shown != Shown::Pending && shown != Shown::Active)
+        })
+    });
+
+    assert!(ended, "some job has not ended");
+    assert_bounded(&field, &bad);
+    for id in 1..=36 {
+        let expected = if bad.contains(&id) {
+            Shown::Failed
+        } else {
+            Shown::Completed
+        };
+        assert_eq!(field.shown(id), Some(expected), "job {id}");
+    }
+}
+
+/// A rack that loses power takes sound tasks with it, however often. Three times in a
+/// row, its tasks had met as many crashes as a bad one.
+#[test]
+fn a_lost_rack_is_no_reason_to_give_tasks_up() {
+    let mut field = busy(12, &[]);
+    for _ in 0..4 {
+        field.run(Duration::from_millis(900));
+        for place in 0..8 {
+            field.crash(place);
+        }
+        field.run(Duration::from_secs(4));
+    }
+
+    field.run(Duration::from_mins(1));
+
+    for id in 1..=36 {
+        assert_eq!(field.shown(id), Some(Shown::Completed), "job {id}");
+    }
+}
+
+/// All workers go down at once, again and again, as often as one long task is at work.
+/// It is tried alone after the second time, and still not to blame.
+#[test]
+fn a_task_that_only_outlives_its_workers_is_completed() {
+    let mut field = Field::new(6);
+    field.submit_tasks(1, 1, 2000);
+    for _ in 0..4 {
+        let at_work = field.run_until(SOON, |field| field.place_of(task(1, 0, 0)).is_some());
+        assert!(at_work, "it waits for good");
+        field.run(Duration::from_millis(300));
+        for place in 0..6 {
+            field.crash(place);
+        }
+    }
+
+    let done = field.run_until(SOON, |field| field.shown(1) == Some(Shown::Completed));
+
+    assert!(done, "shown as {:?}", field.shown(1));
+    assert_eq!(field.crashes_of(task(1, 0, 0)), 4);
+}
+
+/// A worker that is only cut off, or whose lease runs out, has not crashed.
+#[test]
+fn a_cut_link_counts_as_no_crash() {
+    let mut field = Field::new(4);
+    field.submit_tasks(1, 1, 1500);
+    for _ in 0..6 {
+        let at_work = field.run_until(SOON, |field| field.place_of(task(1, 0, 0)).is_some());
+        assert!(at_work, "it waits for good");
+        let place = field.place_of(task(1, 0, 0)).expect("a place");
+        // What runs there is stopped when the lease is over.
+        field.life(place).cut = true;
+        field.life(place).running.clear();
+        field.run(Duration::from_secs(5));
+        field.life(place).cut = false;
+        field.run(Duration::from_millis(20));
+        assert_eq!(field.planner.suspects(), 0);
+    }
+
+    let done = field.run_until(SOON, |field| field.shown(1) == Some(Shown::Completed));
+
+    assert!(done, "shown as {:?}", field.shown(1));
+}
+
+/// Workers that leave as they had announced take their runs with them.
+#[test]
+fn workers_that_leave_count_as_no_crash() {
+    let mut field = Field::new(4);
+    field.submit_tasks(1, 1, 1500);
+    for _ in 0..5 {
+        let at_work = field.run_until(SOON, |field| field.place_of(task(1, 0, 0)).is_some());
+        assert!(at_work, "it waits for good");
+        let place = field.place_of(task(1, 0, 0)).expect("a place");
+        field.drain(place);
+        field.run(Duration::from_millis(100));
+        field.crash(place);
+        field.run(Duration::from_millis(700));
+        assert_eq!(field.planner.suspects(), 0);
+    }
+
+    let done = field.run_until(SOON, |field| field.shown(1) == Some(Shown::Completed));
+
+    assert!(done, "shown as {:?}", field.shown(1));
+}
+
+/// A count in the owner's memory alone began anew with each owner.
+#[test]
+fn the_count_of_crashes_outlives_the_owner() {
+    let mut field = Field::new(8);
+    field.submit_tasks(1, 1, 800);
+    field.bad.insert(task(1, 0, 0), AT_ONCE);
+    let mut crashes = 0;
+    while field.shown(1) != Some(Shown::Failed) && crashes < 10 {
+        let again = field.run_until(SOON, |field| {
+            field.crashes_of(task(1, 0, 0)) > crashes || field.shown(1) == Some(Shown::Failed)
+        });
+        assert!(again, "it waits for good");
+        crashes = field.crashes_of(task(1, 0, 0));
+        // The crash is known after 0.5 s, and saved 0.03 s later.
+        field.run(Duration::from_millis(560));
+        field.take_over();
+    }
+
+    assert_eq!(field.shown(1), Some(Shown::Failed));
+    assert_bounded(&field, &[1]);
+}
+
+/// An owner that dies while a trial is under way has counted it before: its successor
+/// does not know the run, and need not.
+#[test]
+fn a_trial_is_counted_before_it_is_sent() {
+    let mut field = Field::new(8);
+    field.submit_tasks(1, 1, 800);
+    field.bad.insert(task(1, 0, 0), AT_ONCE);
+    let twice = field.run_until(SOON, |field| field.crashes_of(task(1, 0, 0)) == 2);
+    assert!(twice, "it waits for good");
+    field.run(Duration::from_millis(600));
+
+    for crashes in 3..10 {
+        let next = field.run_until(SOON, |field| {
+            field.crashes_of(task(1, 0, 0)) >= crashes || field.shown(1) == Some(Shown::Failed)
+        });
+        assert!(next, "it waits for good");
+        // Nobody has learnt of the crash yet.
+        field.take_over();
+    }
+
+    assert_eq!(field.shown(1), Some(Shown::Failed));
+    assert_bounded(&field, &[1]);
+}
+
+/// Without a record, no trial: a series of owners would each begin one. Sound work goes
+/// on meanwhile.
+#[test]
+fn trials_wait_while_the_store_is_away() {
+    let mut field = Field::new(8);
+    field.submit_tasks(1, 1, 800);
+    field.bad.insert(task(1, 0, 0), AT_ONCE);
+    field.run_until(SOON, |field| field.crashes_of(task(1, 0, 0)) == 2);
+    field.store_away = true;
+    field.submit_tasks(2, 4, 500);
+
+    field.run(Duration::from_secs(9));
+
+    assert_eq!(field.starts_of(task(1, 0, 0)), 2);
+    assert_eq!(field.starts_of(task(2, 0, 3)), 1);
+    field.store_away = false;
+    let failed = field.run_until(SOON, |field| field.shown(1) == Some(Shown::Failed));
+    assert!(failed, "shown as {:?}", field.shown(1));
+}
+
+/// A task may take its worker down only after a while; the time since its start tells
+/// nothing then.
+#[test]
+fn a_task_that_crashes_its_workers_late_is_given_up() {
+    let mut field = busy(12, &[]);
+    field.bad.insert(task(5, 0, 1), Duration::from_millis(900));
+
+    let failed = field.run_until(SOON, |field| field.shown(5) == Some(Shown::Failed));
+
+    assert!(failed, "shown as {:?}", field.shown(5));
+    let starts = field.starts_of(task(5, 0, 1));
+    assert!(starts <= MOST_STARTS, "{starts} starts");
+    field.run(Duration::from_secs(30));
+    for id in (1..=36).filter(|id| *id != 5) {
+        assert_eq!(field.shown(id), Some(Shown::Completed), "job {id}");
+    }
+}
+
+/// A suspect takes nothing but its worker with it.
+#[test]
+fn a_trial_runs_alone() {
+    let bad = [3, 8, 13];
+    let mut field = busy(8, &bad);
+    let mut trials = 0;
+
+    for _ in 0..3000 {
+        field.run(field::TICK);
+        for place in 0..8 {
+            let life = field.life(place);
+            let down = life.died.is_some();
+            let runs: Vec<TaskKey> = life.running.keys().copied().collect();
+            let tried = runs.iter().any(|task| field.crashes_of(*task) >= 2);
+            if tried && !down {
+                trials += 1;
+                assert_eq!(runs.len(), 1, "{runs:?}");
+            }
+        }
+    }
+
+    assert!(trials > 0, "no trial was seen");
+    assert_bounded(&field, &bad);
+}
+
+/// The member of a gang that takes its worker down gives the gang up, as soon as a
+/// single task would be.
+#[test]
+fn a_gang_with_a_bad_member_is_given_up() {
+    let mut field = Field::new(8);
+    let mut step = support::step(12);
+    step.gang = true;
+    step.estimate = Duration::from_millis(900);
+    field.submit(1, support::spec(vec![step]));
+    field.bad.insert(task(1, 0, 7), AT_ONCE);
+    for id in 2..8 {
+        field.submit_tasks(id, 2, 1100);
+    }
+
+    let failed = field.run_until(SOON, |field| field.shown(1) == Some(Shown::Failed));
+
+    assert!(failed, "shown as {:?}", field.shown(1));
+    let starts = field.starts_of(task(1, 0, 7));
+    assert!(starts <= MOST_STARTS, "{starts} starts");
+    field.run(Duration::from_secs(10));
+    for id in 2..8 {
+        assert_eq!(field.shown(id), Some(Shown::Completed), "job {id}");
+    }
+}
+
+/// A gang whose workers go down for reasons of their own is completed, with the members
+/// that met two crashes alone on a worker each.
+#[test]
+fn a_sound_gang_outlives_its_workers() {
+    let mut field = Field::new(8);
+    let mut step = support::step(12);
+    step.gang = true;
+    step.estimate = Duration::from_millis(900);
+    field.submit(1, support::spec(vec![step]));
+    for member in [0, 0, 11] {
+        let member = task(1, 0, member);
+        let at_work = field.run_until(SOON, |field| field.place_of(member).is_some());
+        assert!(at_work, "it waits for good");
+        field.run(Duration::from_millis(200));
+        let place = field.place_of(member).expect("a place");
+        field.crash(place);
+        field.run(Duration::from_millis(100));
+    }
+
+    let done = field.run_until(SOON, |field| field.shown(1) == Some(Shown::Completed));
+
+    assert!(done, "shown as {:?}", field.shown(1));
+}
+
+/// Tasks that last may fail as often as they like, but not take the pool down.
+#[test]
+fn a_lasting_task_that_crashes_its_workers_is_given_up() {
+    let mut field = Field::new(8);
+    let mut step = support::step(2);
+    step.lasting = true;
+    field.submit(1, support::spec(vec![step]));
+    field.bad.insert(task(1, 0, 1), AT_ONCE);
+
+    let failed = field.run_until(SOON, |field| field.shown(1) == Some(Shown::Failed));
+
+    assert!(failed, "shown as {:?}", field.shown(1));
+    let starts = field.starts_of(task(1, 0, 1));
+    assert!(starts <= MOST_STARTS, "{starts} starts");
+}
--- a/crates/job/tests/field/mod.rs
+++ b/crates/job/tests/field/mod.rs
@@ -113,7 +113,11 @@
             let progress = self.stored.get(&id);
             self.planner.take_job(id, spec.clone(), progress, true);
         }
-        for life in self.places.iter_mut().flatten().filter(|life| !life.known) {
+        for life in self.places.iter_mut().flatten() {
+            life.key = None;
+            if life.known {
+                continue;
+            }
             let info = life.info();
             life.key = self.planner.recall_worker(info.clone());
             if life.died.is_none() {
@@ -191,6 +195,14 @@
         }
     }
 
+    /// The worker of a place announces that it leaves.
+    pub fn drain(&mut self, place: usize) {
+        let life = self.life(place);
+        life.draining = true;
+        let info = life.info();
+        self.planner.take_worker(info);
+    }
+
     fn tick(&mut self) {
         self.now += TICK;
         self.planner.advance(self.now);
