A worker counts by the most that it has had when a job is judged impossible

What callers saw: a job shown as failed though it only had to wait, if its owner took over while the workers were small; a gang too large for the pool waited for good once a worker had had two sizes. Cause: what no worker could ever take was judged by what workers said of the moment. Change: the planner keeps the largest room of each worker, the row of a worker in use holds it, and kinds of workers are counted by it. Line 382 tells of a room that changes.

--- a/crates/cell/src/owner/news.rs
+++ b/crates/cell/src/owner/news.rs
@@ -5,6 +5,7 @@
 use job::JobId;
 use job::JobSpec;
 use job::Progress;
+use job::WorkerInfo;
 use job::WorkerKey;
 use platform::Row;
 
@@ -57,20 +58,7 @@
 
     pub(super) fn take_workers(&mut self, change: RosterChange) {
         for info in change.present {
-            let id = info.id.clone();
-            let used = UsedWorker {
-                service: info.service.clone(),
-                address: info.address,
-                capacity: info.capacity,
-                labels: info.labels.clone(),
-            };
-            if info.draining {
-                log::info!(code = 342, worker = id.as_str(); "worker is leaving");
-            }
-            if self.planner.take_worker(info).is_some() {
-                log::info!(code = 340, worker = id.as_str(), address:% = used.address; "worker registered");
-                self.saver.use_worker(id, used);
-            }
+            self.take_registration(info);
         }
         for id in change.gone {
             log::info!(code = 341, worker = id.as_str(); "worker's registration is gone");
@@ -78,6 +66,38 @@
         }
     }
 
+    fn take_registration(&mut self, info: WorkerInfo) {
+        let id = info.id.clone();
+        let mut used = UsedWorker {
+            service: info.service.clone(),
+            address: info.address,
+            capacity: info.capacity,
+            labels: info.labels.clone(),
+        };
+        if info.draining {
+            log::info!(code = 342, worker = id.as_str(); "worker is leaving");
+        }
+        let known = self.planner.capacity(&id);
+        let before = known.filter(|known| known.now != info.capacity);
+        if self.planner.take_worker(info).is_some() {
+            log::info!(code = 340, worker = id.as_str(), address:% = used.address; "worker registered");
+            self.saver.use_worker(id, used);
+            return;
+        }
+        let (Some(before), Some(after)) = (before, self.planner.capacity(&id)) else {
+            return;
+        };
+        log::info!(
+            code = 382, worker = id.as_str(), cpu = after.now.cpu, memory = after.now.memory,
+            cpu_before = before.now.cpu, memory_before = before.now.memory; "worker's room has changed"
+        );
+        if after.largest != before.largest {
+            // A successor that meets it small must know that it can grow.
+            used.capacity = after.largest;
+            self.saver.use_worker(id, used);
+        }
+    }
+
     pub(super) fn take_news(&mut self, key: WorkerKey, news: WorkerNews) {
         match news {
             WorkerNews::LeaseSent => self.planner.lease_sent(key),
--- a/crates/job/src/planner/kinds.rs
+++ b/crates/job/src/planner/kinds.rs
@@ -2,7 +2,10 @@
 //!
 //! What no worker could ever take cannot be told from the workers of a moment:
 //! some are away, some have not registered yet. So a job is measured by the
-//! most workers of each kind that were known at the same time.
+//! most workers of each kind that were known at the same time, and a worker by the
+//! most that it has had. By what they had at the moment, a job was shown as failed that
+//! only had to wait until its workers grew again; and one that had two sizes counted
+//! as two.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -104,9 +107,8 @@
                 pool.vague = true;
                 continue;
             }
-            *kinds
-                .entry((info.capacity, info.labels.clone()))
-                .or_default() += 1;
+            let kind = (worker.largest, info.labels.clone());
+            *kinds.entry(kind).or_default() += 1;
         }
         for (service, counts) in counts {
             let pool = self.pools.entry(service.to_owned()).or_default();
@@ -143,5 +145,5 @@
 /// room, it let every job of a successor fail that could not read the
 /// registrations.
 fn size_unknown(worker: &WorkerState) -> bool {
-    worker.gone && worker.info.capacity == Room::default()
+    worker.gone && worker.largest == Room::default()
 }
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -78,6 +78,7 @@
 pub use policy::Policy;
 pub use report::StartReply;
 pub use report::StopReply;
+pub use roster::Capacity;
 pub use stop_reason::StopReason;
 pub use suspicion::Finding;
 pub use suspicion::Suspect;
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -18,6 +18,15 @@
 use crate::WorkerId;
 use crate::WorkerInfo;
 
+/// Room of a worker, which may shrink and grow while it runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Capacity {
+    /// What it has, by its newest registration.
+    pub now: Room,
+    /// The most that it has had.
+    pub largest: Room,
+}
+
 /// Where a run on a worker stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RunPhase {
@@ -60,6 +69,8 @@
 #[allow(clippy::struct_excessive_bools)] // independent facts
 pub(super) struct WorkerState {
     pub info: WorkerInfo,
+    /// The most that it has had: what has shrunk may grow again.
+    pub largest: Room,
     pub used: Room,
     pub fillers: u64,
     /// Runs of unknown size: while there are any, it gets no work.
@@ -95,6 +106,7 @@
 impl WorkerState {
     fn new(info: WorkerInfo, lapse: Duration) -> WorkerState {
         WorkerState {
+            largest: info.capacity,
             info,
             used: Room::default(),
             fillers: 0,
@@ -147,6 +159,7 @@
         self.kinds.change(self.now);
         if let Some(worker) = self.worker_of(&info.id) {
             let worker = &mut self.workers[worker];
+            worker.largest = worker.largest.either(&info.capacity);
             worker.info = info;
             worker.gone = false;
             return None;
@@ -177,6 +190,16 @@
         }
     }
 
+    /// What a known worker has, and the most that it has had.
+    #[must_use]
+    pub fn capacity(&self, id: &str) -> Option<Capacity> {
+        let worker = self.workers.get(self.worker_of(id)?)?;
+        Some(Capacity {
+            now: worker.info.capacity,
+            largest: worker.largest,
+        })
+    }
+
     /// The key of a known worker.
     #[must_use]
     pub fn worker_of(&self, id: &str) -> Option<WorkerKey> {
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -55,6 +55,16 @@
         }
     }
 
+    /// The larger of both, of each kind.
+    #[must_use]
+    pub fn either(&self, other: &Room) -> Room {
+        Room {
+            cpu: self.cpu.max(other.cpu),
+            memory: self.memory.max(other.memory),
+            gpu: self.gpu.max(other.gpu),
+        }
+    }
+
     /// Both together.
     #[must_use]
     pub fn plus(&self, other: &Room) -> Room {
