Nothing is stopped for a gang on a worker whose room has shrunk below what runs there

What callers saw: tasks that save their progress were stopped, and nothing started in their place. Cause: free room is cut off at zero, so what a stopped run leaves counted as free also where the rest was still over the worker's capacity. Change: what a gang could have is reckoned from the capacity and from what stays; nothing is stopped where that is more than the worker has.

--- a/crates/job/src/planner/reach.rs
+++ b/crates/job/src/planner/reach.rs
@@ -103,17 +103,21 @@
     }
 
     pub(super) fn reach(&self, worker: &WorkerState) -> Reach {
-        let mut reach = Reach {
-            room: worker.free(),
-            victims: Vec::new(),
-        };
+        let mut reach = Reach::default();
+        let mut staying = worker.used;
         for (&task, placed) in &worker.runs {
             if matches!(placed.phase, RunPhase::Stopping | RunPhase::Stopped) {
-                reach.room = reach.room.plus(&placed.booked);
+                staying = staying.less(&placed.booked);
             } else if let Some(victim) = self.victim(task, placed) {
                 reach.victims.push(victim);
             }
         }
+        reach.room = worker.info.capacity.less(&staying);
+        if !worker.info.capacity.holds(&staying) {
+            // The room has shrunk below what runs there. What a stopped run leaves goes
+            // to the others first; counted as free, runs were stopped for nothing.
+            reach.victims.clear();
+        }
         let victims = &mut reach.victims;
         victims.sort_unstable_by_key(|victim| (victim.booked.cpu, victim.task));
         reach
--- a/crates/job/tests/capacity.rs
+++ b/crates/job/tests/capacity.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use job::Order;
 use job::Planner;
 use job::RunEnd;
 use job::Shown;
@@ -13,6 +14,7 @@
 use support::add_claimed;
 use support::ended;
 use support::listing;
+use support::patient;
 use support::plan_at;
 use support::planner;
 use support::room;
@@ -131,3 +133,33 @@
     let batch = planner.take_batch(10);
     assert_eq!(batch.jobs[0].1.outcome, Some(job::Outcome::Failed));
 }
+
+/// Tasks were stopped for a gang that could not start there: their worker had shrunk,
+/// and what they left was still more than it had.
+#[test]
+fn nothing_is_stopped_where_that_makes_no_room() {
+    let mut planner = planner(1);
+    let key = add_claimed(&mut planner, "w1");
+    let mut saving = step(4);
+    saving.checkpointed = true;
+    planner.take_job(1, patient(saving), None, false);
+    start_at(&mut planner, 10);
+    planner.take_worker(sized("w1", 1));
+    let rest = (0..4).map(|index| running(task(1, 0, index), 1));
+    planner.take_listing(
+        key,
+        Duration::from_millis(50),
+        &listing(rest.collect(), vec![]),
+    );
+    let mut gang = step(2);
+    gang.gang = true;
+    planner.take_job(2, spec(vec![gang]), None, false);
+
+    planner.advance(Duration::from_millis(100));
+    planner.plan();
+
+    let orders = planner.take_orders();
+    let stops = orders.iter();
+    let stops = stops.filter(|order| matches!(order, Order::Stop { .. }));
+    assert_eq!(stops.count(), 0);
+}
