An owner that cannot read the registrations fills no worker that may have shrunk

Symptom: with the store away, a worker that had shrunk to two cores got up to four tasks for as long; 12 starts too many in 8 s of the test. Cause: only a worker's registration tells its room, and the owner went on by one that was seconds old. Change: registrations that were read longer than 3 s ago are too old; workers are then filled up to the smallest share of its room that one of the pool was seen to have. Where none was seen to shrink nothing changes. The reads of registrations are told to the owner also without news.

--- a/crates/cell/src/owner/messages.rs
+++ b/crates/cell/src/owner/messages.rs
@@ -65,6 +65,8 @@
     pub present: Vec<WorkerInfo>,
     /// Workers whose registration has vanished.
     pub gone: Vec<String>,
+    /// When the read began that brought this.
+    pub read: Duration,
 }
 
 /// News from a worker.
--- a/crates/cell/src/owner/news.rs
+++ b/crates/cell/src/owner/news.rs
@@ -60,6 +60,7 @@
         for info in change.present {
             self.take_registration(info);
         }
+        self.registered = self.registered.max(change.read);
         for id in change.gone {
             log::info!(code = 341, worker = id.as_str(); "worker's registration is gone");
             self.planner.lose_worker(&id);
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -48,6 +48,11 @@
 /// and renewals are looked after at least this often.
 const TICK: Duration = Duration::from_millis(25);
 
+/// Age of the registrations from which on a worker may have shrunk unseen. What has
+/// shrunk may be filled for 4.5 s; a worker tells of it with its next heartbeat, up to
+/// 1.5 s later.
+const BLIND_AFTER: Duration = Duration::from_secs(3);
+
 /// Answers to writes that wait: one write is under way at a time, and one read of
 /// the guard.
 const RESULT_QUEUE: usize = 4;
@@ -86,6 +91,8 @@
     tasks: JoinSet<()>,
     /// When the load was logged last.
     pub(super) reported: Duration,
+    /// When the newest read of the registrations began.
+    pub(super) registered: Duration,
     /// Another process owns the pool.
     pub(super) deposed: bool,
 }
@@ -145,6 +152,7 @@
             config: None,
             tasks: JoinSet::new(),
             reported: Duration::ZERO,
+            registered: context.now(),
             deposed: false,
             context,
         };
@@ -300,6 +308,7 @@
         self.publish_tenure(now);
         self.publish_holds();
         self.planner.advance(now);
+        self.check_registrations(now);
         let recovering = self.planner.recovering();
         if self.owned() {
             self.planner.plan();
@@ -324,6 +333,18 @@
         self.begin_save(now);
     }
 
+    /// Fills workers no further than they may have shrunk, while that cannot be read.
+    fn check_registrations(&mut self, now: Duration) {
+        let age = now.saturating_sub(self.registered);
+        let blind = age > BLIND_AFTER;
+        if self.planner.set_blind(blind) {
+            log::warn!(
+                code = 383, epoch = self.epoch, blind = blind, read_ms = millis(age),
+                share = self.planner.smallest_share(); "age of the registrations"
+            );
+        }
+    }
+
     pub(super) fn worker_name(&self, key: WorkerKey) -> &str {
         self.planner.worker(key).map_or("", |info| info.id.as_str())
     }
--- a/crates/cell/src/owner/roster.rs
+++ b/crates/cell/src/owner/roster.rs
@@ -110,6 +110,7 @@
     let mut back = context.now();
     let mut away = false;
     loop {
+        let begun = context.now();
         match follower.next(Duration::ZERO).await {
             Ok(change) => {
                 if std::mem::take(&mut away) {
@@ -121,8 +122,9 @@
                 if context.now() >= back {
                     news.gone = roster.take_missing();
                 }
-                let empty = news.present.is_empty() && news.gone.is_empty();
-                if !empty && sender.send(OwnerMessage::Workers(news)).await.is_err() {
+                // Also without news: how old the owner's knowledge is depends on it.
+                news.read = begun;
+                if sender.send(OwnerMessage::Workers(news)).await.is_err() {
                     return;
                 }
             }
--- /dev/null
+++ b/crates/cell/tests/capacity.rs
@@ -0,0 +1,63 @@
+//! Workers whose room shrinks and grows while tasks run there, with whole processes.
+//! The stand-ins judge: what has shrunk may be filled for 4.5 s more, and no longer.
+
+use std::time::Duration;
+
+use site::Caller;
+use site::SiteCell;
+use site::StoreFaults;
+use site::job;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn workers_that_shrink_and_grow_are_not_overfilled() {
+    let cell = SiteCell::open(2, 3).await;
+    let caller = Caller::new();
+    for nth in 0..30 {
+        let path = format!("/plain/{:016x}", 0xf100 + nth);
+        caller.submit(&cell.servers(), &path, &job(4, "500")).await;
+    }
+
+    for cores in [2, 1, 3, 1, 4] {
+        for at in 0..3 {
+            cell.resize(at, cores);
+        }
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+    }
+
+    for nth in 0..30 {
+        let path = format!("/plain/{:016x}", 0xf100 + nth);
+        caller.wait_state(&cell.servers(), &path, "completed").await;
+    }
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close().await;
+}
+
+/// An owner that could not read the registrations went on filling a worker that had
+/// shrunk, for as long as the store was away: what it knew of the worker's room was
+/// seconds old. The pool has workers that shrink, as it had seen before.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_without_the_store_fills_no_worker_that_may_have_shrunk() {
+    let cell = SiteCell::open(1, 1).await;
+    let caller = Caller::new();
+    cell.wait_owner(|_| true).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    cell.resize(0, 2);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    cell.resize(0, 4);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let path = "/plain/00000000000000f2";
+    caller.submit(&cell.servers(), path, &job(60, "500")).await;
+    let down = StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    };
+    cell.store.set_faults(down);
+    cell.resize(0, 2);
+
+    tokio::time::sleep(Duration::from_secs(8)).await;
+
+    cell.store.set_faults(StoreFaults::default());
+    caller.wait_state(&cell.servers(), path, "completed").await;
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close().await;
+}
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -16,6 +16,7 @@
 mod batch;
 mod begin;
 mod blame;
+mod blind;
 mod expected;
 mod gang;
 mod impossible;
@@ -168,6 +169,10 @@
     mean_work: HashMap<String, f64>,
     /// The gang that has waited longest beyond its objective.
     elder: Option<StepKey>,
+    /// The registrations are too old to rely on the workers' rooms.
+    blind: bool,
+    /// Smallest share of its room that a worker was seen to have.
+    smallest: blind::Share,
     /// Share of the workers that may run a step, by queue, as learnt.
     shares: HashMap<String, f64>,
     orders: Vec<Order>,
@@ -238,6 +243,8 @@
             asks: Asks::default(),
             mean_work: HashMap::new(),
             elder: None,
+            blind: false,
+            smallest: 1.0,
             shares: HashMap::new(),
             orders: Vec::new(),
             first_starts: Vec::new(),
--- a/crates/job/src/planner/reach.rs
+++ b/crates/job/src/planner/reach.rs
@@ -112,8 +112,8 @@
                 reach.victims.push(victim);
             }
         }
-        reach.room = worker.info.capacity.less(&staying);
-        if !worker.info.capacity.holds(&staying) {
+        reach.room = worker.room.less(&staying);
+        if !worker.room.holds(&staying) {
             // The room has shrunk below what runs there. What a stopped run leaves goes
             // to the others first; counted as free, runs were stopped for nothing.
             reach.victims.clear();
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -71,6 +71,10 @@
     pub info: WorkerInfo,
     /// The most that it has had: what has shrunk may grow again.
     pub largest: Room,
+    /// The least that it has had.
+    pub least: Room,
+    /// How far it may be filled.
+    pub room: Room,
     pub used: Room,
     pub fillers: u64,
     /// Runs of unknown size: while there are any, it gets no work.
@@ -107,6 +111,8 @@
     fn new(info: WorkerInfo, lapse: Duration) -> WorkerState {
         WorkerState {
             largest: info.capacity,
+            least: info.capacity,
+            room: info.capacity,
             info,
             used: Room::default(),
             fillers: 0,
@@ -127,8 +133,16 @@
         }
     }
 
+    /// Takes note of what it has now.
+    fn resize(&mut self, now: &Room) {
+        // A former version's row does not tell a worker's size.
+        let known = self.largest != Room::default();
+        self.least = if known { self.least.within(now) } else { *now };
+        self.largest = self.largest.either(now);
+    }
+
     pub(super) fn free(&self) -> Room {
-        self.info.capacity.less(&self.used)
+        self.room.less(&self.used)
     }
 
     pub(super) fn book(&mut self, task: TaskKey, placed: Placed) {
@@ -157,11 +171,12 @@
     /// Takes a worker's registration; gives its key if it is new.
     pub fn take_worker(&mut self, info: WorkerInfo) -> Option<WorkerKey> {
         self.kinds.change(self.now);
-        if let Some(worker) = self.worker_of(&info.id) {
-            let worker = &mut self.workers[worker];
-            worker.largest = worker.largest.either(&info.capacity);
+        if let Some(key) = self.worker_of(&info.id) {
+            let worker = &mut self.workers[key];
+            worker.resize(&info.capacity);
             worker.info = info;
             worker.gone = false;
+            self.measure(key);
             return None;
         }
         let id = info.id.clone();
