--- a/crates/cell/tests/crashing.rs
+++ b/crates/cell/tests/crashing.rs
@@ -43,3 +43,40 @@
     assert_eq!(cell.log.faults(), Vec::<String>::new());
     cell.close().await;
 }
+
+/// The count of crashes was in nobody's memory once its owner was killed. Each owner here
+/// is killed a second after a crash, when that is known and saved; its successor knows
+/// neither the next run nor the worker that went down under it.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_owners_take_no_crash_along() {
+    let mut cell = SiteCell::open(3, 6).await;
+    let caller = Caller::new();
+    let id = "00000000000000d2";
+    let path = format!("/plain/{id}");
+    let text = job(1, "crash 0 300");
+    caller.submit(&cell.servers(), &path, &text).await;
+    let sound = "/plain/00000000000000d3";
+    caller.submit(&cell.servers(), sound, &job(4, "200")).await;
+
+    for crashes in 1..=3 {
+        let again = async {
+            while cell.log.gone(id) < crashes {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let again = tokio::time::timeout(Duration::from_secs(20), again).await;
+        assert!(again.is_ok(), "{} crashes", cell.log.gone(id));
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let owner = cell.wait_owner(|_| true).await;
+        cell.kill(owner).await;
+        cell.wait_owner(|next| next != owner).await;
+        cell.start(owner).await;
+    }
+
+    caller.wait_state(&cell.servers(), &path, "failed").await;
+    caller.wait_state(&cell.servers(), sound, "completed").await;
+    let starts = cell.log.starts(id);
+    assert!(starts <= MOST_STARTS, "{starts} starts");
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close().await;
+}
