Idle workers that went down with a trial speak for its task

Symptom: in a quiet pool a rack that loses power looks as if only the worker with a trial had crashed: the list of machines is asked for workers with runs alone. With that in the tests' field, a_task_that_only_outlives_its_workers_is_completed failed: the task was given up for a power loss. Change: while a suspect is about to be judged, idle workers that do not answer are looked up, too; the pause before a trial is 1.2 s, the window of a common cause 1.5 s.

--- a/crates/job/src/planner/blame.rs
+++ b/crates/job/src/planner/blame.rs
@@ -22,13 +22,13 @@
 /// be given up under which two workers crashed.
 const FEWEST_SURE: usize = 2;
 
-/// Pause before a trial. All workers that went down together are known to be dead by
-/// then: the list of machines is asked for each 0.5 s.
-const TRIAL_PAUSE: Duration = Duration::from_secs(1);
+/// Pause before a trial. Workers that went down together are known to be dead by then:
+/// an idle one is missed within 0.65 s, and the list of machines is asked for each 0.5 s.
+const TRIAL_PAUSE: Duration = Duration::from_millis(1200);
 
-/// Time around a crash in which other workers that go down speak for a common cause:
-/// twice the time between two lists of machines.
-const COMMON_CAUSE: Duration = Duration::from_secs(1);
+/// Time between two crashes within which they speak for a common cause: the first of
+/// them is learnt of within 0.5 s, the last within 1.2 s, and some slack.
+const COMMON_CAUSE: Duration = Duration::from_millis(1500);
 
 impl Planner {
     /// Findings since the last call.
@@ -133,6 +133,7 @@
         self.deaths
             .retain(|death| *death + COMMON_CAUSE + TRIAL_PAUSE >= now);
         let mut proven = Vec::new();
+        self.judging = false;
         for task in std::mem::take(&mut self.suspects) {
             let job = self.jobs.get_mut(&task.step.job);
             let Some(job) = job.filter(|job| job.outcome.is_none()) else {
@@ -143,6 +144,7 @@
             };
             self.suspects.insert(task);
             if now < suspicion.rest {
+                self.judging |= suspicion.alone.is_some();
                 continue;
             }
             let alone = suspicion.alone.take();
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -182,6 +182,8 @@
     suspects: BTreeSet<TaskKey>,
     /// A worker went down before it told us what a predecessor had it run.
     unseen_crash: bool,
+    /// A suspect was alone on a worker that crashed, and is about to be judged.
+    judging: bool,
     /// When workers without suspects crashed, of late.
     deaths: VecDeque<Duration>,
     /// What was found of suspects.
@@ -251,6 +253,7 @@
             losses: Vec::new(),
             suspects: BTreeSet::new(),
             unseen_crash: false,
+            judging: false,
             deaths: VecDeque::new(),
             findings: Vec::new(),
             orphans: HashMap::new(),
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -257,15 +257,18 @@
         }
     }
 
-    /// Workers that do not answer while it matters: they hold runs, or tasks
-    /// of a predecessor wait for what they run.
+    /// Workers that do not answer while it matters: they hold runs, tasks of a
+    /// predecessor wait for what they run, or they went down with one whose task is
+    /// about to be judged. Without the last, a rack of idle workers that lost power
+    /// looked as if only the one with a trial had crashed.
     #[must_use]
     pub fn doubtful(&self) -> Vec<WorkerId> {
         let recovering = self.recovering;
         let doubtful = self.workers.values().filter(|worker| {
             let unclaimed = recovering && !worker.claimed;
-            let holding = (worker.silent || worker.gone) && !worker.runs.is_empty();
-            unclaimed || holding
+            let silent = worker.silent || worker.gone;
+            let matters = !worker.runs.is_empty() || self.judging;
+            unclaimed || silent && matters
         });
         doubtful.map(|worker| worker.info.id.clone()).collect()
     }
--- a/crates/job/tests/field/mod.rs
+++ b/crates/job/tests/field/mod.rs
@@ -251,10 +251,13 @@
     }
 
     fn tell_owner(&mut self) {
+        // The list of machines is asked for those of which it matters.
+        let asked = self.planner.doubtful();
         for life in self.places.iter_mut().flatten().filter(|life| !life.known) {
             let Some(key) = life.key else { continue };
+            let listed = asked.contains(&life.id);
             match life.died {
-                Some(died) if died + CRASH_KNOWN <= self.now => {
+                Some(died) if listed && died + CRASH_KNOWN <= self.now => {
                     life.known = true;
                     self.planner.worker_over(key);
                 }
