What is known of suspects stands in one place; the world's checks in a file of their own

Change: suspicion::Suspects; tests/world/checks.rs. No decision changes. Measured: cargo test -p job passes.

--- a/crates/job/src/planner/ahead.rs
+++ b/crates/job/src/planner/ahead.rs
@@ -19,15 +19,15 @@
             let step = StepKey { job, round, step };
             TaskKey { step, index }
         });
-        self.suspects.extend(tasks);
+        self.suspects.tasks.extend(tasks);
     }
 
     /// All workers of the predecessor have answered, or their lives or leases are over.
     /// What it recorded ahead and nobody lists has never started, unless some worker
     /// went down unseen.
     pub(super) fn settle_ahead(&mut self) {
-        let unseen = std::mem::take(&mut self.unseen_crash);
-        let suspects: Vec<TaskKey> = self.suspects.iter().copied().collect();
+        let unseen = std::mem::take(&mut self.suspects.unseen);
+        let suspects: Vec<TaskKey> = self.suspects.tasks.iter().copied().collect();
         for task in suspects {
             let Some(job) = self.jobs.get_mut(&task.step.job) else {
                 continue;
@@ -110,11 +110,11 @@
 
     /// Suspects of a step that wait.
     fn waiting_suspects(&self, key: StepKey) -> Vec<TaskKey> {
-        if self.suspects.is_empty() {
+        if self.suspects.tasks.is_empty() {
             return Vec::new();
         }
         let task = |index: u32| TaskKey { step: key, index };
-        let known = self.suspects.range(task(0)..=task(u32::MAX));
+        let known = self.suspects.tasks.range(task(0)..=task(u32::MAX));
         let Some(job) = self.jobs.get(&key.job) else {
             return Vec::new();
         };
--- a/crates/job/src/planner/blame.rs
+++ b/crates/job/src/planner/blame.rs
@@ -33,7 +33,7 @@
 impl Planner {
     /// Findings since the last call.
     pub fn take_findings(&mut self) -> Vec<Suspect> {
-        std::mem::take(&mut self.findings)
+        std::mem::take(&mut self.suspects.findings)
     }
 
     /// Tasks that start only alone.
@@ -43,7 +43,7 @@
             let job = self.jobs.get(&task.step.job);
             job.is_some_and(|job| job.isolates(**task))
         };
-        self.suspects.iter().filter(isolates).count()
+        self.suspects.tasks.iter().filter(isolates).count()
     }
 
     pub(super) fn suspicion_of(&mut self, task: TaskKey) -> Option<&mut Suspicion> {
@@ -53,7 +53,7 @@
     pub(super) fn note(&mut self, task: TaskKey, run: RunId, finding: Finding) {
         let crashes = self.suspicion_of(task);
         let crashes = crashes.map_or(0, |suspicion| suspicion.count());
-        self.findings.push(Suspect {
+        self.suspects.findings.push(Suspect {
             task,
             run,
             finding,
@@ -72,10 +72,10 @@
             guilty |= self.suspect(*task, placed.run, certain, alone);
         }
         if known && !guilty {
-            self.deaths.push_back(self.now);
+            self.suspects.deaths.push_back(self.now);
         }
         // It may have had a run that its former owner has recorded ahead.
-        self.unseen_crash |= !known && self.recovering;
+        self.suspects.unseen |= !known && self.recovering;
     }
 
     /// Counts a crash; gives whether the task starts only alone now.
@@ -105,7 +105,7 @@
             suspicion.alone = (alone && certain).then_some(now);
         }
         self.dirty.insert(task.step.job);
-        self.suspects.insert(task);
+        self.suspects.tasks.insert(task);
         if isolates {
             self.note(task, run, Finding::Suspected);
         }
@@ -130,11 +130,12 @@
     /// Gives up the suspects that are proven to be to blame.
     pub(super) fn judge(&mut self) {
         let now = self.now;
-        self.deaths
+        self.suspects
+            .deaths
             .retain(|death| *death + COMMON_CAUSE + TRIAL_PAUSE >= now);
         let mut proven = Vec::new();
-        self.judging = false;
-        for task in std::mem::take(&mut self.suspects) {
+        self.suspects.judging = false;
+        for task in std::mem::take(&mut self.suspects.tasks) {
             let job = self.jobs.get_mut(&task.step.job);
             let Some(job) = job.filter(|job| job.outcome.is_none()) else {
                 continue;
@@ -142,14 +143,14 @@
             let Some(suspicion) = job.suspicion_mut(task) else {
                 continue;
             };
-            self.suspects.insert(task);
+            self.suspects.tasks.insert(task);
             if now < suspicion.rest {
-                self.judging |= suspicion.alone.is_some();
+                self.suspects.judging |= suspicion.alone.is_some();
                 continue;
             }
             let alone = suspicion.alone.take();
             let near = |at: Duration| move |death: &Duration| death.abs_diff(at) < COMMON_CAUSE;
-            let proof = alone.is_some_and(|at| !self.deaths.iter().any(near(at)));
+            let proof = alone.is_some_and(|at| !self.suspects.deaths.iter().any(near(at)));
             let run = suspicion.crashes.last().copied();
             let enough = suspicion.count() >= GIVEN_UP && suspicion.crashes.len() >= FEWEST_SURE;
             if proof && enough {
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -41,7 +41,6 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -67,6 +66,7 @@
 use reach::Reaches;
 use roster::WorkerState;
 use run_times::RunTimes;
+use suspicion::Suspects;
 
 pub use advice::Ask;
 pub use advice::FreeHelpers;
@@ -178,16 +178,8 @@
     orders: Vec<Order>,
     /// Times from acceptance to the first start, of jobs that have just begun.
     first_starts: Vec<Duration>,
-    /// Tasks that start only alone, since workers crashed under them.
-    suspects: BTreeSet<TaskKey>,
-    /// A worker went down before it told us what a predecessor had it run.
-    unseen_crash: bool,
-    /// A suspect was alone on a worker that crashed, and is about to be judged.
-    judging: bool,
-    /// When workers without suspects crashed, of late.
-    deaths: VecDeque<Duration>,
-    /// What was found of suspects.
-    findings: Vec<Suspect>,
+    /// Tasks under which workers crashed.
+    suspects: Suspects,
     /// Runs that were lost without an end that counts.
     losses: Vec<LostRun>,
     /// Ends of runs of jobs that are not known yet.
@@ -251,11 +243,7 @@
             orders: Vec::new(),
             first_starts: Vec::new(),
             losses: Vec::new(),
-            suspects: BTreeSet::new(),
-            unseen_crash: false,
-            judging: false,
-            deaths: VecDeque::new(),
-            findings: Vec::new(),
+            suspects: Suspects::default(),
             orphans: HashMap::new(),
         }
     }
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -267,7 +267,7 @@
         let doubtful = self.workers.values().filter(|worker| {
             let unclaimed = recovering && !worker.claimed;
             let silent = worker.silent || worker.gone;
-            let matters = !worker.runs.is_empty() || self.judging;
+            let matters = !worker.runs.is_empty() || self.suspects.judging;
             unclaimed || silent && matters
         });
         doubtful.map(|worker| worker.info.id.clone()).collect()
--- a/crates/job/src/planner/suspicion.rs
+++ b/crates/job/src/planner/suspicion.rs
@@ -16,6 +16,7 @@
 //!   [`MOST_CRASHES`] in any case.
 
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use strum::Display;
@@ -38,6 +39,21 @@
 /// likely sound, and a store that takes longer is slow or away.
 const RECORD_WAIT: Duration = Duration::from_millis(300);
 
+/// Tasks under which workers crashed, and what is needed to judge them.
+#[derive(Debug, Default)]
+pub(super) struct Suspects {
+    /// The tasks, whether they may start beside others or not.
+    pub(super) tasks: BTreeSet<TaskKey>,
+    /// One of them was alone on a worker that crashed, and is about to be judged.
+    pub(super) judging: bool,
+    /// A worker went down before it told us what a predecessor had it run.
+    pub(super) unseen: bool,
+    /// When workers without suspects crashed, of late.
+    pub(super) deaths: VecDeque<Duration>,
+    /// What was found, for logs and metrics.
+    pub(super) findings: Vec<Suspect>,
+}
+
 /// What is known against a task.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Suspicion {
--- a/crates/job/src/planner/trial.rs
+++ b/crates/job/src/planner/trial.rs
@@ -40,7 +40,7 @@
 
     /// Starts the trials that may start, and keeps workers free for others.
     pub(super) fn place_trials(&mut self, ranked: &[(Rank, StepKey)], kept: &mut Kept) {
-        if self.suspects.is_empty() {
+        if self.suspects.tasks.is_empty() {
             return;
         }
         let mut left = self.trials_left();
--- /dev/null
+++ b/crates/job/tests/world/checks.rs
@@ -0,0 +1,51 @@
+//! What must hold at each start.
+
+use job::Room;
+use job::RunEnd;
+use job::TaskKey;
+
+use super::Sent;
+use super::World;
+use crate::support;
+
+impl World {
+    /// What must hold at each start, whoever ordered it.
+    pub(super) fn check(&self, sent: &Sent, task: TaskKey) {
+        let at = sent.worker;
+        let elsewhere = self.workers.iter().enumerate();
+        let twice = elsewhere
+            .filter(|(other, worker)| *other != at && worker.holds(&task))
+            .count();
+        assert_eq!(twice, 0, "{task} runs on two workers");
+        assert!(
+            !self.noted.contains_key(&task),
+            "{task} ran again when done"
+        );
+        let need = |task: &TaskKey| self.jobs[&task.step.job].steps[0].need;
+        let worker = &self.workers[at];
+        let used = worker
+            .running
+            .keys()
+            .chain(worker.stopping.keys())
+            .map(need);
+        let used = used.fold(Room::default(), |sum, need| sum.plus(&need));
+        let cores = self.cores_for(at, sent.at);
+        assert!(used.cpu <= cores * 1000, "worker {at} is over its capacity");
+        for &before in &self.jobs[&task.step.job].steps[task.step.step as usize].after {
+            let spec = &self.jobs[&task.step.job].steps[before as usize];
+            for index in 0..spec.count {
+                let key = support::task(task.step.job, before, index);
+                assert!(self.ever_done(key), "{task} before {key} was done");
+            }
+        }
+    }
+
+    /// Whether a task (or its gang) has ever ended as done.
+    fn ever_done(&self, task: TaskKey) -> bool {
+        let gang = self.jobs[&task.step.job].steps[task.step.step as usize].gang;
+        let ended = self.workers.iter().flat_map(|worker| &worker.ended);
+        let mut done = ended.filter(|end| end.how == RunEnd::Done);
+        let same = |one: TaskKey| one == task || gang && one.step == task.step;
+        done.any(|end| same(end.task)) || self.done.iter().any(|one| same(*one))
+    }
+}
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -2,6 +2,7 @@
 //! that are lost or late, owners that die, saves that fail. It checks the
 //! invariants at every start that a worker carries out.
 
+mod checks;
 mod former;
 mod rough;
 mod shown;
@@ -20,7 +21,6 @@
 use job::Planner;
 use job::Policy;
 use job::Progress;
-use job::Room;
 use job::RunEnd;
 use job::RunId;
 use job::RunningTask;
@@ -383,46 +383,6 @@
         crash.unwrap_or(StartReply::Started)
     }
 
-    /// What must hold at each start, whoever ordered it.
-    fn check(&self, sent: &Sent, task: TaskKey) {
-        let at = sent.worker;
-        let elsewhere = self.workers.iter().enumerate();
-        let twice = elsewhere
-            .filter(|(other, worker)| *other != at && worker.holds(&task))
-            .count();
-        assert_eq!(twice, 0, "{task} runs on two workers");
-        assert!(
-            !self.noted.contains_key(&task),
-            "{task} ran again when done"
-        );
-        let need = |task: &TaskKey| self.jobs[&task.step.job].steps[0].need;
-        let worker = &self.workers[at];
-        let used = worker
-            .running
-            .keys()
-            .chain(worker.stopping.keys())
-            .map(need);
-        let used = used.fold(Room::default(), |sum, need| sum.plus(&need));
-        let cores = self.cores_for(at, sent.at);
-        assert!(used.cpu <= cores * 1000, "worker {at} is over its capacity");
-        for &before in &self.jobs[&task.step.job].steps[task.step.step as usize].after {
-            let spec = &self.jobs[&task.step.job].steps[before as usize];
-            for index in 0..spec.count {
-                let key = support::task(task.step.job, before, index);
-                assert!(self.ever_done(key), "{task} before {key} was done");
-            }
-        }
-    }
-
-    /// Whether a task (or its gang) has ever ended as done.
-    fn ever_done(&self, task: TaskKey) -> bool {
-        let gang = self.jobs[&task.step.job].steps[task.step.step as usize].gang;
-        let ended = self.workers.iter().flat_map(|worker| &worker.ended);
-        let mut done = ended.filter(|end| end.how == RunEnd::Done);
-        let same = |one: TaskKey| one == task || gang && one.step == task.step;
-        done.any(|end| same(end.task)) || self.done.iter().any(|one| same(*one))
-    }
-
     fn end_some(&mut self, at: usize, pick: u8, how: RunEnd) {
         let worker = &mut self.workers[at];
         let tasks: Vec<TaskKey> = worker.running.keys().copied().collect();
