A mass crash is held against no task, and no gang waits for more trials than there are

Symptom: a gang whose workers had all gone down twice waited for as many idle workers as it had members (a_wide_gang_outlives_mass_crashes failed); tasks of two lost racks would have been tried one after the other. Cause: each crash counted alike towards a trial, whatever else went down with it.

--- a/crates/job/src/planner/blame.rs
+++ b/crates/job/src/planner/blame.rs
@@ -14,13 +14,13 @@
 use crate::RunId;
 use crate::TaskKey;
 
-/// Least crashes of a task that is given up: two that may have been others', and one
-/// that it met alone.
+/// Least sure crashes of a task that is given up: two that may have been others', and
+/// one that it met alone. The platform lets it be after two.
 const GIVEN_UP: usize = 3;
 
-/// Least of these of which it is sure that the task was there: the platform lets a task
-/// be given up under which two workers crashed.
-const FEWEST_SURE: usize = 2;
+/// Workers without suspects that went down before, within [`COMMON_CAUSE`], from which
+/// on a crash is held against none of the tasks: two bad tasks at a time are not rare.
+const MASS_CRASH: usize = 2;
 
 /// Pause before a trial. Workers that went down together are known to be dead by then:
 /// an idle one is missed within 0.65 s, and the list of machines is asked for each 0.5 s.
@@ -65,10 +65,14 @@
     /// that they are all that it ran.
     pub(super) fn blame(&mut self, runs: &[(TaskKey, Placed)], known: bool) {
         let alone = known && runs.len() == 1;
+        let now = self.now;
+        let recent = self.suspects.deaths.iter();
+        let recent = recent.filter(|death| now < **death + COMMON_CAUSE);
+        let common = recent.count() >= MASS_CRASH;
         let mut guilty = false;
         for (task, placed) in runs {
             // A start without an answer may have come too late for the crash.
-            let certain = placed.phase == RunPhase::Running;
+            let certain = placed.phase == RunPhase::Running && !common;
             guilty |= self.suspect(*task, placed.run, certain, alone);
         }
         if known && !guilty {
@@ -152,8 +156,7 @@
             let near = |at: Duration| move |death: &Duration| death.abs_diff(at) < COMMON_CAUSE;
             let proof = alone.is_some_and(|at| !self.suspects.deaths.iter().any(near(at)));
             let run = suspicion.crashes.last().copied();
-            let enough = suspicion.count() >= GIVEN_UP && suspicion.crashes.len() >= FEWEST_SURE;
-            if proof && enough {
+            if proof && suspicion.crashes.len() >= GIVEN_UP {
                 proven.extend(run.map(|run| (task, run)));
             }
         }
--- a/crates/job/src/planner/suspicion.rs
+++ b/crates/job/src/planner/suspicion.rs
@@ -6,14 +6,15 @@
 //! are victims, and a whole rack may go down for a reason of its own. So:
 //!
 //! - a crash counts for each run that was on the worker, and for nothing else: not a
-//!   lease that is over, a worker that has left as announced, or a refused start; a run
-//!   whose start got no answer may have come too late for it, and counts as unsure;
+//!   lease that is over, a worker that has left as announced, or a refused start;
+//! - it counts as unsure if the start got no answer, which may have come too late, or if
+//!   other workers without suspects have just gone down, too;
 //! - after the first crash, each start is recorded before it is sent: a successor that
 //!   finds neither the run nor all workers alive counts it as a crash;
-//! - with [`TRIED_ALONE`] crashes, a task is tried alone on a worker, some time later;
+//! - with [`TRIED_ALONE`] sure crashes, a task is tried alone on a worker, some time
+//!   later;
 //! - it is given up when that worker crashes too, unless other workers without suspects
-//!   went down at the same time or the crashes before are all unsure, and after
-//!   [`MOST_CRASHES`] in any case.
+//!   went down at the same time, and after [`MOST_CRASHES`], sure or not, in any case.
 
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -27,8 +28,8 @@
 use crate::RunId;
 use crate::TaskKey;
 
-/// Crashes after which a task is tried alone. A sound task rarely meets two: a worker
-/// that goes down takes the runs of all its cores with it.
+/// Sure crashes after which a task is tried alone. A sound task rarely meets two: a
+/// worker that goes down takes the runs of all its cores with it.
 const TRIED_ALONE: usize = 2;
 
 /// Crashes after which a task is given up whatever else went down meanwhile. The
@@ -57,9 +58,9 @@
 /// What is known against a task.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Suspicion {
-    /// Runs whose worker crashed after it had said that they run.
+    /// Runs whose worker crashed by itself after it had said that they run.
     pub(super) crashes: BTreeSet<RunId>,
-    /// Runs that may have been on a worker that crashed.
+    /// Other runs that may have been on a worker that crashed.
     pub(super) unsure: BTreeSet<RunId>,
     /// The start that is recorded ahead, until its end is known.
     pub(super) ahead: Option<Ahead>,
@@ -111,7 +112,7 @@
 
     /// Whether the task starts only alone.
     pub(super) fn isolates(&self) -> bool {
-        self.count() >= TRIED_ALONE
+        self.crashes.len() >= TRIED_ALONE
     }
 
     /// Whether the next start may be sent.
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -62,9 +62,10 @@
 /// What is known against a task under which workers crashed.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRecord {
-    /// Runs whose worker crashed after it had said that they run.
+    /// Runs whose worker crashed by itself after it had said that they run.
     pub runs: BTreeSet<RunId>,
-    /// Runs that may have been on a worker that crashed: their starts got no answer.
+    /// Runs that may have been on a worker that crashed, since their starts got no
+    /// answer, or on one that went down together with others.
     pub unsure: BTreeSet<RunId>,
     /// A run that may be under way: it is recorded before it is sent.
     pub ahead: Option<RunId>,
