The store's stand-in loses no answer after its faults have ended

Cause: the count of answers to lose was read before the delay of a slow store and lowered after it, when the faults had been cleared. Change: both at once, when the answer is due.

--- a/crates/site/src/store.rs
+++ b/crates/site/src/store.rs
@@ -97,6 +97,15 @@
         self.rows.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether the answer to a transaction is lost. Judged when the answer is due: the
+    /// faults may have ended while a slow store worked on it.
+    fn takes_answer(&self) -> bool {
+        let mut rows = self.lock();
+        let lost = rows.faults.lose > 0;
+        rows.faults.lose -= usize::from(lost);
+        lost
+    }
+
     /// Sets what happens to calls from now on.
     pub fn set_faults(&self, faults: StoreFaults) {
         self.lock().faults = faults;
@@ -333,8 +342,7 @@
                 }
                 tokio::time::sleep(faults.delay).await;
                 let whole = self.transact(&body);
-                if faults.lose > 0 {
-                    self.lock().faults.lose -= 1;
+                if self.takes_answer() {
                     std::future::pending::<()>().await;
                 }
                 whole
