Plain names for counting crashes and for rooms that are out of date

Cause: blame, convict, acquit and blind are figures of speech; the field says count, give up, clear and stale. No decision changes. Measured: cargo test -p job; docs, capacity and crashing of cell: pass.

--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -51,7 +51,7 @@
 /// Age of the registrations from which on a worker may have shrunk unseen. What has
 /// shrunk may be filled for 4.5 s; a worker tells of it with its next heartbeat, up to
 /// 1.5 s later.
-const BLIND_AFTER: Duration = Duration::from_secs(3);
+const STALE_AFTER: Duration = Duration::from_secs(3);
 
 /// Answers to writes that wait: one write is under way at a time, and one read of
 /// the guard.
@@ -336,10 +336,10 @@
     /// Fills workers no further than they may have shrunk, while that cannot be read.
     fn check_registrations(&mut self, now: Duration) {
         let age = now.saturating_sub(self.registered);
-        let blind = age > BLIND_AFTER;
-        if self.planner.set_blind(blind) {
+        let stale = age > STALE_AFTER;
+        if self.planner.set_stale(stale) {
             log::warn!(
-                code = 383, epoch = self.epoch, blind = blind, read_ms = millis(age),
+                code = 383, epoch = self.epoch, stale = stale, read_ms = millis(age),
                 share = self.planner.smallest_share(); "age of the registrations"
             );
         }
--- a/crates/job/src/planner/ahead.rs
+++ b/crates/job/src/planner/ahead.rs
@@ -60,7 +60,7 @@
                 continue;
             }
             if suspicion.count() >= MOST_CRASHES {
-                self.convict(task, run);
+                self.give_up_suspect(task, run);
                 return;
             }
             if suspicion.ahead.is_none_or(|ahead| ahead.run != run) {
--- a/crates/job/src/planner/blame.rs
+++ b/crates/job/src/planner/crash_count.rs
@@ -63,7 +63,7 @@
 
     /// A worker has crashed under these runs, which have been given up; `known` says
     /// that they are all that it ran.
-    pub(super) fn blame(&mut self, runs: &[(TaskKey, Placed)], known: bool) {
+    pub(super) fn count_crash(&mut self, runs: &[(TaskKey, Placed)], known: bool) {
         let alone = known && runs.len() == 1;
         let now = self.now;
         let recent = self.suspects.deaths.iter();
@@ -117,11 +117,11 @@
     }
 
     /// A run has ended in another way than with its worker.
-    pub(super) fn acquit(&mut self, task: TaskKey, run: RunId) {
+    pub(super) fn clear_run(&mut self, task: TaskKey, run: RunId) {
         let Some(suspicion) = self.suspicion_of(task) else {
             return;
         };
-        if !suspicion.acquit(run) {
+        if !suspicion.clear_run(run) {
             return;
         }
         let isolates = suspicion.isolates();
@@ -132,13 +132,13 @@
     }
 
     /// Gives up the suspects that are proven to be to blame.
-    pub(super) fn judge(&mut self) {
+    pub(super) fn decide_suspects(&mut self) {
         let now = self.now;
         self.suspects
             .deaths
             .retain(|death| *death + COMMON_CAUSE + TRIAL_PAUSE >= now);
         let mut proven = Vec::new();
-        self.suspects.judging = false;
+        self.suspects.deciding = false;
         for task in std::mem::take(&mut self.suspects.tasks) {
             let job = self.jobs.get_mut(&task.step.job);
             let Some(job) = job.filter(|job| job.outcome.is_none()) else {
@@ -149,7 +149,7 @@
             };
             self.suspects.tasks.insert(task);
             if now < suspicion.rest {
-                self.suspects.judging |= suspicion.alone.is_some();
+                self.suspects.deciding |= suspicion.alone.is_some();
                 continue;
             }
             let alone = suspicion.alone.take();
@@ -161,11 +161,11 @@
             }
         }
         for (task, run) in proven {
-            self.convict(task, run);
+            self.give_up_suspect(task, run);
         }
     }
 
-    pub(super) fn convict(&mut self, task: TaskKey, run: RunId) {
+    pub(super) fn give_up_suspect(&mut self, task: TaskKey, run: RunId) {
         self.note(task, run, Finding::GivenUp);
         self.finish(task.step.job, Outcome::Failed);
     }
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -15,8 +15,7 @@
 mod ahead;
 mod batch;
 mod begin;
-mod blame;
-mod blind;
+mod crash_count;
 mod expected;
 mod gang;
 mod impossible;
@@ -35,6 +34,7 @@
 mod roster;
 mod run_times;
 mod speed;
+mod stale_rooms;
 mod stop_reason;
 mod suspicion;
 mod trial;
@@ -170,9 +170,9 @@
     /// The gang that has waited longest beyond its objective.
     elder: Option<StepKey>,
     /// The registrations are too old to rely on the workers' rooms.
-    blind: bool,
+    stale: bool,
     /// Smallest share of its room that a worker was seen to have.
-    smallest: blind::Share,
+    smallest: stale_rooms::Share,
     /// Share of the workers that may run a step, by queue, as learnt.
     shares: HashMap<String, f64>,
     orders: Vec<Order>,
@@ -237,7 +237,7 @@
             asks: Asks::default(),
             mean_work: HashMap::new(),
             elder: None,
-            blind: false,
+            stale: false,
             smallest: 1.0,
             shares: HashMap::new(),
             orders: Vec::new(),
@@ -326,7 +326,7 @@
     pub fn settle(&mut self) {
         self.expire_workers();
         self.end_recovery();
-        self.judge();
+        self.decide_suspects();
         if self.now > self.began + ORPHAN_TIME {
             self.orphans.clear();
         }
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -268,7 +268,7 @@
             let lost = LostRun::new((task, &placed), id, (Loss::Unlisted, beside), self.now);
             self.losses.push(lost);
             self.give_up(task, key, run, &placed.checkpoint);
-            self.acquit(task, run);
+            self.clear_run(task, run);
         }
     }
 
@@ -304,7 +304,7 @@
     /// A start was refused: nothing ran.
     fn not_started(&mut self, task: TaskKey, key: WorkerKey, run: RunId) {
         self.give_up(task, key, run, "");
-        self.acquit(task, run);
+        self.clear_run(task, run);
     }
 
     pub(super) fn task_ended(&mut self, key: WorkerKey, end: &EndedTask) {
@@ -318,7 +318,7 @@
             return;
         }
         self.sighted(task, end.run, Sighting::of_end(end));
-        self.acquit(task, end.run);
+        self.clear_run(task, end.run);
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -267,7 +267,7 @@
         let doubtful = self.workers.values().filter(|worker| {
             let unclaimed = recovering && !worker.claimed;
             let silent = worker.silent || worker.gone;
-            let matters = !worker.runs.is_empty() || self.suspects.judging;
+            let matters = !worker.runs.is_empty() || self.suspects.deciding;
             unclaimed || silent && matters
         });
         doubtful.map(|worker| worker.info.id.clone()).collect()
@@ -311,11 +311,11 @@
         for (task, placed) in &runs {
             self.give_up(*task, key, placed.run, &placed.checkpoint);
             if cause != Loss::Crashed {
-                self.acquit(*task, placed.run);
+                self.clear_run(*task, placed.run);
             }
         }
         if cause == Loss::Crashed {
-            self.blame(&runs, known);
+            self.count_crash(&runs, known);
         }
     }
 
--- a/crates/job/src/planner/blind.rs
+++ b/crates/job/src/planner/stale_rooms.rs
@@ -40,13 +40,13 @@
 impl Planner {
     /// The registrations of workers are too old to rely on their rooms, or are not any
     /// more; gives whether that is news.
-    pub fn set_blind(&mut self, blind: bool) -> bool {
-        if blind == self.blind {
+    pub fn set_stale(&mut self, stale: bool) -> bool {
+        if stale == self.stale {
             return false;
         }
-        self.blind = blind;
+        self.stale = stale;
         for worker in self.workers.values_mut() {
-            worker.room = fillable(worker, blind, self.smallest);
+            worker.room = fillable(worker, stale, self.smallest);
         }
         true
     }
@@ -61,14 +61,14 @@
     pub(super) fn measure(&mut self, key: WorkerKey) {
         let worker = &mut self.workers[key];
         self.smallest = self.smallest.min(share(worker));
-        worker.room = fillable(worker, self.blind, self.smallest);
+        worker.room = fillable(worker, self.stale, self.smallest);
     }
 }
 
 /// How far a worker may be filled.
-fn fillable(worker: &WorkerState, blind: bool, smallest: Share) -> Room {
+fn fillable(worker: &WorkerState, stale: bool, smallest: Share) -> Room {
     let now = worker.info.capacity;
-    if blind {
+    if stale {
         now.within(&scaled(&worker.largest, smallest))
     } else {
         now
--- a/crates/job/src/planner/suspicion.rs
+++ b/crates/job/src/planner/suspicion.rs
@@ -40,13 +40,13 @@
 /// likely sound, and a store that takes longer is slow or away.
 const RECORD_WAIT: Duration = Duration::from_millis(300);
 
-/// Tasks under which workers crashed, and what is needed to judge them.
+/// Tasks under which workers crashed, and what is needed to decide on them.
 #[derive(Debug, Default)]
 pub(super) struct Suspects {
     /// The tasks, whether they may start beside others or not.
     pub(super) tasks: BTreeSet<TaskKey>,
-    /// One of them was alone on a worker that crashed, and is about to be judged.
-    pub(super) judging: bool,
+    /// One of them was alone on a worker that crashed, and is about to be decided on.
+    pub(super) deciding: bool,
     /// A worker went down before it told us what a predecessor had it run.
     pub(super) unseen: bool,
     /// When workers without suspects crashed, of late.
@@ -66,7 +66,7 @@
     pub(super) ahead: Option<Ahead>,
     /// No trial before this time.
     pub(super) rest: Duration,
-    /// When it was alone on a worker that crashed, if that is not judged yet.
+    /// When it was alone on a worker that crashed, if that is not decided on yet.
     pub(super) alone: Option<Duration>,
 }
 
@@ -125,7 +125,7 @@
     }
 
     /// A run has ended in another way than with its worker; gives whether that is news.
-    pub(super) fn acquit(&mut self, run: RunId) -> bool {
+    pub(super) fn clear_run(&mut self, run: RunId) -> bool {
         let ahead = self.ahead.take_if(|ahead| ahead.run == run);
         let counted = self.crashes.remove(&run) | self.unsure.remove(&run);
         counted || ahead.is_some()
--- a/crates/job/src/planner/trial.rs
+++ b/crates/job/src/planner/trial.rs
@@ -27,8 +27,8 @@
 const IDLE_A_TRIAL: usize = 2;
 
 /// Puts idle workers first, and of them those that were heard of last: a trial on a
-/// worker that has just gone down for another reason would count against its task. Three
-/// sound tasks of a soak's seed were given up so.
+/// worker that has just gone down for another reason would count against its task, and
+/// a sound one be given up.
 fn fit_for_trials(candidates: &mut [Candidate]) {
     candidates.sort_by_key(|one| (!one.idle, Reverse(one.heard)));
 }
