--- a/crates/job/src/planner/ahead.rs
+++ b/crates/job/src/planner/ahead.rs
@@ -108,6 +108,21 @@
         suspicion.is_none_or(|suspicion| suspicion.may_start(self.now))
     }
 
+    /// Whether workers have crashed under any task of a step. Most steps have none; a
+    /// look at each task of each waiting step took a third of a round.
+    pub(super) fn suspected(&self, key: StepKey) -> bool {
+        let task = |index: u32| TaskKey { step: key, index };
+        let known = self.suspects.tasks.range(task(0)..=task(u32::MAX));
+        known.take(1).count() > 0
+    }
+
+    /// Whether a task may start now, on a worker that runs others.
+    pub(super) fn starts_beside_others(&self, task: TaskKey) -> bool {
+        let job = self.jobs.get(&task.step.job);
+        let alone = job.is_some_and(|job| job.isolates(task));
+        !alone && self.may_start(task)
+    }
+
     /// Suspects of a step that wait.
     fn waiting_suspects(&self, key: StepKey) -> Vec<TaskKey> {
         if self.suspects.tasks.is_empty() {
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -147,17 +147,14 @@
     }
 
     fn place_tasks(&mut self, key: StepKey, spec: &StepSpec, kept: &Kept) {
-        let mut waiting = self.waiting_tasks(key);
-        if let Some(job) = self.jobs.get(&key.job) {
-            waiting.retain(|task| !job.isolates(*task) && self.may_start(*task));
-        }
-        if waiting.is_empty() {
-            return;
-        }
         let mut candidates = self.candidates(key, spec, kept);
         if candidates.is_empty() {
             return;
         }
+        let mut waiting = self.waiting_tasks(key);
+        if self.suspected(key) {
+            waiting.retain(|task| self.starts_beside_others(*task));
+        }
         let tolerant = self.tolerant(key);
         for task in waiting {
             let Some(at) = self.choose(&candidates, task, spec, tolerant) else {
@@ -207,7 +204,8 @@
             // Members of the last run are still ending.
             return true;
         }
-        if !tasks.iter().all(|task| self.may_start(*task)) {
+        let suspected = self.suspected(key);
+        if suspected && !tasks.iter().all(|task| self.may_start(*task)) {
             return true;
         }
         let trials = self.waiting_trials(key);
