--- a/crates/job/tests/crashes.rs
+++ b/crates/job/tests/crashes.rs
@@ -21,7 +21,7 @@
 /// A counter check was started again and again, each time on another worker, which went
 /// down 10 ms later and took down the other runs that it had. Nothing was remembered of
 /// a run whose worker's life was over, so its task waited as if it had never been
-/// started. The owner's log had it in one millisecond, a dozen times in a row:
+/// started. The owner's log had death and next start in one millisecond, each time:
 ///
 ///     12.1964 381 silent worker is dead, i-10f5bb1601
 ///     12.1964 350 start, f99922f895b4a99e.0.0.0 run 8 on i-ba57d7b638
