--- a/crates/cell/src/owner/load.rs
+++ b/crates/cell/src/owner/load.rs
@@ -28,6 +28,20 @@
             placed = load.placed, running = load.running, waiting = load.waiting, steps = load.open,
             unfinished = load.unfinished; "load of the pool"
         );
+        self.report_traffic();
+    }
+
+    /// Logs what went over the owner's link, by which a link that is full is told from
+    /// workers that do not answer.
+    fn report_traffic(&self) {
+        let workers = self.context.orders.traffic().take();
+        let store = self.context.store.traffic().take();
+        log::info!(
+            code = 373, epoch = self.epoch, answered = workers.answered, lost = workers.lost,
+            slowest_ms = millis(workers.slowest), sent = workers.sent, received = workers.received,
+            store_answered = store.answered, store_lost = store.lost, store_slowest_ms = millis(store.slowest),
+            store_sent = store.sent, store_received = store.received; "traffic of the owner"
+        );
     }
 
     /// Logs runs that were lost, and why their tasks wait again.
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -1,7 +1,9 @@
 //! HTTP client with a timeout on every call and a bound on every body.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -19,6 +21,8 @@
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
 
+use crate::Traffic;
+
 /// Largest body that a client reads, in bytes.
 pub const REPLY_BYTES: usize = 64 * 1024 * 1024;
 
@@ -98,6 +102,7 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     inner: HyperClient<HttpConnector, Full<Bytes>>,
+    traffic: Arc<Traffic>,
 }
 
 impl Client {
@@ -110,7 +115,16 @@
         let inner = HyperClient::builder(TokioExecutor::new())
             .pool_max_idle_per_host(IDLE_CONNECTIONS)
             .build(connector);
-        Client { inner }
+        Client {
+            inner,
+            traffic: Arc::default(),
+        }
+    }
+
+    /// Counts of the calls of this client and its clones.
+    #[must_use]
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
     }
 
     /// Sends a request without a body.
@@ -148,11 +162,20 @@
     /// See [`CallError`].
     pub async fn send(&self, call: Call) -> Result<Reply, CallError> {
         let server = call.server;
-        let lost = |reason: String| CallError::Lost { server, reason };
-        match tokio::time::timeout(call.timeout, self.exchange(call)).await {
+        let begin = Instant::now();
+        self.traffic.sent(call.body.len());
+        let reply = match tokio::time::timeout(call.timeout, self.exchange(call)).await {
             Ok(reply) => reply,
-            Err(_) => Err(lost(TIMEOUT.to_owned())),
+            Err(_) => Err(CallError::Lost {
+                server,
+                reason: TIMEOUT.to_owned(),
+            }),
+        };
+        match &reply {
+            Ok(reply) => self.traffic.answered(reply.body.len(), begin.elapsed()),
+            Err(_) => self.traffic.lost(),
         }
+        reply
     }
 
     async fn exchange(&self, call: Call) -> Result<Reply, CallError> {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -5,11 +5,13 @@
 mod limits;
 mod reply;
 mod server;
+mod traffic;
 
 pub use client::*;
 pub use limits::*;
 pub use reply::*;
 pub use server::*;
+pub use traffic::*;
 
 pub use hyper::Method;
 pub use hyper::StatusCode;
--- /dev/null
+++ b/crates/web/src/traffic.rs
@@ -0,0 +1,59 @@
+//! What a client's calls amount to.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// Counts of a client's calls; clones of the client share them.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    answered: AtomicU64,
+    lost: AtomicU64,
+    sent: AtomicU64,
+    received: AtomicU64,
+    slowest: AtomicU64,
+}
+
+/// Calls since the counts were taken last.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TrafficCount {
+    /// Calls that were answered.
+    pub answered: u64,
+    /// Calls that got no whole answer.
+    pub lost: u64,
+    /// Bytes of bodies sent.
+    pub sent: u64,
+    /// Bytes of bodies received.
+    pub received: u64,
+    /// Longest time to an answer.
+    pub slowest: Duration,
+}
+
+impl Traffic {
+    pub(crate) fn sent(&self, bytes: usize) {
+        self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    pub(crate) fn answered(&self, bytes: usize, took: Duration) {
+        self.answered.fetch_add(1, Ordering::Relaxed);
+        self.received.fetch_add(bytes as u64, Ordering::Relaxed);
+        let took = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+        self.slowest.fetch_max(took, Ordering::Relaxed);
+    }
+
+    pub(crate) fn lost(&self) {
+        self.lost.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Takes the counts; those of the next call begin at zero.
+    pub fn take(&self) -> TrafficCount {
+        let take = |count: &AtomicU64| count.swap(0, Ordering::Relaxed);
+        TrafficCount {
+            answered: take(&self.answered),
+            lost: take(&self.lost),
+            sent: take(&self.sent),
+            received: take(&self.received),
+            slowest: Duration::from_millis(take(&self.slowest)),
+        }
+    }
+}
