Answers of workers that come late are taken, and full links are not filled by retries

Callers saw work done twice, and most requests failing for ten seconds and more, after their owner's link had been full for a second. Cause: a call to a worker was given up after 0.25 s, its connection with it, and made again 0.15 s later. What workers told meanwhile was thrown away, ends among it, until their leases were over and their tasks started elsewhere. An answer to a start that comes late counts. Why it holds: each call that is under way can still be answered, and the fewer answers come, the fewer calls are made.

--- a/crates/cell/src/context.rs
+++ b/crates/cell/src/context.rs
@@ -25,6 +25,9 @@
 /// Longest wait for a connection; within a region one takes milliseconds.
 const CONNECT: Duration = Duration::from_millis(300);
 
+/// The same to a worker, over a link of the owner that may be full.
+const WORKER_CONNECT: Duration = Duration::from_secs(1);
+
 /// What every task of a process needs.
 #[derive(Clone, Debug)]
 pub struct Context {
@@ -69,7 +72,7 @@
             settings: Arc::new(settings),
             incarnation: std::hash::RandomState::new().build_hasher().finish(),
             store,
-            orders: OrderClient::new(Client::new(CONNECT)),
+            orders: OrderClient::new(Client::new(WORKER_CONNECT)),
             client: Client::new(CONNECT),
             config,
             seat,
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! The owner of the pool: one task that holds the planner, and around it the
 //! links to workers, the writer of progress and the helpers.
 
+mod answer_time;
 mod counts;
 mod helpers;
 mod hold_pace;
@@ -20,6 +21,7 @@
 mod takeover;
 mod worker_rows;
 
+pub use answer_time::AnswerTime;
 pub use hold_pace::hold_wait;
 pub use messages::*;
 pub use supervise::*;
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use super::AnswerTime;
 use super::CLAIMS;
 use super::Counts;
 use super::Helpers;
@@ -87,6 +88,8 @@
     /// How long each worker is to wait for an end.
     holds: watch::Sender<Duration>,
     claims: Arc<Semaphore>,
+    /// How long workers' answers take.
+    pub(super) answers: Arc<AnswerTime>,
     config: Option<Arc<Config>>,
     tasks: JoinSet<()>,
     /// When the load was logged last.
@@ -149,6 +152,7 @@
             counts: Counts::default(),
             holds: watch::Sender::new(hold_wait(0, 1.0, 1.0)),
             claims: Arc::new(Semaphore::new(CLAIMS)),
+            answers: Arc::default(),
             config: None,
             tasks: JoinSet::new(),
             reported: Duration::ZERO,
@@ -209,6 +213,7 @@
             tenure: self.standing.follow_tenure(),
             wait: self.holds.subscribe(),
             claims: self.claims.clone(),
+            answers: self.answers.clone(),
         };
         let sender = self.sender.clone();
         let link = Link::open(&self.context, key, info, self.epoch, sender, pace);
--- a/crates/cell/src/owner/sender.rs
+++ b/crates/cell/src/owner/sender.rs
@@ -18,10 +18,6 @@
 use crate::metrics::count;
 use crate::metrics::observe;
 
-/// Time for a worker's answer to a start or a stop; it usually takes 5 ms, and a
-/// later one is found by the next listing.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Pause before a stop that could not be delivered is tried again.
 const STOP_PAUSE: Duration = Duration::from_millis(200);
 
@@ -92,12 +88,25 @@
             epoch = start.epoch, resumes = !start.checkpoint.is_empty(); "start"
         );
         let (address, id) = (link.address, link.id.clone());
-        let orders = self.context.orders.clone();
+        let context = self.context.clone();
         let sender = self.sender.clone();
+        let answers = self.answers.clone();
         tokio::spawn(async move {
             let (task, run) = (start.task, start.run);
-            let answer = orders.start(address, &id, &start, ORDER_TIMEOUT).await;
-            if !matches!(answer, Ordered::Done(_)) {
+            let call = context.orders.start(address, &id, &start, answers.limit());
+            tokio::pin!(call);
+            let in_time = tokio::time::timeout(answers.patience(), &mut call).await;
+            let answer = if let Ok(answer) = in_time {
+                answer
+            } else {
+                log::warn!(code = 351, task:% = task, run = run, worker = id.as_str(), answer = "late"; "start not confirmed");
+                let news = WorkerNews::StartAnswered(task, run, StartReply::Unknown);
+                let _ = sender.send(OwnerMessage::Worker(worker, news)).await;
+                call.await
+            };
+            if let Ordered::Done(_) = answer {
+                answers.took(context.now().saturating_sub(now));
+            } else {
                 log::warn!(code = 351, task:% = task, run = run, worker = id.as_str(), answer:? = answer; "start not confirmed");
             }
             let news = start_news(task, run, &answer);
@@ -119,10 +128,9 @@
         let orders = self.context.orders.clone();
         let sender = self.sender.clone();
         let epoch = self.epoch;
+        let patience = self.answers.patience();
         tokio::spawn(async move {
-            let answer = orders
-                .stop(address, &id, task, run, epoch, ORDER_TIMEOUT)
-                .await;
+            let answer = orders.stop(address, &id, task, run, epoch, patience).await;
             let news = match answer {
                 Ordered::Done(_) => WorkerNews::StopAnswered(task, run, StopReply::Stopped),
                 Ordered::Fenced => WorkerNews::Fenced,
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -61,7 +61,7 @@
         match reply {
             StartReply::Started => {
                 // An answer that comes after a listing has told as much.
-                if placed.phase == RunPhase::Sent {
+                if matches!(placed.phase, RunPhase::Sent | RunPhase::Unknown) {
                     placed.phase = RunPhase::Running;
                     placed.since = now;
                     placed.moved = now;
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -25,6 +25,7 @@
 use crate::StoreDoor;
 use crate::StoreStand;
 use crate::Surroundings;
+use crate::ThinLink;
 use crate::WorkerPlace;
 use crate::WorkerStand;
 
@@ -62,6 +63,8 @@
     /// Tells its addresses apart from those of other cells.
     net: u8,
     keep_s: f64,
+    /// Link to the workers, and its megabits a second; none if it has no bound.
+    link: Option<(Arc<ThinLink>, f64)>,
     members: Vec<Option<Member>>,
     serving: watch::Sender<bool>,
 }
@@ -81,6 +84,25 @@
     /// # Panics
     /// An address cannot be bound.
     pub async fn open_keeping(processes: usize, workers: usize, keep_s: f64) -> SiteCell {
+        SiteCell::open_with(processes, workers, keep_s, None).await
+    }
+
+    /// The same as [`SiteCell::open`], with a link of `mbps` megabits a second between
+    /// all processes and all workers.
+    ///
+    /// # Panics
+    /// An address cannot be bound.
+    pub async fn open_behind(mbps: f64, processes: usize, workers: usize) -> SiteCell {
+        let link = (ThinLink::new(mbps), mbps);
+        SiteCell::open_with(processes, workers, 120.0, Some(link)).await
+    }
+
+    async fn open_with(
+        processes: usize,
+        workers: usize,
+        keep_s: f64,
+        link: Option<(Arc<ThinLink>, f64)>,
+    ) -> SiteCell {
         let (serving, stop) = watch::channel(false);
         let store = StoreStand::new();
         let mut doors = Vec::new();
@@ -105,6 +127,7 @@
             stores,
             net: CELLS.fetch_add(1, Ordering::Relaxed),
             keep_s,
+            link,
             members: Vec::new(),
             serving,
         };
@@ -133,7 +156,11 @@
         let place = WorkerPlace::new(&format!("w{at}"), around);
         let stop = self.serving.subscribe();
         let address = serve(place.clone(), &stop).await;
-        self.addresses.push(address);
+        let front = match &self.link {
+            Some((link, _)) => link.front(address, stop.clone()).await,
+            None => address,
+        };
+        self.addresses.push(front);
         self.workers.push(place.current());
         tokio::spawn(place.live(address, stop));
         self.register(at);
@@ -263,6 +290,9 @@
         let text = self.host(at).settings(self.stores[at], Some(self.services));
         let mut settings = CellSettings::parse(&text).expect("settings");
         settings.bounds.keep_s = self.keep_s;
+        if let Some((_, mbps)) = self.link {
+            settings.link_mbps = mbps;
+        }
         settings
     }
 
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -12,6 +12,7 @@
 mod runs;
 mod script;
 mod store;
+mod thin_link;
 mod worker;
 
 pub use advice::*;
@@ -23,4 +24,5 @@
 pub use runs::*;
 pub use script::*;
 pub use store::*;
+pub use thin_link::*;
 pub use worker::*;
--- /dev/null
+++ b/crates/site/src/thin_link.rs
@@ -0,0 +1,134 @@
+//! A link of bounded rate, shared by all connections to the workers behind it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWrite;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// Bytes that a connection costs in each direction beyond what it carries: opening,
+/// acknowledgements and closing.
+const CONNECTION_BYTES: usize = 240;
+
+/// Bytes of headers of each packet.
+const PACKET_BYTES: usize = 52;
+
+/// Largest packet.
+const PACKET: usize = 1460;
+
+/// Time for which a connection is carried on after its caller has closed it: what was
+/// sent still arrives, and so does its answer.
+const LINGER: Duration = Duration::from_secs(5);
+
+/// One direction of a link.
+#[derive(Debug)]
+struct Lane {
+    rate: f64,
+    free: Mutex<Instant>,
+}
+
+impl Lane {
+    fn new(rate: f64) -> Lane {
+        Lane {
+            rate,
+            free: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Waits until these bytes have gone over, behind all that were sent before.
+    async fn carry(&self, bytes: usize) {
+        let until = {
+            let mut free = self.free.lock().unwrap_or_else(PoisonError::into_inner);
+            let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+            let time = Duration::from_secs_f64(f64::from(bytes) / self.rate);
+            *free = (*free).max(Instant::now()) + time;
+            *free
+        };
+        tokio::time::sleep_until(until.into()).await;
+    }
+}
+
+/// A link of bounded rate.
+#[derive(Debug)]
+pub struct ThinLink {
+    there: Lane,
+    back: Lane,
+}
+
+impl ThinLink {
+    /// A link that carries `mbps` megabits a second in each direction.
+    #[must_use]
+    pub fn new(mbps: f64) -> Arc<ThinLink> {
+        let rate = mbps * 125_000.0;
+        Arc::new(ThinLink {
+            there: Lane::new(rate),
+            back: Lane::new(rate),
+        })
+    }
+
+    /// Address that leads to `server` over the link.
+    ///
+    /// # Panics
+    /// No address can be bound.
+    pub async fn front(
+        self: &Arc<ThinLink>,
+        server: SocketAddr,
+        mut stop: watch::Receiver<bool>,
+    ) -> SocketAddr {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let link = self.clone();
+        tokio::spawn(async move {
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    _ = stop.changed() => return,
+                };
+                if let Ok((caller, _)) = accepted {
+                    tokio::spawn(link.clone().relay(caller, server));
+                }
+            }
+        });
+        address
+    }
+
+    async fn relay(self: Arc<ThinLink>, caller: TcpStream, server: SocketAddr) {
+        self.there.carry(CONNECTION_BYTES).await;
+        let Ok(worker) = TcpStream::connect(server).await else {
+            return;
+        };
+        let (from_caller, to_caller) = caller.into_split();
+        let (from_worker, to_worker) = worker.into_split();
+        let there = async {
+            let to_worker = pump(from_caller, to_worker, &self.there).await;
+            tokio::time::sleep(LINGER).await;
+            drop(to_worker);
+        };
+        let back = pump(from_worker, to_caller, &self.back);
+        tokio::join!(there, back);
+    }
+}
+
+/// Carries bytes until their source ends, also to a side that has closed.
+async fn pump<R, W>(mut from: R, mut to: W, lane: &Lane) -> W
+where
+    R: AsyncRead + Unpin,
+    W: AsyncWrite + Unpin,
+{
+    let mut packet = [0; PACKET];
+    while let Ok(length @ 1..) = from.read(&mut packet).await {
+        lane.carry(length + PACKET_BYTES).await;
+        // Whoever has given up does not hear it; the bytes took their time all the same.
+        let _ = to.write_all(&packet[..length]).await;
+    }
+    to
+}
--- a/crates/site/src/worker.rs
+++ b/crates/site/src/worker.rs
@@ -27,6 +27,10 @@
 /// Time between two looks for ends while a call waits for one.
 const LOOK_EVERY: Duration = Duration::from_millis(5);
 
+/// Time after which an end counts as told once the worker has listed it, with no
+/// disruption near.
+const TOLD_AFTER: Duration = Duration::from_millis(100);
+
 /// A run at work.
 #[derive(Debug)]
 struct Run {
@@ -44,13 +48,31 @@
     }
 }
 
+/// A run that has ended.
+#[derive(Debug)]
+struct Ended {
+    number: u64,
+    task: String,
+    run: u64,
+    how: String,
+    /// When it was listed first.
+    listed: Option<Instant>,
+}
+
+impl Ended {
+    /// Whether it counts as told, with no disruption near.
+    fn told(&self) -> bool {
+        self.listed
+            .is_some_and(|listed| listed.elapsed() > TOLD_AFTER)
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     fence: u64,
     lease: u64,
     running: BTreeMap<String, Run>,
-    /// Number, task, run, how.
-    ended: Vec<(u64, String, u64, String)>,
+    ended: Vec<Ended>,
     count: u64,
     /// Ends up to this number do not stand.
     void: u64,
@@ -66,6 +88,10 @@
     /// Orders of this epoch and earlier ones do not arrive.
     deaf_upto: u64,
     late: LateOrders,
+    /// Answers take so much longer.
+    delay: Duration,
+    /// No disruption is near: ends count as told once they were listed.
+    calm: bool,
 }
 
 /// A worker.
@@ -161,6 +187,17 @@
         self.lock().deaf_upto = epoch;
     }
 
+    /// Answers take so much longer from now on; what they say is of before.
+    pub fn set_delay(&self, delay: Duration) {
+        self.lock().delay = delay;
+    }
+
+    /// No disruption is near: an end stands once the worker has listed it, whether its
+    /// owner has heard it or not.
+    pub fn set_calm(&self, calm: bool) {
+        self.lock().calm = calm;
+    }
+
     /// Some orders are left unanswered from now on, and carried out later.
     pub fn set_late(&self, plan: LatePlan) {
         self.lock().late.set_plan(plan);
@@ -220,9 +257,11 @@
 
     /// Ends that nobody has taken note of outlive neither the lease nor the worker.
     fn void_ends(&self, state: &mut State) {
-        let lost = state.ended.iter().filter(|end| end.0 > state.void);
-        for (_, task, run, _) in lost {
-            self.log.push(Deed::Void(task.clone(), *run));
+        let (void, calm) = (state.void, state.calm);
+        let stands = |end: &&Ended| end.number <= void || calm && end.told();
+        let lost = state.ended.iter().filter(|end| !stands(end));
+        for end in lost {
+            self.log.push(Deed::Void(end.task.clone(), end.run));
         }
         state.void = state.count;
     }
@@ -232,8 +271,13 @@
             return;
         };
         state.count += 1;
-        let end = (state.count, task.to_owned(), run.number, how.to_owned());
-        state.ended.push(end);
+        state.ended.push(Ended {
+            number: state.count,
+            task: task.to_owned(),
+            run: run.number,
+            how: how.to_owned(),
+            listed: None,
+        });
         state.over.insert(task.to_owned(), run.number);
         let (task, how) = (task.to_owned(), how.to_owned());
         self.log
@@ -295,7 +339,7 @@
             state.lease = state.lease.max(lease);
         }
         let seen = body["seen_upto"].as_u64().unwrap_or(0);
-        state.ended.retain(|end| end.0 > seen);
+        state.ended.retain(|end| end.number > seen);
         let running: Vec<Value> = state
             .running
             .iter()
@@ -303,8 +347,11 @@
             .collect();
         let ended: Vec<Value> = state
             .ended
-            .iter()
-            .map(|end| json!([end.0, end.1, end.2, end.3, ""]))
+            .iter_mut()
+            .map(|end| {
+                end.listed.get_or_insert_with(Instant::now);
+                json!([end.number, end.task, end.run, end.how, ""])
+            })
             .collect();
         let body = json!({"clock_ms": self.clock(), "running": running, "ended_runs": ended});
         (body, !state.ended.is_empty())
@@ -375,10 +422,13 @@
         if lost {
             std::future::pending::<()>().await;
         }
-        match whole {
+        let whole = match whole {
             Some(whole) => whole,
             None => self.wait_end(&body).await,
-        }
+        };
+        let delay = self.lock().delay;
+        tokio::time::sleep(delay).await;
+        whole
     }
 }
 
