A feed whose answers take long is read all the same

Callers saw tasks of jobs start that they had cancelled 17 s before, and, under the same owner, tasks that were done run again. Cause: what changes during a take-over's full read of 4 s is a megabyte; on a thin link it takes longer than the 0.6 s for the feed's answer. The owner gave the read up and began it anew, for good: line 339 without 349, until the store dropped its history (310). Change: a patient follower waits twice as long after an answer that does not come, and twice as long as the last one took, 6 s at most. Why it holds: what does not arrive in one time arrives in a longer one, and no answer is thrown away that the next one would repeat.

--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -1,6 +1,7 @@
 //! Follows a table of the store through its change feed.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use platform::Patience;
 use platform::Row;
@@ -9,7 +10,8 @@
 use platform::Version;
 
 /// Time for an answer beyond the wait that the feed was asked for. A
-/// connection may go silent without a reset; only this time-out shows it.
+/// connection may go silent without a reset; only this time-out shows it. A patient
+/// follower waits twice as long as the last answer took, or after one that did not come.
 const FEED_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Time for each page of a full read.
@@ -49,6 +51,8 @@
     parts: bool,
     after: Option<Version>,
     patience: Patience,
+    /// Time for the next answer of the feed beyond its wait.
+    timeout: Duration,
 }
 
 impl Follower {
@@ -62,10 +66,13 @@
             parts,
             after: None,
             patience: Patience::once(READ_TIMEOUT),
+            timeout: FEED_TIMEOUT,
         }
     }
 
-    /// Waits longer for full reads, see [`LONG_READ`].
+    /// Waits longer for full reads, see [`LONG_READ`], and for changes. What has changed
+    /// during a full read of seconds takes a thin link longer than [`FEED_TIMEOUT`]; an
+    /// owner that gave it up each time heard of no cancel for 17 s.
     pub(crate) fn patient(self) -> Follower {
         Follower {
             patience: LONG_READ,
@@ -82,8 +89,12 @@
         let Some(after) = self.after else {
             return self.read().await;
         };
-        match self.store.feed(self.table, after, wait, FEED_TIMEOUT).await {
+        let begin = Instant::now();
+        match self.store.feed(self.table, after, wait, self.timeout).await {
             Ok(rows) => {
+                // The next answer may take as long, and is not to be asked for in vain.
+                let took = begin.elapsed().saturating_sub(wait);
+                self.timeout = (took * 2).min(self.longest()).max(FEED_TIMEOUT);
                 self.after = Some(rows.version.max(after));
                 let mut full = rows.rows.len() >= FULL_PAGE;
                 let mut rows = rows.rows;
@@ -99,7 +110,21 @@
                 log::info!(code = 310, table = self.table, after = after; "store history dropped, reading all");
                 self.read().await
             }
-            Err(error) => Err(error),
+            Err(error) => {
+                if matches!(error, StoreError::Lost { .. }) {
+                    self.timeout = (self.timeout * 2).min(self.longest());
+                }
+                Err(error)
+            }
+        }
+    }
+
+    /// Longest time for an answer of the feed beyond its wait.
+    fn longest(&self) -> Duration {
+        if self.patience.most > self.patience.first {
+            self.patience.most
+        } else {
+            FEED_TIMEOUT
         }
     }
 
--- a/crates/site/src/store.rs
+++ b/crates/site/src/store.rs
@@ -55,6 +55,8 @@
     pub delay: Duration,
     /// Rows of this table are read at once and under way this long.
     pub slow_rows: Option<(&'static str, Duration)>,
+    /// Changes of this table are under way this long.
+    pub slow_feed: Option<(&'static str, Duration)>,
     /// The feed does not answer; other calls are served.
     pub hung_feed: bool,
     /// Calls for rows of this part are refused with 503; the others are served.
@@ -360,6 +362,12 @@
             "/-/rows-parts" => self.parts(&asked),
             "/-/rows-feed" => {
                 let whole = self.feed(&asked).await;
+                let slow = faults.slow_feed;
+                if let Some((_, delay)) =
+                    slow.filter(|(table, _)| asked.parameter("table").as_deref() == Some(table))
+                {
+                    tokio::time::sleep(delay).await;
+                }
                 if self.lock().faults.hung_feed {
                     std::future::pending::<()>().await;
                 }
