A run is not given up while an answer that may tell of its end is under way

Callers could see work done twice: a worker tells of an end shortly before its lease is over, the answer takes a second over a full link, and the task starts elsewhere before it comes. The end stands: it counts as told 0.1 s after the worker has listed it. Cause: the owner counted the lease of a silent worker alone, not the answers to calls made under it that were still open. Change: a link says until when the answer to a late call may come (twice the time after which it is late); the worker's runs are kept until then if the call was sent before its lease was over. Why it holds: what a worker has told under the lease is heard before its tasks start elsewhere; calls made after the lease do not count, so a cut worker holds its tasks up by 0.5 s at most on a free link. Tests: late_ends, two more; the first goes red with the rule taken out, the second guards against waiting for good.

--- a/crates/cell/src/owner/answer_time.rs
+++ b/crates/cell/src/owner/answer_time.rs
@@ -69,6 +69,12 @@
         Duration::from_secs_f64(usual).clamp(LEAST, MOST)
     }
 
+    /// Time after which an answer that was given is not expected to come any more.
+    #[must_use]
+    pub fn longest(&self) -> Duration {
+        self.patience() * 2
+    }
+
     /// Time after which an answer is not listened for any more.
     #[must_use]
     pub fn limit(&self) -> Duration {
--- a/crates/cell/src/owner/link.rs
+++ b/crates/cell/src/owner/link.rs
@@ -246,7 +246,10 @@
     }
 
     async fn fall_silent(&mut self, reached: bool, reason: &str) {
-        self.newest = None;
+        if let Some(open) = self.newest.take() {
+            let until = open.sent + open.wait + self.pace.answers.longest();
+            self.tell(WorkerNews::Late(open.sent, until)).await;
+        }
         self.renews = false;
         self.tell(WorkerNews::Silent).await;
         if reached {
--- a/crates/cell/src/owner/messages.rs
+++ b/crates/cell/src/owner/messages.rs
@@ -76,6 +76,9 @@
     LeaseSent,
     /// It did not answer.
     Silent,
+    /// The answer to a call that was sent at the first of these times may come until
+    /// the second.
+    Late(Duration, Duration),
     /// What it runs; asked at this monotonic time.
     Listed(Duration, Listing),
     /// It answered a start.
--- a/crates/cell/src/owner/news.rs
+++ b/crates/cell/src/owner/news.rs
@@ -103,6 +103,7 @@
         match news {
             WorkerNews::LeaseSent => self.planner.lease_sent(key),
             WorkerNews::Silent => self.planner.worker_silent(key),
+            WorkerNews::Late(sent, until) => self.planner.await_answer(key, sent, until),
             WorkerNews::Listed(sent, listing) => {
                 if let Some(link) = self.links.get_mut(&key) {
                     link.set_clock(listing.clock, self.context.now());
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -118,6 +118,7 @@
             return;
         };
         worker.silent = false;
+        worker.awaited = Duration::ZERO;
         worker.heard = self.now;
         if !worker.claimed {
             worker.claimed = true;
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -98,6 +98,8 @@
     pub gone: bool,
     /// When its lease is over by the slowest clock.
     pub lapse: Duration,
+    /// Until when an answer may come that it gave under that lease.
+    pub awaited: Duration,
     /// Newest end that was taken in.
     pub taken: u64,
     /// How fast it is against others.
@@ -128,6 +130,7 @@
             heard: Duration::ZERO,
             gone: false,
             lapse,
+            awaited: Duration::ZERO,
             taken: 0,
             speed: Speed::default(),
             strikes: 0,
@@ -250,6 +253,16 @@
         }
     }
 
+    /// The answer to a call that was sent at `sent` is late, and may come until `until`.
+    /// Given up before it comes, a run that it tells to be done would start again.
+    pub fn await_answer(&mut self, key: WorkerKey, sent: Duration, until: Duration) {
+        if let Some(worker) = self.workers.get_mut(key)
+            && sent < worker.lapse
+        {
+            worker.awaited = worker.awaited.max(until);
+        }
+    }
+
     /// The worker did not answer.
     pub fn worker_silent(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.get_mut(key) {
@@ -324,7 +337,7 @@
     pub(super) fn expire_workers(&mut self) {
         let now = self.now;
         let held = |worker: &WorkerState| worker.inherited && !worker.claimed;
-        let over = |worker: &WorkerState| worker.lapse <= now && !held(worker);
+        let over = |worker: &WorkerState| worker.lapse.max(worker.awaited) <= now && !held(worker);
         let expired: Vec<WorkerKey> = self
             .workers
             .iter()
--- a/crates/job/tests/late_ends.rs
+++ b/crates/job/tests/late_ends.rs
@@ -89,3 +89,40 @@
     save(&mut planner);
     assert_eq!(planner.shown(JOB), Some(Shown::Completed));
 }
+
+/// Guards against a task that starts again while the answer that tells of its end is
+/// under way.
+#[test]
+fn a_run_is_not_given_up_while_an_answer_may_come() {
+    let mut planner = planner(1);
+    let first = add_claimed(&mut planner, "w1");
+    planner.take_job(JOB, spec(vec![step(1)]), None, false);
+    let (task, run, _) = plan_at(&mut planner, 1)[0];
+    planner.start_reply(first, task, run, StartReply::Started);
+    let second = add(&mut planner, "w2");
+    list(&mut planner, second, 2, &listing(vec![], vec![]));
+    let sent = Duration::from_millis(4_000);
+    planner.await_answer(first, sent, Duration::from_millis(LAPSED + 500));
+    planner.worker_silent(first);
+
+    assert_eq!(plan_at(&mut planner, LAPSED + 400), []);
+    assert_eq!(plan_at(&mut planner, LAPSED + 600).len(), 1);
+}
+
+/// Guards against waiting for good for workers that are cut off.
+#[test]
+fn an_answer_to_a_call_after_the_lease_is_not_waited_for() {
+    let mut planner = planner(1);
+    let first = add_claimed(&mut planner, "w1");
+    planner.take_job(JOB, spec(vec![step(1)]), None, false);
+    let (task, run, _) = plan_at(&mut planner, 1)[0];
+    planner.start_reply(first, task, run, StartReply::Started);
+    let second = add(&mut planner, "w2");
+    list(&mut planner, second, 2, &listing(vec![], vec![]));
+    planner.worker_silent(first);
+
+    let sent = Duration::from_millis(LAPSED);
+    planner.await_answer(first, sent, Duration::from_millis(LAPSED + 500));
+
+    assert_eq!(plan_at(&mut planner, LAPSED + 10).len(), 1);
+}
