Starts under way are bounded by the owner's link

Callers saw members of gangs wait in vain, and work late, while the owner's link was full of starts. Change: the starts under way may take 0.1 s of the link, 8 at the least; the most urgent go first, a gang goes whole. Why it holds: the answers pace the starts, so what waits in the link is bounded whatever the rate of the link or of the answers.

--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -17,6 +17,7 @@
 mod saver;
 mod sender;
 mod standing;
+mod start_window;
 mod strain;
 mod supervise;
 mod takeover;
@@ -26,6 +27,7 @@
 pub use hold_pace::calls_a_second;
 pub use hold_pace::hold_wait;
 pub use messages::*;
+pub use start_window::StartWindow;
 pub use supervise::*;
 
 pub(crate) use counts::Counts;
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -26,6 +26,7 @@
 use super::LinkPace;
 use super::Retention;
 use super::Saver;
+use super::StartWindow;
 use super::follow_workers;
 use super::hold_wait;
 use super::standing::Standing;
@@ -92,6 +93,7 @@
     claims: Arc<Semaphore>,
     /// How long workers' answers take.
     pub(super) answers: Arc<AnswerTime>,
+    pub(super) window: StartWindow,
     config: Option<Arc<Config>>,
     tasks: JoinSet<()>,
     /// When the load was logged last.
@@ -156,6 +158,7 @@
             holds: watch::Sender::new(hold_wait(0, 1.0, 1.0)),
             claims: Arc::new(Semaphore::new(CLAIMS)),
             answers: Arc::default(),
+            window: StartWindow::new(context.settings.link_mbps),
             config: None,
             tasks: JoinSet::new(),
             reported: Duration::ZERO,
@@ -319,6 +322,7 @@
         self.check_registrations(now);
         let recovering = self.planner.recovering();
         if self.owned() {
+            self.planner.set_start_room(self.window.room());
             self.planner.plan();
         } else {
             self.planner.settle();
--- a/crates/cell/src/owner/sender.rs
+++ b/crates/cell/src/owner/sender.rs
@@ -91,11 +91,14 @@
         let context = self.context.clone();
         let sender = self.sender.clone();
         let answers = self.answers.clone();
+        let window = self.window.clone();
+        window.sent();
         tokio::spawn(async move {
             let (task, run) = (start.task, start.run);
             let call = context.orders.start(address, &id, &start, answers.limit());
             tokio::pin!(call);
             let in_time = tokio::time::timeout(answers.patience(), &mut call).await;
+            window.settled();
             let answer = if let Ok(answer) = in_time {
                 answer
             } else {
--- a/crates/cell/tests/full_link.rs
+++ b/crates/cell/tests/full_link.rs
@@ -56,5 +56,13 @@
     }
 
     assert_eq!(cell.log.faults(), Vec::<String>::new());
+    for path in &paths {
+        let id = path.trim_start_matches("/plain/");
+        assert_eq!(
+            cell.log.starts(id),
+            4,
+            "{path}: starts under way were stopped"
+        );
+    }
     cell.close().await;
 }
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -170,6 +170,8 @@
     mean_work: HashMap<String, f64>,
     /// The gang that has waited longest beyond its objective.
     elder: Option<StepKey>,
+    /// Starts that may still be sent in this pass.
+    start_room: usize,
     /// The registrations are too old to rely on the workers' rooms.
     stale: bool,
     /// Smallest share of its room that a worker was seen to have.
@@ -238,6 +240,7 @@
             asks: Asks::default(),
             mean_work: HashMap::new(),
             elder: None,
+            start_room: usize::MAX,
             stale: false,
             smallest: 1.0,
             shares: HashMap::new(),
@@ -316,6 +319,11 @@
         }
     }
 
+    /// Sends at most so many starts in the next passes, or the members of one gang more.
+    pub fn set_start_room(&mut self, starts: usize) {
+        self.start_room = starts;
+    }
+
     /// Decides what starts now.
     pub fn plan(&mut self) {
         self.settle();
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -80,8 +80,9 @@
                 continue;
             }
             let in_time = rank.stage == 0;
-            let seated = self.place_gang(rank, key, &spec, &mut kept)
-                || in_time && self.make_room(rank, key, &spec, &mut kept);
+            let seated = self.start_room > 0
+                && (self.place_gang(rank, key, &spec, &mut kept)
+                    || in_time && self.make_room(rank, key, &spec, &mut kept));
             if !seated {
                 self.keep_room(rank, key, &spec, &mut kept);
             }
@@ -157,6 +158,9 @@
         }
         let tolerant = self.tolerant(key);
         for task in waiting {
+            if self.start_room == 0 {
+                return;
+            }
             let Some(at) = self.choose(&candidates, task, spec, tolerant) else {
                 return;
             };
@@ -289,6 +293,7 @@
             reach.room = reach.room.less(&booked);
         }
         self.lease_sent(seat.key);
+        self.start_room = self.start_room.saturating_sub(1);
         self.orders.push(Order::Start {
             worker: seat.key,
             task,
