The owner is told of cancels at once

Callers saw tasks of a job start, or go on, seconds after its cancel was acknowledged. Change: the process tells the owner, as it does of accepted jobs; the feed stays the backup. Why it holds: the owner's answer is not waited for, and a job that it does not know is known by its row as cancelled. Tests: an_owner_that_cannot_read_the_feed_is_told_of_cancels, red before (30 s); the test of the feed writes the row itself now, so that it guards the feed alone; it is red with the former follower.

--- a/crates/cell/src/cancel.rs
+++ b/crates/cell/src/cancel.rs
@@ -64,6 +64,11 @@
             match self.try_cancel(id).await {
                 Ok(status) => {
                     log::info!(code = 421, job:% = hex(id), status = status.as_u16(); "cancel");
+                    if status == StatusCode::OK {
+                        // The caller need not wait for it; if it fails, the feed tells.
+                        let owner = self.owner.clone();
+                        tokio::spawn(async move { owner.canceled(id).await });
+                    }
                     break web::json(status, &Empty {});
                 }
                 Err(error) => {
--- a/crates/cell/src/owner/intake.rs
+++ b/crates/cell/src/owner/intake.rs
@@ -33,6 +33,12 @@
                 // A caller's handler that has left needs no answer.
                 let _ = reply.send(());
             }
+            OwnerMessage::Canceled(id, reply) => {
+                // One that is not known yet is known to be cancelled by its row.
+                self.planner.cancel(id);
+                // A caller's handler that has left needs no answer.
+                let _ = reply.send(());
+            }
             OwnerMessage::Workers(change) => self.take_workers(change),
             OwnerMessage::Worker(key, news) => self.take_news(key, news),
             OwnerMessage::Dead(dead) => self.take_dead(&dead),
--- a/crates/cell/src/owner/messages.rs
+++ b/crates/cell/src/owner/messages.rs
@@ -43,6 +43,8 @@
     Jobs(Change, Duration),
     /// A job was accepted, by the process that did it.
     Accepted(Box<AcceptedJob>, oneshot::Sender<()>),
+    /// A job was cancelled, by the process that did it.
+    Canceled(JobId, oneshot::Sender<()>),
     /// Registrations of workers have changed.
     Workers(RosterChange),
     /// News from a worker.
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -171,6 +171,17 @@
             .await
     }
 
+    /// Tells of a job that was cancelled. The feed brings it too, but later; over a full
+    /// link by seconds, in which tasks of the job started.
+    ///
+    /// # Errors
+    /// The owner did not answer.
+    pub async fn canceled(&self, id: JobId) -> Result<(), NoOwner> {
+        let make = |reply| OwnerMessage::Canceled(id, reply);
+        let path = format!("/canceled/{id:016x}");
+        self.ask(make, Method::POST, &path, &(), ASK_TIMEOUT).await
+    }
+
     /// Passes a job on to the owner, since the store turns this host away; the
     /// job must certainly not have been accepted here. Nothing if it was not
     /// passed on.
@@ -300,6 +311,15 @@
                 Err(error) => web::error(StatusCode::BAD_REQUEST, &error.to_string()),
             };
         }
+        if let Some(id) = asked.path.strip_prefix("/canceled/") {
+            return match job::parse_job(id) {
+                Ok(id) => {
+                    let make = |reply| OwnerMessage::Canceled(id, reply);
+                    self.relay(make, ASK_TIMEOUT).await
+                }
+                Err(error) => web::error(StatusCode::BAD_REQUEST, &error.to_string()),
+            };
+        }
         if let Some(queue) = asked.path.strip_prefix("/waiting/") {
             let queue = queue.to_owned();
             let make = |reply| OwnerMessage::Waiting(queue, reply);
--- a/crates/cell/tests/thin_links.rs
+++ b/crates/cell/tests/thin_links.rs
@@ -9,7 +9,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cell::JOB_TABLE;
+use cell::decode_row;
+use cell::encode_row;
+use cell::job_row;
 use hyper::Method;
+use job::JobId;
+use job::JobSpec;
 use serde_json::Value;
 use site::Caller;
 use site::SiteCell;
@@ -68,33 +74,71 @@
     cell.close().await;
 }
 
-/// Guards against an owner that never hears of cancels, since its reads are given up.
-#[tokio::test(flavor = "multi_thread")]
-async fn an_owner_whose_feed_takes_long_hears_of_cancels() {
-    const SOON: Duration = Duration::from_secs(8);
+/// Time within which the tasks of a cancelled job have to end.
+const SOON: Duration = Duration::from_secs(8);
+
+/// A cell with a job of two long tasks at work, whose feed of jobs takes this long.
+async fn with_slow_feed(id: JobId, delay: Duration) -> (SiteCell, Caller) {
     let cell = SiteCell::open(2, 1).await;
     let caller = Caller::new();
-    let path = "/plain/00000000000000d2";
-    caller.submit(&cell.servers(), path, &job(2, "20000")).await;
-    caller.wait_state(&cell.servers(), path, "active").await;
+    let path = format!("/plain/{id:016x}");
+    caller
+        .submit(&cell.servers(), &path, &job(2, "20000"))
+        .await;
+    caller.wait_state(&cell.servers(), &path, "active").await;
     cell.store.set_faults(StoreFaults {
-        slow_feed: Some(("jobs", Duration::from_millis(1500))),
+        slow_feed: Some((JOB_TABLE, delay)),
         ..StoreFaults::default()
     });
+    (cell, caller)
+}
 
+/// Waits until no task of a job is at work; false if one is for too long.
+async fn ends_within(cell: &SiteCell, id: JobId, time: Duration) -> bool {
     let asked = Instant::now();
-    let owner = cell.wait_owner(|_| true).await;
-    let other = cell.server(1 - owner);
-    let (status, _) = caller.send(Method::DELETE, other, path, &Value::Null).await;
-
-    assert_eq!(status, 200);
     let ended = || {
-        let spans = cell.log.spans("00000000000000d2");
+        let spans = cell.log.spans(&cell::hex(id));
         spans.iter().all(|span| span.end.is_some())
     };
-    while !ended() && asked.elapsed() < SOON {
+    while !ended() && asked.elapsed() < time {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    assert!(ended(), "a cancelled job runs on");
+    ended()
+}
+
+/// Guards against an owner that never hears of cancels, since its reads are given up.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_whose_feed_takes_long_hears_of_cancels() {
+    const ID: JobId = 0xd2;
+    let (cell, _) = with_slow_feed(ID, Duration::from_millis(1500)).await;
+
+    // The process that cancels it is gone before it can tell the owner.
+    let row = job_row(ID);
+    let value = cell.store.raw(&row.table, &row.part, &row.key);
+    let mut spec: JobSpec = decode_row(&value.expect("a row")).expect("a job");
+    spec.canceled = true;
+    cell.store
+        .write_row(&row.table, &row.part, &row.key, &encode_row(&spec));
+
+    assert!(ends_within(&cell, ID, SOON).await, "its tasks run on");
+    cell.close().await;
+}
+
+/// Guards against tasks that start, or go on, until the feed brings their job's cancel.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_cannot_read_the_feed_is_told_of_cancels() {
+    const ID: JobId = 0xd3;
+    const AT_ONCE: Duration = Duration::from_secs(3);
+    let (cell, caller) = with_slow_feed(ID, Duration::from_secs(30)).await;
+
+    let owner = cell.wait_owner(|_| true).await;
+    let other = cell.server(1 - owner);
+    let path = format!("/plain/{ID:016x}");
+    let (status, _) = caller
+        .send(Method::DELETE, other, &path, &Value::Null)
+        .await;
+
+    assert_eq!(status, 200);
+    assert!(ends_within(&cell, ID, AT_ONCE).await, "its tasks run on");
     cell.close().await;
 }
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -285,9 +285,9 @@
     /// Takes a job that was accepted, or a change of it. `old` says that a
     /// predecessor may have started it.
     pub fn take_job(&mut self, id: JobId, spec: JobSpec, progress: Option<&Progress>, old: bool) {
-        if let Some(job) = self.jobs.get(&id) {
-            if spec.canceled && job.outcome.is_none() {
-                self.finish(id, Outcome::Canceled);
+        if self.jobs.contains_key(&id) {
+            if spec.canceled {
+                self.cancel(id);
             }
             return;
         }
@@ -319,6 +319,13 @@
         }
     }
 
+    /// Ends a known job whose row says that it is cancelled, unless it has ended.
+    pub fn cancel(&mut self, id: JobId) {
+        if self.jobs.get(&id).is_some_and(|job| job.outcome.is_none()) {
+            self.finish(id, Outcome::Canceled);
+        }
+    }
+
     /// Sends at most so many starts in the next passes, or the members of one gang more.
     pub fn set_start_room(&mut self, starts: usize) {
         self.start_room = starts;
