A process that finds another cell's table does not join it

Callers of the older interface had no answer for 40 s while a process was stopped as planned: once in 64 runs of a_planned_stop_fails_no_request, beside processes of a test that had failed. Cause: a process whose lease row is gone took that for an expiry, wrote the row anew and claimed shards, whosever table it was; its keys are others, so nobody could reach it. Change: a cell has an id, drawn when it is made, in the row of its facts (0 for those of earlier versions); a process whose row is gone compares it, and waits while they differ. Why it holds: no row is written to a table that is not known to be the cell's own.

--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -5,6 +5,9 @@
 //! links and journal) and the HTTP server. None of them ends by itself; if
 //! one does, the process stops as a whole, and the other processes take over.
 
+use std::hash::BuildHasher;
+use std::hash::Hasher;
+use std::hash::RandomState;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +24,7 @@
 use peer::Node;
 use shard::CELL_FACTS;
 use shard::CellFacts;
+use shard::CellId;
 use shard::CellService;
 use shard::Context;
 use shard::FORMAT;
@@ -113,8 +117,9 @@
     /// # Errors
     /// See [`DaemonError`].
     pub async fn open(settings: &Settings) -> Result<Process, DaemonError> {
-        let context = Arc::new(make_context(settings)?);
-        check_facts(&context).await?;
+        let mut context = make_context(settings)?;
+        context.cell = join_cell(&context).await?;
+        let context = Arc::new(context);
         let listen = settings.http.listen;
         let listener = TcpListener::bind(listen).await;
         let listener = listener.map_err(|source| DaemonError::Listen {
@@ -230,6 +235,7 @@
         peer: settings.peer.advertise.unwrap_or(settings.peer.listen),
         http: settings.http.listen,
         shards: settings.cell.shards,
+        cell: 0,
         write_rate: settings.cell.write_rate,
         reclaim: settings.lease.reclaim,
         timing: Timing::from(&settings.lease),
@@ -246,11 +252,12 @@
 
 /// The number of shards is fixed when the first process of a cell starts. A
 /// process with another number would route requests to other shards, and the
-/// same id could run twice.
-async fn check_facts(context: &HttpContext) -> Result<(), DaemonError> {
+/// same id could run twice. Gives the cell, which the first process names.
+async fn join_cell(context: &HttpContext) -> Result<CellId, DaemonError> {
     let facts = CellFacts {
         format: FORMAT,
         shards: context.shards,
+        cell: RandomState::new().build_hasher().finish(),
     };
     let commit = Commit::default()
         .check(CELL_FACTS, 0)
@@ -259,8 +266,8 @@
         match context.table.get(CELL_FACTS).await {
             Ok(Some(row)) => {
                 let made: CellFacts = decode_row(&row)?;
-                if made == facts {
-                    return Ok(());
+                if (made.format, made.shards) == (facts.format, facts.shards) {
+                    return Ok(made.cell);
                 }
                 return Err(DaemonError::Facts {
                     found: facts.shards,
--- a/crates/daemon/tests/shown/house.rs
+++ b/crates/daemon/tests/shown/house.rs
@@ -88,6 +88,7 @@
             domain: "tacoma".to_owned(),
             peer: nowhere(),
             http: nowhere(),
+            cell: 0,
             shards: 1,
             write_rate: 100,
             reclaim: true,
--- a/crates/fake/src/relay.rs
+++ b/crates/fake/src/relay.rs
@@ -48,6 +48,8 @@
     pub mute: Mute,
     /// Delay in each direction.
     pub delay: Duration,
+    /// Another server has the address now: new connections lead there.
+    pub instead: Option<SocketAddr>,
 }
 
 /// Relay for TCP towards one server; a cut breaks the connections that are open.
@@ -75,6 +77,7 @@
 }
 
 async fn connect(client: TcpStream, server: SocketAddr, passage: Passage<RelayPlan>) {
+    let server = passage.now().instead.unwrap_or(server);
     let Ok(upstream) = TcpStream::connect(server).await else {
         return;
     };
--- a/crates/shard/src/context.rs
+++ b/crates/shard/src/context.rs
@@ -9,6 +9,7 @@
 use peer::Node;
 use worker::WorkerClient;
 
+use crate::CellId;
 use crate::Gate;
 use crate::Pacer;
 
@@ -55,6 +56,8 @@
     pub http: SocketAddr,
     /// Number of shards of the cell.
     pub shards: u16,
+    /// The cell that the process joined when it started.
+    pub cell: CellId,
     /// Writes a second that the whole cell may make.
     pub write_rate: u32,
     /// Whether a timed-out lease is claimed again with its state kept.
--- a/crates/shard/src/lease.rs
+++ b/crates/shard/src/lease.rs
@@ -10,6 +10,8 @@
 use store::StoreError;
 use store::Table;
 
+use crate::CELL_FACTS;
+use crate::CellFacts;
 use crate::Context;
 use crate::FORMAT;
 use crate::LeaseRow;
@@ -81,6 +83,9 @@
         }
         let key = lease_key(&self.context.process);
         let row = self.context.table.get(&key).await?;
+        if row.is_none() {
+            self.check_cell().await?;
+        }
         let found = row
             .as_ref()
             .and_then(|row| decode_row::<LeaseRow>(row).ok());
@@ -102,6 +107,24 @@
         Ok((renewal, began))
     }
 
+    /// A row that is gone may show that the table is another cell's: of one that has the
+    /// address now. A process that wrote its row there took shards that nobody could
+    /// reach, and their callers had no answer.
+    async fn check_cell(&self) -> Result<(), StoreError> {
+        let row = self.context.table.get(CELL_FACTS).await?;
+        let facts = row.and_then(|row| decode_row::<CellFacts>(&row).ok());
+        let found = facts.map_or(0, |facts| facts.cell);
+        if found == self.context.cell {
+            return Ok(());
+        }
+        let reason = format!(
+            "the table belongs to another cell: found {found:016x}, allowed {:016x}",
+            self.context.cell
+        );
+        log::error!("{reason}");
+        Err(StoreError::Unavailable { reason })
+    }
+
     async fn write(&mut self, config: Version) -> Result<bool, StoreError> {
         let key = lease_key(&self.context.process);
         let mut commit = Commit::default()
--- a/crates/shard/src/rows.rs
+++ b/crates/shard/src/rows.rs
@@ -124,6 +124,9 @@
     pub epoch: Epoch,
 }
 
+/// Drawn at random when a cell is made.
+pub type CellId = u64;
+
 /// Facts fixed when the cell was made.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CellFacts {
@@ -131,6 +134,9 @@
     pub format: u16,
     /// Number of shards.
     pub shards: u16,
+    /// Tells the cell apart from all others; 0 if it was made by an earlier version.
+    #[serde(default)]
+    pub cell: CellId,
 }
 
 /// One worker of a shard.
