The task of a link, and the guess of a worker's clock, have files of their own

No change of behaviour: cargo test -p cell -p job -p site passed (52 test programs and doc tests), Clippy clean.

--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -2,9 +2,11 @@
 //! links to workers, the writer of progress and the helpers.
 
 mod answer_time;
+mod clock_guess;
 mod counts;
 mod helpers;
 mod hold_pace;
+mod holder;
 mod intake;
 mod link;
 mod lives;
--- a/crates/cell/src/owner/saver.rs
+++ b/crates/cell/src/owner/saver.rs
@@ -65,6 +65,17 @@
 /// Pause after a transaction that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(100);
 
+/// Whether the pool is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Release {
+    /// It is not.
+    Held,
+    /// The next transaction does it.
+    Wanted,
+    /// The store has confirmed it.
+    Done,
+}
+
 /// State of the owner's writes.
 pub(crate) struct Saver {
     context: Context,
@@ -79,8 +90,7 @@
     /// When the newest renewal of the take-over began that was done.
     written: Duration,
     workers: WorkerRows,
-    giving_up: bool,
-    released: bool,
+    release: Release,
     /// The owner cannot keep up; its renewals say so.
     strained: bool,
 }
@@ -97,8 +107,7 @@
             renewed: context.now(),
             written: Duration::ZERO,
             workers: WorkerRows::default(),
-            giving_up: false,
-            released: false,
+            release: Release::Held,
             strained: false,
         }
     }
@@ -179,18 +188,18 @@
 
     /// The next transaction gives the pool up.
     pub(crate) fn give_up(&mut self) {
-        self.giving_up = true;
+        self.release = Release::Wanted;
     }
 
     pub(crate) fn released(&self) -> bool {
-        self.released
+        self.release == Release::Done
     }
 
     fn due(&self, now: Duration, unsaved: bool) -> bool {
         let renewal = now.saturating_sub(self.renewed) >= RENEW_EVERY;
         let workers = !self.workers.is_empty();
-        let wanted = renewal || workers || unsaved || self.giving_up;
-        wanted && !self.busy && !self.released && now >= self.after
+        let wanted = renewal || workers || unsaved || self.release == Release::Wanted;
+        wanted && !self.busy && !self.released() && now >= self.after
     }
 
     fn transaction(&mut self, save: &mut Save, now: Duration) -> Transaction {
@@ -204,7 +213,7 @@
         (save.used, save.unused) = self.workers.take(MOST_WORKERS);
         let used = save.used.iter();
         puts.extend(used.map(|(id, worker)| (used_row(id), encode_row(worker))));
-        save.release = self.giving_up && save.batch.ends_complete;
+        save.release = self.release == Release::Wanted && save.batch.ends_complete;
         save.renews = save.release || now.saturating_sub(self.renewed) >= RENEW_EVERY;
         if save.renews {
             self.beat += 1;
@@ -279,7 +288,9 @@
                 self.saver.busy = false;
                 self.saver.guard = version;
                 self.standing.tenure.wrote(save.begun);
-                self.saver.released |= save.release;
+                if save.release {
+                    self.saver.release = Release::Done;
+                }
                 if save.renews {
                     self.saver.renewed = now;
                 }
--- a/crates/job/tests/late_ends.rs
+++ b/crates/job/tests/late_ends.rs
@@ -15,8 +15,11 @@
 use job::Order;
 use job::Planner;
 use job::RunEnd;
+use job::RunId;
 use job::Shown;
 use job::StartReply;
+use job::TaskKey;
+use job::WorkerKey;
 use support::add;
 use support::add_claimed;
 use support::ended;
@@ -32,12 +35,22 @@
 /// The lease of a worker that was heard of at time 0 is over by every clock.
 const LAPSED: u64 = 7_000;
 
-fn list(planner: &mut Planner, key: job::WorkerKey, at: u64, listing: &Listing) {
+fn list(planner: &mut Planner, key: WorkerKey, at: u64, listing: &Listing) {
     let at = Duration::from_millis(at);
     planner.advance(at);
     planner.take_listing(key, at, listing);
 }
 
+/// The only task of a job runs on the only worker.
+fn one_run() -> (Planner, WorkerKey, TaskKey, RunId) {
+    let mut planner = planner(1);
+    let first = add_claimed(&mut planner, "w1");
+    planner.take_job(JOB, spec(vec![step(1)]), None, false);
+    let (task, run, _) = plan_at(&mut planner, 1)[0];
+    planner.start_reply(first, task, run, StartReply::Started);
+    (planner, first, task, run)
+}
+
 fn save(planner: &mut Planner) {
     let batch = planner.take_batch(10);
     planner.batch_saved(&batch);
@@ -46,11 +59,7 @@
 /// Guards against a task that starts again after its end was listed.
 #[test]
 fn a_task_whose_lost_run_was_done_is_not_started_again() {
-    let mut planner = planner(1);
-    let first = add_claimed(&mut planner, "w1");
-    planner.take_job(JOB, spec(vec![step(1)]), None, false);
-    let (task, run, _) = plan_at(&mut planner, 1)[0];
-    planner.start_reply(first, task, run, StartReply::Started);
+    let (mut planner, first, task, run) = one_run();
     planner.worker_silent(first);
     assert_eq!(plan_at(&mut planner, LAPSED), []);
 
@@ -65,11 +74,7 @@
 /// Guards against work that goes on elsewhere after it is known to be done.
 #[test]
 fn a_run_in_place_of_one_that_was_done_is_stopped() {
-    let mut planner = planner(1);
-    let first = add_claimed(&mut planner, "w1");
-    planner.take_job(JOB, spec(vec![step(1)]), None, false);
-    let (task, run, _) = plan_at(&mut planner, 1)[0];
-    planner.start_reply(first, task, run, StartReply::Started);
+    let (mut planner, first, task, run) = one_run();
     planner.worker_silent(first);
     plan_at(&mut planner, LAPSED);
     let second = add(&mut planner, "w2");
@@ -94,14 +99,10 @@
 /// under way.
 #[test]
 fn a_run_is_not_given_up_while_an_answer_may_come() {
-    let mut planner = planner(1);
-    let first = add_claimed(&mut planner, "w1");
-    planner.take_job(JOB, spec(vec![step(1)]), None, false);
-    let (task, run, _) = plan_at(&mut planner, 1)[0];
-    planner.start_reply(first, task, run, StartReply::Started);
+    let (mut planner, first, _, _) = one_run();
     let second = add(&mut planner, "w2");
     list(&mut planner, second, 2, &listing(vec![], vec![]));
-    let sent = Duration::from_millis(4_000);
+    let sent = Duration::from_secs(4);
     planner.await_answer(first, sent, Duration::from_millis(LAPSED + 500));
     planner.worker_silent(first);
 
@@ -112,11 +113,7 @@
 /// Guards against waiting for good for workers that are cut off.
 #[test]
 fn an_answer_to_a_call_after_the_lease_is_not_waited_for() {
-    let mut planner = planner(1);
-    let first = add_claimed(&mut planner, "w1");
-    planner.take_job(JOB, spec(vec![step(1)]), None, false);
-    let (task, run, _) = plan_at(&mut planner, 1)[0];
-    planner.start_reply(first, task, run, StartReply::Started);
+    let (mut planner, first, _, _) = one_run();
     let second = add(&mut planner, "w2");
     list(&mut planner, second, 2, &listing(vec![], vec![]));
     planner.worker_silent(first);
--- a/crates/site/src/worker.rs
+++ b/crates/site/src/worker.rs
@@ -68,6 +68,7 @@
 }
 
 #[derive(Debug, Default)]
+#[allow(clippy::struct_excessive_bools)] // independent facts
 struct State {
     fence: u64,
     lease: u64,
