--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -70,9 +70,8 @@
         }
     }
 
-    /// Waits longer for full reads, see [`LONG_READ`], and for changes. What has changed
-    /// during a full read of seconds takes a thin link longer than [`FEED_TIMEOUT`]; an
-    /// owner that gave it up each time heard of no cancel for 17 s.
+    /// Waits longer for full reads, see [`LONG_READ`], and for changes: what has changed
+    /// during a full read may take a thin link longer than [`FEED_TIMEOUT`].
     pub(crate) fn patient(self) -> Follower {
         Follower {
             patience: LONG_READ,
--- a/crates/cell/src/owner/answer_time.rs
+++ b/crates/cell/src/owner/answer_time.rs
@@ -1,8 +1,7 @@
 //! How long workers' answers take.
 //!
-//! A full link holds all answers up alike. Given up after a fixed time, each call was
-//! made again on a new connection while the worker's answer was still on its way, which
-//! kept the link full for good: an owner had 32 answers and gave 342 calls up in a second.
+//! A full link holds all answers up alike. Calls that are given up after a fixed time and
+//! made again keep it full, since the answers to the former ones go over it all the same.
 //! The estimate is that of retransmission timers (RFC 6298).
 
 use std::sync::Mutex;
--- a/crates/cell/src/owner/holder.rs
+++ b/crates/cell/src/owner/holder.rs
@@ -221,8 +221,8 @@
         }
     }
 
-    /// Waits until one of the calls is answered, also one that is late. A late answer
-    /// that is thrown away may hold the end of a task, which then runs again.
+    /// Waits until one of the calls is answered, also one that is late: it may hold the
+    /// end of a task.
     async fn listen(&mut self, until: Duration) -> Heard {
         loop {
             let left = until.saturating_sub(self.context.now());
--- a/crates/cell/src/owner/load.rs
+++ b/crates/cell/src/owner/load.rs
@@ -31,8 +31,8 @@
         self.report_traffic();
     }
 
-    /// Logs what went over the owner's link, by which a link that is full is told from
-    /// workers that do not answer.
+    /// Logs what went over the owner's link: it tells a full link from workers that do
+    /// not answer.
     fn report_traffic(&self) {
         let workers = self.context.orders.traffic().take();
         let store = self.context.store.traffic().take();
--- a/crates/cell/src/owner/strain.rs
+++ b/crates/cell/src/owner/strain.rs
@@ -1,8 +1,7 @@
 //! Whether the owner's host keeps up with the pool.
 //!
-//! A host on a link of 10 Mbit/s that had taken 350 workers over, while all larger hosts
-//! were down for 2 s, kept them for 18 s: its answers took over a second, and a fifth of
-//! the requests failed. A larger host takes the pool from an owner that says so.
+//! A small host may take the pool while all larger ones are down. If it cannot carry it, it
+//! says so with its renewals, and a larger host takes the pool once one is back.
 
 use std::time::Duration;
 
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -171,8 +171,8 @@
             .await
     }
 
-    /// Tells of a job that was cancelled. The feed brings it too, but later; over a full
-    /// link by seconds, in which tasks of the job started.
+    /// Tells of a job that was cancelled. The feed brings it too, but later, and tasks of
+    /// the job could start until then.
     ///
     /// # Errors
     /// The owner did not answer.
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -254,7 +254,7 @@
     }
 
     /// The answer to a call that was sent at `sent` is late, and may come until `until`.
-    /// Given up before it comes, a run that it tells to be done would start again.
+    /// It may tell that a run is done, which must not start again.
     pub fn await_answer(&mut self, key: WorkerKey, sent: Duration, until: Duration) {
         if let Some(worker) = self.workers.get_mut(key)
             && sent < worker.lapse
--- a/crates/shard/src/lease.rs
+++ b/crates/shard/src/lease.rs
@@ -107,9 +107,8 @@
         Ok((renewal, began))
     }
 
-    /// A row that is gone may show that the table is another cell's: of one that has the
-    /// address now. A process that wrote its row there took shards that nobody could
-    /// reach, and their callers had no answer.
+    /// Refuses a table that another cell has made at the same address. With its row there,
+    /// this process would claim shards of that cell, whose processes cannot reach it.
     async fn check_cell(&self) -> Result<(), StoreError> {
         let row = self.context.table.get(CELL_FACTS).await?;
         let facts = row.and_then(|row| decode_row::<CellFacts>(&row).ok());
