--- a/crates/daemon/tests/soak/field.rs
+++ b/crates/daemon/tests/soak/field.rs
@@ -15,6 +15,7 @@
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
+use serde_json::Value;
 use serde_json::json;
 use site::AdviceStand;
 use site::Caller;
@@ -23,6 +24,7 @@
 use site::StoreFaults;
 use site::StoreStand;
 use site::Surroundings;
+use site::ThinLink;
 use site::WorkerPlace;
 use site::config;
 use site::registration;
@@ -33,6 +35,7 @@
 use crate::plan::Event;
 use crate::plan::HOSTS;
 use crate::plan::WORKERS;
+use crate::plan::thin;
 
 /// The program under test.
 const DAEMON: &str = env!("CARGO_BIN_EXE_clovermountd");
@@ -43,6 +46,23 @@
 /// Time between two looks.
 const LOOK_EVERY: Duration = Duration::from_millis(10);
 
+/// Rate of a thin link, in megabits a second: a dozen starts at once fill it for half a
+/// second.
+const THIN_MBPS: f64 = 0.15;
+
+/// Part of a core that the first host has beside a thin link.
+const SMALL_CORES: f64 = 0.1;
+
+/// Settings of a host beside a thin link.
+fn thin_settings(text: &str, at: usize) -> String {
+    let mut settings: Value = serde_json::from_str(text).expect("settings are JSON");
+    settings["link_mbps"] = json!(THIN_MBPS);
+    if at == 0 {
+        settings["cores"] = json!(SMALL_CORES);
+    }
+    settings.to_string()
+}
+
 struct Host {
     place: LoopbackHost,
     store_way: Relay,
@@ -112,6 +132,7 @@
         let advice = AdviceStand::new(Vec::new());
         let mut workers = Vec::new();
         let mut worker_ways = Vec::new();
+        let link = thin(seed).then(|| ThinLink::new(THIN_MBPS));
         for at in 0..WORKERS {
             let around = Surroundings {
                 store: store.clone(),
@@ -119,9 +140,11 @@
                 log: log.clone(),
             };
             let worker = WorkerPlace::new(&format!("w{at}"), around);
-            let way = Relay::open(serve(worker.clone(), &stop).await)
-                .await
-                .expect("relay");
+            let mut address = serve(worker.clone(), &stop).await;
+            if let Some(link) = &link {
+                address = link.front(address, stop.clone()).await;
+            }
+            let way = Relay::open(address).await.expect("relay");
             let id = &worker.current().id;
             store.write("servers", id, &registration(way.address()));
             tokio::spawn(worker.clone().live(way.address(), stop.clone()));
@@ -137,7 +160,10 @@
             let place = LoopbackHost::new(net, at);
             let store_way = Relay::open(store_address).await.expect("relay");
             let settings = folder.path().join(format!("entry-{at}.json"));
-            let text = place.settings(store_way.address(), Some(services));
+            let mut text = place.settings(store_way.address(), Some(services));
+            if thin(seed) {
+                text = thin_settings(&text, at);
+            }
             std::fs::write(&settings, text).expect("settings");
             hosts.push(Host {
                 place,
--- a/crates/daemon/tests/soak/plan.rs
+++ b/crates/daemon/tests/soak/plan.rs
@@ -36,6 +36,14 @@
     seed >= ROUGH_SEEDS
 }
 
+/// First seed whose workers stand behind a thin link, and whose first host is small.
+const THIN_SEEDS: u64 = 300;
+
+/// Whether the workers stand behind a thin link, and the first host is small.
+pub fn thin(seed: u64) -> bool {
+    seed >= THIN_SEEDS
+}
+
 /// One thing that is done to the cell.
 #[derive(Clone, Copy, Debug)]
 pub enum Event {
