--- a/crates/cell/src/owner/link.rs
+++ b/crates/cell/src/owner/link.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use job::Born;
 use job::Epoch;
 use job::WorkerInfo;
 use job::WorkerKey;
@@ -42,6 +43,8 @@
     pub(crate) address: SocketAddr,
     /// This life of the worker.
     pub(crate) id: String,
+    /// The life that its newest list of runs was of.
+    born: Option<Born>,
     clock: Option<ClockGuess>,
     /// When the newest call was sent that the worker obeyed.
     heard: Option<Duration>,
@@ -64,6 +67,7 @@
         Link {
             address: info.address,
             id: info.id.clone(),
+            born: None,
             clock: None,
             heard: None,
             seen,
@@ -75,6 +79,16 @@
         self.clock = Some(ClockGuess { worker, ours });
     }
 
+    /// Takes note of the life that a list of runs was of; gives the one before.
+    pub(crate) fn set_born(&mut self, born: Option<Born>) -> Option<Born> {
+        std::mem::replace(&mut self.born, born)
+    }
+
+    /// Ends up to this number were acknowledged.
+    pub(crate) fn seen(&self) -> u64 {
+        *self.seen.borrow()
+    }
+
     /// The worker obeyed a call that was sent at this time.
     pub(crate) fn hear(&mut self, sent: Duration) {
         self.heard = self.heard.max(Some(sent));
--- a/crates/cell/src/owner/news.rs
+++ b/crates/cell/src/owner/news.rs
@@ -4,6 +4,7 @@
 
 use job::JobId;
 use job::JobSpec;
+use job::Listing;
 use job::Progress;
 use job::WorkerInfo;
 use job::WorkerKey;
@@ -69,6 +70,7 @@
 
     fn take_registration(&mut self, info: WorkerInfo) {
         let id = info.id.clone();
+        let born = info.born;
         let mut used = UsedWorker {
             service: info.service.clone(),
             address: info.address,
@@ -81,7 +83,7 @@
         let known = self.planner.capacity(&id);
         let before = known.filter(|known| known.now != info.capacity);
         if self.planner.take_worker(info).is_some() {
-            log::info!(code = 340, worker = id.as_str(), address:% = used.address; "worker registered");
+            log::info!(code = 340, worker = id.as_str(), born = born, address:% = used.address; "worker registered");
             self.saver.use_worker(id, used);
             return;
         }
@@ -105,18 +107,20 @@
             WorkerNews::Silent => self.planner.worker_silent(key),
             WorkerNews::Late(sent, until) => self.planner.await_answer(key, sent, until),
             WorkerNews::Listed(sent, listing) => {
+                self.report_life(key, &listing);
                 if let Some(link) = self.links.get_mut(&key) {
                     link.set_clock(listing.clock, self.context.now());
                     link.hear(sent);
                 }
                 if !self.planner.claimed(key) {
                     log::info!(
-                        code = 343, worker = self.worker_name(key), epoch = self.epoch,
+                        code = 343, worker = self.worker_name(key), born = listing.born, epoch = self.epoch,
                         running = listing.running.len(), ended = listing.ended.len();
                         "worker claimed"
                     );
                 }
                 let taken = self.planner.newest_end(key);
+                self.report_passed(key, &listing);
                 for end in listing.ended.iter().filter(|end| end.number > taken) {
                     count(&self.context.metrics.ends, &end.how.to_string());
                     log::info!(
@@ -143,4 +147,33 @@
             }
         }
     }
+
+    /// Logs that a worker lists the runs of another life than before, and which of its
+    /// ends were acknowledged then.
+    fn report_life(&mut self, key: WorkerKey, listing: &Listing) {
+        let taken = self.planner.newest_end(key);
+        let Some(link) = self.links.get_mut(&key) else {
+            return;
+        };
+        let before = link.set_born(listing.born);
+        if before.is_some() && before != listing.born {
+            log::warn!(
+                code = 384, worker = link.id.as_str(), born = listing.born, before = before, taken = taken,
+                acknowledged = link.seen(), running = listing.running.len(), ended = listing.ended.len();
+                "worker lists another life"
+            );
+        }
+    }
+
+    /// Logs ends that are passed over though their runs are taken to be at work.
+    fn report_passed(&self, key: WorkerKey, listing: &Listing) {
+        let taken = self.planner.newest_end(key);
+        let passed = listing.ended.iter().filter(|end| end.number <= taken);
+        for end in passed.filter(|end| self.planner.holds(key, end.task, end.run)) {
+            log::warn!(
+                code = 385, task:% = end.task, run = end.run, how:% = end.how, number = end.number,
+                taken = taken, worker = self.worker_name(key), born = listing.born; "end passed over"
+            );
+        }
+    }
 }
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -198,6 +198,7 @@
     fn recall(&mut self, id: &str, worker: UsedWorker) {
         let info = WorkerInfo {
             id: id.to_owned(),
+            born: None,
             service: worker.service,
             address: worker.address,
             capacity: worker.capacity,
--- a/crates/job/src/id.rs
+++ b/crates/job/src/id.rs
@@ -17,9 +17,13 @@
 /// Number of an ownership of the pool; workers refuse lower ones.
 pub type Epoch = u64;
 
-/// Identity of one life of a worker.
+/// Identity of a worker; it may start again under it.
 pub type WorkerId = String;
 
+/// Start of a life of a worker, in Unix milliseconds by its own clock. It tells the lives
+/// of a worker apart and does not order them: clocks jump.
+pub type Born = u64;
+
 /// Digits of a job's identity.
 const ID_DIGITS: usize = 16;
 
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -245,6 +245,16 @@
         self.workers.get(key).map_or(0, |worker| worker.taken)
     }
 
+    /// Whether a run is taken to be on the worker.
+    #[must_use]
+    pub fn holds(&self, key: WorkerKey, task: TaskKey, run: RunId) -> bool {
+        let placed = self
+            .workers
+            .get(key)
+            .and_then(|worker| worker.runs.get(&task));
+        placed.is_some_and(|placed| placed.run == run)
+    }
+
     /// An order that renews the worker's lease is being sent.
     pub fn lease_sent(&mut self, key: WorkerKey) {
         let lapse = self.now + self.policy.lapse();
--- a/crates/job/src/worker.rs
+++ b/crates/job/src/worker.rs
@@ -6,6 +6,7 @@
 use strum::Display;
 use strum::EnumString;
 
+use crate::Born;
 use crate::Room;
 use crate::RunId;
 use crate::TaskKey;
@@ -14,8 +15,10 @@
 /// A worker as it is registered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerInfo {
-    /// This life of the worker.
+    /// The worker.
     pub id: WorkerId,
+    /// This life of it; nothing if it is not known.
+    pub born: Option<Born>,
     /// Pool that it belongs to.
     pub service: String,
     /// Where it takes orders.
@@ -79,6 +82,8 @@
 /// Everything that a worker runs, and the ends that it still remembers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Listing {
+    /// The life of the worker that made it; nothing if it does not say.
+    pub born: Option<Born>,
     /// The worker's own steady clock.
     pub clock: Duration,
     /// Runs at work.
--- a/crates/job/tests/support/mod.rs
+++ b/crates/job/tests/support/mod.rs
@@ -83,6 +83,7 @@
 pub fn worker(id: &str) -> WorkerInfo {
     WorkerInfo {
         id: id.to_owned(),
+        born: None,
         service: "desk".to_owned(),
         address: ([127, 0, 0, 1], 1).into(),
         capacity: room(4000, 64_000),
@@ -134,6 +135,7 @@
 
 pub fn listing(running: Vec<RunningTask>, ended: Vec<EndedTask>) -> Listing {
     Listing {
+        born: None,
         clock: Duration::ZERO,
         running,
         ended,
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -251,6 +251,7 @@
         worker.fence = worker.fence.max(self.epoch);
         worker.lease = worker.lease.max(self.now + Policy::default().lease);
         let listing = Listing {
+            born: None,
             clock: self.now,
             running: worker
                 .running
