--- a/crates/cell/tests/foreign.rs
+++ b/crates/cell/tests/foreign.rs
@@ -46,7 +46,7 @@
 async fn an_entry_of_an_unknown_service_names_no_worker() {
     let (cell, caller) = open(1).await;
     let nobody = "127.0.0.1:9".parse().expect("address");
-    let mut entry = registration(nobody);
+    let mut entry = registration(nobody, 1);
     entry["service"] = json!("laundry");
     cell.store
         .write(platform::WORKER_TABLE, "w-foreign", &entry);
--- a/crates/daemon/tests/soak/field.rs
+++ b/crates/daemon/tests/soak/field.rs
@@ -19,6 +19,7 @@
 use serde_json::json;
 use site::AdviceStand;
 use site::Caller;
+use site::ComesBack;
 use site::LoopbackHost;
 use site::RunLog;
 use site::StoreFaults;
@@ -139,14 +140,15 @@
                 advice: advice.clone(),
                 log: log.clone(),
             };
-            let worker = WorkerPlace::new(&format!("w{at}"), around);
+            let worker = WorkerPlace::new(&format!("w{at}"), around, ComesBack::default());
             let mut address = serve(worker.clone(), &stop).await;
             if let Some(link) = &link {
                 address = link.front(address, stop.clone()).await;
             }
             let way = Relay::open(address).await.expect("relay");
-            let id = &worker.current().id;
-            store.write("servers", id, &registration(way.address()));
+            let first = worker.current();
+            let entry = registration(way.address(), first.born);
+            store.write("servers", &first.id, &entry);
             tokio::spawn(worker.clone().live(way.address(), stop.clone()));
             workers.push(worker);
             worker_ways.push(way);
@@ -308,7 +310,7 @@
             return;
         }
         worker.set_cores(cores);
-        let mut resized = registration(self.worker_ways[at].address());
+        let mut resized = registration(self.worker_ways[at].address(), worker.born);
         resized["capacity"]["cpu"] = json!(cores * 1000);
         self.store.write("servers", &worker.id, &resized);
     }
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -20,6 +20,7 @@
 use web::Limits;
 
 use crate::AdviceStand;
+use crate::ComesBack;
 use crate::LoopbackHost;
 use crate::PATIENCE;
 use crate::RunLog;
@@ -50,8 +51,10 @@
 pub struct SiteCell {
     /// The platform's store.
     pub store: Arc<StoreStand>,
-    /// The workers.
+    /// The first life of each worker.
     pub workers: Vec<Arc<WorkerStand>>,
+    /// Where the workers live.
+    pub places: Vec<Arc<WorkerPlace>>,
     /// Advice and machines.
     pub advice: Arc<AdviceStand>,
     /// What the workers have done.
@@ -64,6 +67,7 @@
     /// Tells its addresses apart from those of other cells.
     net: u8,
     keep_s: f64,
+    comes_back: ComesBack,
     /// Link to the workers, and its megabits a second; none if it has no bound.
     link: Option<(Arc<ThinLink>, f64)>,
     /// Cores of hosts that are not of the usual size.
@@ -87,7 +91,16 @@
     /// # Panics
     /// An address cannot be bound.
     pub async fn open_keeping(processes: usize, workers: usize, keep_s: f64) -> SiteCell {
-        SiteCell::open_with(processes, workers, keep_s, None).await
+        SiteCell::open_with(processes, workers, keep_s, None, ComesBack::Renamed).await
+    }
+
+    /// The same as [`SiteCell::open`], with workers that come back under the id that they
+    /// had.
+    ///
+    /// # Panics
+    /// An address cannot be bound.
+    pub async fn open_same_ids(processes: usize, workers: usize) -> SiteCell {
+        SiteCell::open_with(processes, workers, 120.0, None, ComesBack::Same).await
     }
 
     /// The same as [`SiteCell::open`], with a link of `mbps` megabits a second between
@@ -97,7 +110,8 @@
     /// An address cannot be bound.
     pub async fn open_behind(mbps: f64, processes: usize, workers: usize) -> SiteCell {
         let link = (ThinLink::new(mbps), mbps);
-        SiteCell::open_with(processes, workers, 120.0, Some(link)).await
+        let comes_back = ComesBack::Renamed;
+        SiteCell::open_with(processes, workers, 120.0, Some(link), comes_back).await
     }
 
     async fn open_with(
@@ -105,6 +119,7 @@
         workers: usize,
         keep_s: f64,
         link: Option<(Arc<ThinLink>, f64)>,
+        comes_back: ComesBack,
     ) -> SiteCell {
         let (serving, stop) = watch::channel(false);
         let store = StoreStand::new();
@@ -122,6 +137,8 @@
         let mut cell = SiteCell {
             store,
             workers: Vec::new(),
+            places: Vec::new(),
+            comes_back,
             advice,
             log,
             doors,
@@ -145,8 +162,8 @@
         cell
     }
 
-    /// Adds a worker of four cores, which registers, and comes back under another id
-    /// if a task takes it down.
+    /// Adds a worker of four cores, which registers, and comes back if a task takes it
+    /// down.
     ///
     /// # Panics
     /// No address can be bound.
@@ -157,7 +174,7 @@
             advice: self.advice.clone(),
             log: self.log.clone(),
         };
-        let place = WorkerPlace::new(&format!("w{at}"), around);
+        let place = WorkerPlace::new(&format!("w{at}"), around, self.comes_back);
         let stop = self.serving.subscribe();
         let address = serve(place.clone(), &stop).await;
         let front = match &self.link {
@@ -166,21 +183,22 @@
         };
         self.addresses.push(front);
         self.workers.push(place.current());
+        self.places.push(place.clone());
         tokio::spawn(place.live(address, stop));
         self.register(at);
     }
 
     /// A worker registers, or registers again.
     pub fn register(&self, at: usize) {
-        let registration = registration(self.addresses[at]);
-        let id = &self.workers[at].id;
-        self.store.write("servers", id, &registration);
+        let worker = &self.workers[at];
+        let registration = registration(self.addresses[at], worker.born);
+        self.store.write("servers", &worker.id, &registration);
     }
 
     /// A worker has so many cores from now on, and says so.
     pub fn resize(&self, at: usize, cores: usize) {
         self.workers[at].set_cores(cores);
-        let mut resized = registration(self.addresses[at]);
+        let mut resized = registration(self.addresses[at], self.workers[at].born);
         resized["capacity"]["cpu"] = json!(cores * 1000);
         self.store.write("servers", &self.workers[at].id, &resized);
     }
@@ -350,13 +368,14 @@
     address
 }
 
-/// How a worker of four cores at `address` registers.
+/// How a worker of four cores at `address` registers that was born at `born`.
 #[must_use]
-pub fn registration(address: SocketAddr) -> Value {
+pub fn registration(address: SocketAddr, born: u64) -> Value {
     json!({
         "service": "desk", "address": address.to_string(), "zone": "z1", "version": "v1",
         "slots": 8, "state": "ready", "cold_left_ms": 0,
         "capacity": {"cpu": 4000, "mem_mb": 64000, "gpu": 0}, "labels": ["a", "r1-1"], "seq": 1,
+        "born": born,
     })
 }
 
--- a/crates/site/src/place.rs
+++ b/crates/site/src/place.rs
@@ -1,4 +1,4 @@
-//! An address at which one life of a worker follows another.
+//! An address at which one life of a worker follows another, under its id or another one.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,13 +19,17 @@
 use crate::StoreStand;
 use crate::WorkerStand;
 use crate::registration;
+use crate::wall_millis;
 
 /// Header that names the life of the worker that a call is meant for.
 const INCARNATION: &str = "target-instance";
 
-/// Time from a crash until the worker is back.
+/// Time from a crash until the worker is back under another id.
 const RETURN_TIME: Duration = Duration::from_millis(1500);
 
+/// The same under its id: no list of machines misses it.
+const QUICK_RETURN: Duration = Duration::from_millis(100);
+
 /// Time between two looks at the worker.
 const LOOK_EVERY: Duration = Duration::from_millis(5);
 
@@ -40,23 +44,62 @@
     pub log: RunLog,
 }
 
-/// A place for a worker, which comes back under another id after a task has taken it
-/// down.
+/// Under which id a worker comes back after a task has taken it down.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ComesBack {
+    /// Another one.
+    #[default]
+    Renamed,
+    /// The one that it had.
+    Same,
+    /// One and the other in turn.
+    InTurn,
+}
+
+/// A restart of a worker under its id.
+#[derive(Clone, Copy, Debug)]
+pub struct Restart {
+    /// Time for which it is down.
+    pub down: Duration,
+    /// Time from its start until its entry says so.
+    pub entry_after: Duration,
+    /// Milliseconds by which its clock went back meanwhile.
+    pub clock_back: u64,
+}
+
+impl Restart {
+    /// A restart after `down`, with an entry at once.
+    #[must_use]
+    pub fn after(down: Duration) -> Restart {
+        Restart {
+            down,
+            entry_after: Duration::ZERO,
+            clock_back: 0,
+        }
+    }
+}
+
+/// A place for a worker, which comes back after a task has taken it down.
 pub struct WorkerPlace {
     name: String,
     around: Surroundings,
+    comes_back: ComesBack,
+    /// Where it is reached, once it lives.
+    address: Mutex<Option<SocketAddr>>,
     current: Mutex<Arc<WorkerStand>>,
 }
 
 impl WorkerPlace {
     /// A place with its first life, whose id is `name`.
     #[must_use]
-    pub fn new(name: &str, around: Surroundings) -> Arc<WorkerPlace> {
+    pub fn new(name: &str, around: Surroundings, comes_back: ComesBack) -> Arc<WorkerPlace> {
         let first = WorkerStand::new(name, around.log.clone());
         around.advice.add(first.clone());
         Arc::new(WorkerPlace {
             name: name.to_owned(),
             around,
+            comes_back,
+            address: Mutex::default(),
             current: Mutex::new(first),
         })
     }
@@ -74,28 +117,68 @@
     /// Lets the worker go on by its own clock, and come back after a crash. `address`
     /// is where it is reached.
     pub async fn live(self: Arc<WorkerPlace>, address: SocketAddr, stop: watch::Receiver<bool>) {
+        *self.address.lock().unwrap_or_else(PoisonError::into_inner) = Some(address);
         let mut life = 1;
         // The channel closes with the test.
         while stop.has_changed().is_ok() {
             let current = self.current();
             current.tick();
             if current.crashed() {
-                tokio::time::sleep(RETURN_TIME).await;
                 life += 1;
-                self.come_back(&current, life, address);
+                let same = match self.comes_back {
+                    ComesBack::Renamed => false,
+                    ComesBack::Same => true,
+                    ComesBack::InTurn => life % 2 == 0,
+                };
+                if same {
+                    self.restart(Restart::after(QUICK_RETURN)).await;
+                } else {
+                    tokio::time::sleep(RETURN_TIME).await;
+                    self.rename(&current, life);
+                }
             }
             tokio::time::sleep(LOOK_EVERY).await;
         }
     }
 
-    fn come_back(&self, former: &WorkerStand, life: usize, address: SocketAddr) {
+    /// The worker goes down, and starts again under its id.
+    pub async fn restart(&self, restart: Restart) {
+        self.current().die();
+        tokio::time::sleep(restart.down).await;
+        self.start_again(restart.clock_back);
+        tokio::time::sleep(restart.entry_after).await;
+        self.register();
+    }
+
+    fn start_again(&self, clock_back: u64) {
+        let former = self.current();
+        // Two lives of one millisecond would be one.
+        let born = match clock_back {
+            0 => wall_millis().max(former.born + 1),
+            back => former.born - back,
+        };
+        let next = former.next_life(born);
+        self.around.advice.add(next.clone());
+        *self.lock() = next;
+    }
+
+    /// The worker that is there writes its entry.
+    fn register(&self) {
+        let address = *self.address.lock().unwrap_or_else(PoisonError::into_inner);
+        let current = self.current();
+        if let Some(address) = address {
+            let entry = registration(address, current.born);
+            self.around.store.write("servers", &current.id, &entry);
+        }
+    }
+
+    fn rename(&self, former: &WorkerStand, life: usize) {
         let id = format!("{}-{life}", self.name);
         let next = WorkerStand::new(&id, self.around.log.clone());
         self.around.advice.add(next.clone());
         *self.lock() = next;
-        let store = &self.around.store;
-        store.remove("servers", &former.id);
-        store.write("servers", &id, &registration(address));
+        self.around.store.remove("servers", &former.id);
+        self.register();
     }
 }
 
--- a/crates/site/src/worker.rs
+++ b/crates/site/src/worker.rs
@@ -8,6 +8,8 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use hyper::StatusCode;
 use serde_json::Value;
@@ -98,8 +100,10 @@
 /// A worker.
 #[derive(Debug)]
 pub struct WorkerStand {
-    /// This life of the worker.
+    /// The worker.
     pub id: String,
+    /// Unix milliseconds at the start of this life of it.
+    pub born: u64,
     origin: Instant,
     state: Mutex<State>,
     log: RunLog,
@@ -111,12 +115,31 @@
     pub fn new(id: &str, log: RunLog) -> Arc<WorkerStand> {
         Arc::new(WorkerStand {
             id: id.to_owned(),
+            born: wall_millis(),
             origin: Instant::now(),
             state: Mutex::default(),
             log,
         })
     }
 
+    /// The next life of the worker under its id, which is born at `born`. It holds and
+    /// knows nothing of before; orders that this life has left unanswered are still to
+    /// come.
+    pub(crate) fn next_life(&self, born: u64) -> Arc<WorkerStand> {
+        let late = std::mem::take(&mut self.lock().late);
+        self.die();
+        Arc::new(WorkerStand {
+            id: self.id.clone(),
+            born,
+            origin: Instant::now(),
+            state: Mutex::new(State {
+                late,
+                ..State::default()
+            }),
+            log: self.log.clone(),
+        })
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -354,7 +377,9 @@
                 json!([end.number, end.task, end.run, end.how, ""])
             })
             .collect();
-        let body = json!({"clock_ms": self.clock(), "running": running, "ended_runs": ended});
+        let body = json!({
+            "clock_ms": self.clock(), "born": self.born, "running": running, "ended_runs": ended,
+        });
         (body, !state.ended.is_empty())
     }
 
@@ -433,6 +458,15 @@
     }
 }
 
+/// Time of day, in Unix milliseconds.
+#[must_use]
+pub fn wall_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
 /// Workers end runs and carry out late orders by their own clock, whether
 /// anyone reaches them or not.
 pub async fn keep_ticking(worker: Arc<WorkerStand>, stop: watch::Receiver<bool>) {
