--- a/crates/cell/src/owner/holder.rs
+++ b/crates/cell/src/owner/holder.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use job::Epoch;
+use job::Born;
 use job::Listing;
+use job::Token;
 use job::WorkerInfo;
 use job::WorkerKey;
 use platform::Hold;
@@ -31,6 +32,12 @@
 /// Reason of a call whose answer is late.
 const LATE: &str = "answer is late";
 
+/// Reason of a call that another life of the worker has answered.
+const OTHER_LIFE: &str = "another life of the worker answers";
+
+/// Reason of a call whose answer does not name the worker's life.
+const UNNAMED: &str = "list of runs without a life";
+
 /// Longest wait for ends to be recorded before the worker is asked again: it
 /// answers at once while it lists ends that it has to keep.
 const RECORD_WAIT: Duration = Duration::from_millis(250);
@@ -41,15 +48,18 @@
     key: WorkerKey,
     address: SocketAddr,
     id: String,
-    epoch: Epoch,
+    token: Token,
+    /// The life of the worker, as far as it is known.
+    born: Option<Born>,
     lease: Duration,
     sender: mpsc::Sender<OwnerMessage>,
     pace: LinkPace,
     seen: watch::Receiver<u64>,
     clock: Option<ClockGuess>,
-    /// The worker answered the last call, so the next one renews its lease.
-    /// Calls to a silent one do not: each could arrive, so the lease would
-    /// never be over and its tasks would never run again.
+    /// The worker answered the last call, so the next one renews its lease and
+    /// acknowledges ends. Calls to a silent one do not: each could arrive, so the lease
+    /// would never be over and its tasks would never run again; and it may have started
+    /// again, with ends of the same numbers that nobody has heard of.
     renews: bool,
     /// Newest end that the worker has listed.
     listed: u64,
@@ -95,7 +105,7 @@
         context: &Context,
         key: WorkerKey,
         info: &WorkerInfo,
-        epoch: Epoch,
+        token: Token,
         sender: mpsc::Sender<OwnerMessage>,
         (pace, seen): (LinkPace, watch::Receiver<u64>),
     ) -> Holder {
@@ -104,7 +114,8 @@
             key,
             address: info.address,
             id: info.id.clone(),
-            epoch,
+            token,
+            born: info.born,
             lease: context.settings.policy().lease,
             sender,
             pace,
@@ -202,8 +213,9 @@
     }
 
     fn prepare(&mut self, sent: Duration) -> Hold {
-        let seen = *self.seen.borrow_and_update();
-        let kept = self.listed > seen;
+        let recorded = *self.seen.borrow_and_update();
+        let kept = self.listed > recorded;
+        let seen = if self.renews { recorded } else { 0 };
         let clock = self.clock.filter(|_| self.renews);
         let tenured = sent < *self.pace.tenure.borrow();
         let wait = if kept || clock.is_none() {
@@ -212,7 +224,7 @@
             *self.pace.wait.borrow()
         };
         Hold {
-            epoch: self.epoch,
+            token: self.token,
             seen,
             lease_end: clock
                 .filter(|_| tenured)
@@ -239,6 +251,11 @@
             match answer.listing {
                 Ordered::Done(listing) => {
                     self.observe(answer.asked, answer.took);
+                    let first = self.taken == Duration::ZERO && self.born.is_none();
+                    if listing.born != self.born && !first {
+                        let reason = self.take_stranger(answer.asked.sent, listing).await;
+                        return Heard::Failure(reason.to_owned());
+                    }
                     // Answers may overtake each other.
                     if answer.asked.sent >= self.taken {
                         self.taken = answer.asked.sent;
@@ -272,6 +289,7 @@
 
     async fn take(&mut self, sent: Duration, listing: Listing) {
         self.renews = true;
+        self.born = listing.born;
         self.clock = Some(ClockGuess {
             worker: listing.clock,
             ours: self.context.now(),
@@ -286,6 +304,21 @@
         let _ = tokio::time::timeout(RECORD_WAIT, recorded).await;
     }
 
+    /// Passes on a list of runs that is not of the life which the link is to; gives what
+    /// it is. Whether that life is over is for the owner to say.
+    async fn take_stranger(&mut self, sent: Duration, listing: Listing) -> &'static str {
+        self.renews = false;
+        if listing.born.is_none() {
+            log::error!(
+                code = 386, worker = self.id.as_str(), known = self.born;
+                "list of runs does not name the worker's life"
+            );
+            return UNNAMED;
+        }
+        self.tell(WorkerNews::Listed(sent, listing)).await;
+        OTHER_LIFE
+    }
+
     async fn tell(&self, news: WorkerNews) {
         // The owner's end is gone only when this task is about to be, too.
         let _ = self.sender.send(OwnerMessage::Worker(self.key, news)).await;
--- a/crates/cell/src/owner/link.rs
+++ b/crates/cell/src/owner/link.rs
@@ -4,8 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use job::Born;
-use job::Epoch;
+use job::Token;
 use job::WorkerInfo;
 use job::WorkerKey;
 use tokio::sync::Semaphore;
@@ -41,10 +40,10 @@
 pub(crate) struct Link {
     /// Where the worker takes orders.
     pub(crate) address: SocketAddr,
-    /// This life of the worker.
+    /// The worker.
     pub(crate) id: String,
-    /// The life that its newest list of runs was of.
-    born: Option<Born>,
+    /// What orders to this life of it carry.
+    pub(crate) token: Token,
     clock: Option<ClockGuess>,
     /// When the newest call was sent that the worker obeyed.
     heard: Option<Duration>,
@@ -58,16 +57,16 @@
         context: &Context,
         key: WorkerKey,
         info: &WorkerInfo,
-        epoch: Epoch,
+        token: Token,
         sender: mpsc::Sender<OwnerMessage>,
         pace: LinkPace,
     ) -> Link {
         let (seen, seen_rx) = watch::channel(0);
-        let holder = Holder::new(context, key, info, epoch, sender, (pace, seen_rx));
+        let holder = Holder::new(context, key, info, token, sender, (pace, seen_rx));
         Link {
             address: info.address,
             id: info.id.clone(),
-            born: None,
+            token,
             clock: None,
             heard: None,
             seen,
@@ -79,11 +78,6 @@
         self.clock = Some(ClockGuess { worker, ours });
     }
 
-    /// Takes note of the life that a list of runs was of; gives the one before.
-    pub(crate) fn set_born(&mut self, born: Option<Born>) -> Option<Born> {
-        std::mem::replace(&mut self.born, born)
-    }
-
     /// Ends up to this number were acknowledged.
     pub(crate) fn seen(&self) -> u64 {
         *self.seen.borrow()
--- a/crates/cell/src/owner/lives.rs
+++ b/crates/cell/src/owner/lives.rs
@@ -9,6 +9,7 @@
 
 use job::Mechanism;
 use job::WorkerId;
+use job::WorkerKey;
 use platform::MachineClient;
 
 use super::Pool;
@@ -66,16 +67,13 @@
 
     /// Takes the answer: of the workers that were silent when it was asked for,
     /// those whose life is over.
-    pub(super) fn take_dead(&mut self, dead: &[WorkerId]) {
+    pub(super) fn take_dead(&mut self, dead: &[WorkerKey]) {
         self.lives.busy = false;
         self.lives.after = self.context.now() + ASK_EVERY;
-        for id in self.planner.doubtful() {
-            if !dead.contains(&id) {
+        for (key, id) in self.planner.doubtful() {
+            if !dead.contains(&key) {
                 continue;
             }
-            let Some(key) = self.planner.worker_of(&id) else {
-                continue;
-            };
             log::info!(code = 381, worker = id.as_str(), epoch = self.epoch; "silent worker is dead");
             self.planner.worker_over(key);
         }
@@ -84,14 +82,16 @@
 
 /// Silent workers that the list of machines does not show. Only those that were
 /// silent before the list was made: a younger worker is missing from it, and
-/// taken for dead it would get no work for its whole life, or run on unseen.
-fn missing(silent: Vec<WorkerId>, lives: &HashSet<WorkerId>) -> Vec<WorkerId> {
+/// taken for dead it would get no work for its whole life, or run on unseen. The list
+/// knows workers by their ids, so the answer is for the lives that were silent then.
+fn missing(silent: Vec<(WorkerKey, WorkerId)>, lives: &HashSet<WorkerId>) -> Vec<WorkerKey> {
     // An empty list is no proof of anything.
     if lives.is_empty() {
         return Vec::new();
     }
     silent
         .into_iter()
-        .filter(|id| !lives.contains(id))
+        .filter(|(_, id)| !lives.contains(id))
+        .map(|(key, _)| key)
         .collect()
 }
--- a/crates/cell/src/owner/messages.rs
+++ b/crates/cell/src/owner/messages.rs
@@ -9,7 +9,6 @@
 use job::StartReply;
 use job::StopReply;
 use job::TaskKey;
-use job::WorkerId;
 use job::WorkerInfo;
 use job::WorkerKey;
 use platform::Committed;
@@ -49,9 +48,8 @@
     Workers(RosterChange),
     /// News from a worker.
     Worker(WorkerKey, WorkerNews),
-    /// Workers that were silent and whose life is over; none if that is not
-    /// known.
-    Dead(Vec<WorkerId>),
+    /// Lives of workers that were silent and are over; none if that is not known.
+    Dead(Vec<WorkerKey>),
     /// Rows of these expired jobs were removed, at these versions.
     Removed(Vec<(JobId, Version)>),
     /// A transaction has ended.
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -23,6 +23,7 @@
 mod strain;
 mod supervise;
 mod takeover;
+mod tokens;
 mod worker_rows;
 
 pub use answer_time::AnswerTime;
--- a/crates/cell/src/owner/news.rs
+++ b/crates/cell/src/owner/news.rs
@@ -1,15 +1,19 @@
 //! News of jobs and workers: from the store, and from the workers.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
 
 use job::JobId;
 use job::JobSpec;
+use job::LifeSeen;
 use job::Listing;
 use job::Progress;
 use job::WorkerInfo;
 use job::WorkerKey;
 use platform::Row;
 
+use super::Link;
 use super::Pool;
 use crate::Change;
 use crate::JOB_TABLE;
@@ -69,67 +73,91 @@
     }
 
     fn take_registration(&mut self, info: WorkerInfo) {
-        let id = info.id.clone();
-        let born = info.born;
-        let mut used = UsedWorker {
-            service: info.service.clone(),
-            address: info.address,
-            capacity: info.capacity,
-            labels: info.labels.clone(),
-        };
+        let (id, born, address) = (info.id.clone(), info.born, info.address);
         if info.draining {
             log::info!(code = 342, worker = id.as_str(); "worker is leaving");
         }
-        let known = self.planner.capacity(&id);
-        let before = known.filter(|known| known.now != info.capacity);
-        if self.planner.take_worker(info).is_some() {
-            log::info!(code = 340, worker = id.as_str(), born = born, address:% = used.address; "worker registered");
-            self.saver.use_worker(id, used);
+        let before = self.planner.capacity(&id);
+        let new = self.planner.take_worker(info);
+        if let Some(key) = new {
+            log::info!(code = 340, worker = id.as_str(), born = born, address:% = address; "worker registered");
+            self.begin_life(key);
             return;
         }
+        let Some(key) = self.planner.worker_of(&id) else {
+            return;
+        };
+        let known = self.planner.worker(key).and_then(|info| info.born);
+        if known != born {
+            log::info!(
+                code = 387, worker = id.as_str(), born = born, known = known, address:% = address;
+                "worker registered as another life"
+            );
+            return;
+        }
+        self.move_link(key, address);
         let (Some(before), Some(after)) = (before, self.planner.capacity(&id)) else {
             return;
         };
-        log::info!(
-            code = 382, worker = id.as_str(), cpu = after.now.cpu, memory = after.now.memory,
-            cpu_before = before.now.cpu, memory_before = before.now.memory; "worker's room has changed"
-        );
+        if before.now != after.now {
+            log::info!(
+                code = 382, worker = id.as_str(), cpu = after.now.cpu, memory = after.now.memory,
+                cpu_before = before.now.cpu, memory_before = before.now.memory; "worker's room has changed"
+            );
+        }
         if after.largest != before.largest {
             // A successor that meets it small must know that it can grow.
-            used.capacity = after.largest;
-            self.saver.use_worker(id, used);
+            self.begin_life(key);
+        }
+    }
+
+    /// Writes the row of a worker, after which it may be used: as it is for the most that
+    /// it has had.
+    pub(super) fn begin_life(&mut self, key: WorkerKey) {
+        let Some(info) = self.planner.worker(key) else {
+            return;
+        };
+        let largest = self.planner.capacity(&info.id);
+        let used = UsedWorker {
+            service: info.service.clone(),
+            address: info.address,
+            capacity: largest.map_or(info.capacity, |room| room.largest),
+            labels: info.labels.clone(),
+            born: info.born,
+        };
+        self.saver.use_worker(info.id.clone(), used);
+    }
+
+    /// Asks silent workers that have registered elsewhere meanwhile at their new address.
+    pub(super) fn follow_moved(&mut self) {
+        for (key, address) in self.planner.moved() {
+            self.move_link(key, address);
+        }
+    }
+
+    fn move_link(&mut self, key: WorkerKey, address: SocketAddr) {
+        if self
+            .links
+            .get(&key)
+            .is_some_and(|link| link.address != address)
+            && let Some(link) = self.links.remove(&key)
+        {
+            link.close();
+            self.open_link_at(key, Some(address));
         }
     }
 
     pub(super) fn take_news(&mut self, key: WorkerKey, news: WorkerNews) {
+        // Of a life that is over nothing counts any more, nor that its worker refused what
+        // was meant for it: the next life has seen a higher token.
+        if self.planner.worker(key).is_none() {
+            return;
+        }
         match news {
             WorkerNews::LeaseSent => self.planner.lease_sent(key),
             WorkerNews::Silent => self.planner.worker_silent(key),
             WorkerNews::Late(sent, until) => self.planner.await_answer(key, sent, until),
-            WorkerNews::Listed(sent, listing) => {
-                self.report_life(key, &listing);
-                if let Some(link) = self.links.get_mut(&key) {
-                    link.set_clock(listing.clock, self.context.now());
-                    link.hear(sent);
-                }
-                if !self.planner.claimed(key) {
-                    log::info!(
-                        code = 343, worker = self.worker_name(key), born = listing.born, epoch = self.epoch,
-                        running = listing.running.len(), ended = listing.ended.len();
-                        "worker claimed"
-                    );
-                }
-                let taken = self.planner.newest_end(key);
-                self.report_passed(key, &listing);
-                for end in listing.ended.iter().filter(|end| end.number > taken) {
-                    count(&self.context.metrics.ends, &end.how.to_string());
-                    log::info!(
-                        code = 354, task:% = end.task, run = end.run, how:% = end.how,
-                        number = end.number, worker = self.worker_name(key); "task ended"
-                    );
-                }
-                self.planner.take_listing(key, sent, &listing);
-            }
+            WorkerNews::Listed(sent, listing) => self.take_list(key, sent, &listing),
             WorkerNews::StartAnswered(task, run, reply) => {
                 count(&self.context.metrics.starts, &reply.to_string());
                 self.planner.start_reply(key, task, run, reply);
@@ -148,21 +176,55 @@
         }
     }
 
-    /// Logs that a worker lists the runs of another life than before, and which of its
-    /// ends were acknowledged then.
-    fn report_life(&mut self, key: WorkerKey, listing: &Listing) {
-        let taken = self.planner.newest_end(key);
-        let Some(link) = self.links.get_mut(&key) else {
+    fn take_list(&mut self, key: WorkerKey, sent: Duration, listing: &Listing) {
+        let life = self.planner.life_seen(key, sent, listing);
+        if life != LifeSeen::Known {
+            self.report_life(key, listing, life);
+            self.planner.take_listing(key, sent, listing);
             return;
-        };
-        let before = link.set_born(listing.born);
-        if before.is_some() && before != listing.born {
-            log::warn!(
-                code = 384, worker = link.id.as_str(), born = listing.born, before = before, taken = taken,
-                acknowledged = link.seen(), running = listing.running.len(), ended = listing.ended.len();
-                "worker lists another life"
+        }
+        if let Some(link) = self.links.get_mut(&key) {
+            link.set_clock(listing.clock, self.context.now());
+            link.hear(sent);
+        }
+        if !self.planner.claimed(key) {
+            log::info!(
+                code = 343, worker = self.worker_name(key), born = listing.born, epoch = self.epoch,
+                running = listing.running.len(), ended = listing.ended.len();
+                "worker claimed"
+            );
+        }
+        let taken = self.planner.newest_end(key);
+        self.report_passed(key, listing);
+        for end in listing.ended.iter().filter(|end| end.number > taken) {
+            count(&self.context.metrics.ends, &end.how.to_string());
+            log::info!(
+                code = 354, task:% = end.task, run = end.run, how:% = end.how,
+                number = end.number, worker = self.worker_name(key); "task ended"
             );
         }
+        let unnamed = self
+            .planner
+            .worker(key)
+            .is_some_and(|info| info.born.is_none());
+        self.planner.take_listing(key, sent, listing);
+        if unnamed && listing.born.is_some() {
+            // Its row is of an earlier version: a successor must know which life it is of.
+            self.begin_life(key);
+        }
+    }
+
+    /// Logs that a worker lists the runs of another life than the one that is known, and
+    /// which ends of that one were acknowledged.
+    fn report_life(&self, key: WorkerKey, listing: &Listing, life: LifeSeen) {
+        let known = self.planner.worker(key).and_then(|info| info.born);
+        let acknowledged = self.links.get(&key).map(Link::seen);
+        log::warn!(
+            code = 384, worker = self.worker_name(key), born = listing.born, known = known, life:% = life,
+            taken = self.planner.newest_end(key), acknowledged = acknowledged,
+            running = listing.running.len(), ended = listing.ended.len();
+            "worker lists another life"
+        );
     }
 
     /// Logs ends that are passed over though their runs are taken to be at work.
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,6 +35,7 @@
 use super::takeover::READ_PAUSE;
 use super::takeover::follow_jobs;
 use super::takeover::take_over;
+use super::tokens::Tokens;
 use crate::Context;
 use crate::Follower;
 use crate::OwnerMessage;
@@ -76,6 +78,8 @@
     results: mpsc::Receiver<OwnerMessage>,
     pub(super) result_sender: mpsc::Sender<OwnerMessage>,
     pub(super) links: HashMap<WorkerKey, Link>,
+    /// What orders to each worker carry.
+    tokens: Tokens,
     pub(super) saver: Saver,
     pub(super) helpers: Helpers,
     pub(super) lives: LifeCheck,
@@ -146,6 +150,7 @@
             sender,
             messages,
             links: HashMap::new(),
+            tokens: Tokens::default(),
             saver,
             helpers: Helpers::default(),
             lives: LifeCheck::default(),
@@ -198,7 +203,7 @@
     fn recall(&mut self, id: &str, worker: UsedWorker) {
         let info = WorkerInfo {
             id: id.to_owned(),
-            born: None,
+            born: worker.born,
             service: worker.service,
             address: worker.address,
             capacity: worker.capacity,
@@ -213,9 +218,17 @@
     }
 
     pub(super) fn open_link(&mut self, key: WorkerKey) {
+        self.open_link_at(key, None);
+    }
+
+    /// Opens a link to a worker, at another address than is known if one is given.
+    pub(super) fn open_link_at(&mut self, key: WorkerKey, elsewhere: Option<SocketAddr>) {
         let Some(info) = self.planner.worker(key) else {
             return;
         };
+        let mut info = info.clone();
+        info.address = elsewhere.unwrap_or(info.address);
+        let token = self.tokens.next(self.epoch, &info.id);
         let pace = LinkPace {
             tenure: self.standing.follow_tenure(),
             wait: self.holds.subscribe(),
@@ -223,7 +236,7 @@
             answers: self.answers.clone(),
         };
         let sender = self.sender.clone();
-        let link = Link::open(&self.context, key, info, self.epoch, sender, pace);
+        let link = Link::open(&self.context, key, &info, token, sender, pace);
         self.links.insert(key, link);
     }
 
@@ -342,6 +355,7 @@
         self.send_orders();
         self.observe_starts();
         self.give_help(now);
+        self.follow_moved();
         self.check_lives(now);
         self.remove_expired(now);
         self.begin_save(now);
--- a/crates/cell/src/owner/saver.rs
+++ b/crates/cell/src/owner/saver.rs
@@ -326,9 +326,15 @@
         for id in &save.unused {
             self.standing.tenure.removed(id);
         }
-        for (id, _) in save.used {
+        for (id, used) in save.used {
             self.standing.tenure.added(&id);
-            if let Some(key) = self.planner.worker_of(&id)
+            let key = self.planner.worker_of(&id);
+            // Of another life than the row says nothing is known to a successor yet.
+            let key = key.filter(|key| {
+                let info = self.planner.worker(*key);
+                info.is_some_and(|info| info.born == used.born)
+            });
+            if let Some(key) = key
                 && !self.links.contains_key(&key)
             {
                 self.used.insert(id);
--- a/crates/cell/src/owner/sender.rs
+++ b/crates/cell/src/owner/sender.rs
@@ -45,7 +45,7 @@
                         run,
                         payload,
                         lease_end: Duration::ZERO,
-                        epoch: self.epoch,
+                        token: 0,
                         checkpoint,
                         ticket,
                     };
@@ -61,9 +61,12 @@
                     if let Some(link) = self.links.remove(&worker) {
                         link.close();
                     }
-                    self.used.remove(&id);
-                    self.saver.drop_worker(id);
+                    if self.planner.worker_of(&id).is_none() {
+                        self.used.remove(&id);
+                        self.saver.drop_worker(id);
+                    }
                 }
+                Order::Begin { worker } => self.begin_life(worker),
             }
         }
     }
@@ -83,9 +86,10 @@
             return;
         };
         start.lease_end = lease_end;
+        start.token = link.token;
         log::info!(
             code = 350, task:% = start.task, run = start.run, worker = link.id.as_str(),
-            epoch = start.epoch, resumes = !start.checkpoint.is_empty(); "start"
+            epoch = self.epoch, resumes = !start.checkpoint.is_empty(); "start"
         );
         let (address, id) = (link.address, link.id.clone());
         let context = self.context.clone();
@@ -119,6 +123,7 @@
 
     fn send_stop(&self, worker: WorkerKey, task: TaskKey, run: RunId, reason: StopReason) {
         let Some(link) = self.links.get(&worker) else {
+            self.put_off_stop(worker, task, run);
             return;
         };
         count(&self.context.metrics.stops, &reason.to_string());
@@ -130,10 +135,10 @@
         let (address, id) = (link.address, link.id.clone());
         let orders = self.context.orders.clone();
         let sender = self.sender.clone();
-        let epoch = self.epoch;
+        let token = link.token;
         let patience = self.answers.patience();
         tokio::spawn(async move {
-            let answer = orders.stop(address, &id, task, run, epoch, patience).await;
+            let answer = orders.stop(address, &id, task, run, token, patience).await;
             let news = match answer {
                 Ordered::Done(_) => WorkerNews::StopAnswered(task, run, StopReply::Stopped),
                 Ordered::Fenced => WorkerNews::Fenced,
@@ -148,6 +153,19 @@
     }
 }
 
+impl Pool {
+    /// A stop for a life of a worker whose row is still to be written.
+    fn put_off_stop(&self, worker: WorkerKey, task: TaskKey, run: RunId) {
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(STOP_PAUSE).await;
+            let news = WorkerNews::StopAnswered(task, run, StopReply::Unknown);
+            // The owner's end is gone only when no stop is wanted any more.
+            let _ = sender.send(OwnerMessage::Worker(worker, news)).await;
+        });
+    }
+}
+
 fn start_news<T>(task: TaskKey, run: RunId, answer: &Ordered<T>) -> WorkerNews {
     let reply = match answer {
         Ordered::Done(_) => StartReply::Started,
--- a/crates/cell/src/rows.rs
+++ b/crates/cell/src/rows.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use job::Born;
 use job::Epoch;
 use job::IdError;
 use job::JobId;
@@ -139,6 +140,8 @@
     pub capacity: Room,
     /// Kind and rack.
     pub labels: Vec<String>,
+    /// Its life; nothing if not known.
+    pub born: Option<Born>,
 }
 
 /// Decodes the row of the ownership, also one of an earlier version.
@@ -161,7 +164,15 @@
     })
 }
 
-/// What earlier versions wrote of such a worker.
+/// What earlier versions wrote of such a worker: without its life, or without its size.
+#[derive(Deserialize)]
+struct EarlierUsed {
+    service: String,
+    address: SocketAddr,
+    capacity: Room,
+    labels: Vec<String>,
+}
+
 #[derive(Deserialize)]
 struct UsedAddress {
     service: String,
@@ -184,19 +195,30 @@
 }
 
 /// Decodes a row of a worker in use, also one of an earlier version, which does
-/// not tell its size.
+/// not tell its life, or its size.
 ///
 /// # Errors
 /// The bytes are no such row.
 pub fn decode_used(bytes: &[u8]) -> Result<UsedWorker, postcard::Error> {
-    decode_row::<UsedWorker>(bytes).or_else(|_| {
-        let UsedAddress { service, address } = decode_row(bytes)?;
-        Ok(UsedWorker {
-            service,
-            address,
-            capacity: Room::default(),
-            labels: Vec::new(),
-        })
+    if let Ok(worker) = decode_row::<UsedWorker>(bytes) {
+        return Ok(worker);
+    }
+    if let Ok(earlier) = decode_row::<EarlierUsed>(bytes) {
+        return Ok(UsedWorker {
+            service: earlier.service,
+            address: earlier.address,
+            capacity: earlier.capacity,
+            labels: earlier.labels,
+            born: None,
+        });
+    }
+    let UsedAddress { service, address } = decode_row(bytes)?;
+    Ok(UsedWorker {
+        service,
+        address,
+        capacity: Room::default(),
+        labels: Vec::new(),
+        born: None,
     })
 }
 
--- a/crates/cell/src/seat.rs
+++ b/crates/cell/src/seat.rs
@@ -324,7 +324,7 @@
 
     async fn take(&mut self) {
         let view = self.view.borrow().clone();
-        let epoch = self.newest_epoch().await + 1;
+        let epoch = job::next_epoch(self.newest_epoch().await);
         let seat = Seat {
             epoch,
             node: self.context.settings.node.clone(),
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -161,6 +161,7 @@
         let longest = Duration::from_millis(self.bounds.lease_ms);
         Policy {
             lease: longest.mul_f64(LEASE_SHARE),
+            longest_lease: longest,
             switches: Switches::without(&self.off),
             ..Policy::default()
         }
--- a/crates/cell/tests/rows.rs
+++ b/crates/cell/tests/rows.rs
@@ -37,9 +37,47 @@
         address: ([127, 0, 0, 1], 9).into(),
         capacity,
         labels: labels.iter().map(|&label| label.to_owned()).collect(),
+        born: Some(1_790_000_000_000),
     }
 }
 
+/// What the version before wrote of a worker in use: not its life.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct WithoutLife {
+    service: String,
+    address: SocketAddr,
+    capacity: Room,
+    labels: Vec<String>,
+}
+
+fn without_life(used: &UsedWorker) -> WithoutLife {
+    WithoutLife {
+        service: used.service.clone(),
+        address: used.address,
+        capacity: used.capacity,
+        labels: used.labels.clone(),
+    }
+}
+
+#[test]
+fn the_row_of_an_earlier_version_tells_no_life() {
+    let row = used(room(), &["a", "r1-1"]);
+
+    let decoded = decode_used(&encode_row(&without_life(&row))).expect("a row");
+
+    assert_eq!(decoded, UsedWorker { born: None, ..row });
+}
+
+/// Both versions serve while a cell is replaced process by process.
+#[test]
+fn an_earlier_version_reads_the_row_of_a_used_worker() {
+    let row = used(room(), &["a", "r1-1"]);
+
+    let decoded = decode_row::<WithoutLife>(&encode_row(&row));
+
+    assert_eq!(decoded, Ok(without_life(&row)));
+}
+
 fn room() -> Room {
     Room {
         cpu: 4000,
@@ -61,7 +99,11 @@
 fn a_row_without_a_size_is_read() {
     let decoded = decode_used(&encode_row(&former()));
 
-    assert_eq!(decoded, Ok(used(Room::default(), &[])));
+    let unnamed = UsedWorker {
+        born: None,
+        ..used(Room::default(), &[])
+    };
+    assert_eq!(decoded, Ok(unnamed));
 }
 
 /// While a cell is updated, processes of both versions own the pool in turn.
--- a/crates/job/src/id.rs
+++ b/crates/job/src/id.rs
@@ -14,9 +14,31 @@
 /// Number of one start of a task; it rises with each start, over owners too.
 pub type RunId = u64;
 
-/// Number of an ownership of the pool; workers refuse lower ones.
+/// Number of an ownership of the pool.
 pub type Epoch = u64;
 
+/// Number that an order carries; a worker refuses lower ones than it has seen.
+pub type Token = u64;
+
+/// Tokens of an epoch: the epoch itself for the first life of a worker, and a higher one
+/// for each next life, which so refuses what was meant for an earlier one.
+const EPOCH_TOKENS: Token = 1000;
+
+/// The epoch that follows one.
+#[must_use]
+pub fn next_epoch(epoch: Epoch) -> Epoch {
+    if epoch == 0 {
+        return 1;
+    }
+    (epoch / EPOCH_TOKENS + 1) * EPOCH_TOKENS + 1
+}
+
+/// The token for the life of a worker that is the `life`th, from 0, in an epoch.
+#[must_use]
+pub fn token(epoch: Epoch, life: u64) -> Token {
+    epoch + life.min(EPOCH_TOKENS - 2)
+}
+
 /// Identity of a worker; it may start again under it.
 pub type WorkerId = String;
 
--- a/crates/job/src/planner/crash_count.rs
+++ b/crates/job/src/planner/crash_count.rs
@@ -62,9 +62,9 @@
     }
 
     /// A worker has crashed under these runs, which have been given up; `known` says
-    /// that they are all that it ran.
-    pub(super) fn count_crash(&mut self, runs: &[(TaskKey, Placed)], known: bool) {
-        let alone = known && runs.len() == 1;
+    /// that they are all that it ran, but for `moved` ones that may have been there.
+    pub(super) fn count_crash(&mut self, runs: &[(TaskKey, Placed)], known: bool, moved: usize) {
+        let alone = known && runs.len() == 1 && moved == 0;
         let now = self.now;
         let recent = self.suspects.deaths.iter();
         let recent = recent.filter(|death| now < **death + COMMON_CAUSE);
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -23,6 +23,7 @@
 mod keep;
 mod kinds;
 mod late_end;
+mod lives;
 mod load;
 mod loss;
 mod naming;
@@ -64,6 +65,7 @@
 use job_state::JobState;
 use keep::Kept;
 use kinds::Kinds;
+use lives::PastLives;
 use reach::Reaches;
 use roster::WorkerState;
 use run_times::RunTimes;
@@ -72,6 +74,7 @@
 pub use advice::Ask;
 pub use advice::FreeHelpers;
 pub use batch::Batch;
+pub use lives::LifeSeen;
 pub use load::Load;
 pub use load::QueueCount;
 pub use load::Timing;
@@ -86,7 +89,7 @@
 pub use suspicion::Suspect;
 
 slotmap::new_key_type! {
-    /// A worker known to the planner.
+    /// A life of a worker, known to the planner.
     pub struct WorkerKey;
 }
 
@@ -124,13 +127,18 @@
         /// Why.
         reason: StopReason,
     },
-    /// The worker's life is over, or its lease: close the connection to it.
+    /// This life of the worker is over, or its lease: close the connection to it.
     Drop {
         /// Which.
         worker: WorkerKey,
-        /// This life of it.
+        /// The worker.
         id: WorkerId,
     },
+    /// Another life of a worker was found: it may be used once its row says so.
+    Begin {
+        /// Which.
+        worker: WorkerKey,
+    },
 }
 
 /// Decides for the owner of a pool.
@@ -143,7 +151,9 @@
     run_base: RunId,
     config: Config,
     workers: SlotMap<WorkerKey, WorkerState>,
+    /// The life of each worker that is known.
     by_id: HashMap<WorkerId, WorkerKey>,
+    past: PastLives,
     jobs: HashMap<JobId, JobState>,
     /// Steps that have tasks to start.
     open: BTreeSet<StepKey>,
@@ -227,6 +237,7 @@
             config: Config::default(),
             workers: SlotMap::with_key(),
             by_id: HashMap::new(),
+            past: PastLives::default(),
             jobs: HashMap::new(),
             open: BTreeSet::new(),
             dirty: BTreeSet::new(),
@@ -420,10 +431,17 @@
         }
         let unclaimed = self.workers.values().filter(|worker| !worker.claimed);
         let inherited = unclaimed.clone().filter(|worker| worker.inherited);
-        let doubtful = inherited.count() + self.missing;
+        let doubtful = inherited.clone().count() + self.missing;
         self.succession.update(self.now, doubtful);
         let silent = unclaimed.count() > 0 || self.workers.is_empty() || self.missing > 0;
-        let over = self.succession.last_renewal() + self.policy.lapse();
+        // A call that was meant for a former life gives a new one a lease of its own.
+        let renamed = inherited.clone().all(|worker| worker.info.born.is_none());
+        let lapse = if renamed {
+            self.policy.lapse()
+        } else {
+            self.policy.longest_lapse()
+        };
+        let over = self.succession.last_renewal() + lapse;
         if silent && self.now < over {
             return;
         }
--- a/crates/job/src/planner/policy.rs
+++ b/crates/job/src/planner/policy.rs
@@ -10,6 +10,8 @@
 pub struct Policy {
     /// Lease that each renewal gives a worker.
     pub lease: Duration,
+    /// Longest lease that a worker grants, whatever a call says.
+    pub longest_lease: Duration,
     /// Least time left of a ticket for a start to be sent with it: the start's
     /// way and the worker's wait for its processor.
     pub ticket_margin: Duration,
@@ -58,12 +60,19 @@
     pub fn lapse(&self) -> Duration {
         self.lease.mul_f64(SLOW_CLOCK) + TRANSIT
     }
+
+    /// The same for a lease by a call that was reckoned on another clock.
+    #[must_use]
+    pub fn longest_lapse(&self) -> Duration {
+        self.longest_lease.mul_f64(SLOW_CLOCK) + TRANSIT
+    }
 }
 
 impl Default for Policy {
     fn default() -> Policy {
         Policy {
             lease: Duration::from_millis(4500),
+            longest_lease: Duration::from_secs(6),
             ticket_margin: Duration::from_millis(120),
             rest: Duration::from_secs(6),
             strikes: 3,
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -5,6 +5,7 @@
 
 use strum::Display;
 
+use super::LifeSeen;
 use super::Loss;
 use super::LostRun;
 use super::Order;
@@ -114,14 +115,25 @@
     /// Takes a listing that the worker made after `sent`. Runs that it does
     /// not list, though it had answered before `sent`, are over.
     pub fn take_listing(&mut self, key: WorkerKey, sent: Duration, listing: &Listing) {
+        match self.life_seen(key, sent, listing) {
+            LifeSeen::Known => {}
+            LifeSeen::Next => return self.succeed(key, sent, listing),
+            LifeSeen::Past | LifeSeen::Unnamed => return,
+        }
+        let longest = self.now + self.policy.longest_lapse();
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
+        worker.info.born = listing.born;
         worker.silent = false;
         worker.awaited = Duration::ZERO;
         worker.heard = self.now;
         if !worker.claimed {
             worker.claimed = true;
+            if worker.info.born.is_some() {
+                // Calls that were meant for a former life may have given it a lease.
+                worker.lapse = worker.lapse.max(longest);
+            }
             worker.trusted = self.recovering;
         }
         for end in &listing.ended {
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -65,10 +65,13 @@
     pub trial: bool,
 }
 
+/// One life of a worker.
 #[derive(Debug)]
 #[allow(clippy::struct_excessive_bools)] // independent facts
 pub(super) struct WorkerState {
     pub info: WorkerInfo,
+    /// Registration of another life, which may be the next one.
+    pub heir: Option<WorkerInfo>,
     /// The most that it has had: what has shrunk may grow again.
     pub largest: Room,
     /// The least that it has had.
@@ -112,12 +115,13 @@
 }
 
 impl WorkerState {
-    fn new(info: WorkerInfo, lapse: Duration) -> WorkerState {
+    pub(super) fn new(info: WorkerInfo, lapse: Duration) -> WorkerState {
         WorkerState {
             largest: info.capacity,
             least: info.capacity,
             room: info.capacity,
             info,
+            heir: None,
             used: Room::default(),
             fillers: 0,
             unsized_runs: 0,
@@ -178,13 +182,26 @@
     pub fn take_worker(&mut self, info: WorkerInfo) -> Option<WorkerKey> {
         self.kinds.change(self.now);
         if let Some(key) = self.worker_of(&info.id) {
+            let other = self.of_other_life(key, &info);
+            let past = self.past.has(&info.id, info.born);
             let worker = &mut self.workers[key];
+            if other {
+                // Without a life it is of another writer: what is known holds.
+                if info.born.is_some() && !past {
+                    worker.heir = Some(info);
+                }
+                return None;
+            }
+            worker.heir = None;
             worker.resize(&info.capacity);
             worker.info = info;
             worker.gone = false;
             self.measure(key);
             return None;
         }
+        if self.past.has(&info.id, info.born) {
+            return None;
+        }
         let id = info.id.clone();
         let lapse = self.now + STORE_VOUCH + self.policy.lapse();
         let key = self.workers.insert(WorkerState::new(info, lapse));
@@ -208,6 +225,7 @@
         self.kinds.change(self.now);
         if let Some(key) = self.worker_of(id) {
             self.workers[key].gone = true;
+            self.workers[key].heir = None;
         }
     }
 
@@ -285,15 +303,17 @@
     /// about to be judged. Without the last, a rack of idle workers that lost power
     /// looked as if only the one with a trial had crashed.
     #[must_use]
-    pub fn doubtful(&self) -> Vec<WorkerId> {
+    pub fn doubtful(&self) -> Vec<(WorkerKey, WorkerId)> {
         let recovering = self.recovering;
-        let doubtful = self.workers.values().filter(|worker| {
+        let doubtful = self.workers.iter().filter(|(_, worker)| {
             let unclaimed = recovering && !worker.claimed;
             let silent = worker.silent || worker.gone;
             let matters = !worker.runs.is_empty() || self.suspects.deciding;
             unclaimed || silent && matters
         });
-        doubtful.map(|worker| worker.info.id.clone()).collect()
+        doubtful
+            .map(|(key, worker)| (key, worker.info.id.clone()))
+            .collect()
     }
 
     /// This life of the worker is over, and with it all that it ran.
@@ -305,26 +325,41 @@
     }
 
     fn drop_worker(&mut self, key: WorkerKey, cause: Loss) {
+        if let Some(worker) = self.end_life(key, cause, 0)
+            && let Some(heir) = worker.heir
+            && let Some(next) = self.take_worker(heir)
+        {
+            self.orders.push(Order::Begin { worker: next });
+        }
+    }
+
+    /// Gives up a life of a worker with all that ran there. `moved` runs beside them may
+    /// have been on its next life instead.
+    pub(super) fn end_life(
+        &mut self,
+        key: WorkerKey,
+        cause: Loss,
+        moved: usize,
+    ) -> Option<WorkerState> {
         if !self.workers.contains_key(key) {
-            return;
+            return None;
         }
-        self.lose_runs(key, cause);
-        let Some(worker) = self.workers.remove(key) else {
-            return;
-        };
+        self.lose_runs(key, cause, moved);
+        let worker = self.workers.remove(key)?;
         self.kinds.change(self.now);
-        let id = worker.info.id;
+        let id = worker.info.id.clone();
         self.by_id.remove(&id);
         self.orders.push(Order::Drop { worker: key, id });
+        Some(worker)
     }
 
     /// Gives up all runs of a worker.
-    fn lose_runs(&mut self, key: WorkerKey, cause: Loss) {
+    fn lose_runs(&mut self, key: WorkerKey, cause: Loss, moved: usize) {
         let now = self.now;
         let worker = &mut self.workers[key];
         let known = worker.claimed || !worker.inherited;
         let runs = std::mem::take(&mut worker.runs);
-        let beside = runs.len().saturating_sub(1);
+        let beside = runs.len().saturating_sub(1) + moved;
         let lost = runs.iter().map(|(&task, placed)| {
             let id = worker.info.id.clone();
             LostRun::new((task, placed), id, (cause, beside), now)
@@ -338,7 +373,7 @@
             }
         }
         if cause == Loss::Crashed {
-            self.count_crash(&runs, known);
+            self.count_crash(&runs, known, moved);
         }
     }
 
@@ -371,7 +406,7 @@
         worker.trials = 0;
         // It must answer again before it gets work.
         worker.claimed = false;
-        self.lose_runs(key, Loss::Lapsed);
+        self.lose_runs(key, Loss::Lapsed, 0);
     }
 
     /// Orders a stop; the room stays booked until the run has ended.
--- a/crates/job/tests/field/mod.rs
+++ b/crates/job/tests/field/mod.rs
@@ -255,7 +255,7 @@
         let asked = self.planner.doubtful();
         for life in self.places.iter_mut().flatten().filter(|life| !life.known) {
             let Some(key) = life.key else { continue };
-            let listed = asked.contains(&life.id);
+            let listed = asked.iter().any(|(asked, _)| *asked == key);
             match life.died {
                 Some(died) if listed && died + CRASH_KNOWN <= self.now => {
                     life.known = true;
@@ -313,7 +313,7 @@
                         .stop_reply(worker, task, run, StopReply::Stopped);
                 }
             }
-            Order::Drop { .. } => {}
+            Order::Drop { .. } | Order::Begin { .. } => {}
         }
     }
 
--- a/crates/job/tests/preempt.rs
+++ b/crates/job/tests/preempt.rs
@@ -68,7 +68,7 @@
                 assert!(gang.job >= GANG, "{gang:?}");
                 stops.push((task, run));
             }
-            Order::Drop { .. } => {}
+            Order::Drop { .. } | Order::Begin { .. } => {}
         }
     }
     (starts, stops)
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -281,7 +281,7 @@
         for (nth, order) in self.planner.take_orders().into_iter().enumerate() {
             let worker = match &order {
                 Order::Start { worker, .. } | Order::Stop { worker, .. } => *worker,
-                Order::Drop { .. } => continue,
+                Order::Drop { .. } | Order::Begin { .. } => continue,
             };
             let Some(at) = self.keys.iter().position(|key| *key == worker) else {
                 continue;
@@ -318,7 +318,7 @@
             Order::Stop { task, run, .. } => {
                 self.planner.stop_reply(key, task, run, StopReply::Unknown);
             }
-            Order::Drop { .. } => {}
+            Order::Drop { .. } | Order::Begin { .. } => {}
         }
     }
 
@@ -365,7 +365,7 @@
                     self.planner.stop_reply(key, task, run, reply);
                 }
             }
-            Order::Drop { .. } => {}
+            Order::Drop { .. } | Order::Begin { .. } => {}
         }
     }
 
