--- a/crates/job/src/planner/lives.rs
+++ b/crates/job/src/planner/lives.rs
@@ -107,7 +107,7 @@
             .filter_map(|(task, run)| Some((task, worker.release(task, run)?)))
             .collect();
         let left = worker.info.draining;
-        let cause = if left { Loss::Left } else { Loss::Lapsed };
+        let cause = if left { Loss::Left } else { Loss::Crashed };
         self.end_life(key, cause, moved.len());
         self.past.add(&id, born);
         let mut next = WorkerState::new(info, now + STORE_VOUCH + longest);
