--- a/crates/job/src/planner/lives.rs
+++ b/crates/job/src/planner/lives.rs
@@ -138,6 +138,19 @@
         self.workers[next].book(task, placed);
     }
 
+    /// The worker has told of the life that is known after `sent`: all starts that it had
+    /// confirmed by then were carried out by that life.
+    pub(super) fn clear_unsure(&mut self, key: WorkerKey, sent: Duration) {
+        let worker = &mut self.workers[key];
+        let confirmed = |placed: &Placed| {
+            let open = matches!(placed.phase, RunPhase::Sent | RunPhase::Unknown);
+            !open && placed.since < sent
+        };
+        if worker.runs.values().all(confirmed) {
+            worker.unsure = Duration::ZERO;
+        }
+    }
+
     /// Silent workers that have registered as another life, and where that is reached.
     #[must_use]
     pub fn moved(&self) -> Vec<(WorkerKey, SocketAddr)> {
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -292,7 +292,7 @@
         if let Some(reach) = self.reaches.get_mut(seat.key) {
             reach.room = reach.room.less(&booked);
         }
-        self.lease_sent(seat.key);
+        self.start_sent(seat.key);
         self.start_room = self.start_room.saturating_sub(1);
         self.orders.push(Order::Start {
             worker: seat.key,
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -143,6 +143,7 @@
             self.take_running(key, running);
         }
         self.sweep(key, sent, listing);
+        self.clear_unsure(key, sent);
         if self.policy.switches.has(Mechanism::StallMoves) {
             self.move_stalled(key, listing);
         }
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -101,6 +101,9 @@
     pub gone: bool,
     /// When its lease is over by the slowest clock.
     pub lapse: Duration,
+    /// When a start is surely over that may have reached another life of it, whose clock
+    /// is not the one that the lease was reckoned on.
+    pub unsure: Duration,
     /// Until when an answer may come that it gave under that lease.
     pub awaited: Duration,
     /// Newest end that was taken in.
@@ -134,6 +137,7 @@
             heard: Duration::ZERO,
             gone: false,
             lapse,
+            unsure: Duration::ZERO,
             awaited: Duration::ZERO,
             taken: 0,
             speed: Speed::default(),
@@ -281,6 +285,16 @@
         }
     }
 
+    /// A start is being sent, which renews the worker's lease.
+    pub(super) fn start_sent(&mut self, key: WorkerKey) {
+        self.lease_sent(key);
+        let longest = self.now + self.policy.longest_lapse();
+        let worker = &mut self.workers[key];
+        if worker.info.born.is_some() {
+            worker.unsure = longest;
+        }
+    }
+
     /// The answer to a call that was sent at `sent` is late, and may come until `until`.
     /// It may tell that a run is done, which must not start again.
     pub fn await_answer(&mut self, key: WorkerKey, sent: Duration, until: Duration) {
@@ -382,7 +396,8 @@
     pub(super) fn expire_workers(&mut self) {
         let now = self.now;
         let held = |worker: &WorkerState| worker.inherited && !worker.claimed;
-        let over = |worker: &WorkerState| worker.lapse.max(worker.awaited) <= now && !held(worker);
+        let end = |worker: &WorkerState| worker.lapse.max(worker.awaited).max(worker.unsure);
+        let over = |worker: &WorkerState| end(worker) <= now && !held(worker);
         let expired: Vec<WorkerKey> = self
             .workers
             .iter()
--- a/crates/job/tests/field/mod.rs
+++ b/crates/job/tests/field/mod.rs
@@ -1,5 +1,5 @@
 //! Workers that tasks take down, around the planner. They come back after some
-//! seconds under another id, and the owner may change at any time. Starts and crashes
+//! seconds under another id, or at once under theirs, and the owner may change at any time. Starts and crashes
 //! are counted from the workers' side.
 #![allow(dead_code)]
 
@@ -38,6 +38,9 @@
 /// Time from a crash until the worker is back.
 const RETURN_TIME: Duration = Duration::from_secs(3);
 
+/// The same of one that comes back under its id.
+const QUICK_RETURN: Duration = Duration::from_millis(100);
+
 /// Time for a save.
 const SAVE_TIME: Duration = Duration::from_millis(30);
 
@@ -45,6 +48,8 @@
 #[derive(Debug, Default)]
 pub struct Life {
     pub id: String,
+    /// Start of this life, where workers name it.
+    born: Option<u64>,
     pub key: Option<WorkerKey>,
     /// Run, begin and end of what is at work.
     pub running: BTreeMap<TaskKey, (RunId, Duration, Duration)>,
@@ -79,10 +84,21 @@
     pub crashes: HashMap<TaskKey, usize>,
     /// Ends as failed, by task.
     pub failures: HashMap<TaskKey, usize>,
+    /// Workers come back under their ids.
+    same_ids: bool,
 }
 
 impl Field {
     pub fn new(workers: usize) -> Field {
+        Field::open(workers, false)
+    }
+
+    /// Workers that come back under their ids.
+    pub fn with_same_ids(workers: usize) -> Field {
+        Field::open(workers, true)
+    }
+
+    fn open(workers: usize, same_ids: bool) -> Field {
         let mut field = Field {
             now: Duration::from_secs(10),
             epoch: 0,
@@ -96,9 +112,10 @@
             starts: HashMap::new(),
             crashes: HashMap::new(),
             failures: HashMap::new(),
+            same_ids,
         };
         for place in 0..workers {
-            field.places.push(vec![Life::new(place, 0)]);
+            field.places.push(vec![Life::new(place, 0, same_ids)]);
         }
         field.take_over();
         field
@@ -108,6 +125,7 @@
     pub fn take_over(&mut self) {
         self.epoch += 1;
         self.saving = None;
+        let rows = self.rows();
         self.planner = Planner::new(Policy::default(), self.epoch, self.now, Duration::ZERO);
         for (&id, spec) in &self.jobs {
             let progress = self.stored.get(&id);
@@ -119,13 +137,27 @@
                 continue;
             }
             let info = life.info();
-            life.key = self.planner.recall_worker(info.clone());
+            let row = WorkerInfo {
+                born: rows.get(&life.id).copied().unwrap_or(life.born),
+                ..info.clone()
+            };
+            life.key = self.planner.recall_worker(row);
             if life.died.is_none() {
                 self.planner.take_worker(info);
             }
         }
     }
 
+    /// Lives by worker, as the rows say that the owner leaves.
+    fn rows(&self) -> HashMap<String, Option<u64>> {
+        let lives = self.places.iter().flatten();
+        let known = lives.filter_map(|life| {
+            let info = self.planner.worker(life.key?)?;
+            Some((life.id.clone(), info.born))
+        });
+        known.collect()
+    }
+
     pub fn submit(&mut self, id: JobId, spec: JobSpec) {
         self.jobs.insert(id, spec.clone());
         self.planner.take_job(id, spec, None, false);
@@ -241,10 +273,23 @@
 
     fn come_back(&mut self) {
         for (place, lives) in self.places.iter_mut().enumerate() {
-            let died = lives.last().and_then(|life| life.died);
-            if died.is_some_and(|died| died + RETURN_TIME <= self.now) {
-                let mut life = Life::new(place, lives.len());
+            let pause = if self.same_ids {
+                QUICK_RETURN
+            } else {
+                RETURN_TIME
+            };
+            let Some(former) = lives.last_mut() else {
+                continue;
+            };
+            if former.died.is_some_and(|died| died + pause <= self.now) {
+                let key = former.key;
+                // No list of machines misses an id that is there again.
+                former.known |= self.same_ids;
+                let mut life = Life::new(place, lives.len(), self.same_ids);
                 life.key = self.planner.take_worker(life.info());
+                // Its entry alone does not end the former life.
+                let key = key.filter(|key| self.planner.worker(*key).is_some());
+                life.key = life.key.or(key.filter(|_| self.same_ids));
                 lives.push(life);
             }
         }
@@ -313,7 +358,14 @@
                         .stop_reply(worker, task, run, StopReply::Stopped);
                 }
             }
-            Order::Drop { .. } | Order::Begin { .. } => {}
+            Order::Begin { worker } => {
+                let id = self.planner.worker(worker).map(|info| info.id.clone());
+                let mut lives = self.places.iter_mut().filter_map(|lives| lives.last_mut());
+                if let Some(life) = lives.find(|life| Some(&life.id) == id.as_ref()) {
+                    life.key = Some(worker);
+                }
+            }
+            Order::Drop { .. } => {}
         }
     }
 
@@ -349,9 +401,15 @@
 }
 
 impl Life {
-    fn new(place: usize, life: usize) -> Life {
+    fn new(place: usize, life: usize, same_id: bool) -> Life {
+        let id = if same_id {
+            format!("w{place}")
+        } else {
+            format!("w{place}-{life}")
+        };
         Life {
-            id: format!("w{place}-{life}"),
+            id,
+            born: same_id.then_some(1000 + life as u64),
             cores: 4,
             ..Life::default()
         }
@@ -359,6 +417,7 @@
 
     fn info(&self) -> WorkerInfo {
         let mut info = support::worker(&self.id);
+        info.born = self.born;
         info.draining = self.draining;
         info.capacity = support::room(self.cores * 1000, 64_000);
         info
@@ -385,7 +444,10 @@
                 ..support::running(*task, *run)
             }
         });
-        support::listing(running.collect(), self.ended.clone())
+        Listing {
+            born: self.born,
+            ..support::listing(running.collect(), self.ended.clone())
+        }
     }
 }
 
