--- a/crates/job/tests/invariants.rs
+++ b/crates/job/tests/invariants.rs
@@ -163,6 +163,74 @@
     assert!(bad > 500, "{bad} starts of bad tasks");
 }
 
+/// The same where two of three workers come back under their id: at once or later, one or
+/// all, with orders that cross the restart, entries that are read late and clocks that go
+/// back. No task runs again after an end as done that was recorded, or after as many failed
+/// ones as it has attempts.
+#[test]
+fn invariants_hold_where_workers_start_again_under_their_id() {
+    const EVENTS: [(u8, u8); 22] = [
+        (0, 10),
+        (0, 33),
+        (1, 0),
+        (1, 1),
+        (1, 2),
+        (4, 1),
+        (4, 2),
+        (4, 4),
+        (6, 1),
+        (6, 2),
+        (7, 1),
+        (7, 2),
+        (8, 0),
+        (9, 1),
+        (10, 5),
+        (10, 15),
+        (11, 3),
+        (233, 1),
+        (233, 2),
+        (237, 0),
+        (240, 1),
+        (245, 2),
+    ];
+    let mut state: u64 = 0x1405_7b7e_f767_814f;
+    let mut next = || {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (state >> 33).to_le_bytes()
+    };
+    let (mut starts, mut restarts) = (0, 0);
+
+    for _ in 0..50 {
+        let mut world = World::lasting();
+        for _ in 0..2000 {
+            let bytes = next();
+            let usual = EVENTS[usize::from(bytes[1]) % EVENTS.len()];
+            let any = (bytes[0], bytes[1]);
+            let (kind, pick) = if bytes[2] < 230 { usual } else { any };
+            world.lasting_step(Event { kind, pick });
+        }
+        starts += world.starts;
+        restarts += world.restarts();
+    }
+
+    assert!(starts > 5000, "{starts} starts");
+    assert!(restarts > 5000, "{restarts} restarts");
+}
+
+#[test]
+fn invariants_hold_for_any_order_of_restarts() {
+    bolero::check!()
+        .with_type::<Vec<(u8, u8)>>()
+        .for_each(|events| {
+            let mut world = World::lasting();
+            for &(kind, pick) in events {
+                world.lasting_step(Event { kind, pick });
+            }
+        });
+}
+
 #[test]
 fn invariants_hold_for_any_order_of_crashes() {
     bolero::check!()
--- a/crates/job/tests/world/checks.rs
+++ b/crates/job/tests/world/checks.rs
@@ -1,5 +1,7 @@
 //! What must hold at each start.
 
+use std::collections::BTreeSet;
+
 use job::Room;
 use job::RunEnd;
 use job::TaskKey;
@@ -21,6 +23,12 @@
             !self.noted.contains_key(&task),
             "{task} ran again when done"
         );
+        let spec = &self.jobs[&task.step.job];
+        let failures = self.noted_failures.get(&task).map_or(0, BTreeSet::len);
+        assert!(
+            failures < spec.queue.attempts as usize,
+            "{task} was started after {failures} failed runs"
+        );
         let need = |task: &TaskKey| self.jobs[&task.step.job].steps[0].need;
         let worker = &self.workers[at];
         let used = worker
--- a/crates/job/tests/world/worker.rs
+++ b/crates/job/tests/world/worker.rs
@@ -11,6 +11,8 @@
 
 #[derive(Debug, Default)]
 pub struct Worker {
+    /// Start of this life, if it names it.
+    pub born: Option<u64>,
     pub fence: u64,
     pub lease: Duration,
     pub running: BTreeMap<TaskKey, (RunId, Duration)>,
@@ -19,6 +21,8 @@
     pub ended: Vec<EndedTask>,
     pub count: u64,
     pub seen: u64,
+    /// The owner's link has been answered by this life, and by no other since.
+    pub linked: bool,
     /// Ends up to this number were listed before a lease ran out: they do not
     /// stand any more.
     pub void: u64,
