--- a/crates/cell/tests/same_id.rs
+++ b/crates/cell/tests/same_id.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
+use site::ATTEMPTS;
 use site::Caller;
+use site::LatePlan;
 use site::Restart;
 use site::SiteCell;
+use site::StoreFaults;
 use site::job;
 
-/// Most attempts of a task, as the configuration of the stand-ins says.
-const ATTEMPTS: usize = 2;
-
 /// Jobs that give each worker a history before it starts again.
 const HISTORY: u64 = 24;
 
@@ -111,3 +111,159 @@
     assert_eq!(cell.log.faults(), Vec::<String>::new());
     cell.close().await;
 }
+
+/// What is sent to the former lives may reach the next ones seconds later.
+fn late_holds(share: f64) -> LatePlan {
+    LatePlan {
+        starts: 0.0,
+        stops: 0.0,
+        holds: share,
+        least: Duration::from_millis(300),
+        most: Duration::from_millis(2500),
+    }
+}
+
+/// Submits jobs for as long as a few restarts of all workers take; gives how many.
+async fn submit_through(cell: &SiteCell, caller: &Caller, restarts: &[Restart]) -> u64 {
+    let mut first = 0x1000;
+    for restart in restarts {
+        let jobs = submit(cell, caller, first, 8, "120");
+        tokio::join!(restart_all(cell, *restart), jobs);
+        submit(cell, caller, first + 8, 4, "40").await;
+        first += 12;
+    }
+    first - 0x1000
+}
+
+/// Plays restarts while jobs come, and holds what workers did against what is promised.
+async fn assert_outlived(cell: SiteCell, caller: &Caller, restarts: &[Restart]) {
+    let count = submit_through(&cell, caller, restarts).await;
+    wait(&cell, caller, 0x1000, count, "completed").await;
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close().await;
+}
+
+/// Guards against renewals of a former life that acknowledge the ends of the next one, or
+/// give it a lease that nobody counts.
+#[tokio::test(flavor = "multi_thread")]
+async fn renewals_that_cross_a_restart_do_no_harm() {
+    let caller = Caller::new();
+    let cell = with_history(&caller).await;
+    for place in &cell.places {
+        place.current().set_late(late_holds(0.4));
+    }
+
+    let restarts = [200, 700, 50].map(|down| Restart::after(Duration::from_millis(down)));
+    assert_outlived(cell, &caller, &restarts).await;
+}
+
+/// Guards against an order of two lives that is told by their clocks.
+#[tokio::test(flavor = "multi_thread")]
+async fn workers_whose_clock_went_back_are_used_again() {
+    let caller = Caller::new();
+    let cell = with_history(&caller).await;
+
+    let restart = Restart {
+        clock_back: 3_600_000,
+        ..Restart::after(Duration::from_millis(200))
+    };
+    assert_outlived(cell, &caller, &[restart; 2]).await;
+}
+
+/// Guards against restarts that no list and no entry shows, since another one follows, and
+/// against entries that come long after a worker has answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn workers_that_start_again_twice_at_once_are_used_again() {
+    let caller = Caller::new();
+    let cell = with_history(&caller).await;
+
+    let quick = Restart::after(Duration::from_millis(10));
+    let unwritten = Restart {
+        entry_after: Duration::from_millis(1500),
+        ..quick
+    };
+    assert_outlived(cell, &caller, &[quick, quick, unwritten, quick]).await;
+}
+
+/// Guards against a list of machines made while a worker was down, which comes when it is
+/// there again and ends its next life.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_list_of_machines_ends_no_next_life() {
+    let caller = Caller::new();
+    let cell = with_history(&caller).await;
+    cell.advice.set_list_delay(Duration::from_millis(600));
+
+    let restarts = [700, 900].map(|down| Restart::after(Duration::from_millis(down)));
+    assert_outlived(cell, &caller, &restarts).await;
+}
+
+/// Guards against a successor that takes the runs of a life which it never met for those of
+/// the life that its predecessor knew.
+#[tokio::test(flavor = "multi_thread")]
+async fn owners_that_die_while_workers_start_again_do_no_harm() {
+    let caller = Caller::new();
+    let mut cell = SiteCell::open_same_ids(3, 3).await;
+    submit(&cell, &caller, 0x100, HISTORY, "30").await;
+    wait(&cell, &caller, 0x100, HISTORY, "completed").await;
+
+    let mut first = 0x1000;
+    for down in [50, 400] {
+        submit(&cell, &caller, first, 9, "250").await;
+        let owner = cell.wait_owner(|_| true).await;
+        cell.kill(owner).await;
+        restart_all(&cell, Restart::after(Duration::from_millis(down))).await;
+        cell.wait_owner(|next| next != owner).await;
+        restart_all(&cell, Restart::after(Duration::from_millis(down))).await;
+        cell.start(owner).await;
+        first += 9;
+    }
+
+    wait(&cell, &caller, 0x1000, first - 0x1000, "completed").await;
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close().await;
+}
+
+/// Guards against workers that are not used any more if they start again while the store is
+/// away, so that neither an entry nor a row can be written.
+#[tokio::test(flavor = "multi_thread")]
+async fn workers_that_start_again_while_the_store_is_away_are_used_again() {
+    let caller = Caller::new();
+    let cell = with_history(&caller).await;
+    submit(&cell, &caller, 0x1000, 6, "400").await;
+
+    cell.store.set_faults(StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    });
+    restart_all(&cell, Restart::after(Duration::from_millis(200))).await;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    cell.store.set_faults(StoreFaults::default());
+    submit(&cell, &caller, 0x1006, 6, "50").await;
+    wait(&cell, &caller, 0x1000, 12, "completed").await;
+
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close().await;
+}
+
+/// Guards against a list of another writer that takes a worker's life away: it changes
+/// nothing, and the worker counts as silent until it names its life again.
+#[tokio::test(flavor = "multi_thread")]
+async fn lists_that_name_no_life_change_nothing() {
+    let caller = Caller::new();
+    let cell = with_history(&caller).await;
+    submit(&cell, &caller, 0x1000, 4, "600").await;
+
+    for place in &cell.places {
+        place.current().set_nameless(true);
+    }
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let starts = cell.log.starts("");
+    for place in &cell.places {
+        place.current().set_nameless(false);
+    }
+    wait(&cell, &caller, 0x1000, 4, "completed").await;
+
+    assert_eq!(cell.log.starts(""), starts);
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close().await;
+}
--- a/crates/daemon/tests/soak/field.rs
+++ b/crates/daemon/tests/soak/field.rs
@@ -36,6 +36,7 @@
 use crate::plan::Event;
 use crate::plan::HOSTS;
 use crate::plan::WORKERS;
+use crate::plan::lasting;
 use crate::plan::thin;
 
 /// The program under test.
@@ -133,6 +134,11 @@
         let advice = AdviceStand::new(Vec::new());
         let mut workers = Vec::new();
         let mut worker_ways = Vec::new();
+        let comes_back = if lasting(seed) {
+            ComesBack::InTurn
+        } else {
+            ComesBack::Renamed
+        };
         let link = thin(seed).then(|| ThinLink::new(THIN_MBPS));
         for at in 0..WORKERS {
             let around = Surroundings {
@@ -140,7 +146,7 @@
                 advice: advice.clone(),
                 log: log.clone(),
             };
-            let worker = WorkerPlace::new(&format!("w{at}"), around, ComesBack::default());
+            let worker = WorkerPlace::new(&format!("w{at}"), around, comes_back);
             let mut address = serve(worker.clone(), &stop).await;
             if let Some(link) = &link {
                 address = link.front(address, stop.clone()).await;
@@ -299,6 +305,10 @@
             Event::Forget => self.store.forget(),
             Event::LoseStarts(at, count) => self.workers[at].current().lose_starts(count),
             Event::Resize(at, cores) => self.resize(at, cores),
+            Event::Restart(at, restart) => {
+                let worker = self.workers[at].clone();
+                tokio::spawn(async move { worker.restart(restart).await });
+            }
             Event::Configure(version) => self.store.write("op", "config", &config(version)),
         }
     }
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -19,7 +19,8 @@
 use traffic::Traffic;
 
 /// Seeds of CI: two of the first, two with tasks that crash and workers that change
-/// their size, two behind a thin link, and those that have ever failed.
+/// their size, two behind a thin link, three with workers that start again under their
+/// ids, and those that have ever failed.
 ///
 /// - 5: a process was told of changed settings before it heeded signals, and
 ///   ended by itself;
@@ -27,7 +28,7 @@
 ///   when their worker's lease ran out; the platform lets such tasks run again;
 /// - 197: the harness waited for good for the first line of a process, since an earlier
 ///   one had been killed before it wrote its own.
-const SEEDS: [u64; 11] = [1, 2, 5, 12, 48, 57, 100, 101, 197, 300, 301];
+const SEEDS: [u64; 14] = [1, 2, 5, 12, 48, 57, 100, 101, 197, 300, 301, 400, 401, 402];
 
 /// Seeds played at the same time: each has 4 processes and 5 relays.
 const AT_ONCE: usize = 2;
--- a/crates/daemon/tests/soak/plan.rs
+++ b/crates/daemon/tests/soak/plan.rs
@@ -7,6 +7,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use site::Restart;
 use site::StoreFaults;
 
 /// Processes of a cell.
@@ -41,7 +42,21 @@
 
 /// Whether the workers stand behind a thin link, and the first host is small.
 pub fn thin(seed: u64) -> bool {
-    seed >= THIN_SEEDS
+    seed >= THIN_SEEDS && (!lasting(seed) || seed.is_multiple_of(THIN_ONE_IN))
+}
+
+/// First seed whose workers start again under their ids.
+const LASTING_SEEDS: u64 = 400;
+
+/// One in so many of these stands behind a thin link.
+const THIN_ONE_IN: u64 = 4;
+
+/// Restarts of one worker or of all, in such a seed.
+const RESTARTS: std::ops::Range<usize> = 3..8;
+
+/// Whether workers start again under their ids.
+pub fn lasting(seed: u64) -> bool {
+    seed >= LASTING_SEEDS
 }
 
 /// One thing that is done to the cell.
@@ -73,6 +88,8 @@
     Configure(u64),
     /// A worker has so many cores from now on.
     Resize(usize, usize),
+    /// A worker goes down and starts again under its id.
+    Restart(usize, Restart),
 }
 
 /// Events in the order of their times.
@@ -94,6 +111,11 @@
                 add_resize(&mut random, &mut events);
             }
         }
+        if lasting(seed) {
+            for _ in 0..random.random_range(RESTARTS) {
+                add_restart(&mut random, &mut events);
+            }
+        }
         events.sort_by_key(|(at, _)| *at);
         let mut version = 1;
         for (_, event) in &mut events {
@@ -106,6 +128,25 @@
     }
 }
 
+fn add_restart(random: &mut StdRng, events: &mut Vec<(Duration, Event)>) {
+    let at = Duration::from_millis(random.random_range(0..9_000));
+    let worker = random.random_range(0..WORKERS);
+    let all = random.random_range(0..3) == 0;
+    for other in 0..WORKERS {
+        let down = Duration::from_millis(random.random_range(20..1_200));
+        let late = random.random_range(0..3) == 0;
+        let back = random.random_range(0..4) == 0;
+        let restart = Restart {
+            down,
+            entry_after: Duration::from_millis(if late { 700 } else { 0 }),
+            clock_back: if back { 2_000 } else { 0 },
+        };
+        if all || other == worker {
+            events.push((at, Event::Restart(other, restart)));
+        }
+    }
+}
+
 fn add_resize(random: &mut StdRng, events: &mut Vec<(Duration, Event)>) {
     let begin = Duration::from_millis(random.random_range(0..8_000));
     let end = begin + Duration::from_millis(random.random_range(300..4_000));
--- a/crates/daemon/tests/soak/verdict.rs
+++ b/crates/daemon/tests/soak/verdict.rs
@@ -97,7 +97,7 @@
                 let count = running.entry(worker).or_default();
                 *count = count.saturating_sub(1);
             }
-            Deed::Void(..) | Deed::Over(..) => {}
+            Deed::Void(..) | Deed::Noted(..) | Deed::Over(..) => {}
         }
     }
     wrong
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -19,6 +19,7 @@
 use web::Handler;
 use web::Limits;
 
+use crate::ATTEMPTS;
 use crate::AdviceStand;
 use crate::ComesBack;
 use crate::LoopbackHost;
@@ -387,7 +388,7 @@
         json!({
             "name": name, "host": "desk.example", "prefix": format!("/{name}/"),
             "kind": "non_idempotent", "timeout_ms": 3000, "slo_ms": 500, "priority": 0,
-            "service": "desk", "max_attempts": 2, "stretch": 2.0,
+            "service": "desk", "max_attempts": ATTEMPTS, "stretch": 2.0,
         })
     };
     let mut advised = queue("advised");
--- a/crates/site/src/place.rs
+++ b/crates/site/src/place.rs
@@ -134,7 +134,7 @@
                     self.restart(Restart::after(QUICK_RETURN)).await;
                 } else {
                     tokio::time::sleep(RETURN_TIME).await;
-                    self.rename(&current, life);
+                    self.rename(life);
                 }
             }
             tokio::time::sleep(LOOK_EVERY).await;
@@ -172,7 +172,10 @@
         }
     }
 
-    fn rename(&self, former: &WorkerStand, life: usize) {
+    fn rename(&self, life: usize) {
+        // It may have been started again meanwhile.
+        let former = self.current();
+        former.die();
         let id = format!("{}-{life}", self.name);
         let next = WorkerStand::new(&id, self.around.log.clone());
         self.around.advice.add(next.clone());
--- a/crates/site/src/runs.rs
+++ b/crates/site/src/runs.rs
@@ -1,12 +1,16 @@
 //! What workers have done, seen from outside: the judge of the tests.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Instant;
 
+/// Attempts of a task, as the configuration of the stand-ins says.
+pub const ATTEMPTS: usize = 2;
+
 /// One thing that a worker has done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Deed {
@@ -17,6 +21,8 @@
     /// The worker's lease ran out before this end was taken note of: the end
     /// does not stand, the task may run again.
     Void(String, u64),
+    /// It was told that this end is taken note of: task, run, how.
+    Noted(String, u64, String),
     /// A start brought the worker over the cores that it has: worker, task.
     Over(String, String),
 }
@@ -104,9 +110,11 @@
     }
 
     /// What must never be: a task on two workers at a time, or begun again
-    /// after it was done, or a worker over the cores that it has.
+    /// after it was done, or after [`ATTEMPTS`] failed runs that were taken note of, or a
+    /// worker over the cores that it has.
     #[must_use]
     pub fn faults(&self) -> Vec<String> {
+        let mut failures: HashMap<String, HashSet<u64>> = HashMap::new();
         let mut alive: HashMap<String, String> = HashMap::new();
         let mut done: HashMap<String, u64> = HashMap::new();
         let mut faults = Vec::new();
@@ -121,6 +129,10 @@
                     if done.contains_key(task) {
                         faults.push(format!("{task} run {run} began on {worker}, was done"));
                     }
+                    let failed = failures.get(task).map_or(0, HashSet::len);
+                    if failed >= ATTEMPTS {
+                        faults.push(format!("{task} run {run} began after {failed} failed runs"));
+                    }
                 }
                 Deed::Ended(_, task, run, how) => {
                     alive.remove(task);
@@ -133,6 +145,11 @@
                         done.remove(task);
                     }
                 }
+                Deed::Noted(task, run, how) => {
+                    if how == "failed" {
+                        failures.entry(task.clone()).or_default().insert(*run);
+                    }
+                }
                 Deed::Over(worker, task) => {
                     faults.push(format!("{task} is one too many for {worker}"));
                 }
--- a/crates/site/src/worker.rs
+++ b/crates/site/src/worker.rs
@@ -93,6 +93,8 @@
     late: LateOrders,
     /// Answers take so much longer.
     delay: Duration,
+    /// Its lists do not name its life.
+    nameless: bool,
     /// No disruption is near: ends count as told once they were listed.
     calm: bool,
 }
@@ -222,6 +224,11 @@
         self.lock().calm = calm;
     }
 
+    /// Whether its lists of runs leave out its life, as those of another release would.
+    pub fn set_nameless(&self, nameless: bool) {
+        self.lock().nameless = nameless;
+    }
+
     /// Some orders are left unanswered from now on, and carried out later.
     pub fn set_late(&self, plan: LatePlan) {
         self.lock().late.set_plan(plan);
@@ -363,7 +370,9 @@
             state.lease = state.lease.max(lease);
         }
         let seen = body["seen_upto"].as_u64().unwrap_or(0);
-        state.ended.retain(|end| end.number > seen);
+        for end in state.ended.extract_if(.., |end| end.number <= seen) {
+            self.log.push(Deed::Noted(end.task, end.run, end.how));
+        }
         let running: Vec<Value> = state
             .running
             .iter()
@@ -377,9 +386,12 @@
                 json!([end.number, end.task, end.run, end.how, ""])
             })
             .collect();
-        let body = json!({
+        let mut body = json!({
             "clock_ms": self.clock(), "born": self.born, "running": running, "ended_runs": ended,
         });
+        if state.nameless {
+            body["born"] = Value::Null;
+        }
         (body, !state.ended.is_empty())
     }
 
