--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -134,6 +134,10 @@
                 Ok(None) => return None,
                 Err(error) => {
                     log::warn!(code = 331, epoch = epoch, error:% = error; "take-over cannot read");
+                    // The pool is left to the expiry of its ownership.
+                    if context.stopping() {
+                        return None;
+                    }
                     tokio::time::sleep(READ_PAUSE).await;
                 }
             }
--- a/crates/cell/src/process.rs
+++ b/crates/cell/src/process.rs
@@ -54,6 +54,9 @@
 /// kill must not come first.
 const SPARE: Duration = Duration::from_millis(1500);
 
+/// Time within the grace for open requests to end after the owner has.
+const FINISH: Duration = Duration::from_millis(500);
+
 /// A running process.
 pub struct CellProcess {
     stop: watch::Sender<bool>,
@@ -120,8 +123,14 @@
         log::info!(code = 101; "stopping");
         let end = Instant::now() + self.grace.saturating_sub(SPARE);
         self.stop.send_replace(true);
-        // The owner ends by itself on a stop.
-        let _ = tokio::join!(self.owner, tokio::time::sleep(DRAIN));
+        // The owner ends by itself on a stop; one that cannot is left behind.
+        let left = end.saturating_duration_since(Instant::now());
+        let owner = tokio::time::timeout(left.saturating_sub(FINISH), &mut self.owner);
+        let (owner, ()) = tokio::join!(owner, tokio::time::sleep(DRAIN));
+        if owner.is_err() {
+            log::error!(code = 106; "the owner does not stop");
+            self.owner.abort();
+        }
         self.close.send_replace(true);
         let finish = async { while self.servers.join_next().await.is_some() {} };
         let left = end.saturating_duration_since(Instant::now());
--- /dev/null
+++ b/crates/cell/tests/stops.rs
@@ -0,0 +1,37 @@
+//! Planned stops end within the grace of the platform, whatever the store does.
+
+use std::time::Duration;
+
+use site::Caller;
+use site::SiteCell;
+use site::StoreFaults;
+use site::job;
+
+/// Time between the signal to stop and the kill, as the settings of the stand-ins say.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// Longer than any call to the store is waited for.
+const HUNG: Duration = Duration::from_secs(30);
+
+/// Guards against a process that tries to read the pool it has taken for as long as the
+/// store does not answer, and is killed with its callers' requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_that_cannot_read_the_pool_it_took_stops_in_time() {
+    let mut cell = SiteCell::open(2, 1).await;
+    let caller = Caller::new();
+    let path = "/plain/00000000000000a1";
+    caller.submit(&cell.servers(), path, &job(1, "20000")).await;
+    let owner = cell.wait_owner(|_| true).await;
+    cell.store.set_faults(StoreFaults {
+        slow_rows: Some(("guard", HUNG)),
+        ..StoreFaults::default()
+    });
+
+    cell.kill(owner).await;
+    let next = cell.wait_owner(|next| next != owner).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let stopped = cell.stop_within(next, GRACE).await;
+
+    assert!(stopped, "it does not stop");
+    cell.close().await;
+}
--- a/crates/job/tests/lives.rs
+++ b/crates/job/tests/lives.rs
@@ -338,6 +338,27 @@
     assert_eq!(late.len(), 1);
 }
 
+/// Guards against a run that a former owner's order has given a longer lease than its
+/// successor counts, since it was meant for a former life.
+#[test]
+fn what_a_claim_finds_is_waited_for_by_the_longest_lease() {
+    let mut planner = planner(2);
+    let old = Progress::default();
+    planner.take_job(JOB, spec(vec![step(1)]), Some(&old), true);
+    let key = planner.recall_worker(info(FIRST)).expect("recalled");
+    planner.take_worker(info(FIRST));
+    let run = listing(vec![running(task(JOB, 0, 0), 3)], Vec::new());
+    tell(&mut planner, key, 5000, &list(FIRST, run));
+    support::add_claimed(&mut planner, "w2");
+    planner.worker_silent(key);
+
+    let early = plan_at(&mut planner, 11_300);
+    let late = plan_at(&mut planner, 11_500);
+
+    assert_eq!(early, vec![]);
+    assert_eq!(late.len(), 1);
+}
+
 /// Guards against work for a life whose room nobody has told.
 #[test]
 fn a_life_that_has_not_registered_gets_no_work() {
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -288,14 +288,22 @@
 
     /// Asks a process to stop, and waits until it has.
     pub async fn stop(&mut self, at: usize) {
+        self.stop_within(at, PATIENCE).await;
+    }
+
+    /// Asks a process to stop, and kills it if that takes longer than `grace`; gives
+    /// whether it has stopped in time.
+    pub async fn stop_within(&mut self, at: usize, grace: Duration) -> bool {
         let Some(mut member) = self.members[at].take() else {
-            return;
+            return true;
         };
+        let mut whole = false;
         if let (Some(stop), Some(stopped)) = (member.stop.take(), member.stopped.take()) {
             let _ = stop.send(());
-            let _ = stopped.await;
+            whole = tokio::time::timeout(grace, stopped).await.is_ok();
         }
         shut(member.runtime).await;
+        whole
     }
 
     /// Index of the process that owns the pool, by the store.
