--- a/crates/job/tests/lives.rs
+++ b/crates/job/tests/lives.rs
@@ -359,6 +359,27 @@
     assert_eq!(late.len(), 1);
 }
 
+/// Guards against a successor that waits for a silent worker by the usual lease, while an
+/// order of its predecessor gave an unmet life of it the longest one.
+#[test]
+fn a_successor_waits_for_a_silent_worker_by_the_longest_lease() {
+    let mut planner = planner(2);
+    let old = Progress::default();
+    planner.take_job(JOB, spec(vec![step(1)]), Some(&old), true);
+    planner.recall_worker(info(FIRST)).expect("recalled");
+    let other = planner.recall_worker(worker("w2")).expect("recalled");
+    planner.take_worker(worker("w2"));
+    tell(&mut planner, other, 10, &Listing::default());
+
+    // The predecessor renews for 2.5 s after half of the workers were claimed.
+    plan_at(&mut planner, 20);
+    let early = plan_at(&mut planner, 8800);
+    let late = plan_at(&mut planner, 9000);
+
+    assert_eq!(early, vec![]);
+    assert_eq!(late.len(), 1);
+}
+
 /// Guards against work for a life whose room nobody has told.
 #[test]
 fn a_life_that_has_not_registered_gets_no_work() {
