--- a/crates/cell/tests/same_id.rs
+++ b/crates/cell/tests/same_id.rs
@@ -5,6 +5,7 @@
 use site::ATTEMPTS;
 use site::Caller;
 use site::LatePlan;
+use site::Refuses;
 use site::Restart;
 use site::SiteCell;
 use site::StoreFaults;
@@ -267,3 +268,45 @@
     assert_eq!(cell.log.faults(), Vec::<String>::new());
     cell.close().await;
 }
+
+/// Guards against a worker that is asked for good at the address of its former life.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_that_starts_again_elsewhere_is_used_again() {
+    let caller = Caller::new();
+    let mut cell = SiteCell::open_same_ids(1, 1).await;
+    submit(&cell, &caller, 0x100, 4, "30").await;
+    wait(&cell, &caller, 0x100, 4, "completed").await;
+
+    let restart = Restart::after(Duration::from_millis(200));
+    cell.move_worker(0, restart).await;
+    submit(&cell, &caller, 0x1000, 4, "30").await;
+    wait(&cell, &caller, 0x1000, 4, "completed").await;
+
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close().await;
+}
+
+/// Guards against an owner that has lost the pool, cannot write, and uses lives that began
+/// after its successor had claimed their workers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_life_is_not_used_before_its_row_is_written() {
+    let caller = Caller::new();
+    let cell = with_history(&caller).await;
+    submit(&cell, &caller, 0x1000, 6, "300").await;
+
+    cell.store.set_faults(StoreFaults {
+        refuses: Refuses::Writes,
+        ..StoreFaults::default()
+    });
+    restart_all(&cell, Restart::after(Duration::from_millis(100))).await;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let before = cell.log.starts("");
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let after = cell.log.starts("");
+    cell.store.set_faults(StoreFaults::default());
+    wait(&cell, &caller, 0x1000, 6, "completed").await;
+
+    assert_eq!(after, before);
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close().await;
+}
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -24,6 +24,7 @@
 use crate::ComesBack;
 use crate::LoopbackHost;
 use crate::PATIENCE;
+use crate::Restart;
 use crate::RunLog;
 use crate::StoreDoor;
 use crate::StoreStand;
@@ -31,6 +32,7 @@
 use crate::ThinLink;
 use crate::WorkerPlace;
 use crate::WorkerStand;
+use crate::door::WorkerDoor;
 
 /// Time for a runtime to end its tasks.
 const SHUT_TIME: Duration = Duration::from_secs(5);
@@ -63,6 +65,7 @@
     /// Each process's way to the store.
     pub doors: Vec<Arc<StoreDoor>>,
     addresses: Vec<SocketAddr>,
+    worker_doors: Vec<Arc<WorkerDoor>>,
     services: SocketAddr,
     stores: Vec<SocketAddr>,
     /// Tells its addresses apart from those of other cells.
@@ -144,6 +147,7 @@
             log,
             doors,
             addresses: Vec::new(),
+            worker_doors: Vec::new(),
             services,
             stores,
             net: CELLS.fetch_add(1, Ordering::Relaxed),
@@ -177,7 +181,9 @@
         };
         let place = WorkerPlace::new(&format!("w{at}"), around, self.comes_back);
         let stop = self.serving.subscribe();
-        let address = serve(place.clone(), &stop).await;
+        let door = WorkerDoor::new(place.clone());
+        let address = serve(door.clone(), &stop).await;
+        self.worker_doors.push(door);
         let front = match &self.link {
             Some((link, _)) => link.front(address, stop.clone()).await,
             None => address,
@@ -189,6 +195,20 @@
         self.register(at);
     }
 
+    /// A worker goes down and starts again under its id, at another address.
+    ///
+    /// # Panics
+    /// No address can be bound.
+    pub async fn move_worker(&mut self, at: usize, restart: Restart) {
+        let place = self.places[at].clone();
+        self.worker_doors[at].close();
+        let door = WorkerDoor::new(place.clone());
+        self.addresses[at] = serve(door.clone(), &self.serving.subscribe()).await;
+        self.worker_doors[at] = door;
+        place.set_address(self.addresses[at]);
+        place.restart(restart).await;
+    }
+
     /// A worker registers, or registers again.
     pub fn register(&self, at: usize) {
         let worker = &self.workers[at];
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod cell;
 mod cores;
+mod door;
 mod finish;
 mod late;
 mod loopback;
--- a/crates/site/src/place.rs
+++ b/crates/site/src/place.rs
@@ -117,7 +117,7 @@
     /// Lets the worker go on by its own clock, and come back after a crash. `address`
     /// is where it is reached.
     pub async fn live(self: Arc<WorkerPlace>, address: SocketAddr, stop: watch::Receiver<bool>) {
-        *self.address.lock().unwrap_or_else(PoisonError::into_inner) = Some(address);
+        self.set_address(address);
         let mut life = 1;
         // The channel closes with the test.
         while stop.has_changed().is_ok() {
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Where the worker says from its next entry on that it is reached.
+    pub(crate) fn set_address(&self, address: SocketAddr) {
+        *self.address.lock().unwrap_or_else(PoisonError::into_inner) = Some(address);
+    }
+
     /// The worker goes down, and starts again under its id.
     pub async fn restart(&self, restart: Restart) {
         self.current().die();
