--- a/crates/job/src/planner/advice.rs
+++ b/crates/job/src/planner/advice.rs
@@ -1,6 +1,7 @@
 //! Whom to ask about, and when: only some workers may run a step, and asking
 //! takes time that is scarce.
 
+use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -112,6 +113,7 @@
             };
             let now = self.now;
             let until = now + wait;
+            let lives = ask.workers.iter().map(|id| self.worker_of(id)).collect();
             let job = self.jobs.get_mut(&key.job)?;
             let (_, step) = job.step_mut(key)?;
             step.advised.calls.retain(|call| now < call.lost);
@@ -121,6 +123,7 @@
             }
             step.advised.calls.push(AdviceCall {
                 workers: ask.workers.clone(),
+                lives,
                 lost: until,
             });
             return Some(ask);
@@ -212,12 +215,13 @@
         tickets: &[Ticket],
         until: Duration,
     ) {
-        // Workers that are not known any more are of no use.
         let asked_ids = asked;
-        let asked: Vec<WorkerKey> = asked.iter().filter_map(|id| self.worker_of(id)).collect();
+        let lives = self.lives_asked(key, asked);
+        let life = |id: &WorkerId| lives.get(id).copied();
+        let asked: Vec<WorkerKey> = asked.iter().filter_map(life).collect();
         let tickets: Vec<(WorkerKey, &Ticket)> = tickets
             .iter()
-            .filter_map(|ticket| Some((self.worker_of(&ticket.worker)?, ticket)))
+            .filter_map(|ticket| Some((life(&ticket.worker)?, ticket)))
             .collect();
         let job = self.jobs.get_mut(&key.job);
         let Some((_, step)) = job.and_then(|job| job.step_mut(key)) else {
@@ -242,6 +246,27 @@
         }
     }
 
+    /// The lives that a call was about, by worker: a ticket is for one of them. Workers that
+    /// are not known any more are of no use.
+    fn lives_asked<'a>(
+        &self,
+        key: StepKey,
+        asked: &'a [WorkerId],
+    ) -> HashMap<&'a WorkerId, WorkerKey> {
+        let job = self.jobs.get(&key.job);
+        let calls = job.and_then(|job| job.step(key));
+        let calls = calls.map_or(&[][..], |(_, step)| &step.advised.calls);
+        let call = calls.iter().find(|call| call.workers == asked);
+        let then = |nth: usize| call.map(|call| call.lives.get(nth).copied().flatten());
+        let lives = asked.iter().enumerate().filter_map(|(nth, id)| {
+            let now = self.worker_of(id)?;
+            // A call that counted as lost is answered all the same.
+            let then = then(nth).unwrap_or(Some(now));
+            (then == Some(now)).then_some((id, now))
+        });
+        lives.collect()
+    }
+
     /// A call failed; it is made again after a pause.
     pub fn advice_failed(&mut self, key: StepKey, asked: &[WorkerId], pause: Duration) {
         let after = self.now + pause;
--- a/crates/job/src/planner/job_state.rs
+++ b/crates/job/src/planner/job_state.rs
@@ -56,6 +56,8 @@
 pub(super) struct AdviceCall {
     /// The workers asked about.
     pub workers: Vec<WorkerId>,
+    /// The life of each that the answer will be for.
+    pub lives: Vec<Option<WorkerKey>>,
     /// It counts as lost at this time.
     pub lost: Duration,
 }
--- a/crates/job/tests/lives.rs
+++ b/crates/job/tests/lives.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use job::Advice;
+use job::FreeHelpers;
 use job::LifeSeen;
 use job::Listing;
 use job::Order;
@@ -15,6 +17,7 @@
 use job::StartReply;
 use job::StopReply;
 use job::TaskKey;
+use job::Ticket;
 use job::WorkerInfo;
 use job::WorkerKey;
 
@@ -542,3 +545,31 @@
     assert!(!planner.recovering());
     assert_eq!(after.len(), 1);
 }
+
+/// Guards against a ticket of a former life that is shown to the next one, which refuses it.
+#[test]
+fn a_ticket_that_was_asked_for_before_a_restart_is_not_used_after_it() {
+    let mut planner = planner(1);
+    let key = with_history(&mut planner);
+    let mut job = spec(vec![step(1)]);
+    job.queue.advice = Some(Advice {
+        fixed: at(80),
+        each: at(1),
+        valid: at(1500),
+    });
+    planner.take_job(JOB, job, None, false);
+    plan_at(&mut planner, 10);
+    let ask = planner.next_ask(FreeHelpers::Most).expect("a call");
+
+    claim_next(&mut planner, key, 20);
+    let ticket = Ticket {
+        worker: "w1".to_owned(),
+        text: "of the first life".to_owned(),
+    };
+    planner.take_advice(ask.step, &ask.workers, &[ticket], at(2000));
+    let starts = plan_at(&mut planner, 100);
+    let again = planner.next_ask(FreeHelpers::Most);
+
+    assert_eq!(starts, vec![]);
+    assert_eq!(again.map(|ask| ask.workers), Some(vec!["w1".to_owned()]));
+}
