--- a/crates/cell/tests/same_id.rs
+++ b/crates/cell/tests/same_id.rs
@@ -310,3 +310,25 @@
     assert_eq!(cell.log.faults(), Vec::<String>::new());
     cell.close().await;
 }
+
+/// Guards against an owner that takes the refusal of a start which reached the next life late
+/// for the word of a successor, and gives the pool up.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_start_that_the_next_life_refuses_does_not_depose_the_owner() {
+    let caller = Caller::new();
+    let cell = SiteCell::open_same_ids(1, 1).await;
+    submit(&cell, &caller, 0x100, 4, "30").await;
+    wait(&cell, &caller, 0x100, 4, "completed").await;
+    let before = cell.epoch();
+
+    cell.delay_starts(0, Duration::from_millis(900));
+    submit(&cell, &caller, 0x1000, 1, "30").await;
+    restart_all(&cell, Restart::after(Duration::from_millis(30))).await;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    cell.delay_starts(0, Duration::ZERO);
+    wait(&cell, &caller, 0x1000, 1, "completed").await;
+
+    assert_eq!(cell.epoch(), before);
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close().await;
+}
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -195,6 +195,21 @@
         self.register(at);
     }
 
+    /// Starts are on their way to a worker for so long from now on, and reach the life
+    /// that is there then.
+    pub fn delay_starts(&self, at: usize, delay: Duration) {
+        self.worker_doors[at].set_start_delay(delay);
+    }
+
+    /// Number of the newest ownership of the pool, by the store.
+    #[must_use]
+    pub fn epoch(&self) -> Option<u64> {
+        let row = self
+            .store
+            .raw(cell::SEAT_TABLE, cell::OWNER_PART, "owner")?;
+        cell::decode_seat(&row).ok().map(|seat| seat.epoch)
+    }
+
     /// A worker goes down and starts again under its id, at another address.
     ///
     /// # Panics
