--- a/crates/site/src/place.rs
+++ b/crates/site/src/place.rs
@@ -125,22 +125,31 @@
             current.tick();
             if current.crashed() {
                 life += 1;
-                let same = match self.comes_back {
-                    ComesBack::Renamed => false,
-                    ComesBack::Same => true,
-                    ComesBack::InTurn => life % 2 == 0,
-                };
-                if same {
-                    self.restart(Restart::after(QUICK_RETURN)).await;
-                } else {
-                    tokio::time::sleep(RETURN_TIME).await;
-                    self.rename(life);
-                }
+                self.come_back(&current, life).await;
             }
             tokio::time::sleep(LOOK_EVERY).await;
         }
     }
 
+    /// The worker comes back after a crash, unless it was started again meanwhile.
+    async fn come_back(&self, crashed: &Arc<WorkerStand>, life: usize) {
+        let same = match self.comes_back {
+            ComesBack::Renamed => false,
+            ComesBack::Same => true,
+            ComesBack::InTurn => life.is_multiple_of(2),
+        };
+        tokio::time::sleep(if same { QUICK_RETURN } else { RETURN_TIME }).await;
+        if !Arc::ptr_eq(crashed, &self.current()) {
+            return;
+        }
+        if same {
+            self.start_again(0);
+            self.register();
+        } else {
+            self.rename(crashed, life);
+        }
+    }
+
     /// Where the worker says from its next entry on that it is reached.
     pub(crate) fn set_address(&self, address: SocketAddr) {
         *self.address.lock().unwrap_or_else(PoisonError::into_inner) = Some(address);
@@ -177,10 +186,7 @@
         }
     }
 
-    fn rename(&self, life: usize) {
-        // It may have been started again meanwhile.
-        let former = self.current();
-        former.die();
+    fn rename(&self, former: &WorkerStand, life: usize) {
         let id = format!("{}-{life}", self.name);
         let next = WorkerStand::new(&id, self.around.log.clone());
         self.around.advice.add(next.clone());
