--- a/crates/job/src/planner/lives.rs
+++ b/crates/job/src/planner/lives.rs
@@ -97,7 +97,7 @@
         let worker = &mut self.workers[key];
         let (id, born) = (worker.info.id.clone(), worker.info.born);
         let inherited = worker.inherited && !worker.claimed;
-        let heir = worker.heir.take();
+        let heir = worker.heir.take().map(|(info, _)| info);
         let registered = heir.filter(|info| info.born == listing.born);
         let gone = registered.is_none();
         let info = registered.unwrap_or_else(|| unregistered(&worker.info, listing));
@@ -157,7 +157,7 @@
         let workers = self.workers.iter();
         let silent = workers.filter(|(_, worker)| worker.silent);
         silent
-            .filter_map(|(key, worker)| Some((key, worker.heir.as_ref()?.address)))
+            .filter_map(|(key, worker)| Some((key, worker.heir.as_ref()?.0.address)))
             .collect()
     }
 
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -52,7 +52,8 @@
 
 impl Planner {
     pub(super) fn usable(&self, worker: &WorkerState) -> bool {
-        let there = worker.claimed && !worker.silent && !worker.gone && worker.unsized_runs == 0;
+        let there = worker.claimed && !worker.silent && !worker.gone && worker.heir.is_none();
+        let there = there && worker.unsized_runs == 0;
         let open = there && worker.trials == 0;
         open && !worker.info.draining && worker.rest <= self.now
     }
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -125,6 +125,8 @@
             return;
         };
         worker.info.born = listing.born;
+        // A registration that was read before a call which this life has answered is older.
+        worker.heir.take_if(|(_, read)| *read <= sent);
         worker.silent = false;
         worker.awaited = Duration::ZERO;
         worker.heard = self.now;
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -70,8 +70,10 @@
 #[allow(clippy::struct_excessive_bools)] // independent facts
 pub(super) struct WorkerState {
     pub info: WorkerInfo,
-    /// Registration of another life, which may be the next one.
-    pub heir: Option<WorkerInfo>,
+    /// Registration of another life, which may be the next one, and when it was read.
+    /// Until the worker has answered since then it gets no work: the next life may be
+    /// smaller.
+    pub heir: Option<(WorkerInfo, Duration)>,
     /// The most that it has had: what has shrunk may grow again.
     pub largest: Room,
     /// The least that it has had.
@@ -188,11 +190,12 @@
         if let Some(key) = self.worker_of(&info.id) {
             let other = self.of_other_life(key, &info);
             let past = self.past.has(&info.id, info.born);
+            let now = self.now;
             let worker = &mut self.workers[key];
             if other {
                 // Without a life it is of another writer: what is known holds.
                 if info.born.is_some() && !past {
-                    worker.heir = Some(info);
+                    worker.heir = Some((info, now));
                 }
                 return None;
             }
@@ -340,7 +343,7 @@
 
     fn drop_worker(&mut self, key: WorkerKey, cause: Loss) {
         if let Some(worker) = self.end_life(key, cause, 0)
-            && let Some(heir) = worker.heir
+            && let Some((heir, _)) = worker.heir
             && let Some(next) = self.take_worker(heir)
         {
             self.orders.push(Order::Begin { worker: next });
--- a/crates/job/tests/lives.rs
+++ b/crates/job/tests/lives.rs
@@ -178,6 +178,25 @@
     }
 }
 
+/// Guards against a new life that is filled by what the former one had: it may be smaller.
+#[test]
+fn a_worker_that_has_registered_as_another_life_gets_no_work_until_it_answers() {
+    let mut planner = planner(1);
+    let key = with_history(&mut planner);
+    planner.take_job(JOB, spec(vec![step(1)]), None, false);
+
+    planner.advance(at(100));
+    planner.take_worker(info(NEXT));
+    let at_once = plan_at(&mut planner, 105);
+    tell(&mut planner, key, 90, &nothing(FIRST));
+    let overtaken = plan_at(&mut planner, 110);
+    tell(&mut planner, key, 120, &nothing(FIRST));
+    let answered = plan_at(&mut planner, 130);
+
+    assert_eq!((at_once, overtaken), (vec![], vec![]));
+    assert_eq!(answered.len(), 1);
+}
+
 /// Guards against the order of two lives being told by their clocks.
 #[test]
 fn a_life_whose_clock_went_back_follows_the_one_that_is_known() {
