--- a/crates/cell/src/owner/holder.rs
+++ b/crates/cell/src/owner/holder.rs
@@ -1,6 +1,7 @@
 //! The task of a link to one worker: renews its lease and listens for ends.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use job::Born;
@@ -16,6 +17,8 @@
 
 use super::LinkPace;
 use super::clock_guess::ClockGuess;
+use super::gate::Gate;
+use super::gate::Quiet;
 use crate::Context;
 use crate::OwnerMessage;
 use crate::WorkerNews;
@@ -32,6 +35,9 @@
 /// Reason of a call whose answer is late.
 const LATE: &str = "answer is late";
 
+/// Pause before a worker is asked again to whose last call a start was under way.
+const START_WAIT: Duration = Duration::from_millis(20);
+
 /// Reason of a call that another life of the worker has answered.
 const OTHER_LIFE: &str = "another life of the worker answers";
 
@@ -48,7 +54,7 @@
     key: WorkerKey,
     address: SocketAddr,
     id: String,
-    token: Token,
+    gate: Arc<Gate>,
     /// The life of the worker, as far as it is known.
     born: Option<Born>,
     lease: Duration,
@@ -63,6 +69,10 @@
     renews: bool,
     /// Newest end that the worker has listed.
     listed: u64,
+    /// Newest end that was acknowledged to it.
+    acknowledged: u64,
+    /// No start was under way when the call was sent that was answered last.
+    quiet: Option<Quiet>,
     /// Calls without an answer yet, those that are late among them.
     calls: JoinSet<Answer>,
     /// The newest call, until it is answered or late.
@@ -75,6 +85,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Asked {
     sent: Duration,
+    token: Token,
+    /// No start was under way.
+    quiet: Option<Quiet>,
     /// How long the worker may wait for an end.
     wait: Duration,
 }
@@ -92,6 +105,8 @@
     Listing,
     /// The worker cannot be reached, or refuses.
     Failure(String),
+    /// The worker refused a call since a later order of this owner had come before it.
+    Overtaken,
     /// Nothing in time.
     Silence,
     /// There is nothing more to be heard here.
@@ -105,7 +120,7 @@
         context: &Context,
         key: WorkerKey,
         info: &WorkerInfo,
-        token: Token,
+        gate: Arc<Gate>,
         sender: mpsc::Sender<OwnerMessage>,
         (pace, seen): (LinkPace, watch::Receiver<u64>),
     ) -> Holder {
@@ -114,7 +129,9 @@
             key,
             address: info.address,
             id: info.id.clone(),
-            token,
+            gate,
+            quiet: None,
+            acknowledged: 0,
             born: info.born,
             lease: context.settings.policy().lease,
             sender,
@@ -144,7 +161,7 @@
             let reason = match &heard {
                 Heard::Failure(reason) => Some(reason.as_str()),
                 Heard::Silence => Some(LATE),
-                Heard::Listing | Heard::End => None,
+                Heard::Listing | Heard::Overtaken | Heard::End => None,
             };
             if let Some(reason) = reason {
                 self.fall_silent(reached, reason).await;
@@ -155,7 +172,7 @@
             }
             match heard {
                 Heard::End => return,
-                Heard::Failure(_) | Heard::Silence => {}
+                Heard::Failure(_) | Heard::Overtaken | Heard::Silence => {}
                 Heard::Listing => {
                     if !reached {
                         log::info!(code = 348, worker = self.id.as_str(); "worker answers again");
@@ -173,6 +190,8 @@
             self.tell(WorkerNews::Late(open.sent, until)).await;
         }
         self.renews = false;
+        // A call that acknowledged ends may not have been carried out.
+        self.acknowledged = 0;
         self.tell(WorkerNews::Silent).await;
         if reached {
             log::warn!(code = 347, worker = self.id.as_str(), reason = reason; "worker does not answer");
@@ -189,6 +208,8 @@
         let hold = self.prepare(sent);
         let asked = Asked {
             sent,
+            token: hold.token,
+            quiet: self.gate.quiet(),
             wait: hold.wait,
         };
         if self.calls.len() >= MOST_CALLS {
@@ -212,19 +233,38 @@
         asked
     }
 
+    /// Up to which end the next call acknowledges, and its token. A worker that names its
+    /// lives is told of new ones only, in a call that waits for nothing.
+    fn acknowledgement(&mut self, recorded: u64) -> (u64, Token) {
+        let token = self.gate.token();
+        if !self.renews {
+            return (0, token);
+        }
+        if self.born.is_none() {
+            return (recorded, token);
+        }
+        let quiet = self.quiet.filter(|_| recorded > self.acknowledged);
+        let Some(token) = quiet.and_then(|quiet| self.gate.acknowledge(quiet)) else {
+            return (0, token);
+        };
+        self.acknowledged = recorded;
+        (recorded, token)
+    }
+
     fn prepare(&mut self, sent: Duration) -> Hold {
         let recorded = *self.seen.borrow_and_update();
-        let kept = self.listed > recorded;
-        let seen = if self.renews { recorded } else { 0 };
+        let (seen, token) = self.acknowledgement(recorded);
+        let kept = self.listed > recorded || self.born.is_some() && self.listed > self.acknowledged;
         let clock = self.clock.filter(|_| self.renews);
         let tenured = sent < *self.pace.tenure.borrow();
-        let wait = if kept || clock.is_none() {
+        let acknowledges = self.born.is_some() && seen > 0;
+        let wait = if kept || acknowledges || clock.is_none() {
             Duration::ZERO
         } else {
             *self.pace.wait.borrow()
         };
         Hold {
-            token: self.token,
+            token,
             seen,
             lease_end: clock
                 .filter(|_| tenured)
@@ -259,10 +299,18 @@
                     // Answers may overtake each other.
                     if answer.asked.sent >= self.taken {
                         self.taken = answer.asked.sent;
+                        self.quiet = answer.asked.quiet;
                         self.take(answer.asked.sent, listing).await;
                         return Heard::Listing;
                     }
                 }
+                // By a later order of this owner.
+                Ordered::Fenced if answer.asked.token < self.gate.token() => {
+                    self.acknowledged = 0;
+                    if newest {
+                        return Heard::Overtaken;
+                    }
+                }
                 Ordered::Fenced => {
                     self.tell(WorkerNews::Fenced).await;
                     return Heard::End;
@@ -302,6 +350,11 @@
         // If it takes longer, the worker is asked all the same: its lease must
         // not run out while the store is away.
         let _ = tokio::time::timeout(RECORD_WAIT, recorded).await;
+        if self.born.is_some() && self.listed > self.acknowledged && self.quiet.is_none() {
+            // It answers at once until its ends are acknowledged, for which no start may be
+            // under way.
+            tokio::time::sleep(START_WAIT).await;
+        }
     }
 
     /// Passes on a list of runs that is not of the life which the link is to; gives what
--- a/crates/cell/src/owner/link.rs
+++ b/crates/cell/src/owner/link.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use job::Token;
 use job::WorkerInfo;
 use job::WorkerKey;
 use tokio::sync::Semaphore;
@@ -14,6 +13,7 @@
 
 use super::AnswerTime;
 use super::clock_guess::ClockGuess;
+use super::gate::Gate;
 use super::holder::Holder;
 use crate::Context;
 use crate::OwnerMessage;
@@ -42,8 +42,8 @@
     pub(crate) address: SocketAddr,
     /// The worker.
     pub(crate) id: String,
-    /// What orders to this life of it carry.
-    pub(crate) token: Token,
+    /// What orders to it carry.
+    pub(super) gate: Arc<Gate>,
     clock: Option<ClockGuess>,
     /// When the newest call was sent that the worker obeyed.
     heard: Option<Duration>,
@@ -53,20 +53,20 @@
 
 impl Link {
     /// Opens a link; its task claims the worker and then renews its lease.
-    pub(crate) fn open(
+    pub(super) fn open(
         context: &Context,
         key: WorkerKey,
         info: &WorkerInfo,
-        token: Token,
+        gate: Arc<Gate>,
         sender: mpsc::Sender<OwnerMessage>,
         pace: LinkPace,
     ) -> Link {
         let (seen, seen_rx) = watch::channel(0);
-        let holder = Holder::new(context, key, info, token, sender, (pace, seen_rx));
+        let holder = Holder::new(context, key, info, gate.clone(), sender, (pace, seen_rx));
         Link {
             address: info.address,
             id: info.id.clone(),
-            token,
+            gate,
             clock: None,
             heard: None,
             seen,
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -4,6 +4,7 @@
 mod answer_time;
 mod clock_guess;
 mod counts;
+mod gate;
 mod helpers;
 mod hold_pace;
 mod holder;
@@ -23,7 +24,6 @@
 mod strain;
 mod supervise;
 mod takeover;
-mod tokens;
 mod worker_rows;
 
 pub use answer_time::AnswerTime;
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -29,13 +29,13 @@
 use super::Saver;
 use super::StartWindow;
 use super::follow_workers;
+use super::gate::Gates;
 use super::hold_wait;
 use super::standing::Standing;
 use super::strain::Strain;
 use super::takeover::READ_PAUSE;
 use super::takeover::follow_jobs;
 use super::takeover::take_over;
-use super::tokens::Tokens;
 use crate::Context;
 use crate::Follower;
 use crate::OwnerMessage;
@@ -79,7 +79,7 @@
     pub(super) result_sender: mpsc::Sender<OwnerMessage>,
     pub(super) links: HashMap<WorkerKey, Link>,
     /// What orders to each worker carry.
-    tokens: Tokens,
+    gates: Gates,
     pub(super) saver: Saver,
     pub(super) helpers: Helpers,
     pub(super) lives: LifeCheck,
@@ -154,7 +154,7 @@
             sender,
             messages,
             links: HashMap::new(),
-            tokens: Tokens::default(),
+            gates: Gates::default(),
             saver,
             helpers: Helpers::default(),
             lives: LifeCheck::default(),
@@ -232,7 +232,7 @@
         };
         let mut info = info.clone();
         info.address = elsewhere.unwrap_or(info.address);
-        let token = self.tokens.next(self.epoch, &info.id);
+        let gate = self.gates.open(self.epoch, &info.id);
         let pace = LinkPace {
             tenure: self.standing.follow_tenure(),
             wait: self.holds.subscribe(),
@@ -240,7 +240,7 @@
             answers: self.answers.clone(),
         };
         let sender = self.sender.clone();
-        let link = Link::open(&self.context, key, &info, token, sender, pace);
+        let link = Link::open(&self.context, key, &info, gate, sender, pace);
         self.links.insert(key, link);
     }
 
--- a/crates/cell/src/owner/sender.rs
+++ b/crates/cell/src/owner/sender.rs
@@ -8,11 +8,13 @@
 use job::StopReason;
 use job::StopReply;
 use job::TaskKey;
+use job::Token;
 use job::WorkerKey;
 use platform::Ordered;
 use platform::Start;
 
 use super::Pool;
+use super::gate::Gate;
 use crate::OwnerMessage;
 use crate::WorkerNews;
 use crate::metrics::count;
@@ -86,7 +88,9 @@
             return;
         };
         start.lease_end = lease_end;
-        start.token = link.token;
+        let gate = link.gate.clone();
+        start.token = gate.begin_start();
+        let token = start.token;
         log::info!(
             code = 350, task:% = start.task, run = start.run, worker = link.id.as_str(),
             epoch = self.epoch, resumes = !start.checkpoint.is_empty(); "start"
@@ -111,12 +115,13 @@
                 let _ = sender.send(OwnerMessage::Worker(worker, news)).await;
                 call.await
             };
+            gate.end_start();
             if let Ordered::Done(_) = answer {
                 answers.took(context.now().saturating_sub(now));
             } else {
                 log::warn!(code = 351, task:% = task, run = run, worker = id.as_str(), answer:? = answer; "start not confirmed");
             }
-            let news = start_news(task, run, &answer);
+            let news = start_news(task, run, &answer, overtaken(&gate, token));
             let _ = sender.send(OwnerMessage::Worker(worker, news)).await;
         });
     }
@@ -135,13 +140,14 @@
         let (address, id) = (link.address, link.id.clone());
         let orders = self.context.orders.clone();
         let sender = self.sender.clone();
-        let token = link.token;
+        let gate = link.gate.clone();
+        let token = gate.token();
         let patience = self.answers.patience();
         tokio::spawn(async move {
             let answer = orders.stop(address, &id, task, run, token, patience).await;
             let news = match answer {
                 Ordered::Done(_) => WorkerNews::StopAnswered(task, run, StopReply::Stopped),
-                Ordered::Fenced => WorkerNews::Fenced,
+                Ordered::Fenced if !overtaken(&gate, token) => WorkerNews::Fenced,
                 Ordered::Replaced => WorkerNews::Over,
                 _ => {
                     tokio::time::sleep(STOP_PAUSE).await;
@@ -166,9 +172,16 @@
     }
 }
 
-fn start_news<T>(task: TaskKey, run: RunId, answer: &Ordered<T>) -> WorkerNews {
+/// Whether an order was sent before a later one of this owner, with a higher token: that the
+/// worker refused it says nothing of a successor.
+fn overtaken(gate: &Gate, token: Token) -> bool {
+    token < gate.token()
+}
+
+fn start_news<T>(task: TaskKey, run: RunId, answer: &Ordered<T>, overtaken: bool) -> WorkerNews {
     let reply = match answer {
         Ordered::Done(_) => StartReply::Started,
+        Ordered::Fenced if overtaken => StartReply::Refused,
         Ordered::Fenced => return WorkerNews::Fenced,
         Ordered::Replaced => return WorkerNews::Over,
         Ordered::Ticket => StartReply::Ticket,
--- a/crates/cell/tests/same_id.rs
+++ b/crates/cell/tests/same_id.rs
@@ -332,3 +332,38 @@
     assert_eq!(cell.log.faults(), Vec::<String>::new());
     cell.close().await;
 }
+
+/// Guards against an acknowledgement for a former life that reaches the next one after a
+/// start has, and forgets its end before anyone has heard of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn acknowledgements_that_reach_the_next_life_forget_no_end() {
+    let caller = Caller::new();
+    let cell = SiteCell::open_same_ids(1, 1).await;
+    submit(&cell, &caller, 0x100, HISTORY, "30").await;
+    wait(&cell, &caller, 0x100, HISTORY, "completed").await;
+
+    for first in [0x1000, 0x2000, 0x3000] {
+        let restarted = cell.restart_under_acknowledgement(0);
+        tokio::join!(restarted, submit(&cell, &caller, first, 1, "20"));
+        submit(&cell, &caller, first + 1, 1, "20").await;
+        wait(&cell, &caller, first, 2, "completed").await;
+    }
+
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close().await;
+}
+
+/// Guards against an acknowledgement that is sent while a start is on its way, which the
+/// next life may carry out first.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_end_is_acknowledged_while_a_start_is_on_its_way() {
+    let caller = Caller::new();
+    let cell = SiteCell::open_same_ids(1, 1).await;
+    cell.delay_starts(0, Duration::from_millis(60));
+
+    submit(&cell, &caller, 0x100, HISTORY, "30").await;
+    wait(&cell, &caller, 0x100, HISTORY, "completed").await;
+
+    assert_eq!(cell.crossed(0), 0);
+    cell.close().await;
+}
--- a/crates/job/src/id.rs
+++ b/crates/job/src/id.rs
@@ -20,9 +20,10 @@
 /// Number that an order carries; a worker refuses lower ones than it has seen.
 pub type Token = u64;
 
-/// Tokens of an epoch: the epoch itself for the first life of a worker, and a higher one
-/// for each next life, which so refuses what was meant for an earlier one.
-const EPOCH_TOKENS: Token = 1000;
+/// Tokens of an epoch: the epoch itself at first, and a higher one whenever a worker must
+/// refuse what was sent before. An owner that acknowledges ends ten times a second has
+/// enough for a day; beyond that it goes on with the highest one.
+const EPOCH_TOKENS: Token = 1_000_000;
 
 /// The epoch that follows one.
 #[must_use]
@@ -33,10 +34,10 @@
     (epoch / EPOCH_TOKENS + 1) * EPOCH_TOKENS + 1
 }
 
-/// The token for the life of a worker that is the `life`th, from 0, in an epoch.
+/// The token of an epoch after it was raised so often.
 #[must_use]
-pub fn token(epoch: Epoch, life: u64) -> Token {
-    epoch + life.min(EPOCH_TOKENS - 2)
+pub fn token(epoch: Epoch, raised: u64) -> Token {
+    epoch + raised.min(EPOCH_TOKENS - 2)
 }
 
 /// Identity of a worker; it may start again under it.
--- a/crates/job/tests/world/lives.rs
+++ b/crates/job/tests/world/lives.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 
+use job::Order;
 use job::Policy;
 use job::Token;
 use job::WorkerInfo;
@@ -101,7 +102,17 @@
 
     /// What orders to a worker carry.
     pub(super) fn token(&self, at: usize) -> Token {
-        job::token(self.epoch, self.links[at])
+        job::token(self.epoch, self.raised[at])
+    }
+
+    /// Whether no start to a worker is without an answer.
+    fn quiet(&self, at: usize) -> bool {
+        let token = self.token(at);
+        let open = |sent: &&Sent| {
+            let start = matches!(sent.order, Order::Start { .. });
+            start && sent.worker == at && sent.token == token
+        };
+        !self.late.iter().any(|sent| open(&sent))
     }
 
     /// The life that an order to a worker is meant for.
@@ -117,7 +128,7 @@
         let at = (0..WORKERS).find(|at| Some(self.id(*at)) == id);
         if let Some(at) = at {
             self.keys[at] = key;
-            self.links[at] += 1;
+            self.raised[at] += 1;
             self.workers[at].linked = false;
         }
     }
@@ -211,20 +222,26 @@
         }
     }
 
-    /// A renewal is on its way to a worker that goes down.
+    /// A renewal is on its way to a worker that goes down, and acknowledges what is recorded
+    /// if it may.
     pub(super) fn keep_late_hold(&mut self, at: usize) {
-        let (token, key) = (self.token(at), self.keys[at]);
         if !self.lasts(at) || !self.workers[at].linked {
             return;
         }
-        if let Some(lasting) = self.lasting_mut() {
-            let seen = lasting.recorded.get(&key).copied().unwrap_or(0);
-            lasting.holds.push(LateHold { at, token, seen });
-        }
+        let (token, key, quiet) = (self.token(at), self.keys[at], self.quiet(at));
+        let Some(lasting) = self.lasting_mut() else {
+            return;
+        };
+        let seen = lasting.recorded.get(&key).copied().filter(|_| quiet);
+        lasting.holds.push(LateHold {
+            at,
+            token,
+            seen: seen.unwrap_or(0),
+        });
+        self.raised[at] += u64::from(seen.is_some());
     }
 
-    /// A renewal that was meant for a former life reaches the one that is there. Before the
-    /// owner has claimed that one, nothing could refuse it; that case is left out.
+    /// A renewal that was meant for a former life reaches the one that is there.
     fn deliver_hold(&mut self, pick: u8) {
         let Some(lasting) = self.lasting_mut() else {
             return;
@@ -235,8 +252,7 @@
         let at = usize::from(pick) % lasting.holds.len();
         let hold = lasting.holds.swap_remove(at);
         let worker = &mut self.workers[hold.at];
-        let claimed = worker.linked && !worker.cut && !worker.down;
-        if !claimed || hold.token < worker.fence {
+        if worker.cut || worker.down || hold.token < worker.fence {
             return;
         }
         worker.lease = worker.lease.max(self.now + Policy::default().longest_lease);
@@ -251,9 +267,7 @@
             return true;
         }
         match sent.order {
-            job::Order::Start { task, run, .. } => {
-                self.planner.holds(self.keys[sent.worker], task, run)
-            }
+            Order::Start { task, run, .. } => self.planner.holds(self.keys[sent.worker], task, run),
             _ => false,
         }
     }
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -74,8 +74,8 @@
     epoch: u64,
     planner: Planner,
     keys: Vec<WorkerKey>,
-    /// Links that this owner has opened to each worker.
-    links: Vec<u64>,
+    /// How often this owner has raised the token of each worker.
+    raised: Vec<u64>,
     workers: Vec<Worker>,
     jobs: BTreeMap<JobId, JobSpec>,
     stored: BTreeMap<JobId, Progress>,
@@ -106,7 +106,7 @@
             epoch: 0,
             planner: support::planner(1),
             keys: Vec::new(),
-            links: vec![0; WORKERS],
+            raised: vec![0; WORKERS],
             workers: (0..WORKERS).map(|_| Worker::default()).collect(),
             jobs: BTreeMap::new(),
             stored: BTreeMap::new(),
@@ -130,7 +130,7 @@
         let before = self.epoch;
         let rows = self.rows();
         self.epoch = job::next_epoch(self.epoch);
-        self.links = vec![0; WORKERS];
+        self.raised = vec![0; WORKERS];
         self.saving = None;
         for worker in &mut self.workers {
             worker.linked = false;
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -201,6 +201,24 @@
         self.worker_doors[at].set_start_delay(delay);
     }
 
+    /// Acknowledgements that came to a worker while a start was on its way.
+    #[must_use]
+    pub fn crossed(&self, at: usize) -> usize {
+        self.worker_doors[at].crossed()
+    }
+
+    /// A worker starts again while the next acknowledgement of its ends is on its way, which
+    /// reaches the new life after that has ended a run; returns when the new life has begun.
+    ///
+    /// # Panics
+    /// No end is acknowledged for a minute.
+    pub async fn restart_under_acknowledgement(&self, at: usize) {
+        let mut begun = self.worker_doors[at].trap();
+        begun.mark_unchanged();
+        let begun = tokio::time::timeout(PATIENCE, begun.changed()).await;
+        assert!(begun.is_ok(), "no end is acknowledged");
+    }
+
     /// Number of the newest ownership of the pool, by the store.
     #[must_use]
     pub fn epoch(&self) -> Option<u64> {
--- a/crates/site/src/worker.rs
+++ b/crates/site/src/worker.rs
@@ -234,6 +234,12 @@
         self.lock().late.set_plan(plan);
     }
 
+    /// Runs that have ended in this life.
+    #[must_use]
+    pub fn ends(&self) -> u64 {
+        self.lock().count
+    }
+
     /// Starts that were left unanswered and are not carried out yet.
     #[must_use]
     pub fn late_starts(&self) -> usize {
