--- a/crates/cell/src/owner/sender.rs
+++ b/crates/cell/src/owner/sender.rs
@@ -63,10 +63,8 @@
                     if let Some(link) = self.links.remove(&worker) {
                         link.close();
                     }
-                    if self.planner.worker_of(&id).is_none() {
-                        self.used.remove(&id);
-                        self.saver.drop_worker(id);
-                    }
+                    self.used.remove(&id);
+                    self.saver.drop_worker(id);
                 }
                 Order::Begin { worker } => self.begin_life(worker),
             }
--- a/crates/cell/tests/same_id.rs
+++ b/crates/cell/tests/same_id.rs
@@ -367,3 +367,50 @@
     assert_eq!(cell.crossed(0), 0);
     cell.close().await;
 }
+
+/// Waits until the worker that is there has seen a higher token than `before`.
+async fn wait_claimed(cell: &SiteCell, before: u64) {
+    let claimed = async {
+        while cell.places[0].current().token() <= before {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let claimed = tokio::time::timeout(Duration::from_secs(10), claimed).await;
+    assert!(claimed.is_ok(), "the next life is not claimed");
+}
+
+/// Guards against orders for a former life that the next one obeys after it was claimed.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_next_life_is_claimed_with_a_higher_token() {
+    let cell = SiteCell::open_same_ids(1, 1).await;
+    wait_claimed(&cell, 0).await;
+    let before = cell.places[0].current().token();
+
+    restart_all(&cell, Restart::after(Duration::from_millis(20))).await;
+
+    wait_claimed(&cell, before).await;
+    cell.close().await;
+}
+
+/// Guards against a row of the former life, whose write was under way, that lets the next
+/// one be used before its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_row_of_a_former_life_lets_no_other_be_used() {
+    let cell = SiteCell::open_same_ids(1, 1).await;
+    wait_claimed(&cell, 0).await;
+    let before = cell.places[0].current().token();
+    cell.store.set_faults(StoreFaults {
+        delay: Duration::from_millis(1200),
+        ..StoreFaults::default()
+    });
+
+    cell.resize(0, 8);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    restart_all(&cell, Restart::after(Duration::from_millis(20))).await;
+    wait_claimed(&cell, before).await;
+
+    let row = cell.store.raw(cell::USED_TABLE, cell::OWNER_PART, "w0");
+    let row = cell::decode_used(&row.expect("a row")).expect("readable");
+    assert_eq!(row.born, Some(cell.places[0].current().born));
+    cell.close().await;
+}
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -134,7 +134,8 @@
         /// The worker.
         id: WorkerId,
     },
-    /// Another life of a worker was found: it may be used once its row says so.
+    /// Another life of a worker was found: it may be used once its row says so. It comes
+    /// after the former life was dropped.
     Begin {
         /// Which.
         worker: WorkerKey,
--- a/crates/site/src/worker.rs
+++ b/crates/site/src/worker.rs
@@ -234,6 +234,12 @@
         self.lock().late.set_plan(plan);
     }
 
+    /// Highest token that this life has seen.
+    #[must_use]
+    pub fn token(&self) -> u64 {
+        self.lock().fence
+    }
+
     /// Runs that have ended in this life.
     #[must_use]
     pub fn ends(&self) -> u64 {
