--- a/crates/cell/src/owner/holder.rs
+++ b/crates/cell/src/owner/holder.rs
@@ -352,8 +352,8 @@
         let _ = tokio::time::timeout(RECORD_WAIT, recorded).await;
         if self.born.is_some() && self.listed > self.acknowledged && self.quiet.is_none() {
             // It answers at once until its ends are acknowledged, for which no start may be
-            // under way.
-            tokio::time::sleep(START_WAIT).await;
+            // under way: asked in a loop, it would fill a thin link.
+            tokio::time::sleep(START_WAIT.max(self.pace.answers.usual())).await;
         }
     }
 
