--- a/crates/job/src/planner/impossible.rs
+++ b/crates/job/src/planner/impossible.rs
@@ -3,8 +3,10 @@
 use std::collections::HashSet;
 
 use super::Planner;
+use super::roster::WorkerState;
 use crate::JobId;
 use crate::Outcome;
+use crate::Room;
 use crate::StepKey;
 
 impl Planner {
@@ -16,7 +18,9 @@
     /// the largest pool that was seen could not take what is ended here either.
     pub(super) fn refuse_impossible(&mut self) {
         self.kinds.count(&self.workers);
-        if self.recovering {
+        // A life that has not registered may have room for anything.
+        let unknown = |worker: &WorkerState| worker.gone && worker.info.capacity == Room::default();
+        if self.recovering || self.workers.values().any(unknown) {
             return;
         }
         let hopeless = |key: &&StepKey| {
--- a/crates/job/tests/lives.rs
+++ b/crates/job/tests/lives.rs
@@ -424,6 +424,35 @@
     assert_eq!(after.len(), 2);
 }
 
+/// Guards against a job that is refused as impossible while the room of a life that could
+/// take it is not known yet.
+#[test]
+fn a_job_waits_for_lives_that_have_not_registered() {
+    let mut planner = planner(2);
+    let key = planner.recall_worker(info(FIRST)).expect("recalled");
+    tell(&mut planner, key, 10, &nothing(NEXT));
+    let next = begun(&mut planner).expect("a next life");
+    tell(&mut planner, next, 20, &nothing(NEXT));
+    let small = WorkerInfo {
+        capacity: room(1000, 64_000),
+        ..worker("w2")
+    };
+    let other = planner.take_worker(small).expect("new worker");
+    tell(&mut planner, other, 30, &Listing::default());
+    let mut wide = step(1);
+    wide.need = room(2000, 1000);
+    planner.take_job(JOB, spec(vec![wide]), None, false);
+    plan_at(&mut planner, 100);
+
+    plan_at(&mut planner, 5000);
+    let unfinished = planner.unfinished();
+    planner.take_worker(info(NEXT));
+    let starts = plan_at(&mut planner, 5100);
+
+    assert_eq!(unfinished, 1);
+    assert_eq!(starts.len(), 1);
+}
+
 /// Guards against the death of a former life, learnt late, that ends the new one.
 #[test]
 fn the_death_of_a_former_life_does_not_touch_the_next() {
