--- a/crates/cell/src/owner/gate.rs
+++ b/crates/cell/src/owner/gate.rs
@@ -9,6 +9,10 @@
 //!   it names, or by earlier ones;
 //! - starts that are sent after it carry a higher token: a life that has carried one out
 //!   refuses the acknowledgement.
+//!
+//! A start that got no answer may be carried out seconds later, and its task may run elsewhere
+//! by then. So what is sent after it carries a higher token, too: a life that has obeyed that
+//! refuses the start.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -26,7 +30,7 @@
     /// Tokens of the epoch that were used up.
     raised: u64,
     sent: u64,
-    /// Starts that are listened for.
+    /// Starts that are listened for, or may still be carried out.
     open: u64,
 }
 
@@ -56,6 +60,12 @@
         self.lock().token()
     }
 
+    /// Whether an order was sent before a later one of this owner, with a higher token: that
+    /// the worker refused it says nothing of a successor.
+    pub(super) fn overtaken(&self, token: Token) -> bool {
+        token < self.token()
+    }
+
     /// A start is being sent, with this token.
     pub(super) fn begin_start(&self) -> Token {
         let mut state = self.lock();
@@ -64,7 +74,12 @@
         state.token()
     }
 
-    /// A start was answered, or is not listened for any more.
+    /// A start got no answer in time: what is sent from now on carries a higher token.
+    pub(super) fn raise(&self) {
+        self.lock().raised += 1;
+    }
+
+    /// A start was answered, or will not be carried out any more.
     pub(super) fn end_start(&self) {
         let mut state = self.lock();
         state.open = state.open.saturating_sub(1);
--- a/crates/cell/src/owner/holder.rs
+++ b/crates/cell/src/owner/holder.rs
@@ -305,7 +305,7 @@
                     }
                 }
                 // By a later order of this owner.
-                Ordered::Fenced if answer.asked.token < self.gate.token() => {
+                Ordered::Fenced if self.gate.overtaken(answer.asked.token) => {
                     self.acknowledged = 0;
                     if newest {
                         return Heard::Overtaken;
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -20,6 +20,7 @@
 mod saver;
 mod sender;
 mod standing;
+mod start_call;
 mod start_window;
 mod strain;
 mod supervise;
--- a/crates/cell/src/owner/sender.rs
+++ b/crates/cell/src/owner/sender.rs
@@ -8,13 +8,12 @@
 use job::StopReason;
 use job::StopReply;
 use job::TaskKey;
-use job::Token;
 use job::WorkerKey;
 use platform::Ordered;
 use platform::Start;
 
 use super::Pool;
-use super::gate::Gate;
+use super::start_call::StartCall;
 use crate::OwnerMessage;
 use crate::WorkerNews;
 use crate::metrics::count;
@@ -73,6 +72,8 @@
 
     fn send_start(&mut self, worker: WorkerKey, mut start: Start) {
         let lease = self.context.settings.policy().lease;
+        let info = self.planner.worker(worker);
+        let named = info.is_some_and(|info| info.born.is_some());
         let link = self.links.get(&worker);
         let now = self.context.now();
         // A start renews the lease of its worker.
@@ -86,42 +87,25 @@
             return;
         };
         start.lease_end = lease_end;
-        let gate = link.gate.clone();
-        start.token = gate.begin_start();
-        let token = start.token;
+        start.token = link.gate.begin_start();
         log::info!(
             code = 350, task:% = start.task, run = start.run, worker = link.id.as_str(),
             epoch = self.epoch, resumes = !start.checkpoint.is_empty(); "start"
         );
-        let (address, id) = (link.address, link.id.clone());
-        let context = self.context.clone();
-        let sender = self.sender.clone();
-        let answers = self.answers.clone();
-        let window = self.window.clone();
-        window.sent();
-        tokio::spawn(async move {
-            let (task, run) = (start.task, start.run);
-            let call = context.orders.start(address, &id, &start, answers.limit());
-            tokio::pin!(call);
-            let in_time = tokio::time::timeout(answers.patience(), &mut call).await;
-            window.settled();
-            let answer = if let Ok(answer) = in_time {
-                answer
-            } else {
-                log::warn!(code = 351, task:% = task, run = run, worker = id.as_str(), answer = "late"; "start not confirmed");
-                let news = WorkerNews::StartAnswered(task, run, StartReply::Unknown);
-                let _ = sender.send(OwnerMessage::Worker(worker, news)).await;
-                call.await
-            };
-            gate.end_start();
-            if let Ordered::Done(_) = answer {
-                answers.took(context.now().saturating_sub(now));
-            } else {
-                log::warn!(code = 351, task:% = task, run = run, worker = id.as_str(), answer:? = answer; "start not confirmed");
-            }
-            let news = start_news(task, run, &answer, overtaken(&gate, token));
-            let _ = sender.send(OwnerMessage::Worker(worker, news)).await;
-        });
+        self.window.sent();
+        let call = StartCall {
+            context: self.context.clone(),
+            worker,
+            id: link.id.clone(),
+            address: link.address,
+            named,
+            start,
+            gate: link.gate.clone(),
+            answers: self.answers.clone(),
+            window: self.window.clone(),
+            sender: self.sender.clone(),
+        };
+        tokio::spawn(call.run());
     }
 
     fn send_stop(&self, worker: WorkerKey, task: TaskKey, run: RunId, reason: StopReason) {
@@ -145,7 +129,7 @@
             let answer = orders.stop(address, &id, task, run, token, patience).await;
             let news = match answer {
                 Ordered::Done(_) => WorkerNews::StopAnswered(task, run, StopReply::Stopped),
-                Ordered::Fenced if !overtaken(&gate, token) => WorkerNews::Fenced,
+                Ordered::Fenced if !gate.overtaken(token) => WorkerNews::Fenced,
                 Ordered::Replaced => WorkerNews::Over,
                 _ => {
                     tokio::time::sleep(STOP_PAUSE).await;
@@ -155,9 +139,7 @@
             let _ = sender.send(OwnerMessage::Worker(worker, news)).await;
         });
     }
-}
 
-impl Pool {
     /// A stop for a life of a worker whose row is still to be written.
     fn put_off_stop(&self, worker: WorkerKey, task: TaskKey, run: RunId) {
         let sender = self.sender.clone();
@@ -169,26 +151,3 @@
         });
     }
 }
-
-/// Whether an order was sent before a later one of this owner, with a higher token: that the
-/// worker refused it says nothing of a successor.
-fn overtaken(gate: &Gate, token: Token) -> bool {
-    token < gate.token()
-}
-
-fn start_news<T>(task: TaskKey, run: RunId, answer: &Ordered<T>, overtaken: bool) -> WorkerNews {
-    let reply = match answer {
-        Ordered::Done(_) => StartReply::Started,
-        Ordered::Fenced if overtaken => StartReply::Refused,
-        Ordered::Fenced => return WorkerNews::Fenced,
-        Ordered::Replaced => return WorkerNews::Over,
-        Ordered::Ticket => StartReply::Ticket,
-        Ordered::Unknown(_) | Ordered::Garbled(_) => StartReply::Unknown,
-        Ordered::Old
-        | Ordered::Late
-        | Ordered::Full
-        | Ordered::Refused(..)
-        | Ordered::Unreachable(_) => StartReply::Refused,
-    };
-    WorkerNews::StartAnswered(task, run, reply)
-}
--- a/crates/cell/tests/same_id.rs
+++ b/crates/cell/tests/same_id.rs
@@ -392,6 +392,29 @@
     cell.close().await;
 }
 
+/// Guards against a start that got no answer and reaches the next life after that has obeyed a
+/// renewal: its task may run elsewhere by then.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_after_a_start_without_an_answer_carry_a_higher_token() {
+    let caller = Caller::new();
+    let cell = SiteCell::open_same_ids(1, 1).await;
+    submit(&cell, &caller, 0x100, HISTORY, "30").await;
+    wait(&cell, &caller, 0x100, HISTORY, "completed").await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let before = cell.places[0].current().token();
+
+    cell.delay_starts(0, Duration::from_secs(2));
+    submit(&cell, &caller, 0x1000, 1, "30").await;
+    tokio::time::sleep(Duration::from_millis(1600)).await;
+    let raised = cell.places[0].current().token();
+    cell.delay_starts(0, Duration::ZERO);
+    wait(&cell, &caller, 0x1000, 1, "completed").await;
+
+    assert!(raised > before, "token {raised}, before {before}");
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close().await;
+}
+
 /// Guards against a row of the former life, whose write was under way, that lets the next
 /// one be used before its own.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/job/src/planner/adopt.rs
+++ b/crates/job/src/planner/adopt.rs
@@ -1,6 +1,8 @@
 //! Runs that a worker lists and this planner has not started: those of a
 //! predecessor.
 
+use std::time::Duration;
+
 use super::Order;
 use super::Planner;
 use super::StopReason;
@@ -69,6 +71,7 @@
             since: now,
             percent: running.percent,
             moved: now,
+            unsure: Duration::ZERO,
             checkpoint: running.checkpoint.clone(),
             whole: false,
             trial,
@@ -92,6 +95,7 @@
             since: self.now,
             percent: running.percent,
             moved: self.now,
+            unsure: Duration::ZERO,
             checkpoint: String::new(),
             whole: false,
             trial: false,
--- a/crates/job/src/planner/lives.rs
+++ b/crates/job/src/planner/lives.rs
@@ -126,6 +126,7 @@
         placed.phase = RunPhase::Unknown;
         placed.since = self.now;
         placed.moved = self.now;
+        placed.unsure = self.unsure(next);
         let run = placed.run;
         let job = self.jobs.get_mut(&task.step.job);
         let step = job.and_then(|job| job.step_mut(task.step));
@@ -138,19 +139,6 @@
         self.workers[next].book(task, placed);
     }
 
-    /// The worker has told of the life that is known after `sent`: all starts that it had
-    /// confirmed by then were carried out by that life.
-    pub(super) fn clear_unsure(&mut self, key: WorkerKey, sent: Duration) {
-        let worker = &mut self.workers[key];
-        let confirmed = |placed: &Placed| {
-            let open = matches!(placed.phase, RunPhase::Sent | RunPhase::Unknown);
-            !open && placed.since < sent
-        };
-        if worker.runs.values().all(confirmed) {
-            worker.unsure = Duration::ZERO;
-        }
-    }
-
     /// Silent workers that have registered as another life, and where that is reached.
     #[must_use]
     pub fn moved(&self) -> Vec<(WorkerKey, SocketAddr)> {
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -285,6 +285,7 @@
             since: self.now,
             percent: 0,
             moved: self.now,
+            unsure: self.unsure(seat.key),
             checkpoint: String::new(),
             whole: checkpoint.is_empty(),
             trial,
@@ -293,7 +294,8 @@
         if let Some(reach) = self.reaches.get_mut(seat.key) {
             reach.room = reach.room.less(&booked);
         }
-        self.start_sent(seat.key);
+        // A start renews the lease of its worker.
+        self.lease_sent(seat.key);
         self.start_room = self.start_room.saturating_sub(1);
         self.orders.push(Order::Start {
             worker: seat.key,
--- a/crates/job/src/planner/policy.rs
+++ b/crates/job/src/planner/policy.rs
@@ -12,6 +12,8 @@
     pub lease: Duration,
     /// Longest lease that a worker grants, whatever a call says.
     pub longest_lease: Duration,
+    /// Longest time after which an order that got no answer is still carried out.
+    pub order_late: Duration,
     /// Least time left of a ticket for a start to be sent with it: the start's
     /// way and the worker's wait for its processor.
     pub ticket_margin: Duration,
@@ -66,6 +68,12 @@
     pub fn longest_lapse(&self) -> Duration {
         self.longest_lease.mul_f64(SLOW_CLOCK) + TRANSIT
     }
+
+    /// The same for a call that may be carried out late.
+    #[must_use]
+    pub fn late_lapse(&self) -> Duration {
+        self.order_late + self.longest_lapse()
+    }
 }
 
 impl Default for Policy {
@@ -73,6 +81,7 @@
         Policy {
             lease: Duration::from_millis(4500),
             longest_lease: Duration::from_secs(6),
+            order_late: Duration::from_secs(4),
             ticket_margin: Duration::from_millis(120),
             rest: Duration::from_secs(6),
             strikes: 3,
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -51,9 +51,11 @@
     /// Takes a worker's answer to a start.
     pub fn start_reply(&mut self, key: WorkerKey, task: TaskKey, run: RunId, reply: StartReply) {
         let now = self.now;
-        let Some(worker) = self.workers.get_mut(key) else {
+        if !self.workers.contains_key(key) {
             return;
-        };
+        }
+        let unsure = self.unsure(key);
+        let worker = &mut self.workers[key];
         let placed = worker
             .runs
             .get_mut(&task)
@@ -66,12 +68,14 @@
                     placed.phase = RunPhase::Running;
                     placed.since = now;
                     placed.moved = now;
+                    placed.unsure = unsure;
                 }
                 self.sighted(task, run, Sighting::There);
             }
             StartReply::Unknown if placed.phase == RunPhase::Sent => {
                 placed.phase = RunPhase::Unknown;
                 placed.since = now;
+                placed.unsure = unsure;
                 worker.silent = true;
             }
             StartReply::Unknown => {}
@@ -145,7 +149,6 @@
             self.take_running(key, running);
         }
         self.sweep(key, sent, listing);
-        self.clear_unsure(key, sent);
         if self.policy.switches.has(Mechanism::StallMoves) {
             self.move_stalled(key, listing);
         }
@@ -235,6 +238,7 @@
         let worker = &mut self.workers[key];
         let placed = worker.runs.get_mut(&running.task);
         if let Some(placed) = placed.filter(|placed| placed.run == running.run) {
+            placed.unsure = Duration::ZERO;
             if matches!(placed.phase, RunPhase::Sent | RunPhase::Unknown) {
                 placed.phase = RunPhase::Running;
                 placed.since = now;
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -57,6 +57,9 @@
     /// Progress, and when it last changed.
     pub percent: u32,
     pub moved: Duration,
+    /// When it is surely over if it is on another life of its worker, whose clock is not the
+    /// one that the lease was reckoned on. Zero once a list of the life has shown it.
+    pub unsure: Duration,
     /// Newest checkpoint seen.
     pub checkpoint: String,
     /// We started it, from the beginning: its end tells how long it takes.
@@ -103,9 +106,6 @@
     pub gone: bool,
     /// When its lease is over by the slowest clock.
     pub lapse: Duration,
-    /// When a start is surely over that may have reached another life of it, whose clock
-    /// is not the one that the lease was reckoned on.
-    pub unsure: Duration,
     /// Until when an answer may come that it gave under that lease.
     pub awaited: Duration,
     /// Newest end that was taken in.
@@ -139,7 +139,6 @@
             heard: Duration::ZERO,
             gone: false,
             lapse,
-            unsure: Duration::ZERO,
             awaited: Duration::ZERO,
             taken: 0,
             speed: Speed::default(),
@@ -288,13 +287,14 @@
         }
     }
 
-    /// A start is being sent, which renews the worker's lease.
-    pub(super) fn start_sent(&mut self, key: WorkerKey) {
-        self.lease_sent(key);
-        let longest = self.now + self.policy.longest_lapse();
-        let worker = &mut self.workers[key];
-        if worker.info.born.is_some() {
-            worker.unsure = longest;
+    /// When a start that is sent now is surely over, whichever life of the worker it reaches
+    /// late, and whatever late renewal comes there after it; zero if the worker names no lives.
+    pub(super) fn unsure(&self, key: WorkerKey) -> Duration {
+        let named = self.workers[key].info.born.is_some();
+        if named {
+            self.now + self.policy.late_lapse()
+        } else {
+            Duration::ZERO
         }
     }
 
@@ -361,7 +361,9 @@
         if !self.workers.contains_key(key) {
             return None;
         }
-        self.lose_runs(key, cause, moved);
+        let runs = std::mem::take(&mut self.workers[key].runs);
+        let runs: Vec<(TaskKey, Placed)> = runs.into_iter().collect();
+        self.lose_runs(key, &runs, cause, moved);
         let worker = self.workers.remove(key)?;
         self.kinds.change(self.now);
         let id = worker.info.id.clone();
@@ -370,61 +372,64 @@
         Some(worker)
     }
 
-    /// Gives up all runs of a worker.
-    fn lose_runs(&mut self, key: WorkerKey, cause: Loss, moved: usize) {
+    /// Gives up runs that a worker held.
+    fn lose_runs(&mut self, key: WorkerKey, runs: &[(TaskKey, Placed)], cause: Loss, moved: usize) {
         let now = self.now;
-        let worker = &mut self.workers[key];
+        let worker = &self.workers[key];
         let known = worker.claimed || !worker.inherited;
-        let runs = std::mem::take(&mut worker.runs);
-        let beside = runs.len().saturating_sub(1) + moved;
-        let lost = runs.iter().map(|(&task, placed)| {
+        let beside = (runs.len() + worker.runs.len()).saturating_sub(1) + moved;
+        let lost = runs.iter().map(|(task, placed)| {
             let id = worker.info.id.clone();
-            LostRun::new((task, placed), id, (cause, beside), now)
+            LostRun::new((*task, placed), id, (cause, beside), now)
         });
         self.losses.extend(lost);
-        let runs: Vec<(TaskKey, Placed)> = runs.into_iter().collect();
-        for (task, placed) in &runs {
+        for (task, placed) in runs {
             self.give_up(*task, key, placed.run, &placed.checkpoint);
             if cause != Loss::Crashed {
                 self.clear_run(*task, placed.run);
             }
         }
         if cause == Loss::Crashed {
-            self.count_crash(&runs, known, moved);
+            self.count_crash(runs, known, moved);
         }
     }
 
-    /// Gives up what ran on workers whose lease is over: those that vanished
-    /// are dropped, silent ones keep their place but lose their runs.
+    /// Gives up what is surely over by the leases of workers: those that vanished are
+    /// dropped, silent ones keep their place but lose their runs.
     pub(super) fn expire_workers(&mut self) {
         let now = self.now;
         let held = |worker: &WorkerState| worker.inherited && !worker.claimed;
-        let end = |worker: &WorkerState| worker.lapse.max(worker.awaited).max(worker.unsure);
-        let over = |worker: &WorkerState| end(worker) <= now && !held(worker);
+        let over = |worker: &WorkerState| worker.lapse.max(worker.awaited) <= now && !held(worker);
         let expired: Vec<WorkerKey> = self
             .workers
             .iter()
-            .filter(|(_, worker)| over(worker) && (worker.gone || !worker.runs.is_empty()))
+            .filter(|(_, worker)| over(worker))
             .map(|(key, _)| key)
             .collect();
         for key in expired {
-            if self.workers[key].gone {
+            self.expire_runs(key);
+            let worker = &self.workers[key];
+            if worker.gone && worker.runs.is_empty() {
                 self.drop_worker(key, Loss::Lapsed);
-            } else {
-                self.expire_runs(key);
             }
         }
     }
 
     fn expire_runs(&mut self, key: WorkerKey) {
+        let now = self.now;
         let worker = &mut self.workers[key];
-        worker.used = Room::default();
-        worker.fillers = 0;
-        worker.unsized_runs = 0;
-        worker.trials = 0;
+        let runs = worker.runs.iter();
+        let over = runs.filter(|(_, placed)| placed.unsure <= now);
+        let over: Vec<(TaskKey, RunId)> = over.map(|(task, placed)| (*task, placed.run)).collect();
+        if over.is_empty() {
+            return;
+        }
+        let over = over.into_iter();
+        let over = over.filter_map(|(task, run)| Some((task, worker.release(task, run)?)));
+        let over: Vec<(TaskKey, Placed)> = over.collect();
         // It must answer again before it gets work.
         worker.claimed = false;
-        self.lose_runs(key, Loss::Lapsed, 0);
+        self.lose_runs(key, &over, Loss::Lapsed, 0);
     }
 
     /// Orders a stop; the room stays booked until the run has ended.
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -307,6 +307,11 @@
         self.planner.take_listing(key, self.now, &listing);
         // What another life than the known one lists is asked for again.
         if self.workers[at].linked {
+            let worker = &mut self.workers[at];
+            let running = worker.running.iter();
+            worker
+                .told
+                .extend(running.map(|(&task, &(run, _))| (task, run)));
             self.check_listed(at);
         }
     }
@@ -355,6 +360,7 @@
             Order::Start { task, run, .. } => {
                 let reply = StartReply::Unknown;
                 self.planner.start_reply(key, task, run, reply);
+                self.raise(sent.worker);
             }
             Order::Stop { task, run, .. } => {
                 self.planner.stop_reply(key, task, run, StopReply::Unknown);
@@ -390,6 +396,9 @@
             Order::Start { task, run, .. } => {
                 let reply = self.start(sent, task, run);
                 if answers {
+                    if reply == StartReply::Started {
+                        self.workers[sent.worker].told.insert((task, run));
+                    }
                     self.planner.start_reply(key, task, run, reply);
                 }
             }
--- a/crates/job/tests/world/rough.rs
+++ b/crates/job/tests/world/rough.rs
@@ -11,6 +11,7 @@
 use job::StartReply;
 use job::TaskKey;
 use job::WorkerInfo;
+use job::WorkerKey;
 
 use super::Event;
 use super::WORKERS;
@@ -43,6 +44,8 @@
     failures: BTreeMap<TaskKey, usize>,
     /// Owners that died.
     owners: usize,
+    /// Runs that workers which went down had told of.
+    lost: Vec<(WorkerKey, TaskKey, RunId)>,
     /// What is played of workers that come back under their ids.
     pub(super) lasting: Option<Lasting>,
 }
@@ -148,6 +151,9 @@
         if !self.now.as_millis().is_multiple_of(4) {
             self.planner.worker_silent(self.keys[at]);
         }
+        let key = self.keys[at];
+        let told = worker.told.into_iter();
+        rough.lost.extend(told.map(|(task, run)| (key, task, run)));
         let lost = worker
             .running
             .into_keys()
@@ -194,6 +200,7 @@
         if let Some(rough) = &mut self.rough {
             rough.cores.insert(at, (cores, self.now));
         }
+        self.entry_written(at);
         let info = self.info(at);
         self.planner.take_worker(info);
     }
@@ -215,6 +222,11 @@
         }
     }
 
+    /// Runs that workers which went down had told of, by the life that the owner knew.
+    pub(super) fn lost_members(&self) -> &[(WorkerKey, TaskKey, RunId)] {
+        self.rough.as_ref().map_or(&[], |rough| &rough.lost)
+    }
+
     /// An owner that dies before it has recorded a first crash takes it along; nothing
     /// else makes for more starts.
     fn check_bad(&self, task: TaskKey) {
--- a/crates/job/tests/world/shown.rs
+++ b/crates/job/tests/world/shown.rs
@@ -13,7 +13,7 @@
 
 impl World {
     /// A worker has started a task. A gang begins when all its members are
-    /// there.
+    /// there, or had been when the owner last heard of them.
     pub(super) fn note_start(&mut self, task: TaskKey, run: RunId) {
         let step = task.step;
         let spec = &self.jobs[&step.job].steps[step.step as usize];
@@ -25,7 +25,11 @@
 
     fn runs(&self, task: TaskKey, run: RunId) -> bool {
         let mut held = self.workers.iter().filter_map(|one| one.running.get(&task));
+        let mut lost = self.lost_members().iter();
         held.any(|(number, _)| *number == run)
+            || lost.any(|&(key, member, number)| {
+                (member, number) == (task, run) && self.planner.holds(key, task, run)
+            })
     }
 
     /// Each job of which a listed worker runs a single task has begun. A cancel
--- a/crates/job/tests/world/worker.rs
+++ b/crates/job/tests/world/worker.rs
@@ -1,6 +1,7 @@
 //! A worker of the world: it obeys the protocol.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -16,6 +17,8 @@
     pub fence: u64,
     pub lease: Duration,
     pub running: BTreeMap<TaskKey, (RunId, Duration)>,
+    /// Runs that it has told the owner of.
+    pub told: BTreeSet<(TaskKey, RunId)>,
     /// Runs that are being stopped: still listed.
     pub stopping: BTreeMap<TaskKey, (RunId, Duration)>,
     pub ended: Vec<EndedTask>,
