--- a/crates/bench/benches/main/plan.rs
+++ b/crates/bench/benches/main/plan.rs
@@ -49,7 +49,7 @@
     for at in 0..workers {
         let info = WorkerInfo {
             id: format!("worker-{at:04}"),
-            born: None,
+            life: None,
             service: "desk".to_owned(),
             address: ([127, 0, 0, 1], 1).into(),
             capacity: room(16_000, 64_000),
--- a/crates/cell/src/owner/holder.rs
+++ b/crates/cell/src/owner/holder.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use job::Born;
+use job::LifeId;
 use job::Listing;
 use job::Token;
 use job::WorkerInfo;
@@ -56,7 +56,7 @@
     id: String,
     gate: Arc<Gate>,
     /// The life of the worker, as far as it is known.
-    born: Option<Born>,
+    life: Option<LifeId>,
     lease: Duration,
     sender: mpsc::Sender<OwnerMessage>,
     pace: LinkPace,
@@ -132,7 +132,7 @@
             gate,
             quiet: None,
             acknowledged: 0,
-            born: info.born,
+            life: info.life,
             lease: context.settings.policy().lease,
             sender,
             pace,
@@ -240,7 +240,7 @@
         if !self.renews {
             return (0, token);
         }
-        if self.born.is_none() {
+        if self.life.is_none() {
             return (recorded, token);
         }
         let quiet = self.quiet.filter(|_| recorded > self.acknowledged);
@@ -254,10 +254,10 @@
     fn prepare(&mut self, sent: Duration) -> Hold {
         let recorded = *self.seen.borrow_and_update();
         let (seen, token) = self.acknowledgement(recorded);
-        let kept = self.listed > recorded || self.born.is_some() && self.listed > self.acknowledged;
+        let kept = self.listed > recorded || self.life.is_some() && self.listed > self.acknowledged;
         let clock = self.clock.filter(|_| self.renews);
         let tenured = sent < *self.pace.tenure.borrow();
-        let acknowledges = self.born.is_some() && seen > 0;
+        let acknowledges = self.life.is_some() && seen > 0;
         let wait = if kept || acknowledges || clock.is_none() {
             Duration::ZERO
         } else {
@@ -291,8 +291,8 @@
             match answer.listing {
                 Ordered::Done(listing) => {
                     self.observe(answer.asked, answer.took);
-                    let first = self.taken == Duration::ZERO && self.born.is_none();
-                    if listing.born != self.born && !first {
+                    let first = self.taken == Duration::ZERO && self.life.is_none();
+                    if listing.life != self.life && !first {
                         let reason = self.take_stranger(answer.asked.sent, listing).await;
                         return Heard::Failure(reason.to_owned());
                     }
@@ -337,7 +337,7 @@
 
     async fn take(&mut self, sent: Duration, listing: Listing) {
         self.renews = true;
-        self.born = listing.born;
+        self.life = listing.life;
         self.clock = Some(ClockGuess {
             worker: listing.clock,
             ours: self.context.now(),
@@ -350,7 +350,7 @@
         // If it takes longer, the worker is asked all the same: its lease must
         // not run out while the store is away.
         let _ = tokio::time::timeout(RECORD_WAIT, recorded).await;
-        if self.born.is_some() && self.listed > self.acknowledged && self.quiet.is_none() {
+        if self.life.is_some() && self.listed > self.acknowledged && self.quiet.is_none() {
             // It answers at once until its ends are acknowledged, for which no start may be
             // under way: asked in a loop, it would fill a thin link.
             tokio::time::sleep(START_WAIT.max(self.pace.answers.usual())).await;
@@ -361,9 +361,9 @@
     /// it is. Whether that life is over is for the owner to say.
     async fn take_stranger(&mut self, sent: Duration, listing: Listing) -> &'static str {
         self.renews = false;
-        if listing.born.is_none() {
+        if listing.life.is_none() {
             log::error!(
-                code = 386, worker = self.id.as_str(), known = self.born;
+                code = 386, worker = self.id.as_str(), known = self.life;
                 "list of runs does not name the worker's life"
             );
             return UNNAMED;
--- a/crates/cell/src/owner/news.rs
+++ b/crates/cell/src/owner/news.rs
@@ -73,24 +73,24 @@
     }
 
     fn take_registration(&mut self, info: WorkerInfo) {
-        let (id, born, address) = (info.id.clone(), info.born, info.address);
+        let (id, life, address) = (info.id.clone(), info.life, info.address);
         if info.draining {
             log::info!(code = 342, worker = id.as_str(); "worker is leaving");
         }
         let before = self.planner.capacity(&id);
         let new = self.planner.take_worker(info);
         if let Some(key) = new {
-            log::info!(code = 340, worker = id.as_str(), born = born, address:% = address; "worker registered");
+            log::info!(code = 340, worker = id.as_str(), life = life, address:% = address; "worker registered");
             self.begin_life(key);
             return;
         }
         let Some(key) = self.planner.worker_of(&id) else {
             return;
         };
-        let known = self.planner.worker(key).and_then(|info| info.born);
-        if known != born {
+        let known = self.planner.worker(key).and_then(|info| info.life);
+        if known != life {
             log::info!(
-                code = 387, worker = id.as_str(), born = born, known = known, address:% = address;
+                code = 387, worker = id.as_str(), life = life, known = known, address:% = address;
                 "worker registered as another life"
             );
             return;
@@ -123,7 +123,7 @@
             address: info.address,
             capacity: largest.map_or(info.capacity, |room| room.largest),
             labels: info.labels.clone(),
-            born: info.born,
+            life: info.life,
         };
         self.saver.use_worker(info.id.clone(), used);
     }
@@ -189,7 +189,7 @@
         }
         if !self.planner.claimed(key) {
             log::info!(
-                code = 343, worker = self.worker_name(key), born = listing.born, epoch = self.epoch,
+                code = 343, worker = self.worker_name(key), life = listing.life, epoch = self.epoch,
                 running = listing.running.len(), ended = listing.ended.len();
                 "worker claimed"
             );
@@ -206,9 +206,9 @@
         let unnamed = self
             .planner
             .worker(key)
-            .is_some_and(|info| info.born.is_none());
+            .is_some_and(|info| info.life.is_none());
         self.planner.take_listing(key, sent, listing);
-        if unnamed && listing.born.is_some() {
+        if unnamed && listing.life.is_some() {
             // Its row is of an earlier version: a successor must know which life it is of.
             self.begin_life(key);
         }
@@ -216,11 +216,11 @@
 
     /// Logs that a worker lists the runs of another life than the one that is known, and
     /// which ends of that one were acknowledged.
-    fn report_life(&self, key: WorkerKey, listing: &Listing, life: LifeSeen) {
-        let known = self.planner.worker(key).and_then(|info| info.born);
+    fn report_life(&self, key: WorkerKey, listing: &Listing, seen: LifeSeen) {
+        let known = self.planner.worker(key).and_then(|info| info.life);
         let acknowledged = self.links.get(&key).map(Link::seen);
         log::warn!(
-            code = 384, worker = self.worker_name(key), born = listing.born, known = known, life:% = life,
+            code = 384, worker = self.worker_name(key), life = listing.life, known = known, seen:% = seen,
             taken = self.planner.newest_end(key), acknowledged = acknowledged,
             running = listing.running.len(), ended = listing.ended.len();
             "worker lists another life"
@@ -234,7 +234,7 @@
         for end in passed.filter(|end| self.planner.holds(key, end.task, end.run)) {
             log::warn!(
                 code = 385, task:% = end.task, run = end.run, how:% = end.how, number = end.number,
-                taken = taken, worker = self.worker_name(key), born = listing.born; "end passed over"
+                taken = taken, worker = self.worker_name(key), life = listing.life; "end passed over"
             );
         }
     }
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -207,7 +207,7 @@
     fn recall(&mut self, id: &str, worker: UsedWorker) {
         let info = WorkerInfo {
             id: id.to_owned(),
-            born: worker.born,
+            life: worker.life,
             service: worker.service,
             address: worker.address,
             capacity: worker.capacity,
--- a/crates/cell/src/owner/retention.rs
+++ b/crates/cell/src/owner/retention.rs
@@ -33,8 +33,8 @@
 /// repetition of its submission must still find it.
 const SPARE: Duration = Duration::from_secs(30);
 
-/// Time after a removal in which rows that were read before it may come. Chosen,
-/// not measured: each page of a read is given up after 1.5 s.
+/// Time after a removal in which rows that were read before it may come: a read has many
+/// pages, each of which may take seconds.
 const READ_TIME: Duration = Duration::from_mins(1);
 
 /// When rows were removed last, and which.
--- a/crates/cell/src/owner/saver.rs
+++ b/crates/cell/src/owner/saver.rs
@@ -332,7 +332,7 @@
             // Of another life than the row says nothing is known to a successor yet.
             let key = key.filter(|key| {
                 let info = self.planner.worker(*key);
-                info.is_some_and(|info| info.born == used.born)
+                info.is_some_and(|info| info.life == used.life)
             });
             if let Some(key) = key
                 && !self.links.contains_key(&key)
--- a/crates/cell/src/owner/sender.rs
+++ b/crates/cell/src/owner/sender.rs
@@ -73,7 +73,7 @@
     fn send_start(&mut self, worker: WorkerKey, mut start: Start) {
         let lease = self.context.settings.policy().lease;
         let info = self.planner.worker(worker);
-        let named = info.is_some_and(|info| info.born.is_some());
+        let named = info.is_some_and(|info| info.life.is_some());
         let link = self.links.get(&worker);
         let now = self.context.now();
         // A start renews the lease of its worker.
--- a/crates/cell/src/rows.rs
+++ b/crates/cell/src/rows.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use job::Born;
 use job::Epoch;
 use job::IdError;
 use job::JobId;
+use job::LifeId;
 use job::Outcome;
 use job::Progress;
 use job::Room;
@@ -141,7 +141,7 @@
     /// Kind and rack.
     pub labels: Vec<String>,
     /// Its life; nothing if not known.
-    pub born: Option<Born>,
+    pub life: Option<LifeId>,
 }
 
 /// Decodes the row of the ownership, also one of an earlier version.
@@ -209,7 +209,7 @@
             address: earlier.address,
             capacity: earlier.capacity,
             labels: earlier.labels,
-            born: None,
+            life: None,
         });
     }
     let UsedAddress { service, address } = decode_row(bytes)?;
@@ -218,7 +218,7 @@
         address,
         capacity: Room::default(),
         labels: Vec::new(),
-        born: None,
+        life: None,
     })
 }
 
--- a/crates/cell/tests/rows.rs
+++ b/crates/cell/tests/rows.rs
@@ -37,7 +37,7 @@
         address: ([127, 0, 0, 1], 9).into(),
         capacity,
         labels: labels.iter().map(|&label| label.to_owned()).collect(),
-        born: Some(1_790_000_000_000),
+        life: Some(1_790_000_000_000),
     }
 }
 
@@ -65,7 +65,7 @@
 
     let decoded = decode_used(&encode_row(&without_life(&row))).expect("a row");
 
-    assert_eq!(decoded, UsedWorker { born: None, ..row });
+    assert_eq!(decoded, UsedWorker { life: None, ..row });
 }
 
 /// Both versions serve while a cell is replaced process by process.
@@ -100,7 +100,7 @@
     let decoded = decode_used(&encode_row(&former()));
 
     let unnamed = UsedWorker {
-        born: None,
+        life: None,
         ..used(Room::default(), &[])
     };
     assert_eq!(decoded, Ok(unnamed));
--- a/crates/job/src/id.rs
+++ b/crates/job/src/id.rs
@@ -45,7 +45,7 @@
 
 /// Start of a life of a worker, in Unix milliseconds by its own clock. It tells the lives
 /// of a worker apart and does not order them: clocks jump.
-pub type Born = u64;
+pub type LifeId = u64;
 
 /// Digits of a job's identity.
 const ID_DIGITS: usize = 16;
--- a/crates/job/src/planner/lives.rs
+++ b/crates/job/src/planner/lives.rs
@@ -21,7 +21,7 @@
 use super::roster::Placed;
 use super::roster::RunPhase;
 use super::roster::WorkerState;
-use crate::Born;
+use crate::LifeId;
 use crate::Listing;
 use crate::Room;
 use crate::RunId;
@@ -50,21 +50,21 @@
 
 /// Lives that are over, by worker.
 #[derive(Debug, Default)]
-pub(super) struct PastLives(HashMap<WorkerId, Vec<Born>>);
+pub(super) struct PastLives(HashMap<WorkerId, Vec<LifeId>>);
 
 impl PastLives {
-    fn add(&mut self, id: &str, born: Option<Born>) {
-        let Some(born) = born else { return };
+    fn add(&mut self, id: &str, life: Option<LifeId>) {
+        let Some(life) = life else { return };
         let lives = self.0.entry(id.to_owned()).or_default();
         if lives.len() == MOST_OVER {
             lives.remove(0);
         }
-        lives.push(born);
+        lives.push(life);
     }
 
-    pub(super) fn has(&self, id: &str, born: Option<Born>) -> bool {
+    pub(super) fn has(&self, id: &str, life: Option<LifeId>) -> bool {
         let lives = self.0.get(id);
-        born.is_some_and(|born| lives.is_some_and(|lives| lives.contains(&born)))
+        life.is_some_and(|life| lives.is_some_and(|lives| lives.contains(&life)))
     }
 }
 
@@ -75,15 +75,15 @@
         let Some(worker) = self.workers.get(key) else {
             return LifeSeen::Past;
         };
-        let known = worker.info.born;
-        match listing.born {
-            born if born == known => LifeSeen::Known,
+        let known = worker.info.life;
+        match listing.life {
+            life if life == known => LifeSeen::Known,
             None => LifeSeen::Unnamed,
             // A row of an earlier version does not tell the life.
             Some(_) if known.is_none() && worker.heard == Duration::ZERO => LifeSeen::Known,
             // Answers overtake each other.
             Some(_) if sent < worker.heard => LifeSeen::Past,
-            born if self.past.has(&worker.info.id, born) => LifeSeen::Past,
+            life if self.past.has(&worker.info.id, life) => LifeSeen::Past,
             Some(_) => LifeSeen::Next,
         }
     }
@@ -95,10 +95,10 @@
         let now = self.now;
         let longest = self.policy.longest_lapse();
         let worker = &mut self.workers[key];
-        let (id, born) = (worker.info.id.clone(), worker.info.born);
+        let (id, life) = (worker.info.id.clone(), worker.info.life);
         let inherited = worker.inherited && !worker.claimed;
         let heir = worker.heir.take().map(|(info, _)| info);
-        let registered = heir.filter(|info| info.born == listing.born);
+        let registered = heir.filter(|info| info.life == listing.life);
         let gone = registered.is_none();
         let info = registered.unwrap_or_else(|| unregistered(&worker.info, listing));
         let moving = moving_runs(worker, sent, listing);
@@ -109,7 +109,7 @@
         let left = worker.info.draining;
         let cause = if left { Loss::Left } else { Loss::Crashed };
         self.end_life(key, cause, moved.len());
-        self.past.add(&id, born);
+        self.past.add(&id, life);
         let mut next = WorkerState::new(info, now + STORE_VOUCH + longest);
         next.inherited = inherited;
         next.gone = gone;
@@ -153,8 +153,8 @@
     /// one is over, the list of runs of the other will tell.
     pub(super) fn of_other_life(&self, key: WorkerKey, info: &WorkerInfo) -> bool {
         let worker = &self.workers[key];
-        let known = worker.info.born;
-        known != info.born && (known.is_some() || worker.heard > Duration::ZERO)
+        let known = worker.info.life;
+        known != info.life && (known.is_some() || worker.heard > Duration::ZERO)
     }
 }
 
@@ -162,7 +162,7 @@
 /// work.
 fn unregistered(former: &WorkerInfo, listing: &Listing) -> WorkerInfo {
     WorkerInfo {
-        born: listing.born,
+        life: listing.life,
         capacity: Room::default(),
         draining: false,
         remaining: None,
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -216,8 +216,7 @@
 const HINT_LAG: Duration = Duration::from_secs(2);
 
 /// Time after a take-over within which the job of an early end becomes known, if
-/// it ever does. Chosen, not measured: the recorded outages of the store last up to
-/// 9 s.
+/// it ever does: longer than most outages of the store.
 const ORPHAN_TIME: Duration = Duration::from_secs(30);
 
 impl Planner {
@@ -436,7 +435,7 @@
         self.succession.update(self.now, doubtful);
         let silent = unclaimed.count() > 0 || self.workers.is_empty() || self.missing > 0;
         // A call that was meant for a former life gives a new one a lease of its own.
-        let renamed = inherited.clone().all(|worker| worker.info.born.is_none());
+        let renamed = inherited.clone().all(|worker| worker.info.life.is_none());
         let lapse = if renamed {
             self.policy.lapse()
         } else {
--- a/crates/job/src/planner/reach.rs
+++ b/crates/job/src/planner/reach.rs
@@ -17,7 +17,7 @@
 use crate::TaskKey;
 
 /// Most times that a task is preempted: each resumption costs the worker the
-/// time to restore, 0.1 to 0.6 s on the sites that were measured.
+/// time to restore.
 const MOST_PREEMPTED: u32 = 2;
 
 /// Progress, in percent, from which on a run is left alone: its room is free
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -128,7 +128,7 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        worker.info.born = listing.born;
+        worker.info.life = listing.life;
         // A registration that was read before a call which this life has answered is older.
         worker.heir.take_if(|(_, read)| *read <= sent);
         worker.silent = false;
@@ -136,7 +136,7 @@
         worker.heard = self.now;
         if !worker.claimed {
             worker.claimed = true;
-            if worker.info.born.is_some() {
+            if worker.info.life.is_some() {
                 // Calls that were meant for a former life may have given it a lease.
                 worker.lapse = worker.lapse.max(longest);
             }
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -188,12 +188,12 @@
         self.kinds.change(self.now);
         if let Some(key) = self.worker_of(&info.id) {
             let other = self.of_other_life(key, &info);
-            let past = self.past.has(&info.id, info.born);
+            let past = self.past.has(&info.id, info.life);
             let now = self.now;
             let worker = &mut self.workers[key];
             if other {
                 // Without a life it is of another writer: what is known holds.
-                if info.born.is_some() && !past {
+                if info.life.is_some() && !past {
                     worker.heir = Some((info, now));
                 }
                 return None;
@@ -205,7 +205,7 @@
             self.measure(key);
             return None;
         }
-        if self.past.has(&info.id, info.born) {
+        if self.past.has(&info.id, info.life) {
             return None;
         }
         let id = info.id.clone();
@@ -290,7 +290,7 @@
     /// When a start that is sent now is surely over, whichever life of the worker it reaches
     /// late, and whatever late renewal comes there after it; zero if the worker names no lives.
     pub(super) fn unsure(&self, key: WorkerKey) -> Duration {
-        let named = self.workers[key].info.born.is_some();
+        let named = self.workers[key].info.life.is_some();
         if named {
             self.now + self.policy.late_lapse()
         } else {
--- a/crates/job/src/planner/run_times.rs
+++ b/crates/job/src/planner/run_times.rs
@@ -1,9 +1,7 @@
 //! Run times of a queue's tasks, learnt from those that were done.
 //!
-//! Callers guess. On a site that was measured, the guesses for gangs varied by a
-//! factor of 2.6 up and down, what was needed by 1.5, and the guess told
-//! little of it (correlation 0.42). Taken at its word, it made half of the gangs
-//! count as late that were not, and these waited behind all others.
+//! Callers guess, and a guess may tell little of the run time. Taken at its word, it makes
+//! tasks count as late that are not, and these wait behind all others.
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/crates/job/src/tenure.rs
+++ b/crates/job/src/tenure.rs
@@ -28,9 +28,8 @@
 /// waits there for 0.4 s, and two that are left unanswered take 0.8 s each.
 pub const WORKER_VOUCH: Duration = Duration::from_millis(2500);
 
-/// Longest time for which an owner goes on without the store. Chosen: beyond
-/// the outages that were recorded, 4 to 12 s, by a factor of ten; a successor
-/// that reaches fewer than half of the workers waits as long.
+/// Longest time for which an owner goes on without the store. A successor that reaches fewer
+/// than half of the workers waits as long.
 pub const LONGEST_CUT: Duration = Duration::from_mins(2);
 
 /// What an owner's right to renew leases rests on.
--- a/crates/job/src/worker.rs
+++ b/crates/job/src/worker.rs
@@ -6,7 +6,7 @@
 use strum::Display;
 use strum::EnumString;
 
-use crate::Born;
+use crate::LifeId;
 use crate::Room;
 use crate::RunId;
 use crate::TaskKey;
@@ -18,7 +18,7 @@
     /// The worker.
     pub id: WorkerId,
     /// This life of it; nothing if it is not known.
-    pub born: Option<Born>,
+    pub life: Option<LifeId>,
     /// Pool that it belongs to.
     pub service: String,
     /// Where it takes orders.
@@ -83,7 +83,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Listing {
     /// The life of the worker that made it; nothing if it does not say.
-    pub born: Option<Born>,
+    pub life: Option<LifeId>,
     /// The worker's own steady clock.
     pub clock: Duration,
     /// Runs at work.
--- a/crates/job/tests/field/mod.rs
+++ b/crates/job/tests/field/mod.rs
@@ -49,7 +49,7 @@
 pub struct Life {
     pub id: String,
     /// Start of this life, where workers name it.
-    born: Option<u64>,
+    name: Option<u64>,
     pub key: Option<WorkerKey>,
     /// Run, begin and end of what is at work.
     pub running: BTreeMap<TaskKey, (RunId, Duration, Duration)>,
@@ -138,7 +138,7 @@
             }
             let info = life.info();
             let row = WorkerInfo {
-                born: rows.get(&life.id).copied().unwrap_or(life.born),
+                life: rows.get(&life.id).copied().unwrap_or(life.name),
                 ..info.clone()
             };
             life.key = self.planner.recall_worker(row);
@@ -153,7 +153,7 @@
         let lives = self.places.iter().flatten();
         let known = lives.filter_map(|life| {
             let info = self.planner.worker(life.key?)?;
-            Some((life.id.clone(), info.born))
+            Some((life.id.clone(), info.life))
         });
         known.collect()
     }
@@ -409,7 +409,7 @@
         };
         Life {
             id,
-            born: same_id.then_some(1000 + life as u64),
+            name: same_id.then_some(1000 + life as u64),
             cores: 4,
             ..Life::default()
         }
@@ -417,7 +417,7 @@
 
     fn info(&self) -> WorkerInfo {
         let mut info = support::worker(&self.id);
-        info.born = self.born;
+        info.life = self.name;
         info.draining = self.draining;
         info.capacity = support::room(self.cores * 1000, 64_000);
         info
@@ -445,7 +445,7 @@
             }
         });
         Listing {
-            born: self.born,
+            life: self.name,
             ..support::listing(running.collect(), self.ended.clone())
         }
     }
--- a/crates/job/tests/invariants.rs
+++ b/crates/job/tests/invariants.rs
@@ -6,6 +6,14 @@
 use world::Event;
 use world::World;
 
+/// The next number of a linear congruential generator, of 31 bits.
+fn draw(state: &mut u64) -> u64 {
+    *state = state
+        .wrapping_mul(6_364_136_223_846_793_005)
+        .wrapping_add(1);
+    *state >> 33
+}
+
 /// Whatever the order of events: no task on two workers at a time, none again
 /// after its recorded end, none before the steps it waits for, and no worker
 /// over its capacity; and no job is said to have begun before a worker has
@@ -28,12 +36,7 @@
 #[test]
 fn invariants_hold_over_long_sequences() {
     let mut state: u64 = 0x9e37_79b9_7f4a_7c15;
-    let mut next = || {
-        state = state
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1);
-        (state >> 33).to_le_bytes()
-    };
+    let mut next = || draw(&mut state).to_le_bytes();
     let mut starts = 0;
 
     for _ in 0..400 {
@@ -73,12 +76,7 @@
         (10, 30),
     ];
     let mut state: u64 = 0x2545_f491_4f6c_dd1d;
-    let mut next = || {
-        state = state
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1);
-        usize::try_from(state >> 33).expect("31 bits")
-    };
+    let mut next = || usize::try_from(draw(&mut state)).expect("31 bits");
 
     for _ in 0..300 {
         let mut world = World::new();
@@ -137,12 +135,7 @@
         (230, 1),
     ];
     let mut state: u64 = 0x5851_f42d_4c95_7f2d;
-    let mut next = || {
-        state = state
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1);
-        (state >> 33).to_le_bytes()
-    };
+    let mut next = || draw(&mut state).to_le_bytes();
     let (mut failed, mut bad) = (0, 0);
 
     for _ in 0..50 {
@@ -194,12 +187,7 @@
         (245, 2),
     ];
     let mut state: u64 = 0x1405_7b7e_f767_814f;
-    let mut next = || {
-        state = state
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1);
-        (state >> 33).to_le_bytes()
-    };
+    let mut next = || draw(&mut state).to_le_bytes();
     let (mut starts, mut restarts) = (0, 0);
 
     for _ in 0..60 {
--- a/crates/job/tests/lives.rs
+++ b/crates/job/tests/lives.rs
@@ -2,27 +2,34 @@
 
 mod support;
 
-use std::time::Duration;
-
 use job::Advice;
 use job::FreeHelpers;
 use job::LifeSeen;
 use job::Listing;
-use job::Order;
-use job::Planner;
 use job::Progress;
 use job::RunEnd;
-use job::RunId;
 use job::Shown;
 use job::StartReply;
 use job::StopReply;
-use job::TaskKey;
 use job::Ticket;
 use job::WorkerInfo;
-use job::WorkerKey;
 
 use support::ended;
 use support::listing;
+use support::lives::FIRST;
+use support::lives::JOB;
+use support::lives::NEXT;
+use support::lives::at;
+use support::lives::begun;
+use support::lives::claim_next;
+use support::lives::info;
+use support::lives::list;
+use support::lives::nothing;
+use support::lives::plan_saved;
+use support::lives::save;
+use support::lives::start;
+use support::lives::tell;
+use support::lives::with_history;
 use support::plan_at;
 use support::planner;
 use support::room;
@@ -32,92 +39,6 @@
 use support::task;
 use support::worker;
 
-/// Start of the first life of a worker, and of the next one.
-const FIRST: u64 = 1_790_000_000_000;
-const NEXT: u64 = FIRST + 5000;
-
-/// The job of these tests.
-const JOB: u64 = 7;
-
-fn at(millis: u64) -> Duration {
-    Duration::from_millis(millis)
-}
-
-fn info(born: u64) -> WorkerInfo {
-    WorkerInfo {
-        born: Some(born),
-        ..worker("w1")
-    }
-}
-
-fn list(born: u64, of: Listing) -> Listing {
-    Listing {
-        born: Some(born),
-        ..of
-    }
-}
-
-fn nothing(born: u64) -> Listing {
-    list(born, Listing::default())
-}
-
-/// A list that was asked for at a time and comes 2 ms later.
-fn tell(planner: &mut Planner, key: WorkerKey, sent: u64, of: &Listing) {
-    planner.advance(at(sent + 2));
-    planner.take_listing(key, at(sent), of);
-}
-
-/// Plans, saves what has to be saved before a start, and plans again 5 ms later.
-fn plan_saved(planner: &mut Planner, now: u64) -> Vec<(TaskKey, RunId, WorkerKey)> {
-    let mut starts = plan_at(planner, now);
-    save(planner);
-    starts.extend(plan_at(planner, now + 5));
-    starts
-}
-
-fn save(planner: &mut Planner) {
-    let batch = planner.take_batch(10);
-    planner.batch_saved(&batch);
-}
-
-/// The life that a planner has found, by its orders.
-fn begun(planner: &mut Planner) -> Option<WorkerKey> {
-    let orders = planner.take_orders();
-    orders.into_iter().find_map(|order| match order {
-        Order::Begin { worker } => Some(worker),
-        _ => None,
-    })
-}
-
-/// A worker in its first life, claimed, whose first 20 ends are taken in.
-fn with_history(planner: &mut Planner) -> WorkerKey {
-    let key = planner.take_worker(info(FIRST)).expect("new worker");
-    let ends = (1..=20).map(|number| ended(number, task(1, 0, 0), number, RunEnd::Stopped));
-    let ends = listing(Vec::new(), ends.collect());
-    tell(planner, key, 1, &list(FIRST, ends));
-    key
-}
-
-/// Starts a job of one step at 10 ms; its starts are answered.
-fn start(planner: &mut Planner, count: u32) -> Vec<(TaskKey, RunId)> {
-    planner.take_job(JOB, spec(vec![step(count)]), None, false);
-    let starts = plan_at(planner, 10);
-    planner.advance(at(12));
-    for &(task, run, key) in &starts {
-        planner.start_reply(key, task, run, StartReply::Started);
-    }
-    starts.iter().map(|(task, run, _)| (*task, *run)).collect()
-}
-
-/// The worker registers and is claimed in its next life.
-fn claim_next(planner: &mut Planner, key: WorkerKey, sent: u64) -> WorkerKey {
-    planner.take_worker(info(NEXT));
-    tell(planner, key, sent, &nothing(NEXT));
-    let next = begun(planner).expect("a next life");
-    tell(planner, next, sent + 5, &nothing(NEXT));
-    next
-}
-
 /// Guards against ends that are taken for those of the former life by their numbers.
 #[test]
 fn ends_of_a_new_life_are_taken_from_the_first_on() {
@@ -169,11 +90,11 @@
     let key = with_history(&mut planner);
     let runs = start(&mut planner, 2);
 
-    for born in [NEXT, FIRST - 5000] {
-        planner.take_worker(info(born));
+    for life in [NEXT, FIRST - 5000] {
+        planner.take_worker(info(life));
         let again = plan_at(&mut planner, 100);
 
-        assert_eq!(again, vec![], "registered as {born}");
+        assert_eq!(again, vec![], "registered as {life}");
         assert!(planner.holds(key, runs[0].0, runs[0].1));
     }
 }
@@ -317,142 +238,6 @@
     assert_eq!(planner.unfinished(), 0);
 }
 
-/// A worker of which it was heard for 10 s, and a task that it has confirmed since by its
-/// answer to the start alone; beside it one that could take the task.
-fn with_fresh_start(planner: &mut Planner) -> (WorkerKey, TaskKey, RunId) {
-    let key = with_history(planner);
-    tell(planner, key, 9990, &nothing(FIRST));
-    planner.take_job(JOB, spec(vec![step(1)]), None, false);
-    let (task, run, _) = plan_at(planner, 10_000)[0];
-    planner.advance(at(10_002));
-    planner.start_reply(key, task, run, StartReply::Started);
-    support::add_claimed(planner, "w2");
-    (key, task, run)
-}
-
-/// A job of `count` tasks of which a list has shown all but the last; the start of that gets
-/// no answer, 0.25 s after 10 s, and the worker is silent.
-fn with_unanswered_start(planner: &mut Planner, count: u32) -> (WorkerKey, TaskKey) {
-    let key = with_history(planner);
-    tell(planner, key, 9990, &nothing(FIRST));
-    planner.take_job(JOB, spec(vec![step(count)]), None, false);
-    let starts = plan_at(planner, 10_000);
-    let (last, confirmed) = starts.split_last().expect("starts");
-    planner.advance(at(10_002));
-    for &(task, run, _) in confirmed {
-        planner.start_reply(key, task, run, StartReply::Started);
-    }
-    let runs = confirmed.iter().map(|&(task, run, _)| running(task, run));
-    let runs = list(FIRST, listing(runs.collect(), Vec::new()));
-    tell(planner, key, 10_004, &runs);
-    planner.advance(at(10_250));
-    planner.start_reply(key, last.0, last.1, StartReply::Unknown);
-    planner.worker_silent(key);
-    support::add_claimed(planner, "w2");
-    (key, last.0)
-}
-
-/// Guards against a start that an unmet life holds under a lease on its own clock, which a late
-/// renewal may extend, and that is given up by the clock of the former life.
-#[test]
-fn a_start_that_no_list_has_shown_is_waited_for_until_no_renewal_can_be_late() {
-    let mut planner = planner(1);
-    let (key, task, _) = with_fresh_start(&mut planner);
-    planner.worker_silent(key);
-
-    let early = plan_at(&mut planner, 20_300);
-    let late = plan_at(&mut planner, 20_500);
-
-    assert_eq!(early, vec![]);
-    assert_eq!(late.len(), 1);
-    assert_eq!(late[0].0, task);
-}
-
-/// The same start is given up with the usual lease once a list has shown whose it is.
-#[test]
-fn a_start_that_a_list_has_shown_is_given_up_with_its_lease() {
-    let mut planner = planner(1);
-    let (key, task, run) = with_fresh_start(&mut planner);
-    let there = list(FIRST, listing(vec![running(task, run)], Vec::new()));
-    tell(&mut planner, key, 10_010, &there);
-    planner.worker_silent(key);
-
-    let late = plan_at(&mut planner, 15_000);
-
-    assert_eq!(late.len(), 1);
-}
-
-/// Guards against a start that reaches an unmet life seconds after it was sent, and runs there
-/// beside the next start of its task.
-#[test]
-fn a_start_without_an_answer_is_waited_for_until_it_can_be_late_no_more() {
-    let mut planner = planner(1);
-    let (key, task) = with_unanswered_start(&mut planner, 1);
-
-    let early = plan_at(&mut planner, 20_600);
-    let late = plan_at(&mut planner, 20_800);
-
-    assert_eq!(early, vec![]);
-    assert_eq!(late.len(), 1);
-    assert_eq!(late[0].0, task);
-    assert_ne!(late[0].2, key);
-}
-
-/// Guards against runs that wait for a start which they have nothing to do with.
-#[test]
-fn what_a_list_has_shown_does_not_wait_for_a_start_without_an_answer() {
-    let mut planner = planner(1);
-    let (key, last) = with_unanswered_start(&mut planner, 2);
-
-    let late = plan_at(&mut planner, 15_100);
-
-    assert_eq!(late.len(), 1);
-    assert_ne!(late[0].0, last);
-    assert_ne!(late[0].2, key);
-}
-
-/// Guards against a run that a former owner's order has given a longer lease than its
-/// successor counts, since it was meant for a former life.
-#[test]
-fn what_a_claim_finds_is_waited_for_by_the_longest_lease() {
-    let mut planner = planner(2);
-    let old = Progress::default();
-    planner.take_job(JOB, spec(vec![step(1)]), Some(&old), true);
-    let key = planner.recall_worker(info(FIRST)).expect("recalled");
-    planner.take_worker(info(FIRST));
-    let run = listing(vec![running(task(JOB, 0, 0), 3)], Vec::new());
-    tell(&mut planner, key, 5000, &list(FIRST, run));
-    support::add_claimed(&mut planner, "w2");
-    planner.worker_silent(key);
-
-    let early = plan_at(&mut planner, 11_300);
-    let late = plan_at(&mut planner, 11_500);
-
-    assert_eq!(early, vec![]);
-    assert_eq!(late.len(), 1);
-}
-
-/// Guards against a successor that waits for a silent worker by the usual lease, while an
-/// order of its predecessor gave an unmet life of it the longest one.
-#[test]
-fn a_successor_waits_for_a_silent_worker_by_the_longest_lease() {
-    let mut planner = planner(2);
-    let old = Progress::default();
-    planner.take_job(JOB, spec(vec![step(1)]), Some(&old), true);
-    planner.recall_worker(info(FIRST)).expect("recalled");
-    let other = planner.recall_worker(worker("w2")).expect("recalled");
-    planner.take_worker(worker("w2"));
-    tell(&mut planner, other, 10, &Listing::default());
-
-    // The predecessor renews for 2.5 s after half of the workers were claimed.
-    plan_at(&mut planner, 20);
-    let early = plan_at(&mut planner, 8800);
-    let late = plan_at(&mut planner, 9000);
-
-    assert_eq!(early, vec![]);
-    assert_eq!(late.len(), 1);
-}
-
 /// Guards against work for a life whose room nobody has told.
 #[test]
 fn a_life_that_has_not_registered_gets_no_work() {
@@ -533,7 +318,7 @@
     assert_eq!(unnamed, LifeSeen::Unnamed);
     assert_eq!(again, vec![]);
     assert!(planner.holds(key, runs[0].0, runs[0].1));
-    assert_eq!(planner.worker(key).and_then(|info| info.born), Some(FIRST));
+    assert_eq!(planner.worker(key).and_then(|info| info.life), Some(FIRST));
 }
 
 /// Workers that name no life have another id after a crash: the id tells the life.
--- /dev/null
+++ b/crates/job/tests/support/lives.rs
@@ -0,0 +1,107 @@
+//! Workers that start again under their id.
+
+use std::time::Duration;
+
+use job::Listing;
+use job::Order;
+use job::Planner;
+use job::RunEnd;
+use job::RunId;
+use job::StartReply;
+use job::TaskKey;
+use job::WorkerInfo;
+use job::WorkerKey;
+
+use super::ended;
+use super::listing;
+use super::plan_at;
+use super::spec;
+use super::step;
+use super::task;
+use super::worker;
+
+/// Start of the first life of a worker, and of the next one.
+pub const FIRST: u64 = 1_790_000_000_000;
+pub const NEXT: u64 = FIRST + 5000;
+
+/// The job of these tests.
+pub const JOB: u64 = 7;
+
+pub fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn info(life: u64) -> WorkerInfo {
+    WorkerInfo {
+        life: Some(life),
+        ..worker("w1")
+    }
+}
+
+pub fn list(life: u64, of: Listing) -> Listing {
+    Listing {
+        life: Some(life),
+        ..of
+    }
+}
+
+pub fn nothing(life: u64) -> Listing {
+    list(life, Listing::default())
+}
+
+/// A list that was asked for at a time and comes 2 ms later.
+pub fn tell(planner: &mut Planner, key: WorkerKey, sent: u64, of: &Listing) {
+    planner.advance(at(sent + 2));
+    planner.take_listing(key, at(sent), of);
+}
+
+/// Plans, saves what has to be saved before a start, and plans again 5 ms later.
+pub fn plan_saved(planner: &mut Planner, now: u64) -> Vec<(TaskKey, RunId, WorkerKey)> {
+    let mut starts = plan_at(planner, now);
+    save(planner);
+    starts.extend(plan_at(planner, now + 5));
+    starts
+}
+
+pub fn save(planner: &mut Planner) {
+    let batch = planner.take_batch(10);
+    planner.batch_saved(&batch);
+}
+
+/// The life that a planner has found, by its orders.
+pub fn begun(planner: &mut Planner) -> Option<WorkerKey> {
+    let orders = planner.take_orders();
+    orders.into_iter().find_map(|order| match order {
+        Order::Begin { worker } => Some(worker),
+        _ => None,
+    })
+}
+
+/// A worker in its first life, claimed, whose first 20 ends are taken in.
+pub fn with_history(planner: &mut Planner) -> WorkerKey {
+    let key = planner.take_worker(info(FIRST)).expect("new worker");
+    let ends = (1..=20).map(|number| ended(number, task(1, 0, 0), number, RunEnd::Stopped));
+    let ends = listing(Vec::new(), ends.collect());
+    tell(planner, key, 1, &list(FIRST, ends));
+    key
+}
+
+/// Starts a job of one step at 10 ms; its starts are answered.
+pub fn start(planner: &mut Planner, count: u32) -> Vec<(TaskKey, RunId)> {
+    planner.take_job(JOB, spec(vec![step(count)]), None, false);
+    let starts = plan_at(planner, 10);
+    planner.advance(at(12));
+    for &(task, run, key) in &starts {
+        planner.start_reply(key, task, run, StartReply::Started);
+    }
+    starts.iter().map(|(task, run, _)| (*task, *run)).collect()
+}
+
+/// The worker registers and is claimed in its next life.
+pub fn claim_next(planner: &mut Planner, key: WorkerKey, sent: u64) -> WorkerKey {
+    planner.take_worker(info(NEXT));
+    tell(planner, key, sent, &nothing(NEXT));
+    let next = begun(planner).expect("a next life");
+    tell(planner, next, sent + 5, &nothing(NEXT));
+    next
+}
--- a/crates/job/tests/support/mod.rs
+++ b/crates/job/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Fixtures of the planner's tests.
 #![allow(dead_code, missing_docs)]
 
+pub mod lives;
+
 use std::time::Duration;
 
 use job::EndedTask;
@@ -83,7 +85,7 @@
 pub fn worker(id: &str) -> WorkerInfo {
     WorkerInfo {
         id: id.to_owned(),
-        born: None,
+        life: None,
         service: "desk".to_owned(),
         address: ([127, 0, 0, 1], 1).into(),
         capacity: room(4000, 64_000),
@@ -135,7 +137,7 @@
 
 pub fn listing(running: Vec<RunningTask>, ended: Vec<EndedTask>) -> Listing {
     Listing {
-        born: None,
+        life: None,
         clock: Duration::ZERO,
         running,
         ended,
--- a/crates/job/tests/world/lives.rs
+++ b/crates/job/tests/world/lives.rs
@@ -53,7 +53,7 @@
         }
         for at in 0..WORKERS {
             if world.lasts(at) {
-                world.workers[at].born = Some(FIRST);
+                world.workers[at].life = Some(FIRST);
             }
         }
         world.take_over();
@@ -99,7 +99,7 @@
     /// Lives by worker, as the rows say that the owner leaves.
     pub(super) fn rows(&self) -> HashMap<String, Option<u64>> {
         let known = self.keys.iter().filter_map(|key| self.planner.worker(*key));
-        known.map(|info| (info.id.clone(), info.born)).collect()
+        known.map(|info| (info.id.clone(), info.life)).collect()
     }
 
     /// What orders to a worker carry.
@@ -130,7 +130,7 @@
     pub(super) fn linked_life(&self, at: usize) -> Option<u64> {
         self.planner
             .worker(self.keys[at])
-            .and_then(|info| info.born)
+            .and_then(|info| info.life)
     }
 
     /// The planner has found a new life of a worker.
@@ -157,7 +157,7 @@
         lasting.stale.push(former);
         lasting.unwritten[at] = true;
         let lives = lasting.lives;
-        self.workers[at].born = Some(if back { FIRST - lives } else { FIRST + lives });
+        self.workers[at].life = Some(if back { FIRST - lives } else { FIRST + lives });
         if entry {
             self.write_entry(at);
         }
@@ -228,7 +228,7 @@
 
     /// A renewal acknowledges what is recorded.
     pub(super) fn acknowledge(&mut self, at: usize, key: WorkerKey) {
-        let linked = self.workers[at].linked || self.workers[at].born.is_none();
+        let linked = self.workers[at].linked || self.workers[at].life.is_none();
         let number = self
             .lasting_mut()
             .and_then(|lasting| lasting.recorded.get(&key).copied());
@@ -282,7 +282,7 @@
     /// refuse it.
     pub(super) fn may_come_late(&self, sent: &Sent) -> bool {
         let worker = &self.workers[sent.worker];
-        if sent.born == worker.born || worker.fence > 0 {
+        if sent.life == worker.life || worker.fence > 0 {
             return true;
         }
         match sent.order {
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -60,7 +60,7 @@
     worker: usize,
     id: String,
     /// The life that it is meant for, if the worker names its lives.
-    born: Option<u64>,
+    life: Option<u64>,
     token: Token,
     at: Duration,
     /// End of the lease that it carries.
@@ -153,7 +153,7 @@
         let info: WorkerInfo = self.info(at);
         // The row of a worker tells the most that it has had, and the life that was known.
         let row = WorkerInfo {
-            born: rows.get(&info.id).copied().unwrap_or(info.born),
+            life: rows.get(&info.id).copied().unwrap_or(info.life),
             ..support::worker(&info.id)
         };
         let key = self.planner.recall_worker(row);
@@ -271,7 +271,7 @@
         let token = self.token(at);
         // To a worker that names its lives, a lease goes only after an answer: the clock
         // of a new life is not known.
-        if self.workers[at].linked || self.workers[at].born.is_none() {
+        if self.workers[at].linked || self.workers[at].life.is_none() {
             self.planner.lease_sent(key);
             let worker = &mut self.workers[at];
             worker.lease = worker.lease.max(self.now + Policy::default().lease);
@@ -282,9 +282,9 @@
         worker.linked = self
             .planner
             .worker(key)
-            .is_some_and(|info| info.born == worker.born);
+            .is_some_and(|info| info.life == worker.life);
         let listing = Listing {
-            born: worker.born,
+            life: worker.life,
             clock: self.now,
             running: worker
                 .running
@@ -334,7 +334,7 @@
             let sent = Sent {
                 worker: at,
                 id: self.id(at),
-                born: self.linked_life(at),
+                life: self.linked_life(at),
                 token: self.token(at),
                 at: self.now,
                 lease: self.now + Policy::default().lease,
@@ -424,7 +424,7 @@
         let worker = &mut self.workers[sent.worker];
         let old = worker.over.get(&task).is_some_and(|over| *over >= run);
         // On the clock of another life a lease may be as long as the worker grants it.
-        let lease = if sent.born == worker.born {
+        let lease = if sent.life == worker.life {
             sent.lease
         } else {
             self.now + Policy::default().longest_lease
--- a/crates/job/tests/world/rough.rs
+++ b/crates/job/tests/world/rough.rs
@@ -84,7 +84,7 @@
 
     pub(super) fn info(&self, at: usize) -> WorkerInfo {
         let mut info = support::worker(&self.id(at));
-        info.born = self.workers[at].born;
+        info.life = self.workers[at].life;
         info.capacity = support::room(self.cores(at).0 * 1000, 64_000);
         info
     }
@@ -138,7 +138,7 @@
         let worker = std::mem::take(&mut self.workers[at]);
         self.workers[at] = Worker {
             down: true,
-            born: worker.born,
+            life: worker.life,
             ..Worker::default()
         };
         let Some(rough) = &mut self.rough else {
--- a/crates/job/tests/world/worker.rs
+++ b/crates/job/tests/world/worker.rs
@@ -13,7 +13,7 @@
 #[derive(Debug, Default)]
 pub struct Worker {
     /// Start of this life, if it names it.
-    pub born: Option<u64>,
+    pub life: Option<u64>,
     pub fence: u64,
     pub lease: Duration,
     pub running: BTreeMap<TaskKey, (RunId, Duration)>,
