--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -107,6 +107,14 @@
         SiteCell::open_with(processes, workers, 120.0, None, ComesBack::Same).await
     }
 
+    /// The same as [`SiteCell::open`], with workers that name no life.
+    ///
+    /// # Panics
+    /// An address cannot be bound.
+    pub async fn open_nameless(processes: usize, workers: usize) -> SiteCell {
+        SiteCell::open_with(processes, workers, 120.0, None, ComesBack::Nameless).await
+    }
+
     /// The same as [`SiteCell::open`], with a link of `mbps` megabits a second between
     /// all processes and all workers.
     ///
@@ -245,14 +253,14 @@
     /// A worker registers, or registers again.
     pub fn register(&self, at: usize) {
         let worker = &self.workers[at];
-        let registration = registration(self.addresses[at], worker.born);
-        self.store.write("servers", &worker.id, &registration);
+        let entry = worker.entry(self.addresses[at]);
+        self.store.write("servers", &worker.id, &entry);
     }
 
     /// A worker has so many cores from now on, and says so.
     pub fn resize(&self, at: usize, cores: usize) {
         self.workers[at].set_cores(cores);
-        let mut resized = registration(self.addresses[at], self.workers[at].born);
+        let mut resized = self.workers[at].entry(self.addresses[at]);
         resized["capacity"]["cpu"] = json!(cores * 1000);
         self.store.write("servers", &self.workers[at].id, &resized);
     }
@@ -430,17 +438,6 @@
     address
 }
 
-/// How a worker of four cores at `address` registers that was born at `born`.
-#[must_use]
-pub fn registration(address: SocketAddr, born: u64) -> Value {
-    json!({
-        "service": "desk", "address": address.to_string(), "zone": "z1", "version": "v1",
-        "slots": 8, "state": "ready", "cold_left_ms": 0,
-        "capacity": {"cpu": 4000, "mem_mb": 64000, "gpu": 0}, "labels": ["a", "r1-1"], "seq": 1,
-        "born": born,
-    })
-}
-
 /// A configuration: queue `plain` has no advice, `advised` has, and a version
 /// above 1 brings `added`.
 #[must_use]
--- a/crates/site/src/place.rs
+++ b/crates/site/src/place.rs
@@ -18,7 +18,6 @@
 use crate::RunLog;
 use crate::StoreStand;
 use crate::WorkerStand;
-use crate::registration;
 use crate::wall_millis;
 
 /// Header that names the life of the worker that a call is meant for.
@@ -54,6 +53,8 @@
     Same,
     /// One and the other in turn.
     InTurn,
+    /// Another one, as workers do that name no life.
+    Nameless,
 }
 
 /// A restart of a worker under its id.
@@ -94,6 +95,7 @@
     #[must_use]
     pub fn new(name: &str, around: Surroundings, comes_back: ComesBack) -> Arc<WorkerPlace> {
         let first = WorkerStand::new(name, around.log.clone());
+        first.set_nameless(comes_back == ComesBack::Nameless);
         around.advice.add(first.clone());
         Arc::new(WorkerPlace {
             name: name.to_owned(),
@@ -134,7 +136,7 @@
     /// The worker comes back after a crash, unless it was started again meanwhile.
     async fn come_back(&self, crashed: &Arc<WorkerStand>, life: usize) {
         let same = match self.comes_back {
-            ComesBack::Renamed => false,
+            ComesBack::Renamed | ComesBack::Nameless => false,
             ComesBack::Same => true,
             ComesBack::InTurn => life.is_multiple_of(2),
         };
@@ -181,7 +183,7 @@
         let address = *self.address.lock().unwrap_or_else(PoisonError::into_inner);
         let current = self.current();
         if let Some(address) = address {
-            let entry = registration(address, current.born);
+            let entry = current.entry(address);
             self.around.store.write("servers", &current.id, &entry);
         }
     }
@@ -189,6 +191,7 @@
     fn rename(&self, former: &WorkerStand, life: usize) {
         let id = format!("{}-{life}", self.name);
         let next = WorkerStand::new(&id, self.around.log.clone());
+        next.set_nameless(self.comes_back == ComesBack::Nameless);
         self.around.advice.add(next.clone());
         *self.lock() = next;
         self.around.store.remove("servers", &former.id);
--- a/crates/site/src/worker.rs
+++ b/crates/site/src/worker.rs
@@ -224,11 +224,15 @@
         self.lock().calm = calm;
     }
 
-    /// Whether its lists of runs leave out its life, as those of another release would.
+    /// Whether it leaves its life out of what it says of itself, as other releases do.
     pub fn set_nameless(&self, nameless: bool) {
         self.lock().nameless = nameless;
     }
 
+    pub(crate) fn nameless(&self) -> bool {
+        self.lock().nameless
+    }
+
     /// Some orders are left unanswered from now on, and carried out later.
     pub fn set_late(&self, plan: LatePlan) {
         self.lock().late.set_plan(plan);
