--- a/crates/job/src/planner/ahead.rs
+++ b/crates/job/src/planner/ahead.rs
@@ -64,11 +64,7 @@
                 return;
             }
             if suspicion.ahead.is_none_or(|ahead| ahead.run != run) {
-                suspicion.ahead = Some(Ahead {
-                    run,
-                    since: now,
-                    saved: false,
-                });
+                suspicion.ahead = Some(Ahead { run, saved: false });
                 self.dirty.insert(key.job);
             }
         }
--- a/crates/job/src/planner/suspicion.rs
+++ b/crates/job/src/planner/suspicion.rs
@@ -9,8 +9,8 @@
 //!   lease that is over, a worker that has left as announced, or a refused start;
 //! - it counts as unsure if the start got no answer, which may have come too late, or if
 //!   other workers without suspects have just gone down, too;
-//! - after the first crash, each start is recorded before it is sent: a successor that
-//!   finds neither the run nor all workers alive counts it as a crash;
+//! - after the first crash, each start is recorded before it is sent, however long that
+//!   takes: a successor that finds neither the run nor all workers alive counts it as a crash;
 //! - with [`TRIED_ALONE`] sure crashes, or one short of [`MOST_CRASHES`], a task is tried
 //!   alone on a worker, some time later;
 //! - it is given up when that worker crashes too, unless other workers without suspects
@@ -36,10 +36,6 @@
 /// platform bears two more starts after three crashes.
 pub(super) const MOST_CRASHES: usize = 5;
 
-/// Longest wait of a task with fewer crashes for its start to be recorded: it is most
-/// likely sound, and a store that takes longer is slow or away.
-const RECORD_WAIT: Duration = Duration::from_millis(300);
-
 /// Tasks under which workers crashed, and what is needed to decide on them.
 #[derive(Debug, Default)]
 pub(super) struct Suspects {
@@ -74,19 +70,13 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Ahead {
     pub(super) run: RunId,
-    /// Since when it is to be recorded.
-    pub(super) since: Duration,
     pub(super) saved: bool,
 }
 
 impl Suspicion {
     /// What a predecessor has recorded.
     pub(super) fn restored(record: &CrashRecord) -> Suspicion {
-        let ahead = record.ahead.map(|run| Ahead {
-            run,
-            since: Duration::ZERO,
-            saved: true,
-        });
+        let ahead = record.ahead.map(|run| Ahead { run, saved: true });
         Suspicion {
             crashes: record.runs.clone(),
             unsure: record.unsure.clone(),
@@ -121,8 +111,7 @@
         let Some(ahead) = self.ahead else {
             return self.count() == 0;
         };
-        let waited = !self.isolates() && now >= ahead.since + RECORD_WAIT;
-        now >= self.rest && (ahead.saved || waited)
+        now >= self.rest && ahead.saved
     }
 
     /// A run has ended in another way than with its worker; gives whether that is news.
