--- a/crates/job/src/planner/crash_count.rs
+++ b/crates/job/src/planner/crash_count.rs
@@ -14,10 +14,6 @@
 use crate::RunId;
 use crate::TaskKey;
 
-/// Least sure crashes of a task that is given up: two that may have been others', and
-/// one that it met alone. The platform lets it be after two.
-const GIVEN_UP: usize = 3;
-
 /// Workers without suspects that went down before, within [`COMMON_CAUSE`], from which
 /// on a crash is held against none of the tasks: two bad tasks at a time are not rare.
 const MASS_CRASH: usize = 2;
@@ -156,7 +152,7 @@
             let near = |at: Duration| move |death: &Duration| death.abs_diff(at) < COMMON_CAUSE;
             let proof = alone.is_some_and(|at| !self.suspects.deaths.iter().any(near(at)));
             let run = suspicion.crashes.last().copied();
-            if proof && suspicion.crashes.len() >= GIVEN_UP {
+            if proof && suspicion.provable() {
                 proven.extend(run.map(|run| (task, run)));
             }
         }
--- a/crates/job/src/planner/suspicion.rs
+++ b/crates/job/src/planner/suspicion.rs
@@ -11,8 +11,8 @@
 //!   other workers without suspects have just gone down, too;
 //! - after the first crash, each start is recorded before it is sent, however long that
 //!   takes: a successor that finds neither the run nor all workers alive counts it as a crash;
-//! - with [`TRIED_ALONE`] sure crashes, or one short of [`MOST_CRASHES`], a task is tried
-//!   alone on a worker, some time later;
+//! - with [`TRIED_ALONE`] sure crashes, or [`SHARED`] of any kind, a task is tried alone on a
+//!   worker, some time later;
 //! - it is given up when that worker crashes too, unless other workers without suspects
 //!   went down at the same time, and after [`MOST_CRASHES`], sure or not, in any case.
 
@@ -32,6 +32,11 @@
 /// worker that goes down takes the runs of all its cores with it.
 const TRIED_ALONE: usize = 2;
 
+/// Crashes of any kind after which a task is tried alone: where many tasks are bad at a
+/// time, hardly any crash is sure. An owner that dies before it has recorded the first crash
+/// takes that along, so one start is left for it.
+const SHARED: usize = 3;
+
 /// Crashes after which a task is given up whatever else went down meanwhile. The
 /// platform bears two more starts after three crashes.
 pub(super) const MOST_CRASHES: usize = 5;
@@ -100,10 +105,15 @@
         self.crashes.len() + self.unsure.len()
     }
 
-    /// Whether the task starts only alone: also before the crash that would be the last,
-    /// so that no task is given up for crashes that it shared with others.
+    /// Whether the task starts only alone: no task is given up for crashes that it shared
+    /// with others.
     pub(super) fn isolates(&self) -> bool {
-        self.crashes.len() >= TRIED_ALONE || self.count() + 1 >= MOST_CRASHES
+        self.crashes.len() >= TRIED_ALONE || self.count() >= SHARED
+    }
+
+    /// Whether the crash of a trial proves that the task is to blame.
+    pub(super) fn provable(&self) -> bool {
+        self.crashes.len() > TRIED_ALONE || self.count() > SHARED
     }
 
     /// Whether the next start may be sent.
