--- a/crates/cell/tests/same_id.rs
+++ b/crates/cell/tests/same_id.rs
@@ -368,6 +368,30 @@
     cell.close().await;
 }
 
+/// Guards against an acknowledgement that is sent while a start may still be carried out that
+/// nobody listens for any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_end_is_acknowledged_while_a_start_without_an_answer_may_come() {
+    let caller = Caller::new();
+    let cell = SiteCell::open_same_ids(1, 1).await;
+    submit(&cell, &caller, 0x100, HISTORY, "30").await;
+    wait(&cell, &caller, 0x100, HISTORY, "completed").await;
+    cell.delay_starts(0, Duration::from_secs(3));
+    submit(&cell, &caller, 0x1000, 1, "30").await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    cell.delay_starts(0, Duration::ZERO);
+
+    // Its task starts again meanwhile, and others end.
+    wait(&cell, &caller, 0x1000, 1, "completed").await;
+    submit(&cell, &caller, 0x2000, 2, "30").await;
+    wait(&cell, &caller, 0x2000, 2, "completed").await;
+    tokio::time::sleep(Duration::from_millis(1200)).await;
+
+    assert_eq!(cell.crossed(0), 0);
+    assert_eq!(cell.log.faults(), Vec::<String>::new());
+    cell.close().await;
+}
+
 /// Waits until the worker that is there has seen a higher token than `before`.
 async fn wait_claimed(cell: &SiteCell, before: u64) {
     let claimed = async {
--- a/crates/job/tests/life_leases.rs
+++ b/crates/job/tests/life_leases.rs
@@ -15,6 +15,7 @@
 use support::lives::FIRST;
 use support::lives::JOB;
 use support::lives::at;
+use support::lives::begun;
 use support::lives::info;
 use support::lives::list;
 use support::lives::nothing;
@@ -43,7 +44,7 @@
 
 /// A job of `count` tasks of which a list has shown all but the last; the start of that gets
 /// no answer, 0.25 s after 10 s, and the worker is silent.
-fn with_unanswered_start(planner: &mut Planner, count: u32) -> (WorkerKey, TaskKey) {
+fn with_unanswered_start(planner: &mut Planner, count: u32) -> (WorkerKey, TaskKey, RunId) {
     let key = with_history(planner);
     tell(planner, key, 9990, &nothing(FIRST));
     planner.take_job(JOB, spec(vec![step(count)]), None, false);
@@ -60,7 +61,7 @@
     planner.start_reply(key, last.0, last.1, StartReply::Unknown);
     planner.worker_silent(key);
     support::add_claimed(planner, "w2");
-    (key, last.0)
+    (key, last.0, last.1)
 }
 
 /// Guards against a start that an unmet life holds under a lease on its own clock, which a late
@@ -98,7 +99,7 @@
 #[test]
 fn a_start_without_an_answer_is_waited_for_until_it_can_be_late_no_more() {
     let mut planner = planner(1);
-    let (key, task) = with_unanswered_start(&mut planner, 1);
+    let (key, task, _) = with_unanswered_start(&mut planner, 1);
 
     let early = plan_at(&mut planner, 20_600);
     let late = plan_at(&mut planner, 20_800);
@@ -113,7 +114,7 @@
 #[test]
 fn what_a_list_has_shown_does_not_wait_for_a_start_without_an_answer() {
     let mut planner = planner(1);
-    let (key, last) = with_unanswered_start(&mut planner, 2);
+    let (key, last, _) = with_unanswered_start(&mut planner, 2);
 
     let late = plan_at(&mut planner, 15_100);
 
@@ -163,3 +164,44 @@
     assert_eq!(early, vec![]);
     assert_eq!(late.len(), 1);
 }
+
+/// Guards against a start that a late answer confirms, and that is given up while renewals
+/// which were sent until then may still come.
+#[test]
+fn a_start_that_is_confirmed_late_is_waited_for_from_then_on() {
+    let mut planner = planner(1);
+    let (key, task, run) = with_unanswered_start(&mut planner, 1);
+    planner.advance(at(11_900));
+    planner.start_reply(key, task, run, StartReply::Started);
+
+    let early = plan_at(&mut planner, 22_200);
+    let late = plan_at(&mut planner, 22_400);
+
+    assert_eq!(early, vec![]);
+    assert_eq!(late.len(), 1);
+}
+
+/// Guards against a start that may yet reach a life which nobody had named before, and is
+/// waited for by that life's lease alone.
+#[test]
+fn a_start_that_may_yet_reach_the_first_named_life_is_waited_for() {
+    let mut planner = planner(1);
+    let key = planner.take_worker(worker("w1")).expect("new worker");
+    tell(&mut planner, key, 1, &Listing::default());
+    planner.take_job(JOB, spec(vec![step(1)]), None, false);
+    let (task, run, _) = plan_at(&mut planner, 10)[0];
+    planner.advance(at(260));
+    planner.start_reply(key, task, run, StartReply::Unknown);
+    planner.take_worker(info(FIRST));
+    tell(&mut planner, key, 300, &nothing(FIRST));
+    let next = begun(&mut planner).expect("a next life");
+    planner.worker_silent(next);
+    support::add_claimed(&mut planner, "w2");
+
+    let early = plan_at(&mut planner, 10_600);
+    let late = plan_at(&mut planner, 10_800);
+
+    assert_eq!(early, vec![]);
+    assert_eq!(late.len(), 1);
+    assert_eq!(late[0].0, task);
+}
--- a/crates/site/src/door.rs
+++ b/crates/site/src/door.rs
@@ -39,7 +39,7 @@
     /// How often it did.
     trapped: watch::Sender<usize>,
     /// Starts that are held up.
-    held: AtomicUsize,
+    held: Arc<AtomicUsize>,
     /// Acknowledgements that came while a start was held up.
     crossed: AtomicUsize,
 }
@@ -52,7 +52,7 @@
             delay: Mutex::default(),
             trap: AtomicBool::new(false),
             trapped: watch::Sender::new(0),
-            held: AtomicUsize::new(0),
+            held: Arc::default(),
             crossed: AtomicUsize::new(0),
         })
     }
@@ -110,11 +110,18 @@
             std::future::pending::<()>().await;
         }
         let delay = *self.lock();
-        if asked.path == "/-/run-start" {
-            self.held.fetch_add(1, Ordering::Relaxed);
-            tokio::time::sleep(delay).await;
-            self.held.fetch_sub(1, Ordering::Relaxed);
-        } else if self.held.load(Ordering::Relaxed) > 0 && acknowledges(&asked) {
+        if asked.path == "/-/run-start" && !delay.is_zero() {
+            let (held, place) = (self.held.clone(), self.place.clone());
+            // It arrives whether its answer is still waited for or not.
+            let carried = tokio::spawn(async move {
+                held.fetch_add(1, Ordering::Relaxed);
+                tokio::time::sleep(delay).await;
+                held.fetch_sub(1, Ordering::Relaxed);
+                place.handle(asked).await
+            });
+            return carried.await.expect("a late start is carried out");
+        }
+        if self.held.load(Ordering::Relaxed) > 0 && acknowledges(&asked) {
             self.crossed.fetch_add(1, Ordering::Relaxed);
         }
         if self.trap.load(Ordering::Relaxed) {
