job: restore crash records of rounds without other progress

Callers saw: a task of a repeated job that crashes its workers was started without end while the owner changed: six starts over six owners where five are allowed. Cause: JobState::restore opened a round only for its step entries. The record of a round that had no other progress found no step, was dropped, and the next write erased it from the store. Change: the records open their rounds like the steps do, with the loop that adopted runs use.

--- a/crates/job/src/planner/adopt.rs
+++ b/crates/job/src/planner/adopt.rs
@@ -50,9 +50,7 @@
         let trial = job.needs_trial(task);
         if job.outcome.is_none() {
             // The former owner may have opened rounds that this planner has not.
-            while job.opened_rounds <= task.step.round && job.opened_rounds < job.spec.rounds() {
-                job.open_round();
-            }
+            job.open_rounds_through(task.step.round);
             let step = job.step_mut(task.step);
             let state = step.and_then(|(_, step)| step.tasks.get_mut(task.index as usize));
             if let Some(state) = state {
--- a/crates/job/src/planner/job_state.rs
+++ b/crates/job/src/planner/job_state.rs
@@ -232,14 +232,19 @@
         self.opened_rounds += 1;
     }
 
+    /// Opens all rounds up to `round`, but none beyond the job's last one.
+    pub(super) fn open_rounds_through(&mut self, round: u32) {
+        while self.opened_rounds <= round && self.opened_rounds < self.spec.rounds() {
+            self.open_round();
+        }
+    }
+
     /// Restores the progress that a former owner saved.
     pub(super) fn restore(&mut self, progress: &Progress) {
         self.outcome = progress.outcome;
         self.saved_outcome = progress.outcome;
         for (&(round, step), saved) in &progress.steps {
-            while self.opened_rounds <= round {
-                self.open_round();
-            }
+            self.open_rounds_through(round);
             let steps = self.rounds.get_mut(&round);
             if let Some(state) = steps.and_then(|steps| steps.get_mut(step as usize)) {
                 state.restore(saved);
@@ -247,6 +252,8 @@
             }
         }
         for (&(round, step, index), record) in &progress.crashes {
+            // The crash record may be all that was saved of the round.
+            self.open_rounds_through(round);
             let steps = self.rounds.get_mut(&round);
             let state = steps.and_then(|steps| steps.get_mut(step as usize));
             let task = state.and_then(|state| state.tasks.get_mut(index as usize));
--- a/crates/job/tests/crash_sim/mod.rs
+++ b/crates/job/tests/crash_sim/mod.rs
@@ -10,6 +10,7 @@
 
 use job::ActiveRun;
 use job::Command;
+use job::CrashRecord;
 use job::EndedRun;
 use job::JobId;
 use job::JobSpec;
@@ -41,8 +42,9 @@
 /// Time within which the job of a task that crashes its workers must fail.
 pub const FAILURE_LIMIT: Duration = Duration::from_secs(30);
 
-/// Time from a crash until it shows in the list of machines, which the owner reads twice a second.
-const DETECTION_DELAY: Duration = Duration::from_millis(500);
+/// Time from a crash until it shows in the list of machines, which the owner reads twice a second,
+/// unless a test sets another one.
+pub const DETECTION_DELAY: Duration = Duration::from_millis(500);
 
 /// Time from a crash until the worker starts again under another id.
 const REPLACEMENT_DELAY: Duration = Duration::from_secs(3);
@@ -53,7 +55,14 @@
 /// Duration of a write to the store.
 const SAVE_TIME: Duration = Duration::from_millis(30);
 
+/// Maximum number of jobs in one write.
+const MAX_JOBS: usize = 60;
+
+/// Maximum number of workers whose rows are removed in one write.
+const MAX_ROWS: usize = 35;
+
 #[derive(Debug, Default)]
+#[allow(clippy::struct_excessive_bools)] // independent facts
 pub struct Incarnation {
     pub id: String,
     /// Start time of the incarnation; `None` if the worker does not report it.
@@ -68,12 +77,22 @@
     /// Nothing about the incarnation is reported to the owner any more: the owner was notified of
     /// its end, or a newer incarnation uses its id.
     retired: bool,
+    /// The removal of the worker's row is saved.
+    row_removed: bool,
     /// The worker runs but answers no calls.
     pub cut_off: bool,
     pub draining: bool,
     pub cores: u64,
 }
 
+/// A write to the store.
+struct Save {
+    started: Duration,
+    batch: job::Batch,
+    /// Ids of workers whose rows are removed.
+    removed_rows: Vec<String>,
+}
+
 /// Workers and the planner of their owner.
 pub struct CrashSim {
     pub now: Duration,
@@ -84,8 +103,8 @@
     jobs: BTreeMap<JobId, JobSpec>,
     /// Saved progress of each job.
     stored: BTreeMap<JobId, Progress>,
-    /// Start and content of the write to the store that is in progress.
-    saving: Option<(Duration, job::Batch)>,
+    /// The write to the store that is in progress.
+    saving: Option<Save>,
     /// All writes to the store fail.
     pub store_down: bool,
     /// Tasks that crash their worker, with the time from start to crash.
@@ -96,6 +115,8 @@
     pub crashes: HashMap<TaskKey, usize>,
     /// Number of failed runs, by task; always empty, since no task here fails by itself.
     pub failures: HashMap<TaskKey, usize>,
+    /// Time from a crash until it shows in the list of machines.
+    pub detection_delay: Duration,
     /// Crashed workers start again under the same id.
     same_ids: bool,
 }
@@ -125,6 +146,7 @@
             starts: HashMap::new(),
             crashes: HashMap::new(),
             failures: HashMap::new(),
+            detection_delay: DETECTION_DELAY,
             same_ids,
         };
         for machine in 0..workers {
@@ -147,9 +169,10 @@
         }
         for incarnation in self.machines.iter_mut().flatten() {
             incarnation.key = None;
-            if incarnation.retired {
+            if incarnation.row_removed {
                 continue;
             }
+            incarnation.retired = false;
             let info = incarnation.info();
             let row = WorkerInfo {
                 incarnation: stored_incarnations
@@ -165,8 +188,8 @@
         }
     }
 
-    /// Returns the incarnation in each worker's row. Rows of workers, unlike the progress of jobs,
-    /// count as saved at once, so they contain what the planner has.
+    /// Returns the incarnation in each worker's row. Written rows, unlike the progress of jobs
+    /// and the removal of rows, count as saved at once, so they contain what the planner has.
     fn stored_incarnations(&self) -> HashMap<String, Option<u64>> {
         let incarnations = self.machines.iter().flatten();
         let by_worker = incarnations.filter_map(|incarnation| {
@@ -269,6 +292,48 @@
         self.crashes.get(&task).copied().unwrap_or(0)
     }
 
+    /// Returns the crash record of a task in the store.
+    pub fn stored_record(&self, task: TaskKey) -> Option<&CrashRecord> {
+        let step = task.step;
+        let progress = self.stored.get(&step.job)?;
+        progress.crashes.get(&(step.round, step.step, task.index))
+    }
+
+    /// Returns the number of crashes in the store that count against a task.
+    pub fn stored_crashes(&self, task: TaskKey) -> usize {
+        self.stored_record(task)
+            .map_or(0, |record| record.runs.len() + record.uncertain.len())
+    }
+
+    /// Returns the start intent of a task in the store.
+    pub fn stored_intent(&self, task: TaskKey) -> Option<RunId> {
+        self.stored_record(task)?.pending
+    }
+
+    /// Returns the machines on which no worker has crashed.
+    pub fn machines_before_crash(&self) -> Vec<usize> {
+        let machines = (0..).zip(&self.machines);
+        let machines = machines.filter(|(_, incarnations)| {
+            incarnations.len() == 1 && incarnations[0].crashed_at.is_none()
+        });
+        machines.map(|(machine, _)| machine).collect()
+    }
+
+    /// Registers another number of cores for the worker on a machine.
+    pub fn resize(&mut self, machine: usize, cores: u64) {
+        let incarnation = self.incarnation(machine);
+        incarnation.cores = cores;
+        let info = incarnation.info();
+        self.planner.register_worker(info);
+    }
+
+    /// Returns whether the removal of the rows of all crashed workers is saved.
+    pub fn rows_removed(&self) -> bool {
+        let incarnations = self.machines.iter().flatten();
+        let mut crashed = incarnations.filter(|incarnation| incarnation.crashed_at.is_some());
+        crashed.all(|incarnation| incarnation.row_removed)
+    }
+
     /// Returns the newest incarnation of the worker on a machine.
     pub fn incarnation(&mut self, machine: usize) -> &mut Incarnation {
         self.machines[machine].last_mut().expect("an incarnation")
@@ -378,6 +443,7 @@
                 let key = former.key;
                 // An id that is in use again does not show as missing in the list of machines.
                 former.retired |= self.same_ids;
+                former.row_removed |= self.same_ids;
                 let mut incarnation = Incarnation::new(machine, incarnations.len(), self.same_ids);
                 incarnation.key = self.planner.register_worker(incarnation.info());
                 // The planner returns no key for an id in use: the registration does not end the
@@ -401,7 +467,7 @@
             let Some(key) = incarnation.key else { continue };
             let checked = unresponsive.iter().any(|(asked_key, _)| *asked_key == key);
             match incarnation.crashed_at {
-                Some(crashed_at) if checked && crashed_at + DETECTION_DELAY <= self.now => {
+                Some(crashed_at) if checked && crashed_at + self.detection_delay <= self.now => {
                     incarnation.retired = true;
                     self.planner.worker_ended(key);
                 }
@@ -492,21 +558,34 @@
     }
 
     fn save(&mut self) {
-        if let Some((started, batch)) = self.saving.take() {
-            if self.now < started + SAVE_TIME {
-                self.saving = Some((started, batch));
+        if let Some(save) = self.saving.take() {
+            if self.now < save.started + SAVE_TIME {
+                self.saving = Some(save);
                 return;
             }
             if self.store_down {
-                self.planner.batch_failed(&batch);
+                self.planner.batch_failed(&save.batch);
                 return;
             }
-            let jobs = batch.jobs.iter().cloned();
+            let jobs = save.batch.jobs.iter().cloned();
             self.stored.extend(jobs);
-            self.planner.batch_saved(&batch);
+            self.planner.batch_saved(&save.batch);
+            for incarnation in self.machines.iter_mut().flatten() {
+                incarnation.row_removed |= save.removed_rows.contains(&incarnation.id);
+            }
         }
-        if self.planner.has_unsaved() {
-            self.saving = Some((self.now, self.planner.take_batch(60)));
+        let retired = self.machines.iter().flatten();
+        let retired = retired.filter(|incarnation| incarnation.retired && !incarnation.row_removed);
+        let removed_rows: Vec<String> = retired
+            .map(|incarnation| incarnation.id.clone())
+            .take(MAX_ROWS)
+            .collect();
+        if self.planner.has_unsaved() || !removed_rows.is_empty() {
+            self.saving = Some(Save {
+                started: self.now,
+                batch: self.planner.take_batch(MAX_JOBS),
+                removed_rows,
+            });
         }
     }
 }
