cell: remove the row of an ended worker only once its crash is recorded

Callers saw: a task that crashes its workers was started without end while many jobs ended at the same time and the owner changed: six starts over six owners where five are allowed. Cause: a transaction takes up to 60 jobs and up to 35 changes of worker rows, each in its own order. With more than 60 unsaved jobs, the row of a crashed worker was removed, or overwritten by its next incarnation, before the crash record of the run on it was written. A successor then found neither the row nor the record, and took the saved start intent for a start that never happened. Change: changes that drop the row of an ended incarnation wait for a batch that leaves out no unsaved job.

--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -34,6 +34,7 @@
 pub use reply_latency::ReplyLatency;
 pub use start_window::StartWindow;
 pub use supervise::*;
+pub use worker_rows::WorkerRows;
 
 pub(crate) use helpers::Helpers;
 pub(crate) use link::Link;
@@ -45,4 +46,3 @@
 pub(crate) use registrations::follow_workers;
 pub(crate) use retention::Retention;
 pub(crate) use saver::Saver;
-pub(crate) use worker_rows::WorkerRows;
--- a/crates/cell/src/owner/saver.rs
+++ b/crates/cell/src/owner/saver.rs
@@ -231,7 +231,8 @@
         let mut puts: Vec<(RowName, Vec<u8>)> = vec![(guard_row(), encode_row(&guard))];
         let progress = save.batch.jobs.iter();
         puts.extend(progress.map(|(id, progress)| (progress_row(*id), encode_row(progress))));
-        (save.used_workers, save.unused_workers) = self.row_changes.take(MAX_WORKERS);
+        (save.used_workers, save.unused_workers) =
+            self.row_changes.take(MAX_WORKERS, save.batch.ends_complete);
         let used_workers = save.used_workers.iter();
         puts.extend(used_workers.map(|(id, worker)| (used_worker_row(id), encode_row(worker))));
         save.releases = self.release == Release::Requested && save.batch.ends_complete;
--- a/crates/job/src/planner/batch.rs
+++ b/crates/job/src/planner/batch.rs
@@ -15,9 +15,9 @@
     /// Progress of each job.
     pub jobs: Vec<(JobId, Progress)>,
     /// For each worker, the number of the newest end that may be acknowledged once the batch is
-    /// saved. Empty if the batch leaves out a job with unsaved ends or an unsaved outcome.
+    /// saved. Empty unless the batch is complete, see `ends_complete`.
     pub ends: Vec<(WorkerKey, u64)>,
-    /// The batch leaves out no job with unsaved ends or an unsaved outcome.
+    /// The batch leaves out no job with unsaved ends, an unsaved outcome or unsaved crash records.
     pub ends_complete: bool,
 }
 
--- a/crates/job/tests/crash_orders.rs
+++ b/crates/job/tests/crash_orders.rs
@@ -12,8 +12,10 @@
 
 use crash_sim::CRASH_DELAY;
 use crash_sim::CrashSim;
+use crash_sim::DETECTION_DELAY;
 use crash_sim::FAILURE_LIMIT;
 use crash_sim::MAX_STARTS;
+use crash_sim::TICK;
 use support::task;
 
 /// Runs until one more worker has crashed under the task, or until its job has failed.
@@ -56,3 +58,32 @@
     let starts = sim.start_count(crashing);
     assert!(starts <= MAX_STARTS, "{starts} starts");
 }
+
+/// Guards against a crash that a successor does not find: the worker's row is removed with the first
+/// 60 unsaved jobs, and the owner dies before the crash record is saved with the next ones.
+#[test]
+fn a_crash_is_recorded_no_later_than_the_row_of_its_worker_is_removed() {
+    let crashing = task(1000, 0, 0);
+    let mut sim = CrashSim::new(12);
+    sim.submit_tasks(1000, 1, 800);
+    sim.crashers.insert(crashing, CRASH_DELAY);
+    let mut canceled = support::spec(vec![support::step(1)]);
+    canceled.canceled = true;
+    let mut jobs = 0;
+
+    for _ in 0..=MAX_STARTS {
+        await_crash(&mut sim, crashing);
+        // The crash is detected in the next tick.
+        sim.run(DETECTION_DELAY.saturating_sub(TICK));
+        for _ in 0..80 {
+            jobs += 1;
+            sim.submit(jobs, canceled.clone());
+        }
+        let removed = sim.run_until(FAILURE_LIMIT, CrashSim::rows_removed);
+        assert!(removed, "the worker's row is not removed");
+        sim.take_over();
+    }
+
+    let starts = sim.start_count(crashing);
+    assert!(starts <= MAX_STARTS, "{starts} starts");
+}
--- a/crates/job/tests/crash_sim/mod.rs
+++ b/crates/job/tests/crash_sim/mod.rs
@@ -576,14 +576,18 @@
         }
         let retired = self.machines.iter().flatten();
         let retired = retired.filter(|incarnation| incarnation.retired && !incarnation.row_removed);
-        let removed_rows: Vec<String> = retired
+        let mut removed_rows: Vec<String> = retired
             .map(|incarnation| incarnation.id.clone())
             .take(MAX_ROWS)
             .collect();
         if self.planner.has_unsaved() || !removed_rows.is_empty() {
+            let batch = self.planner.take_batch(MAX_JOBS);
+            if !batch.ends_complete {
+                removed_rows.clear();
+            }
             self.saving = Some(Save {
                 started: self.now,
-                batch: self.planner.take_batch(MAX_JOBS),
+                batch,
                 removed_rows,
             });
         }
