cell: a job that a refusing store refuses is answered with 503, not 504

Callers saw "unknown" (504) for jobs that the store had certainly refused. Cause: when the store refused the change feed, too, the process counted it as unreachable (301) and abandoned the write in progress (403), although its refusal was a millisecond away; between two parts of the store it answered 504 with no write in progress at all.

A write in progress now waits up to 1.2 s for its reply if it was a refusal that made the store unreachable; a silent store is given up at once, as before. The state is also checked before each part, so a job without an unclear write is refused.

--- a/crates/cell/src/acceptor.rs
+++ b/crates/cell/src/acceptor.rs
@@ -24,6 +24,10 @@
 /// 1.2 s for one commit.
 const HEDGE_DELAY: Duration = Duration::from_millis(1300);
 
+/// Time for the reply to a write in progress after the store has refused another call; a slow store
+/// takes up to 1.2 s for one commit.
+const REFUSAL_WAIT: Duration = Duration::from_millis(1200);
+
 /// Result of an attempt to accept a job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Acceptance {
@@ -74,30 +78,20 @@
         let id = hex(job.id);
         let started = self.context.now();
         let mut ambiguous = false;
-        if self.context.store_unreachable() {
-            log::warn!(
-                code = 402, job = id.as_str(), reason = "store unreachable";
-                "job not stored; the caller gets 503 unless the pool's owner accepts the job"
-            );
-            return Acceptance::Refused("the store cannot be reached from this host".to_owned());
-        }
         let mut rows = job_rows(job.id).to_vec();
         if !self.context.settings.has(Mechanism::AlternateRows) {
             rows.truncate(1);
         }
         let mut index = 0;
         loop {
+            if self.context.store_unreachable() {
+                return unreachable_acceptance(&id, ambiguous);
+            }
             let remaining = deadline.saturating_sub(self.context.now());
             let transaction = transaction(&rows[index], job);
             let result = tokio::select! {
                 result = self.commit(&transaction, remaining) => result,
-                () = self.context.wait_unreachable() => {
-                    log::warn!(
-                        code = 403, job = id.as_str(), reason = "store unreachable";
-                        "unknown whether the job was stored; the caller gets 504"
-                    );
-                    return Acceptance::Unknown("the store cannot be reached from this host".to_owned());
-                }
+                () = self.wait_silent() => return unreachable_acceptance(&id, true),
             };
             let elapsed = self.context.now().saturating_sub(started);
             match result {
@@ -137,6 +131,15 @@
         }
     }
 
+    /// Waits until a write in progress is unlikely to get a reply: the store has become unreachable,
+    /// and if it refuses calls instead of being silent, [`REFUSAL_WAIT`] is over.
+    async fn wait_silent(&self) {
+        let refusing = self.context.wait_unreachable().await;
+        if refusing {
+            tokio::time::sleep(REFUSAL_WAIT).await;
+        }
+    }
+
     fn record_accepted(&self, job: &AcceptedJob, first: bool, elapsed: Duration) {
         observe(&self.context.metrics.accept, elapsed);
         log::info!(
@@ -186,6 +189,24 @@
     }
 }
 
+/// Result for a job while the store is unreachable. `ambiguous`: a write of the job's row got no
+/// clear reply.
+fn unreachable_acceptance(id: &str, ambiguous: bool) -> Acceptance {
+    let reason = "the store cannot be reached from this host".to_owned();
+    if ambiguous {
+        log::warn!(
+            code = 403, job = id, reason = "store unreachable";
+            "unknown whether the job was stored; the caller gets 504"
+        );
+        return Acceptance::Unknown(reason);
+    }
+    log::warn!(
+        code = 402, job = id, reason = "store unreachable";
+        "job not stored; the caller gets 503 unless the pool's owner accepts the job"
+    );
+    Acceptance::Refused(reason)
+}
+
 /// Converts the refusal of one of two attempts of a write into an undecided result, for when the
 /// other attempt got no clear reply and may still be committed: without this, callers got the reply
 /// "not accepted" for jobs that then ran.
--- a/crates/cell/src/context.rs
+++ b/crates/cell/src/context.rs
@@ -131,16 +131,18 @@
         self.ownership.borrow().unreachable_since.is_some()
     }
 
-    /// Waits until the store stops answering this process.
-    pub async fn wait_unreachable(&self) {
+    /// Waits until the store stops answering this process. Returns whether it refused a call then, as
+    /// opposed to being silent.
+    pub async fn wait_unreachable(&self) -> bool {
         let mut ownership = self.ownership.clone();
-        if ownership
+        let refusing = ownership
             .wait_for(|view| view.unreachable_since.is_some())
             .await
-            .is_err()
-        {
+            .map(|view| view.refusing);
+        match refusing {
+            Ok(refusing) => refusing,
             // The sender of the ownership has been dropped: the process is about to end.
-            std::future::pending::<()>().await;
+            Err(_) => std::future::pending().await,
         }
     }
 
--- a/crates/cell/src/ownership.rs
+++ b/crates/cell/src/ownership.rs
@@ -89,6 +89,8 @@
     /// Monotonic time of this process since which the store has not answered; `None` if it
     /// answers.
     pub unreachable_since: Option<Duration>,
+    /// Whether a refusal by the store set `unreachable_since`, as opposed to silence.
+    pub refusing: bool,
 }
 
 impl OwnershipView {
@@ -281,6 +283,7 @@
                 "store does not answer; submissions are forwarded or refused until it does"
             );
             view.unreachable_since = Some(now);
+            view.refusing = matches!(error, StoreError::Refused { .. });
             true
         });
     }
--- a/crates/cell/tests/acceptance.rs
+++ b/crates/cell/tests/acceptance.rs
@@ -5,9 +5,12 @@
 use hyper::Method;
 use serde_json::Value;
 use site::Caller;
+use site::RefusedCalls;
 use site::Reply;
 use site::ScriptedReply;
+use site::StoreFaults;
 use site::TestCell;
+use site::WAIT_LIMIT;
 use site::job;
 
 /// Opens a cell of one process and one worker and completes one job, so that the process and the
@@ -112,3 +115,42 @@
     assert_eq!(status, 503);
     cell.close().await;
 }
+
+/// Guards against the reply that it is unknown whether a job was accepted (504) although the store
+/// refused every write of its row. While a refusal was on its way, the store also refused the
+/// change feed, and the process abandoned the write as if the store were silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_that_the_store_refuses_together_with_the_feed_is_reported_as_refused() {
+    let (cell, caller) = open().await;
+    let path = "/plain/00000000000000f4";
+    // The next call of the change feed is at most 0.4 s away, so its refusal arrives first.
+    let replies = [scripted(false, 700, Reply::Status(503)); 3];
+    cell.store.set_script(cell::JOB_TABLE, &replies);
+    let received = cell.store.transactions(cell::JOB_TABLE);
+    let server = cell.server(0);
+    let submission = tokio::spawn(async move {
+        caller
+            .send(Method::POST, server, path, &job(1, "20"))
+            .await
+            .0
+    });
+    let write_received = async {
+        while cell.store.transactions(cell::JOB_TABLE) == received {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(WAIT_LIMIT, write_received)
+        .await
+        .expect("a write of the job's row");
+
+    cell.store.set_faults(StoreFaults {
+        refused_calls: RefusedCalls::Reads,
+        ..StoreFaults::default()
+    });
+    let status = submission.await.expect("a reply");
+
+    assert_eq!(status, 503);
+    let writes = cell.store.transactions(cell::JOB_TABLE) - received;
+    assert_eq!(writes, 1, "no write is sent while the store is unreachable");
+    cell.close().await;
+}
