job: record where each run was placed, so that a successor knows which worker crashed under it

Cause: a start intent named no worker and was saved as soon as a suspect waited, long before its start. A start without an intent, and a crash or a decision on a trial that the owner had not saved yet, were known to nobody. Change: the progress of a job contains the worker and incarnation of each run that may be active, written with the next write after the start; an intent is recorded only once its worker is chosen, which is kept free until the intent is saved. A successor counts an uncertain crash for just the runs of a worker that ends before its first report, or whose fate is unknown when recovery ends; the report of the worker clears it. A trial's crash that awaits its decision is saved with the job. Intents that were not sent can be withdrawn (begin_release). Earlier versions read the new rows and this one theirs (crates/cell/tests/rows.rs).

--- a/crates/cell/src/rows.rs
+++ b/crates/cell/src/rows.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use job::CrashRecord;
 use job::Epoch;
 use job::IdError;
 use job::IncarnationId;
@@ -229,11 +230,19 @@
     })
 }
 
-/// A job's progress as written by earlier versions, without crashes.
+/// A job's progress as written by earlier versions, without placements. Even earlier versions wrote
+/// no crashes either, see [`ProgressWithoutCrashes`].
 #[derive(Deserialize)]
 struct LegacyProgress {
     outcome: Option<Outcome>,
     steps: BTreeMap<(u32, u32), StepProgress>,
+    crashes: BTreeMap<(u32, u32, u32), CrashRecord>,
+}
+
+#[derive(Deserialize)]
+struct ProgressWithoutCrashes {
+    outcome: Option<Outcome>,
+    steps: BTreeMap<(u32, u32), StepProgress>,
 }
 
 /// Decodes a row of a job's progress, including one of an earlier version.
@@ -241,13 +250,22 @@
 /// # Errors
 /// Fails if the bytes are not such a row.
 pub fn decode_progress(bytes: &[u8]) -> Result<Progress, postcard::Error> {
-    decode_row::<Progress>(bytes).or_else(|_| {
-        let LegacyProgress { outcome, steps } = decode_row(bytes)?;
-        Ok(Progress {
-            outcome,
-            steps,
+    if let Ok(progress) = decode_row::<Progress>(bytes) {
+        return Ok(progress);
+    }
+    if let Ok(legacy) = decode_row::<LegacyProgress>(bytes) {
+        return Ok(Progress {
+            outcome: legacy.outcome,
+            steps: legacy.steps,
+            crashes: legacy.crashes,
             ..Progress::default()
-        })
+        });
+    }
+    let ProgressWithoutCrashes { outcome, steps } = decode_row(bytes)?;
+    Ok(Progress {
+        outcome,
+        steps,
+        ..Progress::default()
     })
 }
 
--- a/crates/cell/tests/rows.rs
+++ b/crates/cell/tests/rows.rs
@@ -11,6 +11,7 @@
 use cell::encode_row;
 use job::CrashRecord;
 use job::Outcome;
+use job::Placement;
 use job::Progress;
 use job::Resources;
 use job::StepProgress;
@@ -122,7 +123,7 @@
     assert_eq!(decoded, Ok(without_capacity()));
 }
 
-/// Progress of a job as written by the previous version, without crashes.
+/// Progress of a job as written by an earlier version, without crashes.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 struct WithoutCrashes {
     outcome: Option<Outcome>,
@@ -138,6 +139,14 @@
     BTreeMap::from([((0, 0), step.clone()), ((0, 1), step)])
 }
 
+/// Progress of a job as written by the previous version, without placements.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct WithoutPlacements {
+    outcome: Option<Outcome>,
+    steps: BTreeMap<(u32, u32), StepProgress>,
+    crashes: BTreeMap<(u32, u32, u32), CrashRecord>,
+}
+
 /// Progress with crashes of workers on which the second task of the second step (round 0, step 1,
 /// index 1) ran.
 fn with_crashes() -> Progress {
@@ -146,10 +155,17 @@
         uncertain: BTreeSet::from([4]),
         pending: Some(3),
     };
+    let placement = Placement {
+        run: 3,
+        worker: "w1".to_owned(),
+        incarnation: Some(7),
+    };
     Progress {
         outcome: None,
         steps: steps(),
         crashes: BTreeMap::from([((0, 1, 1), record)]),
+        placements: BTreeMap::from([((0, 1, 1), placement)]),
+        undecided: BTreeSet::from([(0, 1, 1)]),
     }
 }
 
@@ -164,16 +180,33 @@
 /// not decode a row of progress written by the other version would never continue the row's job.
 #[test]
 fn both_versions_read_the_progress_of_both() {
-    let previous = WithoutCrashes {
+    let previous = WithoutPlacements {
         outcome: None,
         steps: steps(),
+        crashes: with_crashes().crashes,
     };
 
     let by_current =
         decode_progress(&encode_row(&previous)).expect("a row of the previous version");
-    let by_previous = decode_row::<WithoutCrashes>(&encode_row(&with_crashes()));
+    let by_previous = decode_row::<WithoutPlacements>(&encode_row(&with_crashes()));
 
     assert_eq!(by_current.steps, steps());
-    assert!(by_current.crashes.is_empty());
+    assert_eq!(by_current.crashes, with_crashes().crashes);
+    assert!(by_current.placements.is_empty());
     assert_eq!(by_previous, Ok(previous));
 }
+
+#[test]
+fn progress_without_crashes_is_decoded() {
+    let earlier = WithoutCrashes {
+        outcome: None,
+        steps: steps(),
+    };
+
+    let by_current = decode_progress(&encode_row(&earlier)).expect("a row of an earlier version");
+    let by_earlier = decode_row::<WithoutCrashes>(&encode_row(&with_crashes()));
+
+    assert_eq!(by_current.steps, steps());
+    assert!(by_current.crashes.is_empty());
+    assert_eq!(by_earlier, Ok(earlier));
+}
--- a/crates/job/src/planner/batch.rs
+++ b/crates/job/src/planner/batch.rs
@@ -6,8 +6,15 @@
 
 use super::Planner;
 use super::WorkerKey;
+use super::job_state::JobState;
+use super::job_state::Phase;
+use super::job_state::TaskState;
 use crate::JobId;
+use crate::Placement;
 use crate::Progress;
+use crate::RunId;
+use crate::StepKey;
+use crate::TaskKey;
 
 /// Progress to be saved in one transaction.
 #[derive(Clone, Debug, Default)]
@@ -29,7 +36,7 @@
     }
 
     /// Takes up to `limit` jobs whose progress must be saved: first those in `dirty_jobs`, which
-    /// have unsaved ends, outcomes or crash records, then those of which only the start is unsaved
+    /// have unsaved ends, outcomes or crash records, then those of which only a start is unsaved
     /// (`started_jobs`). If all were taken in order of id, an end would wait for 17 transactions
     /// after a thousand jobs have started at the same time. Numbers of ends are included only if no
     /// dirty job is left out, because the numbers do not show to which job an end belongs.
@@ -44,7 +51,7 @@
             self.dirty_jobs.remove(&id);
             self.started_jobs.remove(&id);
             if let Some(job) = self.jobs.get(&id) {
-                batch.jobs.push((id, job.progress()));
+                batch.jobs.push((id, self.progress_of(id, job)));
             }
         }
         if self.dirty_jobs.is_empty() {
@@ -57,6 +64,52 @@
         batch
     }
 
+    /// Returns the progress of a job to be saved, with the placement of each run that may be active
+    /// and of each start that is about to be sent.
+    fn progress_of(&self, id: JobId, job: &JobState) -> Progress {
+        let mut progress = job.progress();
+        if job.outcome.is_some() {
+            return progress;
+        }
+        for (&round, steps) in &job.rounds {
+            for (step, state) in (0..).zip(steps) {
+                let key = StepKey {
+                    job: id,
+                    round,
+                    step,
+                };
+                for (index, task) in (0..).zip(&state.tasks) {
+                    let placement = self.placement(TaskKey { step: key, index }, task);
+                    let placement = placement.map(|placement| ((round, step, index), placement));
+                    progress.placements.extend(placement);
+                }
+            }
+        }
+        progress
+    }
+
+    /// Returns the placement of a task's run that may be active, or that is about to be sent.
+    fn placement(&self, key: TaskKey, task: &TaskState) -> Option<Placement> {
+        let named = |worker: WorkerKey, run: RunId| {
+            let info = self.worker_info(worker)?;
+            Some(Placement {
+                run,
+                worker: info.id.clone(),
+                incarnation: info.incarnation,
+            })
+        };
+        match task.phase {
+            Phase::Active(worker, run) => named(worker, run),
+            Phase::Waiting => {
+                let intent = task.suspicion.as_ref();
+                let intent = intent.and_then(|suspicion| suspicion.intent);
+                let intended = intent.and_then(|intent| named(intent.worker?, intent.run));
+                intended.or_else(|| self.inherited.get(key).cloned())
+            }
+            Phase::Done => None,
+        }
+    }
+
     /// Marks a batch as saved: its outcomes may be shown to callers, and the starts of suspected
     /// tasks whose intents it contains may be sent.
     pub fn batch_saved(&mut self, batch: &Batch) {
--- a/crates/job/src/planner/crash_count.rs
+++ b/crates/job/src/planner/crash_count.rs
@@ -22,7 +22,7 @@
 /// Delay between a crash and the trial that follows it. Within this time, all crashes of the
 /// same moment are detected: a call to an idle worker fails within 0.65 s, and the list of
 /// machines is read every 0.5 s.
-const TRIAL_DELAY: Duration = Duration::from_millis(1200);
+pub(super) const TRIAL_DELAY: Duration = Duration::from_millis(1200);
 
 /// Two crashes that are detected within this time of each other may have a common cause. Of
 /// workers that crash together, the first is detected within 0.5 s and the last within 1.2 s;
@@ -83,13 +83,17 @@
         if all_known && !any_suspect {
             self.suspects.crash_times.push_back(self.now);
         }
-        // The worker may have had a run for which the former owner saved a start intent.
-        self.suspects.unreported_crash |= !all_known && self.recovering;
     }
 
     /// Counts a crash against a task; returns whether the task needs a trial. `alone` is set if
     /// no other run was on the worker.
-    fn record_crash(&mut self, task: TaskKey, run: RunId, certain: bool, alone: bool) -> bool {
+    pub(super) fn record_crash(
+        &mut self,
+        task: TaskKey,
+        run: RunId,
+        certain: bool,
+        alone: bool,
+    ) -> bool {
         let now = self.now;
         let job = self.jobs.get_mut(&task.step.job);
         let Some(job) = job.filter(|job| job.outcome.is_none()) else {
@@ -160,6 +164,10 @@
                 continue;
             }
             let alone = suspicion.alone_crash.take();
+            if alone.is_some() {
+                // A successor has nothing left to decide.
+                self.dirty_jobs.insert(task.step.job);
+            }
             let nearby =
                 |at: Duration| move |crash: &Duration| crash.abs_diff(at) < COMMON_CAUSE_WINDOW;
             let sole_crash =
--- a/crates/job/src/planner/job_state.rs
+++ b/crates/job/src/planner/job_state.rs
@@ -158,6 +158,15 @@
         unfinished.filter_map(|(index, task)| Some((index, task.suspicion.as_ref()?.record()?)))
     }
 
+    /// Returns the tasks, by index, of which it is not decided whether they caused a crash.
+    fn undecided(&self) -> impl Iterator<Item = u32> {
+        let undecided = (0..).zip(&self.tasks).filter(|(_, task)| {
+            let suspicion = task.suspicion.as_ref();
+            suspicion.is_some_and(|suspicion| suspicion.alone_crash.is_some())
+        });
+        undecided.map(|(index, _)| index)
+    }
+
     /// Restores the saved progress of the step.
     fn restore(&mut self, progress: &StepProgress) {
         for (index, task) in (0..).zip(&mut self.tasks) {
@@ -266,7 +275,7 @@
         }
     }
 
-    /// Returns the progress of the job to be saved.
+    /// Returns the progress of the job to be saved, without the placements of its runs.
     pub(super) fn progress(&self) -> Progress {
         let mut progress = Progress {
             outcome: self.outcome,
@@ -288,6 +297,8 @@
                 let crashes = state.crash_records();
                 let crashes = crashes.map(|(index, record)| ((round, step, index), record));
                 progress.crashes.extend(crashes);
+                let undecided = state.undecided().map(|index| (round, step, index));
+                progress.undecided.extend(undecided);
             }
         }
         progress
@@ -346,6 +357,15 @@
         Some((spec, state))
     }
 
+    /// Returns whether a worker has reported the run of any member of a gang.
+    pub(super) fn gang_started(&self, key: StepKey, run: RunId) -> bool {
+        let gang = self.step(key).filter(|(spec, _)| spec.gang);
+        gang.is_some_and(|(_, step)| {
+            let mut members = step.tasks.iter();
+            members.any(|member| member.run == run || member.last_closed == run)
+        })
+    }
+
     /// Returns whether all rounds were opened and all their tasks are done.
     pub(super) fn complete(&self) -> bool {
         let all_opened = self.opened_rounds >= self.spec.rounds();
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -20,6 +20,7 @@
 mod headroom;
 mod impossible;
 mod incarnations;
+mod inherited;
 mod job_start;
 mod job_state;
 mod late_end;
@@ -64,6 +65,7 @@
 use advice::AdviceQueue;
 use headroom::Headrooms;
 use incarnations::EndedIncarnations;
+use inherited::InheritedRuns;
 use job_state::JobState;
 use peak_pools::PeakPools;
 use reservations::Reservations;
@@ -165,7 +167,7 @@
     pending_steps: BTreeSet<StepKey>,
     /// Jobs with unsaved ends, outcomes or crash records, and all jobs of a batch that failed.
     dirty_jobs: BTreeSet<JobId>,
-    /// Jobs that have started since they were last saved.
+    /// Jobs with runs that were started, or whose fate was learnt, since they were last saved.
     started_jobs: BTreeSet<JobId>,
     /// Resources that the last planning pass reserved for gangs.
     reservations: Reservations,
@@ -201,6 +203,10 @@
     first_starts: Vec<Duration>,
     /// Tasks that had runs on workers that crashed.
     suspects: Suspects,
+    /// Runs of the former owner whose fate is unknown.
+    inherited: InheritedRuns,
+    /// The pool is being released, so no start intent is recorded any more.
+    releasing: bool,
     /// Runs lost since the last [`Planner::take_losses`].
     lost_runs: Vec<LostRun>,
     /// Reported ends of runs whose jobs have not been added yet.
@@ -265,6 +271,8 @@
             allowed_shares: HashMap::new(),
             commands: Vec::new(),
             first_starts: Vec::new(),
+            inherited: InheritedRuns::default(),
+            releasing: false,
             lost_runs: Vec::new(),
             suspects: Suspects::default(),
             unmatched_ends: HashMap::new(),
@@ -322,11 +330,14 @@
         self.learn_mean_work(&job.spec.queue.name, job.expected.work);
         if let Some(progress) = progress {
             job.restore(progress);
-            self.restore_suspects(id, progress);
         }
         job.ended_at = self.now;
         let ended = job.outcome.is_some();
         self.jobs.insert(id, job);
+        if let Some(progress) = progress {
+            self.restore_suspects(id, progress);
+            self.restore_placements(id, progress);
+        }
         self.bind_unknown_runs(id);
         match (ended, canceled) {
             (true, _) => {}
@@ -460,6 +471,7 @@
             return;
         }
         self.recovering = false;
+        self.assume_crashes();
         self.resolve_intents();
         for worker in self.workers.values_mut() {
             worker.ends_trusted = worker.claimed;
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -85,7 +85,7 @@
                 continue;
             };
             if !spec.gang {
-                self.place_tasks(key, &spec, &reservations);
+                self.place_tasks(rank, key, &spec, &mut reservations);
                 continue;
             }
             let in_time = rank.stage == 0;
@@ -165,13 +165,20 @@
     }
 
     /// Starts the waiting tasks of a step that is not a gang, as many as fit.
-    fn place_tasks(&mut self, key: StepKey, spec: &StepSpec, reservations: &Reservations) {
+    fn place_tasks(
+        &mut self,
+        rank: Rank,
+        key: StepKey,
+        spec: &StepSpec,
+        reservations: &mut Reservations,
+    ) {
         let mut candidates = self.candidates(key, spec, reservations);
         if candidates.is_empty() {
             return;
         }
         let mut waiting = self.waiting_tasks(key);
-        if self.has_suspects(key) {
+        let suspected = self.has_suspects(key);
+        if suspected {
             waiting.retain(|task| self.may_share_worker(*task));
         }
         let prefers_slow = self.prefers_slow(key);
@@ -179,11 +186,29 @@
             if self.start_budget == 0 {
                 return;
             }
-            let Some(index) = self.choose_worker(&candidates, task, spec, prefers_slow) else {
+            if suspected && self.awaits_save(task) {
+                continue;
+            }
+            let named = self.intended_worker(task).filter(|_| suspected);
+            let fits = |candidate: &Candidate| self.fits(candidate, task, spec);
+            let at_named = named.and_then(|named| {
+                let mut candidates = candidates.iter();
+                candidates.position(|candidate| candidate.key == named && fits(candidate))
+            });
+            let chosen =
+                at_named.or_else(|| self.choose_worker(&candidates, task, spec, prefers_slow));
+            let Some(index) = chosen else {
                 return;
             };
             let run = self.next_run(task);
-            self.start_run((task, run), false, spec, &mut candidates[index]);
+            let candidate = &mut candidates[index];
+            if suspected && !self.start_saved(task, run, candidate.key) {
+                self.record_intent(task, run, Some(candidate.key));
+                reservations.reserve(candidate.key, rank, key, spec.booked());
+                candidate.free = candidate.free.minus(&spec.booked());
+                continue;
+            }
+            self.start_run((task, run), false, spec, candidate);
         }
         self.close_step(key);
     }
@@ -200,12 +225,6 @@
         spec: &StepSpec,
         prefers_slow: bool,
     ) -> Option<usize> {
-        let booked = spec.booked();
-        let fits = |candidate: &Candidate| {
-            let at_limit = spec.worker_limit > 0 && candidate.tasks_here >= spec.worker_limit;
-            let already_here = self.workers[candidate.key].runs.contains_key(&task);
-            candidate.free.can_fit(&booked) && !at_limit && !already_here
-        };
         let tightness = |candidate: &Candidate| {
             if spec.filler {
                 u64::MAX - candidate.unused_cpu
@@ -216,7 +235,7 @@
         let fitting = candidates
             .iter()
             .enumerate()
-            .filter(|(_, candidate)| fits(candidate));
+            .filter(|(_, candidate)| self.fits(candidate, task, spec));
         let best = fitting.min_by_key(|(_, candidate)| {
             let wrong_speed = candidate.slow != prefers_slow;
             (
@@ -230,6 +249,13 @@
         best.map(|(index, _)| index)
     }
 
+    /// Returns whether a task may be placed on a candidate.
+    fn fits(&self, candidate: &Candidate, task: TaskKey, spec: &StepSpec) -> bool {
+        let at_limit = spec.worker_limit > 0 && candidate.tasks_here >= spec.worker_limit;
+        let already_here = self.workers[candidate.key].runs.contains_key(&task);
+        candidate.free.can_fit(&spec.booked()) && !at_limit && !already_here
+    }
+
     /// Starts all members of a gang, or none. Returns whether the gang needs no reservation,
     /// because it has started or does not wait for resources.
     fn place_gang(
@@ -334,6 +360,7 @@
         // A start command renews the worker's lease.
         self.extend_lease(candidate.key);
         self.start_budget = self.start_budget.saturating_sub(1);
+        self.started_jobs.insert(task.step.job);
         self.commands.push(Command::Start {
             worker: candidate.key,
             task,
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -136,7 +136,8 @@
         worker.unresponsive = false;
         worker.reply_until = Duration::ZERO;
         worker.last_report = self.now;
-        if !worker.claimed {
+        let first_report = !worker.claimed;
+        if first_report {
             worker.claimed = true;
             if worker.info.incarnation.is_some() {
                 // Commands meant for a former incarnation may have given it a longer lease.
@@ -150,6 +151,9 @@
         for running in &report.running {
             self.apply_running(key, running);
         }
+        if first_report {
+            self.resolve_reported(key);
+        }
         self.drop_unlisted(key, sent, report);
         if self.policy.switches.enabled(Mechanism::StallMoves) {
             self.stop_stalled(key, report);
@@ -329,6 +333,8 @@
         if state.phase != Phase::Active(key, run) {
             return;
         }
+        // The saved placement is no longer true.
+        self.started_jobs.insert(task.step.job);
         state.phase = Phase::Waiting;
         if !gang && !checkpoint.is_empty() {
             checkpoint.clone_into(&mut state.checkpoint);
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -387,6 +387,7 @@
         if !self.workers.contains_key(key) {
             return None;
         }
+        self.resolve_ended(key, cause);
         let runs = std::mem::take(&mut self.workers[key].runs);
         let runs: Vec<(TaskKey, PlacedRun)> = runs.into_iter().collect();
         self.record_lost_runs(key, &runs, cause, transferred);
--- a/crates/job/src/planner/suspicion.rs
+++ b/crates/job/src/planner/suspicion.rs
@@ -9,9 +9,9 @@
 //!   worker that left, and a refused start do not count;
 //! - it counts as uncertain if the start got no reply, since the run may not have been on the
 //!   worker, or if other workers without suspects crashed just before;
-//! - after the first crash, each start is saved as an intent before it is sent, however long
-//!   that takes. A successor counts a crash if no worker has reported the run and some worker
-//!   crashed before it sent a report;
+//! - after the first crash, each start is saved before it is sent, as an intent that names the
+//!   worker, however long that takes. A successor counts a crash if this worker crashed before it
+//!   sent a report, see [`super::inherited`];
 //! - with [`CERTAIN_CRASH_LIMIT`] certain crashes, or [`ANY_CRASH_LIMIT`] of any kind, the next
 //!   start is a trial: alone on a worker, after a delay;
 //! - the task's job fails if the worker of a trial crashes as well, unless other workers without
@@ -24,6 +24,7 @@
 
 use strum::Display;
 
+use super::WorkerKey;
 use super::job_state::JobState;
 use super::job_state::Phase;
 use crate::CrashRecord;
@@ -52,8 +53,6 @@
     /// A suspect was alone on a worker that crashed, and it is not decided yet whether the suspect
     /// caused the crash.
     pub(super) decision_due: bool,
-    /// During recovery, a worker crashed before it sent a report of the former owner's runs.
-    pub(super) unreported_crash: bool,
     /// Times of recent crashes of workers that had no suspects.
     pub(super) crash_times: VecDeque<Duration>,
     /// Findings since the last [`super::Planner::take_findings`].
@@ -82,6 +81,9 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct StartIntent {
     pub(super) run: RunId,
+    /// Worker that the run is to start on; `None` for a member of a gang, and for an intent of the
+    /// former owner.
+    pub(super) worker: Option<WorkerKey>,
     /// The intent is in the store, so the start may be sent.
     pub(super) saved: bool,
 }
@@ -89,7 +91,11 @@
 impl Suspicion {
     /// Restores the suspicion from the crash record that the former owner saved.
     pub(super) fn restored(record: &CrashRecord) -> Suspicion {
-        let intent = record.pending.map(|run| StartIntent { run, saved: true });
+        let intent = record.pending.map(|run| StartIntent {
+            run,
+            worker: None,
+            saved: true,
+        });
         Suspicion {
             crashes: record.runs.clone(),
             uncertain: record.uncertain.clone(),
@@ -126,8 +132,13 @@
         self.crashes.len() > CERTAIN_CRASH_LIMIT || self.crash_count() > ANY_CRASH_LIMIT
     }
 
-    /// Returns whether the next start may be sent: no crash counts against the task, or its start
-    /// intent is saved and the delay before a trial has passed.
+    /// Returns whether the delay before the next start has passed.
+    pub(super) fn delay_over(&self, now: Duration) -> bool {
+        self.crash_count() == 0 || now >= self.not_before
+    }
+
+    /// Returns whether a start that needs no named worker may be sent: no crash counts against the
+    /// task, or its start intent is saved and the delay before a trial has passed.
     pub(super) fn may_start(&self, now: Duration) -> bool {
         let Some(intent) = self.intent else {
             return self.crash_count() == 0;
--- a/crates/job/src/planner/trial.rs
+++ b/crates/job/src/planner/trial.rs
@@ -60,16 +60,30 @@
             let Some(spec) = self.step_spec(key).filter(|spec| !spec.gang) else {
                 continue;
             };
+            let held = self.hold_intents(rank, key, &spec, reservations);
             for task in self.waiting_trials(key) {
+                if held.contains(&task) {
+                    remaining = remaining.saturating_sub(1);
+                    continue;
+                }
                 if remaining == 0 || !self.may_start(task) {
                     continue;
                 }
                 remaining -= 1;
                 let mut candidates = self.candidates(key, &spec, reservations);
                 sort_for_trials(&mut candidates);
-                if let Some(at) = candidates.iter().position(|candidate| candidate.idle) {
+                let named = self.intended_worker(task);
+                let mut idle = (0..candidates.len()).filter(|&at| candidates[at].idle);
+                let at = idle.clone().find(|&at| Some(candidates[at].key) == named);
+                if let Some(at) = at.or_else(|| idle.next()) {
                     let run = self.next_run(task);
-                    self.start_trial((task, run), &spec, &mut candidates[at]);
+                    let chosen = &mut candidates[at];
+                    if self.start_saved(task, run, chosen.key) {
+                        self.start_trial((task, run), &spec, chosen);
+                    } else {
+                        self.record_intent(task, run, Some(chosen.key));
+                        reservations.reserve(chosen.key, rank, key, chosen.free);
+                    }
                 } else {
                     self.reserve_idle(1, rank, key, &spec, reservations);
                 }
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -7,7 +7,9 @@
 use serde::Serialize;
 use strum::Display;
 
+use crate::IncarnationId;
 use crate::RunId;
+use crate::WorkerId;
 
 /// Final result of a job.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
@@ -74,6 +76,17 @@
     pub pending: Option<RunId>,
 }
 
+/// Worker that a run was sent to, or is about to be sent to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    /// Number of the run.
+    pub run: RunId,
+    /// Id of the worker.
+    pub worker: WorkerId,
+    /// Incarnation of the worker; `None` if it is unknown.
+    pub incarnation: Option<IncarnationId>,
+}
+
 /// Progress of a job that must survive a change of owner.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
@@ -82,9 +95,15 @@
     /// Progress by round and step, for steps that have any. Each entry marks the job as started;
     /// if nothing else is to be stored, the first step gets an empty entry for this.
     pub steps: BTreeMap<(u32, u32), StepProgress>,
-    /// Crash records by round, step and task. Must stay the last field: earlier versions decode
-    /// only the fields before it and ignore the rest of the row.
+    /// Crash records by round, step and task.
     pub crashes: BTreeMap<(u32, u32, u32), CrashRecord>,
+    /// Newest run of each task that may be active, by round, step and task. This field and those
+    /// after it must stay the last ones, in this order: earlier versions decode only the fields
+    /// that they know and ignore the rest of the row.
+    pub placements: BTreeMap<(u32, u32, u32), Placement>,
+    /// Tasks, by round, step and index, that were alone on a worker when it crashed, while it is
+    /// not decided yet whether they caused the crash.
+    pub undecided: BTreeSet<(u32, u32, u32)>,
 }
 
 impl Progress {
--- a/crates/job/tests/crash_orders.rs
+++ b/crates/job/tests/crash_orders.rs
@@ -18,6 +18,53 @@
 use crash_sim::TICK;
 use support::task;
 
+/// Creates a pool with one job, whose only task crashes its workers.
+fn with_crashing_task(workers: usize) -> CrashSim {
+    let mut sim = CrashSim::new(workers);
+    sim.submit_tasks(1, 1, 800);
+    sim.crashers.insert(task(1, 0, 0), CRASH_DELAY);
+    sim
+}
+
+/// Creates a pool with a job of one task, and more tasks of a minute each than fit, which start
+/// after it.
+fn full_pool(workers: usize) -> CrashSim {
+    let mut sim = CrashSim::new(workers);
+    let mut first = support::spec(vec![support::step(1)]);
+    first.steps[0].estimate = Duration::from_secs(2);
+    first.queue.slack = Duration::from_mins(10);
+    sim.submit(1, first);
+    for id in 2..=2 * workers as u64 {
+        let mut step = support::step(4);
+        step.estimate = Duration::from_mins(1);
+        sim.submit(id, support::deferrable(step));
+    }
+    sim
+}
+
+/// Runs until the task is active, crashes three other workers, then the task's own, and runs until
+/// the record of the crash is saved; the crash is uncertain.
+fn crash_with_others(sim: &mut CrashSim, task: TaskKey) {
+    let started = sim.run_until(FAILURE_LIMIT, |sim| sim.machine_of(task).is_some());
+    assert!(started, "{task} is not started");
+    sim.run(Duration::from_millis(100));
+    let machine = sim.machine_of(task).expect("a machine");
+    let uncertain = |sim: &CrashSim| {
+        let record = sim.stored_record(task);
+        record.map_or(0, |record| record.uncertain.len())
+    };
+    let before = uncertain(sim);
+    let others = sim.machines_before_crash();
+    let others = others.into_iter().filter(|other| *other != machine);
+    for other in others.take(3) {
+        sim.crash(other);
+    }
+    sim.run(Duration::from_millis(100));
+    sim.crash(machine);
+    let saved = sim.run_until(FAILURE_LIMIT, |sim| uncertain(sim) > before);
+    assert!(saved, "no uncertain crash is saved");
+}
+
 /// Runs until one more worker has crashed under the task, or until its job has failed.
 fn await_crash(sim: &mut CrashSim, task: TaskKey) {
     let crashes = sim.crash_count(task);
@@ -27,6 +74,136 @@
     assert!(started, "{task} is not started again");
 }
 
+/// Guards against a failed job of a sound task after three crashes: two owners die between the
+/// save of a start intent and the start, each beside a crash of another worker.
+#[test]
+fn starts_that_were_never_sent_do_not_fail_a_job() {
+    let sound = task(1, 0, 0);
+    let mut sim = full_pool(30);
+    for _ in 0..3 {
+        crash_with_others(&mut sim, sound);
+        sim.run(Duration::from_secs(1));
+    }
+
+    for machine in [28, 29] {
+        let former = sim.stored_intent(sound);
+        let ahead = sim.run_until(FAILURE_LIMIT, |sim| {
+            let intent = sim.stored_intent(sound);
+            intent.is_some() && intent != former
+        });
+        assert!(ahead, "no start intent is saved");
+        assert_eq!(sim.start_count(sound), 3);
+        sim.crash(machine);
+        sim.take_over();
+    }
+    sim.run_until(FAILURE_LIMIT, |sim| {
+        sim.status(1) == Some(JobStatus::Completed)
+    });
+
+    assert_eq!(sim.crash_count(sound), 3);
+    assert_eq!(sim.status(1), Some(JobStatus::Completed));
+}
+
+/// Guards against a crash that a successor counts for a start that a stopping owner never sent: its
+/// intent is saved when the owner is asked to stop.
+#[test]
+fn a_planned_release_withdraws_start_intents() {
+    let sound = task(1, 0, 0);
+    let mut sim = full_pool(30);
+    crash_with_others(&mut sim, sound);
+    let ahead = sim.run_until(FAILURE_LIMIT, |sim| sim.stored_intent(sound).is_some());
+    assert!(ahead, "no start intent is saved");
+
+    sim.planner.begin_release();
+    sim.run(Duration::from_millis(100));
+
+    assert_eq!(sim.stored_intent(sound), None);
+    assert_eq!(sim.start_count(sound), 1);
+}
+
+/// Guards against a start that is not counted: its worker crashes, the owner changes, and the
+/// crash is found only after recovery has ended by the expiry of the leases.
+#[test]
+fn crashes_found_after_recovery_count() {
+    let crashing = task(1, 0, 0);
+    let mut sim = with_crashing_task(12);
+    sim.run_until(FAILURE_LIMIT, |sim| sim.stored_crashes(crashing) > 0);
+    sim.detection_delay = Duration::from_secs(20);
+
+    for _ in 0..MAX_STARTS {
+        await_crash(&mut sim, crashing);
+        // The placement of the run is saved; its crash is not detected yet.
+        sim.run(Duration::from_millis(100));
+        sim.take_over();
+    }
+
+    let starts = sim.start_count(crashing);
+    assert!(starts <= MAX_STARTS, "{starts} starts");
+}
+
+/// Replaces two owners in a row, each `delay` after the worker of the task has crashed under its
+/// first run, and then crashes three of its workers at the same time as others. Returns the number
+/// of its starts.
+fn starts_after_two_lost_owners(delay: Duration) -> usize {
+    let crashing = task(1, 0, 0);
+    let mut sim = full_pool(30);
+    for _ in 0..2 {
+        let started = sim.run_until(FAILURE_LIMIT, |sim| sim.machine_of(crashing).is_some());
+        assert!(started, "the task is not started");
+        let machine = sim.machine_of(crashing).expect("a machine");
+        sim.crash(machine);
+        sim.run(delay);
+        sim.take_over();
+    }
+    for _ in 0..3 {
+        crash_with_others(&mut sim, crashing);
+    }
+    sim.run(FAILURE_LIMIT);
+    sim.start_count(crashing)
+}
+
+/// Guards against a sixth start: two owners in a row die before they have detected the crash of the
+/// task's first run under them, and the later crashes are uncertain.
+#[test]
+fn first_crashes_lost_by_two_owners_do_not_exceed_the_start_limit() {
+    let starts = starts_after_two_lost_owners(Duration::from_millis(100));
+
+    assert!(starts <= MAX_STARTS, "{starts} starts");
+}
+
+/// Guards against a sixth start: two owners in a row die before they have saved where the task's
+/// first run under them was placed, and the later crashes are uncertain.
+#[test]
+fn first_starts_lost_by_two_owners_do_not_exceed_the_start_limit() {
+    let starts = starts_after_two_lost_owners(Duration::ZERO);
+
+    assert!(starts <= MAX_STARTS, "{starts} starts");
+}
+
+/// Guards against a sixth start: one owner dies before it has saved the first crash, and each of
+/// the next ones between the save of a crash and the decision on the trial.
+#[test]
+fn a_decision_lost_by_each_owner_does_not_exceed_the_start_limit() {
+    let crashing = task(1, 0, 0);
+    let mut sim = with_crashing_task(12);
+    await_crash(&mut sim, crashing);
+    sim.take_over();
+
+    for _ in 0..MAX_STARTS {
+        let crashes = sim.stored_crashes(crashing);
+        await_crash(&mut sim, crashing);
+        sim.run_until(FAILURE_LIMIT, |sim| {
+            sim.stored_crashes(crashing) > crashes || sim.status(1) == Some(JobStatus::Failed)
+        });
+        sim.take_over();
+    }
+    sim.run(FAILURE_LIMIT);
+
+    let starts = sim.start_count(crashing);
+    assert!(starts <= MAX_STARTS, "{starts} starts");
+    assert_eq!(sim.status(1), Some(JobStatus::Failed));
+}
+
 /// Guards against lost crash records of a repeated job: a round without any other progress is
 /// not open when a successor reads the records.
 #[test]
