cell: a planned stop withdraws unsent start intents and holds starts during the release

Change: the release withdraws the intents; while the releasing write is in progress, starts wait for 100 ms at most, several times what a write takes. A slow store therefore still leaves the pool at work, as an_owner_that_stops_starts_tasks_until_it_has_released_the_pool wants: holding starts for the whole write was tried and failed it.

--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -362,7 +362,7 @@
         self.planner.advance(now);
         self.check_registration_age(now);
         let recovering = self.planner.recovering();
-        if self.owned() {
+        if self.owned() && !self.saver.holds_starts(now) {
             self.planner.set_start_budget(self.start_window.available());
             self.planner.plan();
         } else {
@@ -414,6 +414,7 @@
     /// last write, and 324 of 2,154 lookup jobs failed.
     async fn release(&mut self) {
         let end = self.context.now() + self.context.settings.grace().mul_f64(RELEASE_SHARE);
+        self.planner.begin_release();
         self.saver.request_release();
         while self.context.now() < end && !self.saver.released() && !self.has_successor {
             let now = self.context.now();
--- a/crates/cell/src/owner/saver.rs
+++ b/crates/cell/src/owner/saver.rs
@@ -64,6 +64,10 @@
 /// Timeout of one transaction; a slow store takes up to 1.2 s.
 const SAVE_TIMEOUT: Duration = Duration::from_millis(1600);
 
+/// Longest time for which starts wait for the release of the pool: several times what a write takes
+/// unless the store is slow. While it is slow, the pool would stand idle for a second.
+const RELEASE_HOLD: Duration = Duration::from_millis(100);
+
 /// Pause after a transaction that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -72,8 +76,10 @@
 enum Release {
     /// The pool is owned, and no release was requested.
     NotRequested,
-    /// The next transaction releases the pool.
+    /// The next transaction without unsaved ends releases the pool.
     Requested,
+    /// The transaction that releases the pool has been in progress since this time.
+    InProgress(Duration),
     /// The store has confirmed the release.
     Confirmed,
 }
@@ -212,6 +218,13 @@
         self.release == Release::Confirmed
     }
 
+    /// Whether starts wait for the transaction that releases the pool, since they would not be saved
+    /// any more and a successor would not count a crash under them. They wait for [`RELEASE_HOLD`] at
+    /// most.
+    pub(super) fn holds_starts(&self, now: Duration) -> bool {
+        matches!(self.release, Release::InProgress(since) if now < since + RELEASE_HOLD)
+    }
+
     /// Whether a transaction is to be started; `unsaved` says whether the planner has unsaved
     /// progress.
     fn due(&self, now: Duration, unsaved: bool) -> bool {
@@ -303,6 +316,9 @@
             self.freshness.authority.row_pending(id);
         }
         self.saver.in_progress = true;
+        if save.releases {
+            self.saver.release = Release::InProgress(now);
+        }
         self.saver.not_before = now + MIN_SAVE_GAP;
         let context = self.context.clone();
         let sender = self.result_sender.clone();
@@ -408,6 +424,9 @@
 
     /// Puts back the changes of a failed transaction.
     fn restore_save(&mut self, save: Save) {
+        if save.releases {
+            self.saver.release = Release::Requested;
+        }
         self.planner.batch_failed(&save.batch);
         self.saver
             .row_changes
