cell: an owner keeps the pool when the store loses replies

Callers saw jobs wait and, where tasks crash their workers, more crashes than the budget allows: while the store lost replies, each owner lasted 1.2 s, saved nothing and was followed by the next.

The cause: a commit whose reply is lost occupied the owner's only transaction slot for 1.6 s, longer than the ownership lasts (1.2 s).

Now the reply is overdue after four times the usual time, 0.1 s at least. The guard row then shows whether the transaction was carried out, which counts as done (event 365). If it was not, and the read was fast, the same transaction is sent once more while the first reply is still awaited. All attempts have the same condition and contents, so the store carries out one of them, and a slow store is still waited for until 1.6 s. The renewals of a take-over use the same commit.

--- a/crates/cell/src/owner/messages.rs
+++ b/crates/cell/src/owner/messages.rs
@@ -107,6 +107,8 @@
     pub renews: bool,
     /// When the transaction was sent.
     pub started: Duration,
+    /// Time that the reply took; `None` if none came.
+    pub reply_time: Option<Duration>,
 }
 
 /// Handle to the owner in this process, if there is one.
--- a/crates/cell/src/owner/saver.rs
+++ b/crates/cell/src/owner/saver.rs
@@ -4,8 +4,10 @@
 //!
 //! Every transaction is conditional on the guard row and writes it, so the transactions form a
 //! chain: one that is carried out late, after its reply was lost, finds the guard row changed
-//! and does nothing. Without that, old progress would replace newer.
+//! and does nothing. Without that, old progress would replace newer. If a reply is overdue, the
+//! version of the guard row shows whether the transaction was carried out.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use job::Epoch;
@@ -20,6 +22,9 @@
 
 use super::Pool;
 use super::WorkerRows;
+use super::guarded_commit::GuardedCommit;
+use super::guarded_commit::read_guard_version;
+use super::reply_wait::ReplyWait;
 use crate::Context;
 use crate::Guard;
 use crate::OwnerMessage;
@@ -27,7 +32,6 @@
 use crate::Save;
 use crate::UsedWorker;
 use crate::callers::millis;
-use crate::decode_row;
 use crate::encode_row;
 use crate::guard_row;
 use crate::metrics::count;
@@ -61,9 +65,6 @@
 /// take the pool. Even a host with half a core reads 4,000 jobs in 0.4 s.
 const LONG_TAKE_OVER: Duration = Duration::from_secs(1);
 
-/// Timeout of one transaction; a slow store takes up to 1.2 s.
-const SAVE_TIMEOUT: Duration = Duration::from_millis(1600);
-
 /// Pause after a transaction that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -83,6 +84,11 @@
     context: Context,
     epoch: Epoch,
     guard_version: Version,
+    /// An earlier transaction that is conditional on `guard_version` may still be carried out, so
+    /// a newer guard row does not show which transaction wrote it.
+    ambiguous: bool,
+    /// Time after which the reply to a transaction is overdue.
+    reply_wait: ReplyWait,
     /// Number of renewals, which is written with each of them.
     renewals: u64,
     /// A transaction, or a read of the guard row, is in progress.
@@ -111,6 +117,8 @@
             context: context.clone(),
             epoch,
             guard_version: 0,
+            ambiguous: false,
+            reply_wait: ReplyWait::default(),
             renewals: 0,
             in_progress: false,
             not_before: Duration::ZERO,
@@ -126,10 +134,52 @@
     /// returns whether this process still owns the pool.
     pub(crate) async fn refresh_guard(&mut self) -> Result<bool, StoreError> {
         let version = read_guard_version(&self.context, self.epoch).await?;
-        self.guard_version = version.unwrap_or(self.guard_version);
+        if let Some(version) = version {
+            self.set_guard_version(version);
+        }
         Ok(version.is_some())
     }
 
+    /// Makes the next transaction conditional on `version`. Transactions that are conditional on
+    /// an older version cannot be carried out any more.
+    fn set_guard_version(&mut self, version: Version) {
+        if version != self.guard_version {
+            self.ambiguous = false;
+        }
+        self.guard_version = version;
+    }
+
+    /// A commit of `transaction`, which was built last.
+    fn guarded_commit(&self, transaction: Transaction) -> GuardedCommit {
+        GuardedCommit {
+            transaction: Arc::new(transaction),
+            epoch: self.epoch,
+            guard_version: self.guard_version,
+            ambiguous: self.ambiguous,
+            wait: self.reply_wait.current(),
+        }
+    }
+
+    /// Records the result of a commit; `reply_time` is the time that its reply took, if it came.
+    fn record_result(
+        &mut self,
+        result: &Result<Committed, StoreError>,
+        reply_time: Option<Duration>,
+    ) {
+        match result {
+            Ok(Committed::Done(version)) => self.set_guard_version(*version),
+            Ok(Committed::Conflict) => {}
+            Err(error) if error.certainly_not_done() => {}
+            Err(_) => {
+                self.ambiguous = true;
+                self.reply_wait.record_lost();
+            }
+        }
+        if let Some(time) = reply_time {
+            self.reply_wait.record(time);
+        }
+    }
+
     /// Waits until `reading` is closed and returns true; until then, but for [`TAKE_OVER_LIMIT`]
     /// at most, renews the ownership. Returns false at once if another process owns the pool, or
     /// if this process has to stop and has therefore tried to release the pool. If it released the
@@ -162,9 +212,11 @@
         // No worker report has been handled yet, so there is no unsaved end.
         save.batch.ends_complete = true;
         let transaction = self.build_transaction(&mut save, now);
-        match self.context.store.commit(&transaction, SAVE_TIMEOUT).await {
-            Ok(Committed::Done(version)) => {
-                self.guard_version = version;
+        let commit = self.guarded_commit(transaction);
+        let (result, reply_time) = commit.run(&self.context).await;
+        self.record_result(&result, reply_time);
+        match result {
+            Ok(Committed::Done(_)) => {
                 self.last_renewal = now;
                 self.confirmed_renewal = now;
                 true
@@ -263,27 +315,6 @@
     }
 }
 
-/// Version of the guard row; `None` if it was not written by this process in `epoch`, or cannot be
-/// decoded.
-async fn read_guard_version(
-    context: &Context,
-    epoch: Epoch,
-) -> Result<Option<Version>, StoreError> {
-    let row = context.store.read_row(&guard_row(), SAVE_TIMEOUT).await?;
-    Ok(row.and_then(|row| {
-        let guard = decode_row::<Guard>(&row.value);
-        if let Err(error) = &guard {
-            log::error!(
-                code = 360, error:% = error;
-                "guard row cannot be decoded; the pool counts as lost to another process"
-            );
-        }
-        let guard = guard.ok()?;
-        let ours = guard.epoch == epoch && guard.incarnation == context.incarnation;
-        ours.then_some(row.version)
-    }))
-}
-
 impl Pool {
     /// Starts a transaction if one is due and none is in progress.
     pub(super) fn start_save(&mut self, now: Duration) {
@@ -304,12 +335,17 @@
         }
         self.saver.in_progress = true;
         self.saver.not_before = now + MIN_SAVE_GAP;
+        let commit = self.saver.guarded_commit(transaction);
         let context = self.context.clone();
         let sender = self.result_sender.clone();
         tokio::spawn(async move {
             // When the store answers again after an outage, the changes are put back and sent
             // again: a request from before may never be answered.
-            let commit = context.store.commit(&transaction, SAVE_TIMEOUT);
+            let commit = async {
+                let (result, reply_time) = commit.run(&context).await;
+                save.reply_time = reply_time;
+                result
+            };
             let result = context.abandon_on_recovery(commit).await;
             let _ = sender.send(OwnerMessage::SaveFinished(save, result)).await;
         });
@@ -320,12 +356,12 @@
     pub(super) fn handle_saved(&mut self, save: Save, result: Result<Committed, StoreError>) {
         let now = self.context.now();
         let metrics = self.context.metrics.clone();
+        self.saver.record_result(&result, save.reply_time);
         match result {
-            Ok(Committed::Done(version)) => {
+            Ok(Committed::Done(_)) => {
                 count(&metrics.saves, "done");
                 observe(&metrics.save, now.saturating_sub(save.started));
                 self.saver.in_progress = false;
-                self.saver.guard_version = version;
                 // The time until which leases may be renewed counts from the start of the write.
                 self.freshness.authority.record_write(save.started);
                 if save.releases {
@@ -431,7 +467,7 @@
     pub(super) fn handle_guard(&mut self, result: Result<Option<Version>, StoreError>) {
         match result {
             Ok(Some(version)) => {
-                self.saver.guard_version = version;
+                self.saver.set_guard_version(version);
                 self.saver.in_progress = false;
             }
             Ok(None) => self.has_successor = true,
--- a/crates/cell/src/ownership.rs
+++ b/crates/cell/src/ownership.rs
@@ -37,7 +37,7 @@
 const SLOW_STORE_EXPIRY: Duration = Duration::from_millis(2500);
 
 /// Duration of a read above which the store counts as slow; a read normally takes 5 ms.
-const SLOW_READ: Duration = Duration::from_millis(100);
+pub(crate) const SLOW_READ: Duration = Duration::from_millis(100);
 
 /// Longest wait of the change feed for a renewal.
 const FEED_WAIT: Duration = Duration::from_millis(400);
