job: limit the fill of new workers while registrations are stale

Callers saw tasks start beyond the capacity of a worker that had started again or joined while its owner could not read the registrations. The planner gave a new state its whole capacity as fill limit; only a later registration or the next change between stale and current applied the share of a shrunk pool.

New workers and incarnations are now added in one place, which computes the limit as for the others.

--- a/crates/job/src/planner/incarnations.rs
+++ b/crates/job/src/planner/incarnations.rs
@@ -142,8 +142,7 @@
         let mut next = WorkerState::new(info, now + STORE_WINDOW + longest_lease);
         next.inherited = inherited;
         next.unregistered = unregistered;
-        let next = self.workers.insert(next);
-        self.by_id.insert(id, next);
+        let next = self.insert_worker(next);
         for (task, placed) in transferred {
             self.rebook_run(next, task, placed);
         }
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -225,11 +225,8 @@
         {
             return None;
         }
-        let id = info.id.clone();
         let expiry = self.now + STORE_WINDOW + self.policy.lease_expiry();
-        let key = self.workers.insert(WorkerState::new(info, expiry));
-        self.by_id.insert(id, key);
-        Some(key)
+        Some(self.insert_worker(WorkerState::new(info, expiry)))
     }
 
     /// Adds a worker that a former owner may have used, from its stored row. Its registration is
--- a/crates/job/src/planner/stale_capacity.rs
+++ b/crates/job/src/planner/stale_capacity.rs
@@ -59,6 +59,15 @@
         self.smallest_share
     }
 
+    /// Adds the state of a new worker, or of a new incarnation.
+    pub(super) fn insert_worker(&mut self, mut worker: WorkerState) -> WorkerKey {
+        worker.fill_limit = fill_bound(&worker, self.stale_registrations, self.smallest_share);
+        let id = worker.info.id.clone();
+        let key = self.workers.insert(worker);
+        self.by_id.insert(id, key);
+        key
+    }
+
     /// Updates the smallest share and the worker's fill limit after a new registration.
     pub(super) fn update_fill_limit(&mut self, key: WorkerKey) {
         let worker = &mut self.workers[key];
--- a/crates/job/tests/capacity.rs
+++ b/crates/job/tests/capacity.rs
@@ -14,6 +14,9 @@
 use support::add_claimed;
 use support::deferrable;
 use support::ended;
+use support::incarnations::FIRST_START;
+use support::incarnations::claim_next;
+use support::incarnations::worker_with_ends;
 use support::plan_at;
 use support::planner;
 use support::resources;
@@ -171,3 +174,42 @@
     let stops = stops.filter(|command| matches!(command, Command::Stop { .. }));
     assert_eq!(stops.count(), 0);
 }
+
+/// Guards against filling a new incarnation up to its whole capacity while the registrations are
+/// stale, though the worker has shrunk before: its fill limit was that of current registrations.
+#[test]
+fn a_new_incarnation_gets_the_fill_limit_of_stale_registrations() {
+    let mut planner = planner(1);
+    let key = worker_with_ends(&mut planner);
+    for cores in [2, 4] {
+        planner.register_worker(WorkerInfo {
+            incarnation: Some(FIRST_START),
+            ..worker_with_cores("w1", cores)
+        });
+    }
+    planner.set_registrations_stale(true);
+    let next = claim_next(&mut planner, key, 100);
+    planner.add_job(1, spec(vec![step(4)]), None, false);
+
+    let starts = plan_at(&mut planner, 110);
+
+    assert!(starts.iter().all(|(_, _, worker)| *worker == next));
+    assert_eq!(starts.len(), 2);
+}
+
+/// Guards against filling a new worker up to its whole capacity while the registrations are stale,
+/// though another worker of the pool has shrunk before.
+#[test]
+fn a_new_worker_gets_the_fill_limit_of_stale_registrations() {
+    let mut planner = planner(1);
+    add_claimed(&mut planner, "w1");
+    planner.register_worker(worker_with_cores("w1", 2));
+    planner.set_registrations_stale(true);
+    let new = add_claimed(&mut planner, "w2");
+    planner.add_job(1, spec(vec![step(8)]), None, false);
+
+    let starts = plan_at(&mut planner, 10);
+
+    let on_new = starts.iter().filter(|(_, _, worker)| *worker == new);
+    assert_eq!(on_new.count(), 2);
+}
