cell: a read of the feed that stops early does not count as current

Callers saw tasks start beyond the capacity of a worker that had shrunk while its owner was thousands of changes behind in the feed of registrations. The owner read up to 8 pages in a call, however long that took, and then counted all registrations as read, as it did after an error of a page.

A follower now says since when its rows are current: the start of the newest read that reached the end. Registrations, job rows and the configuration use that time. It stops paging after 1 s, and reads the table instead if the last full read took less time than this part of the feed.

Before, an_owner_behind_in_its_feed_fills_no_worker_beyond_its_new_size failed.

--- a/crates/cell/src/context.rs
+++ b/crates/cell/src/context.rs
@@ -20,6 +20,7 @@
 
 use crate::CellMetrics;
 use crate::CellSettings;
+use crate::Follower;
 use crate::OwnershipView;
 
 /// Connect timeout to peers, the store and the advice service; within a region a connect takes
@@ -91,6 +92,14 @@
         self.origin.elapsed()
     }
 
+    /// Returns when the newest read of a follower started that returned all earlier changes; zero
+    /// before its first full read.
+    #[must_use]
+    pub fn current_at(&self, follower: &Follower) -> Duration {
+        let age = follower.age();
+        age.map_or(Duration::ZERO, |age| self.now().saturating_sub(age))
+    }
+
     /// Returns the wall-clock time since 1970, which may jump.
     #[must_use]
     pub fn wall_time(&self) -> Duration {
--- a/crates/cell/src/follower.rs
+++ b/crates/cell/src/follower.rs
@@ -42,6 +42,9 @@
 /// and the caller gets none of their rows until the last page is read.
 const MAX_PAGES: usize = 8;
 
+/// Time after which no further page is read in one call.
+const MAX_PAGE_TIME: Duration = Duration::from_secs(1);
+
 /// Rows returned by one read of a table.
 #[derive(Debug)]
 pub enum Change {
@@ -70,6 +73,8 @@
     rereads: bool,
     /// When the last full read ended, and how long it took.
     last_full: Option<(Instant, Duration)>,
+    /// When the newest read started that returned all changes made before it.
+    current_at: Option<Instant>,
 }
 
 impl Follower {
@@ -87,6 +92,7 @@
             reread_timeout: READ_TIMEOUT,
             rereads: true,
             last_full: None,
+            current_at: None,
         }
     }
 
@@ -129,13 +135,24 @@
                 let delay = started.elapsed().saturating_sub(wait);
                 self.allow_delay(delay);
                 self.after = Some(rows.version.max(after));
+                let first_page = Instant::now();
                 let mut full = rows.rows.len() >= FULL_PAGE;
                 let mut rows = rows.rows;
                 for _ in 1..MAX_PAGES {
-                    if !full {
+                    if !full || first_page.elapsed() >= MAX_PAGE_TIME {
                         break;
                     }
-                    full = self.read_next_page(&mut rows).await;
+                    match self.read_next_page(&mut rows).await {
+                        Ok(more) => full = more,
+                        Err(_) => break,
+                    }
+                }
+                if !full {
+                    self.current_at = Some(started);
+                } else if self.full_read_is_faster(delay + first_page.elapsed())
+                    && let Ok(table) = self.reread().await
+                {
+                    return Ok(table);
                 }
                 Ok(Change::Delta(rows))
             }
@@ -159,6 +176,13 @@
         }
     }
 
+    /// Time since the start of the newest read that returned all changes made before it; `None`
+    /// before the first full read.
+    #[must_use]
+    pub fn age(&self) -> Option<Duration> {
+        Some(self.current_at?.elapsed())
+    }
+
     /// Upper limit of the timeout of a feed reply, beyond its wait.
     fn max_timeout(&self) -> Duration {
         if self.rereads {
@@ -182,6 +206,13 @@
                 .is_none_or(|(ended, took)| ended.elapsed() >= took * REREAD_FACTOR)
     }
 
+    /// Whether a full read is due and took less time than the feed has now taken for a part of the
+    /// changes. The feed contains each change of a row that is written often, the table only the
+    /// last one.
+    fn full_read_is_faster(&self, feed_time: Duration) -> bool {
+        self.reread_due() && self.last_full.is_some_and(|(_, took)| took < feed_time)
+    }
+
     /// Reads the whole table in place of the feed, in a single attempt.
     async fn reread(&mut self) -> Result<Change, StoreError> {
         let timeout = self.reread_timeout;
@@ -204,16 +235,16 @@
 
     /// Appends the next page of the feed to `rows`, and returns whether that page was full, too.
     /// After an error, the next call to `next` reads the page.
-    async fn read_next_page(&mut self, rows: &mut Vec<Row>) -> bool {
+    async fn read_next_page(&mut self, rows: &mut Vec<Row>) -> Result<bool, StoreError> {
         let after = self.after.unwrap_or_default();
-        let feed = self
+        let page = self
             .store
-            .read_feed(self.table, after, Duration::ZERO, self.timeout);
-        let Ok(page) = feed.await else { return false };
+            .read_feed(self.table, after, Duration::ZERO, self.timeout)
+            .await?;
         self.after = Some(page.version.max(after));
         let full = page.rows.len() >= FULL_PAGE;
         rows.extend(page.rows);
-        full
+        Ok(full)
     }
 
     /// Reads the whole table, or its unnamed part; the feed continues from the version read.
@@ -227,6 +258,7 @@
         self.last_full = Some((Instant::now(), started.elapsed()));
         let rows = read?;
         self.after = Some(rows.version);
+        self.current_at = Some(started);
         Ok(Change::Snapshot(rows.rows))
     }
 }
--- a/crates/cell/src/owner/messages.rs
+++ b/crates/cell/src/owner/messages.rs
@@ -38,7 +38,7 @@
     QueryLength(String, oneshot::Sender<usize>),
     /// A helper delivers the result of its last advice call and asks for the next one.
     Poll(HelperPoll, oneshot::Sender<Option<DelegatedCall>>),
-    /// Rows of jobs, from a read of the feed that started at this monotonic time.
+    /// Rows of jobs, and the monotonic time up to which all accepted jobs have now been read.
     JobRows(Change, Duration),
     /// A job was accepted; sent by the process that accepted it.
     JobAccepted(Box<AcceptedJob>, oneshot::Sender<()>),
@@ -66,7 +66,7 @@
     pub updated: Vec<WorkerInfo>,
     /// Workers whose registration was removed.
     pub deleted: Vec<String>,
-    /// When the read that returned these changes started.
+    /// When the newest read started that returned all changes made before it.
     pub read_started: Duration,
 }
 
--- a/crates/cell/src/owner/registrations.rs
+++ b/crates/cell/src/owner/registrations.rs
@@ -125,7 +125,6 @@
     let mut settled_at = context.now();
     let mut unavailable = false;
     loop {
-        let started = context.now();
         match follower.next(Duration::ZERO).await {
             Ok(change) => {
                 if std::mem::take(&mut unavailable) {
@@ -139,7 +138,7 @@
                 }
                 // Also sent without changes: the owner derives the age of its registrations
                 // from it.
-                update.read_started = started;
+                update.read_started = context.current_at(&follower);
                 if sender
                     .send(OwnerMessage::Registrations(update))
                     .await
--- a/crates/cell/src/owner/takeover.rs
+++ b/crates/cell/src/owner/takeover.rs
@@ -162,7 +162,6 @@
 ) {
     let mut unavailable = false;
     loop {
-        let started = context.now();
         match jobs.next(Duration::ZERO).await {
             Ok(change) => {
                 if std::mem::take(&mut unavailable) {
@@ -170,7 +169,7 @@
                 }
                 // Also sent without changes: it confirms that the owner has all job rows up to
                 // this time.
-                let message = OwnerMessage::JobRows(change, started);
+                let message = OwnerMessage::JobRows(change, context.current_at(&jobs));
                 if sender.send(message).await.is_err() {
                     return;
                 }
--- a/crates/cell/src/process.rs
+++ b/crates/cell/src/process.rs
@@ -180,7 +180,6 @@
 async fn follow_config(context: Context, config: watch::Sender<Option<Arc<Config>>>) {
     let mut follower = Follower::new(&context.store, OPERATOR_TABLE, false);
     loop {
-        let read_started = context.now();
         match follower.next(CONFIG_WAIT).await {
             Ok(Change::Snapshot(rows) | Change::Delta(rows)) => {
                 let mut all_decoded = true;
@@ -201,7 +200,7 @@
                     }
                 }
                 if all_decoded {
-                    context.confirm_config(read_started);
+                    context.confirm_config(context.current_at(&follower));
                 }
             }
             Err(_) => tokio::time::sleep(CONFIG_RETRY_PAUSE).await,
--- a/crates/cell/tests/stale_capacity.rs
+++ b/crates/cell/tests/stale_capacity.rs
@@ -131,3 +131,23 @@
     assert_ne!(cell.log.events().len(), 0, "no task has started for 20 s");
     cell.close().await;
 }
+
+/// Guards against an owner that learns seconds late that a worker has shrunk, because its change
+/// comes after thousands of others in the feed, whose pages take 0.5 s each. A full read would
+/// return it in one page.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_behind_in_its_feed_fills_no_worker_beyond_its_new_size() {
+    let caller = Caller::new();
+    let cell = open().await;
+    for _ in 0..8000 {
+        cell.store.write_row(WORKER_TABLE, "", "unreadable", b"{}");
+    }
+    let slow = StoreFaults {
+        slow_feed: Some((WORKER_TABLE, Duration::from_millis(500))),
+        ..StoreFaults::default()
+    };
+
+    let violations = shrink_during(cell, &caller, slow).await;
+
+    assert_eq!(violations, Vec::<String>::new());
+}
