cell: test counts of waiting jobs behind a hung feed with readable rows

an_owner_that_cannot_read_new_jobs_gives_no_count hung the change feed alone and expected 503. Since the owner reads the job rows themselves behind a hung feed, it knows the job and answers 200 with one waiting job, which is right: the test would have failed on any correct count. It now takes away the rows, too, and expects 503 as before. A second test hangs the feed alone and expects the right count, not any count.

--- a/crates/cell/tests/stale.rs
+++ b/crates/cell/tests/stale.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cell::JOB_TABLE;
 use hyper::Method;
 use serde_json::Value;
 use site::Caller;
@@ -100,11 +101,14 @@
 }
 
 /// Guards against the reply that no job waits while one does. The process that accepted the job
-/// cannot notify the owner, and the owner cannot read the change feed.
+/// cannot notify the owner, and the owner can read neither the change feed nor the job rows.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_that_cannot_read_new_jobs_gives_no_count() {
     let (cell, caller) = open(1, 1).await;
-    cell.store.set_faults(faults(false, true));
+    cell.store.set_faults(StoreFaults {
+        slow_rows: Some((JOB_TABLE, STALE_AFTER * 4)),
+        ..faults(false, true)
+    });
     accept_without_notification(&cell);
     tokio::time::sleep(STALE_AFTER).await;
 
@@ -114,6 +118,21 @@
     cell.close().await;
 }
 
+/// Guards against no count, or an outdated one, from an owner whose change feed hangs, though the
+/// store answers reads of the job rows. The process that accepted the job cannot notify the owner.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_whose_feed_hangs_counts_the_job_rows() {
+    let (cell, caller) = open(1, 1).await;
+    cell.store.set_faults(faults(false, true));
+    accept_without_notification(&cell);
+    tokio::time::sleep(STALE_AFTER).await;
+
+    let (status, body) = get(&cell, &caller, 0, "/plain/").await;
+
+    assert_eq!((status, body["waiting"].as_u64()), (200, Some(1)), "{body}");
+    cell.close().await;
+}
+
 /// Guards against an outdated count of waiting jobs from an owner whose store refuses reads but
 /// carries out transactions. The owner's process counted the store as unreachable; it assumed that
 /// no process could accept a job and went on answering with old information.
