cell: the smallest share of a shrunk worker outlives its owner

Callers saw tasks start beyond the capacity of a worker that had shrunk while a successor could not read the registrations at all. The former owner had seen workers shrink, and would have filled them up to the smallest share only; the rows of used workers stated the largest capacity alone, so the successor relied on the last registrations.

The row of a used worker now also states the smallest share in the pool. It is written again when the share falls. When a row is removed, another worker's row is written, so that the share outlives the worker that shrank. Earlier versions ignore the appended field, and their rows are read as a share of 1.

Before, a_successor_without_the_store_fills_no_worker_that_may_have_shrunk failed.

--- a/crates/cell/src/owner/commands.rs
+++ b/crates/cell/src/owner/commands.rs
@@ -63,8 +63,7 @@
                     if let Some(link) = self.links.remove(&worker) {
                         link.close();
                     }
-                    self.used_workers.remove(&id);
-                    self.saver.queue_removal(id);
+                    self.queue_row_removal(id);
                 }
                 Command::NewIncarnation { worker } => self.queue_worker_row(worker),
             }
--- a/crates/cell/src/owner/handlers.rs
+++ b/crates/cell/src/owner/handlers.rs
@@ -92,6 +92,7 @@
             );
         }
         let before = self.planner.capacity(&id);
+        let share_before = self.planner.smallest_share();
         let new = self.planner.register_worker(info);
         if let Some(key) = new {
             log::info!(
@@ -126,15 +127,16 @@
                 "worker registered with another capacity; new starts use it"
             );
         }
-        if after.largest != before.largest {
+        if after.largest != before.largest || self.planner.smallest_share() < share_before {
             // A successor that first reads the worker's registration while the worker is small
-            // needs its largest capacity from the row: the worker may grow again.
+            // needs its largest capacity from the row: the worker may grow again. One that reads
+            // it while the worker is large needs the smallest share.
             self.queue_worker_row(key);
         }
     }
 
     /// Queues the row of a worker to be written, after which the worker may be used. The row
-    /// states the largest capacity that the worker has had.
+    /// states the largest capacity that the worker has had, and the smallest share in the pool.
     pub(super) fn queue_worker_row(&mut self, key: WorkerKey) {
         let Some(info) = self.planner.worker_info(key) else {
             return;
@@ -146,10 +148,25 @@
             capacity: largest.map_or(info.capacity, |size| size.largest),
             labels: info.labels.clone(),
             incarnation: info.incarnation,
+            smallest_share: self.planner.smallest_share(),
         };
         self.saver.queue_row(info.id.clone(), used);
     }
 
+    /// Queues the removal of the row of a worker that has ended. In a pool in which capacities
+    /// shrink, another worker's row is written, since the removed one may be the only one that
+    /// states the smallest share.
+    pub(super) fn queue_row_removal(&mut self, id: String) {
+        self.used_workers.remove(&id);
+        self.saver.queue_removal(id);
+        if self.planner.smallest_share() < 1.0 {
+            let mut used = self.used_workers.iter();
+            if let Some(key) = used.find_map(|id| self.planner.worker_key(id)) {
+                self.queue_worker_row(key);
+            }
+        }
+    }
+
     /// Moves the links of unresponsive workers that have registered at another address to that
     /// address.
     pub(super) fn move_links(&mut self) {
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -218,6 +218,7 @@
 
     /// Adds a worker that the former owner may have sent tasks to.
     fn restore_worker(&mut self, id: &str, worker: UsedWorker) {
+        self.planner.restore_share(worker.share());
         let info = WorkerInfo {
             id: id.to_owned(),
             incarnation: worker.incarnation,
--- a/crates/cell/src/rows.rs
+++ b/crates/cell/src/rows.rs
@@ -135,7 +135,7 @@
 }
 
 /// A worker that the owner may have sent tasks to.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct UsedWorker {
     /// Service whose pool the worker belongs to.
     pub service: String,
@@ -148,6 +148,19 @@
     /// Incarnation of the worker; `None` if it is unknown.
     #[serde(rename = "life")]
     pub incarnation: Option<IncarnationId>,
+    /// Smallest share of its own largest capacity that any worker of the pool has had when the row
+    /// was written, from 0 to 1.
+    #[serde(rename = "share")]
+    pub smallest_share: f64,
+}
+
+impl UsedWorker {
+    /// Returns the smallest share, or 1 if the stored one is no share.
+    #[must_use]
+    pub fn share(&self) -> f64 {
+        let is_share = (0.0..=1.0).contains(&self.smallest_share);
+        if is_share { self.smallest_share } else { 1.0 }
+    }
 }
 
 /// Decodes the row of the ownership, including one of an earlier version.
@@ -170,6 +183,16 @@
     })
 }
 
+/// A worker's row as written by an earlier version, without the smallest share.
+#[derive(Deserialize)]
+struct UsedWorkerWithoutShare {
+    service: String,
+    address: SocketAddr,
+    capacity: Resources,
+    labels: Vec<String>,
+    incarnation: Option<IncarnationId>,
+}
+
 /// A worker's row as written by an earlier version, without the incarnation. An even earlier
 /// version had no capacity and no labels either, see [`LegacyWorkerAddress`].
 #[derive(Deserialize)]
@@ -201,8 +224,8 @@
     postcard::from_bytes(bytes)
 }
 
-/// Decodes a row of a used worker, including one of an earlier version, which has no incarnation
-/// and perhaps no capacity.
+/// Decodes a row of a used worker, including one of an earlier version, which has no smallest
+/// share, and perhaps no incarnation and no capacity.
 ///
 /// # Errors
 /// Fails if the bytes are not such a row.
@@ -210,6 +233,16 @@
     if let Ok(worker) = decode_row::<UsedWorker>(bytes) {
         return Ok(worker);
     }
+    if let Ok(legacy) = decode_row::<UsedWorkerWithoutShare>(bytes) {
+        return Ok(UsedWorker {
+            service: legacy.service,
+            address: legacy.address,
+            capacity: legacy.capacity,
+            labels: legacy.labels,
+            incarnation: legacy.incarnation,
+            smallest_share: 1.0,
+        });
+    }
     if let Ok(legacy) = decode_row::<LegacyUsedWorker>(bytes) {
         return Ok(UsedWorker {
             service: legacy.service,
@@ -217,6 +250,7 @@
             capacity: legacy.capacity,
             labels: legacy.labels,
             incarnation: None,
+            smallest_share: 1.0,
         });
     }
     let LegacyWorkerAddress { service, address } = decode_row(bytes)?;
@@ -226,6 +260,7 @@
         capacity: Resources::default(),
         labels: Vec::new(),
         incarnation: None,
+        smallest_share: 1.0,
     })
 }
 
--- a/crates/cell/tests/rows.rs
+++ b/crates/cell/tests/rows.rs
@@ -38,10 +38,47 @@
         capacity,
         labels: labels.iter().map(|&label| label.to_owned()).collect(),
         incarnation: Some(1_790_000_000_000),
+        smallest_share: 0.5,
     }
 }
 
-/// A worker's row as written by the previous version, without the incarnation.
+/// A worker's row as written by the previous version, without the smallest share.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct WithoutShare {
+    service: String,
+    address: SocketAddr,
+    capacity: Resources,
+    labels: Vec<String>,
+    incarnation: Option<u64>,
+}
+
+fn without_share(used_worker: &UsedWorker) -> WithoutShare {
+    WithoutShare {
+        service: used_worker.service.clone(),
+        address: used_worker.address,
+        capacity: used_worker.capacity,
+        labels: used_worker.labels.clone(),
+        incarnation: used_worker.incarnation,
+    }
+}
+
+/// While a cell is updated process by process, processes of both versions run at the same time.
+#[test]
+fn both_versions_read_the_worker_row_of_both() {
+    let row = used_worker(resources(), &["a", "r1-1"]);
+
+    let by_current = decode_used_worker(&encode_row(&without_share(&row)));
+    let by_previous = decode_row::<WithoutShare>(&encode_row(&row));
+
+    let expected = UsedWorker {
+        smallest_share: 1.0,
+        ..row.clone()
+    };
+    assert_eq!(by_current, Ok(expected));
+    assert_eq!(by_previous, Ok(without_share(&row)));
+}
+
+/// A worker's row as written by an earlier version, without the incarnation.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 struct WithoutIncarnation {
     service: String,
@@ -60,7 +97,7 @@
 }
 
 #[test]
-fn a_worker_row_of_the_previous_version_has_no_incarnation() {
+fn a_worker_row_of_an_earlier_version_has_no_incarnation() {
     let row = used_worker(resources(), &["a", "r1-1"]);
 
     let decoded = decode_used_worker(&encode_row(&without_incarnation(&row))).expect("a row");
@@ -69,6 +106,7 @@
         decoded,
         UsedWorker {
             incarnation: None,
+            smallest_share: 1.0,
             ..row
         }
     );
@@ -76,7 +114,7 @@
 
 /// While a cell is updated process by process, processes of both versions run at the same time.
 #[test]
-fn the_previous_version_reads_a_worker_row() {
+fn an_earlier_version_reads_a_worker_row() {
     let row = used_worker(resources(), &["a", "r1-1"]);
 
     let decoded = decode_row::<WithoutIncarnation>(&encode_row(&row));
@@ -107,6 +145,7 @@
 
     let expected = UsedWorker {
         incarnation: None,
+        smallest_share: 1.0,
         ..used_worker(Resources::default(), &[])
     };
     assert_eq!(decoded, Ok(expected));
--- a/crates/cell/tests/stale_capacity.rs
+++ b/crates/cell/tests/stale_capacity.rs
@@ -108,6 +108,22 @@
     assert_eq!(violations, Vec::<String>::new());
 }
 
+/// Guards against a successor that does not know from the rows of the former owner that workers
+/// shrink, and fills them up to their former size for the whole outage of the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_successor_without_the_store_fills_no_worker_that_may_have_shrunk() {
+    let caller = Caller::new();
+    let cell = open_with_successor(&caller).await;
+    let down = StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    };
+
+    let violations = shrink_during(cell, &caller, down).await;
+
+    assert_eq!(violations, Vec::<String>::new());
+}
+
 /// Guards against a successor that starts nothing for as long as each reply to a full read of the
 /// registrations takes 2 s: that read has a single timeout of 1.5 s, while the other first reads of
 /// an owner are repeated with up to 6 s.
--- a/crates/cell/tests/worker_rows.rs
+++ b/crates/cell/tests/worker_rows.rs
@@ -10,6 +10,7 @@
         address: ([127, 0, 0, 1], 9).into(),
         capacity: Resources::default(),
         labels: Vec::new(),
+        smallest_share: 1.0,
         incarnation: None,
     }
 }
--- a/crates/job/src/planner/stale_capacity.rs
+++ b/crates/job/src/planner/stale_capacity.rs
@@ -2,9 +2,10 @@
 //!
 //! A worker's capacity may shrink while it runs, and only its registration shows that. An owner
 //! that cannot reach the store would fill workers by an outdated capacity, beyond the current one,
-//! and tasks would run very slowly. So in a pool in which this owner has seen capacities shrink,
-//! each worker is filled only up to a share of its largest capacity: the smallest share that any
-//! worker of the pool has had. Other pools are not affected.
+//! and tasks would run very slowly. So in a pool in which this owner or a former one has seen
+//! capacities shrink, each worker is filled only up to a share of its largest capacity: the smallest share that any
+//! worker of the pool has had. Other pools are not affected: an owner of a pool in which no worker
+//! has ever shrunk relies on the last registrations that it could read.
 
 use super::Planner;
 use super::WorkerKey;
@@ -59,6 +60,11 @@
         self.smallest_share
     }
 
+    /// Takes over the smallest share that a former owner has seen.
+    pub fn restore_share(&mut self, share: f64) {
+        self.smallest_share = self.smallest_share.min(share);
+    }
+
     /// Adds the state of a new worker, or of a new incarnation.
     pub(super) fn insert_worker(&mut self, mut worker: WorkerState) -> WorkerKey {
         worker.fill_limit = fill_bound(&worker, self.stale_registrations, self.smallest_share);
