platform: use new connections once the store's open ones are silent

An owner read no registrations for up to 16 timeouts in a row after its connections to the store had gone silent without a reset, though the store answered on new ones: each call without a reply used up one idle connection.

--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -64,6 +64,12 @@
 const TIMEOUT_REASON: &str = "timeout";
 
 impl CallError {
+    /// Whether the call timed out.
+    #[must_use]
+    pub fn timed_out(&self) -> bool {
+        matches!(self, CallError::Lost { reason, .. } if reason == TIMEOUT_REASON)
+    }
+
     /// Whether an established connection failed before the complete reply, as
     /// opposed to a timeout: as a rule, the server process has ended. Also true
     /// for a reply larger than [`MAX_REPLY_BYTES`]; false if no connection could be
@@ -102,10 +108,21 @@
     }
 }
 
+/// Creates a pool without open connections.
+fn open_pool(connect_timeout: Duration) -> HyperClient<HttpConnector, Full<Bytes>> {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(connect_timeout));
+    HyperClient::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+        .build(connector)
+}
+
 /// HTTP client with a connection pool; clones share the pool.
 #[derive(Clone, Debug)]
 pub struct Client {
     inner: HyperClient<HttpConnector, Full<Bytes>>,
+    connect_timeout: Duration,
     traffic: Arc<Traffic>,
 }
 
@@ -113,18 +130,23 @@
     /// Creates a client; `connect_timeout` limits the opening of a connection.
     #[must_use]
     pub fn new(connect_timeout: Duration) -> Client {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(connect_timeout));
-        let inner = HyperClient::builder(TokioExecutor::new())
-            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
-            .build(connector);
         Client {
-            inner,
+            inner: open_pool(connect_timeout),
+            connect_timeout,
             traffic: Arc::default(),
         }
     }
 
+    /// Returns a client without open connections, which shares only the counters. The idle
+    /// connections of this client are closed with its last clone.
+    #[must_use]
+    pub fn reconnecting(&self) -> Client {
+        Client {
+            inner: open_pool(self.connect_timeout),
+            ..self.clone()
+        }
+    }
+
     /// Counters of the calls of this client and its clones.
     #[must_use]
     pub fn traffic(&self) -> &Traffic {
