job: let only trials that can start or reserve a worker count toward the limit

Callers saw: sound jobs that ended late or never: tasks that need a trial waited without end (LOST), while usable workers stood idle. Cause: place_trials counted a trial toward the limit before it looked for a worker. A trial that no usable worker may run held its turn for good, and the trials of one step all reserved the same worker, since only reservations of other steps were left out. Evidence: a_trial_that_fits_no_usable_worker_does_not_hold_up_others (2 starts instead of 3) and trials_of_a_step_wait_for_different_workers (1 reserved worker instead of 2); both failed before. Change: all trials for which there is an idle worker start first; the others reserve a worker each, one without a reservation, and only a reserved worker counts.

--- a/crates/job/src/planner/reservations.rs
+++ b/crates/job/src/planner/reservations.rs
@@ -31,6 +31,8 @@
     workers: HashMap<WorkerKey, Vec<Reservation>>,
     /// Processors of all reservations, in thousandths of a core.
     cpu: u64,
+    /// Processors of the reservations for gangs, in thousandths of a core.
+    gang_cpu: u64,
 }
 
 impl Reservations {
@@ -41,6 +43,19 @@
         rank: Rank,
         gang: StepKey,
         resources: Resources,
+    ) {
+        self.reserve_whole(worker, rank, gang, resources);
+        self.gang_cpu += resources.cpu;
+    }
+
+    /// Reserves all free resources of a worker for a trial. They do not count toward the limit for
+    /// gangs.
+    pub(super) fn reserve_whole(
+        &mut self,
+        worker: WorkerKey,
+        rank: Rank,
+        gang: StepKey,
+        resources: Resources,
     ) {
         let reservation = Reservation {
             rank,
@@ -51,6 +66,11 @@
         self.cpu += resources.cpu;
     }
 
+    /// Returns whether a worker has a reservation.
+    pub(super) fn is_reserved(&self, worker: WorkerKey) -> bool {
+        self.workers.contains_key(&worker)
+    }
+
     /// Returns whether a worker has a reservation for another step.
     pub(super) fn reserved_for_other(&self, worker: WorkerKey, key: StepKey) -> bool {
         let reserved = self.workers.get(&worker);
@@ -116,7 +136,7 @@
             return;
         }
         #[allow(clippy::cast_precision_loss)]
-        let full = reservations.cpu as f64 >= self.pool_cpu as f64 * MAX_RESERVED_SHARE;
+        let full = reservations.gang_cpu as f64 >= self.pool_cpu as f64 * MAX_RESERVED_SHARE;
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
--- a/crates/job/src/planner/trial.rs
+++ b/crates/job/src/planner/trial.rs
@@ -43,8 +43,8 @@
             .max(1)
     }
 
-    /// Starts the trials of single tasks for which there is an idle worker, and reserves a worker
-    /// for each other trial.
+    /// Starts the trials of single tasks for which there is an idle worker, and reserves workers for
+    /// the others. A trial that no worker may run does not count toward the limit.
     pub(super) fn place_trials(
         &mut self,
         ranked: &[(Rank, StepKey)],
@@ -55,27 +55,55 @@
         }
         let trials = self.workers.values().filter(|worker| worker.trials > 0);
         let mut remaining = self.max_trials().saturating_sub(trials.count());
+        let mut unplaced = Vec::new();
+        for (rank, task) in self.ready_trials(ranked) {
+            if remaining == 0 {
+                break;
+            }
+            if self.start_on_idle(task, reservations) {
+                remaining -= 1;
+            } else {
+                unplaced.push((rank, task.step));
+            }
+        }
+        for (rank, key) in unplaced {
+            if remaining == 0 {
+                break;
+            }
+            remaining -= self.reserve_idle(1, rank, key, reservations);
+        }
+    }
+
+    /// Returns the trials of single tasks that may start, in the order in which they get their
+    /// turn.
+    fn ready_trials(&mut self, ranked: &[(Rank, StepKey)]) -> Vec<(Rank, TaskKey)> {
+        let mut ready = Vec::new();
         for &(rank, key) in ranked {
             self.record_intents(key);
-            let Some(spec) = self.step_spec(key).filter(|spec| !spec.gang) else {
+            if self.step_spec(key).is_none_or(|spec| spec.gang) {
                 continue;
-            };
-            for task in self.waiting_trials(key) {
-                if remaining == 0 || !self.may_start(task) {
-                    continue;
-                }
-                remaining -= 1;
-                let mut candidates = self.candidates(key, &spec, reservations);
-                sort_for_trials(&mut candidates);
-                if let Some(at) = candidates.iter().position(|candidate| candidate.idle) {
-                    let run = self.next_run(task);
-                    self.start_trial((task, run), &spec, &mut candidates[at]);
-                } else {
-                    self.reserve_idle(1, rank, key, &spec, reservations);
-                }
             }
-            self.close_step(key);
+            let trials = self.waiting_trials(key).into_iter();
+            let trials = trials.filter(|task| self.may_start(*task));
+            ready.extend(trials.map(|task| (rank, task)));
         }
+        ready
+    }
+
+    /// Starts a trial if there is an idle worker for it; returns whether there is.
+    fn start_on_idle(&mut self, task: TaskKey, reservations: &Reservations) -> bool {
+        let Some(spec) = self.step_spec(task.step) else {
+            return false;
+        };
+        let mut candidates = self.candidates(task.step, &spec, reservations);
+        sort_for_trials(&mut candidates);
+        let Some(chosen) = candidates.first_mut().filter(|chosen| chosen.idle) else {
+            return false;
+        };
+        let run = self.next_run(task);
+        self.start_trial((task, run), &spec, chosen);
+        self.close_step(task.step);
+        true
     }
 
     /// Starts a trial on an idle worker.
@@ -86,34 +114,36 @@
         chosen.free = Resources::default();
     }
 
-    /// Reserves `count` workers, those with the fewest booked processors, so that they become idle.
+    /// Reserves up to `count` workers without reservations, those with the fewest booked
+    /// processors, so that they become idle; returns how many.
     fn reserve_idle(
         &self,
         count: usize,
         rank: Rank,
         key: StepKey,
-        spec: &StepSpec,
         reservations: &mut Reservations,
-    ) {
+    ) -> usize {
         let Some(job) = self.jobs.get(&key.job) else {
-            return;
+            return 0;
         };
-        let Some((_, step)) = job.step(key) else {
-            return;
+        let Some((spec, step)) = job.step(key) else {
+            return 0;
         };
         let service = &job.spec.queue.service;
         // Workers with expired tickets count, too: the tickets are renewed later.
         let eligible = self.allowed_workers(job, step, Duration::ZERO);
         let eligible = eligible.into_iter().filter(|(worker, state)| {
             let fits = state.info.capacity.can_fit(&spec.booked());
-            let reserved = reservations.reserved_for_other(*worker, key);
+            let reserved = reservations.is_reserved(*worker);
             self.usable(state) && may_run(state, service, spec) && fits && !reserved
         });
         let mut eligible: Vec<_> = eligible.collect();
         eligible.sort_unstable_by_key(|(worker, state)| (state.total_booked.cpu, *worker));
-        for (worker, state) in eligible.into_iter().take(count) {
-            reservations.reserve(worker, rank, key, state.free());
+        eligible.truncate(count);
+        for (worker, state) in &eligible {
+            reservations.reserve_whole(*worker, rank, key, state.free());
         }
+        eligible.len()
     }
 
     /// Starts a gang that has suspects among its members, each suspect alone on a worker.
@@ -137,7 +167,7 @@
         sort_for_trials(&mut candidates);
         let idle = candidates.iter().filter(|candidate| candidate.idle).count();
         if idle < trials.len() {
-            self.reserve_idle(trials.len(), rank, key, spec, reservations);
+            self.reserve_idle(trials.len(), rank, key, reservations);
             return true;
         }
         let mut others = candidates.split_off(trials.len());
--- a/crates/job/tests/crash_orders.rs
+++ b/crates/job/tests/crash_orders.rs
@@ -18,6 +18,19 @@
 use crash_sim::TICK;
 use support::task;
 
+/// Runs until the task is active, crashes its worker, and runs until the record of the crash is
+/// saved.
+fn crash_worker_of(sim: &mut CrashSim, task: TaskKey) {
+    let started = sim.run_until(FAILURE_LIMIT, |sim| sim.machine_of(task).is_some());
+    assert!(started, "{task} is not started");
+    sim.run(Duration::from_millis(100));
+    let machine = sim.machine_of(task).expect("a machine");
+    let crashes = sim.stored_crashes(task);
+    sim.crash(machine);
+    let saved = sim.run_until(FAILURE_LIMIT, |sim| sim.stored_crashes(task) > crashes);
+    assert!(saved, "the crash is not saved");
+}
+
 /// Runs until one more worker has crashed under the task, or until its job has failed.
 fn await_crash(sim: &mut CrashSim, task: TaskKey) {
     let crashes = sim.crash_count(task);
@@ -87,3 +100,51 @@
     let starts = sim.start_count(crashing);
     assert!(starts <= MAX_STARTS, "{starts} starts");
 }
+
+/// Guards against a trial that waits behind one for which no usable worker is large enough,
+/// while all workers are idle.
+#[test]
+fn a_trial_that_fits_no_usable_worker_does_not_hold_up_others() {
+    let (large, small) = (task(1, 0, 0), task(2, 0, 0));
+    let mut sim = CrashSim::new(3);
+    sim.resize(0, 8);
+    let mut step = support::step(1);
+    step.need = support::resources(6000, 1000);
+    let mut large_job = support::spec(vec![step]);
+    large_job.queue.slack = Duration::from_mins(5);
+    sim.submit(1, large_job);
+    crash_worker_of(&mut sim, large);
+    sim.run(Duration::from_secs(4));
+    sim.resize(0, 8);
+    crash_worker_of(&mut sim, large);
+    // The worker starts again with four cores.
+    sim.run(Duration::from_secs(4));
+    let mut small_job = support::spec(vec![support::step(1)]);
+    small_job.queue.slack = Duration::from_mins(10);
+    sim.submit(2, small_job);
+    for _ in 0..2 {
+        crash_worker_of(&mut sim, small);
+    }
+
+    sim.run(FAILURE_LIMIT);
+
+    assert_eq!(sim.start_count(large), 2);
+    assert_eq!(sim.start_count(small), 3);
+    assert_eq!(sim.status(2), Some(JobStatus::Completed));
+}
+
+/// Guards against trials of one step that wait for the same worker, one after the other.
+#[test]
+fn trials_of_a_step_wait_for_different_workers() {
+    let mut sim = CrashSim::new(36);
+    sim.submit_tasks(1, 2, 800);
+    for _ in 0..2 {
+        crash_worker_of(&mut sim, task(1, 0, 0));
+    }
+    assert_eq!(sim.crash_count(task(1, 0, 1)), 2);
+    sim.submit_tasks(2, 160, 60_000);
+
+    sim.run(Duration::from_millis(1300));
+
+    assert_eq!(sim.planner.load().reserved_workers, 2);
+}
