job: bound the time for which more urgent trials delay a trial

Callers saw: a sound job of low priority that waited for its trial for as long as tasks of more urgent jobs crashed their workers (LOST). Cause: trials got their turns strictly by rank, and there are few turns at a time. Change: a trial that has waited longer than 3 s gets its turn before others that have waited less, whatever their rank. The wait counts from the delay after the last crash, or from the last run that ended without one; a trial restored from a former owner counts as having waited longest.

--- a/crates/job/src/planner/crash_count.rs
+++ b/crates/job/src/planner/crash_count.rs
@@ -124,6 +124,7 @@
 
     /// Removes a run from the crashes of its task, since no worker crash has ended it.
     pub(super) fn clear_run(&mut self, task: TaskKey, run: RunId) {
+        let now = self.now;
         let Some(suspicion) = self.suspicion_of(task) else {
             return;
         };
@@ -131,6 +132,8 @@
             return;
         }
         let needs_trial = suspicion.needs_trial();
+        // The wait for the next trial begins now.
+        suspicion.not_before = suspicion.not_before.max(now);
         self.dirty_jobs.insert(task.step.job);
         if needs_trial {
             self.record_finding(task, run, Finding::Cleared);
--- a/crates/job/src/planner/trial.rs
+++ b/crates/job/src/planner/trial.rs
@@ -26,6 +26,9 @@
 /// One idle worker in this many may run a trial, if that allows more trials.
 const IDLE_PER_TRIAL: usize = 2;
 
+/// A trial that has waited longer than this gets its turn before more urgent ones.
+const MAX_TRIAL_WAIT: Duration = Duration::from_secs(3);
+
 /// Sorts idle workers first, and those with newer reports before others. If a trial were sent to
 /// a worker that has just crashed for another reason, the crash would count against the task,
 /// and its job might fail though the task crashes no workers.
@@ -74,8 +77,8 @@
         }
     }
 
-    /// Returns the trials of single tasks that may start, in the order in which they get their
-    /// turn.
+    /// Returns the trials of single tasks that may start: first those that have waited longer than
+    /// [`MAX_TRIAL_WAIT`], the longest first, then the others in order of rank.
     fn ready_trials(&mut self, ranked: &[(Rank, StepKey)]) -> Vec<(Rank, TaskKey)> {
         let mut ready = Vec::new();
         for &(rank, key) in ranked {
@@ -87,9 +90,21 @@
             let trials = trials.filter(|task| self.may_start(*task));
             ready.extend(trials.map(|task| (rank, task)));
         }
+        ready.sort_by_cached_key(|(_, task)| {
+            let since = self.trial_due(*task);
+            let overdue = since + MAX_TRIAL_WAIT < self.now;
+            (!overdue, since * u32::from(overdue))
+        });
         ready
     }
 
+    /// Returns since when a waiting trial may start; zero if it was due under a former owner.
+    fn trial_due(&self, task: TaskKey) -> Duration {
+        let job = self.jobs.get(&task.step.job);
+        let suspicion = job.and_then(|job| job.suspicion(task));
+        suspicion.map_or(Duration::ZERO, |suspicion| suspicion.not_before)
+    }
+
     /// Starts a trial if there is an idle worker for it; returns whether there is.
     fn start_on_idle(&mut self, task: TaskKey, reservations: &Reservations) -> bool {
         let Some(spec) = self.step_spec(task.step) else {
--- a/crates/job/tests/crash_orders.rs
+++ b/crates/job/tests/crash_orders.rs
@@ -31,6 +31,19 @@
     assert!(saved, "the crash is not saved");
 }
 
+/// Submits urgent jobs for a time: five tasks a second that crash their workers, and 120 tasks of a
+/// second each that do not. `jobs` is the number of jobs submitted so far.
+fn submit_urgent(sim: &mut CrashSim, jobs: &mut u64, time: Duration) {
+    let end = sim.now + time;
+    while sim.now < end {
+        sim.submit_tasks(*jobs + 1, 1, 800);
+        sim.crashers.insert(task(*jobs + 1, 0, 0), CRASH_DELAY);
+        sim.submit_tasks(*jobs + 2, 24, 1000);
+        *jobs += 2;
+        sim.run(Duration::from_millis(200));
+    }
+}
+
 /// Runs until one more worker has crashed under the task, or until its job has failed.
 fn await_crash(sim: &mut CrashSim, task: TaskKey) {
     let crashes = sim.crash_count(task);
@@ -148,3 +161,32 @@
 
     assert_eq!(sim.planner.load().reserved_workers, 2);
 }
+
+/// Guards against a trial that never comes, of a task with low priority: urgent tasks that crash
+/// their workers keep arriving, and their trials take every worker that becomes idle.
+#[test]
+fn a_trial_gets_its_turn_while_more_urgent_ones_keep_arriving() {
+    let sound = task(1, 0, 0);
+    let mut sim = CrashSim::new(60);
+    let mut step = support::step(1);
+    step.estimate = Duration::from_secs(20);
+    let mut late = support::spec(vec![step]);
+    late.queue.stretch = 0.0;
+    late.queue.priority = 2;
+    sim.submit(1, late);
+    crash_worker_of(&mut sim, sound);
+    let started = sim.run_until(FAILURE_LIMIT, |sim| sim.machine_of(sound).is_some());
+    assert!(started, "the task is not started again");
+    let mut jobs = 1;
+    submit_urgent(&mut sim, &mut jobs, Duration::from_secs(5));
+    if let Some(machine) = sim.machine_of(sound) {
+        sim.crash(machine);
+    }
+    let starts = sim.start_count(sound);
+    assert!((2..MAX_STARTS).contains(&sim.crash_count(sound)));
+
+    submit_urgent(&mut sim, &mut jobs, FAILURE_LIMIT);
+
+    let trials = sim.start_count(sound) - starts;
+    assert!(trials > 0, "no trial in {FAILURE_LIMIT:?}");
+}
