job: end a trial two seconds after its confirmed start

Callers saw: sound jobs whose trials waited for the end of another task's long trial, or for a long-running suspect, while workers stood idle (LOST). Cause: a worker with a trial took no other tasks for the whole run and counted toward the limit on trials, with four workers one. The same held for an adopted run of a suspect, even beside others. Evidence: a_long_trial_does_not_hold_up_others (2 starts instead of 3) and an_adopted_run_beside_another_is_no_trial (no start on the worker); both failed before. Change: a trial ends 2 s after its start is confirmed; the run goes on, and other tasks may join it. A task that crashes its worker later is bounded by the count of crashes.

--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -363,6 +363,7 @@
         self.expire_workers();
         self.end_recovery();
         self.decide_suspects();
+        self.end_long_trials();
         if self.now > self.started_at + UNMATCHED_RETENTION {
             self.unmatched_ends.clear();
         }
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -66,7 +66,7 @@
     pub checkpoint: String,
     /// This planner started the run without a checkpoint, so its duration can be learnt.
     pub from_start: bool,
-    /// The run is a trial: no other run may start on the worker.
+    /// The run is in its trial: no other run may start on the worker.
     pub trial: bool,
 }
 
@@ -171,8 +171,12 @@
         self.fill_limit.minus(&self.total_booked)
     }
 
-    /// Books a run with its resources.
-    pub(super) fn book(&mut self, task: TaskKey, placed: PlacedRun) {
+    /// Books a run with its resources. A run is a trial only while it is alone.
+    pub(super) fn book(&mut self, task: TaskKey, mut placed: PlacedRun) {
+        if !self.runs.is_empty() {
+            placed.trial = false;
+            self.end_trials();
+        }
         self.total_booked = self.total_booked.plus(&placed.booked);
         self.total_filler += placed.filler_cpu;
         self.unknown_sizes += u32::from(placed.unknown_size);
@@ -180,6 +184,14 @@
         self.runs.insert(task, placed);
     }
 
+    /// Lets other tasks start beside the worker's trials, if there are any.
+    pub(super) fn end_trials(&mut self) {
+        self.trials = 0;
+        for placed in self.runs.values_mut() {
+            placed.trial = false;
+        }
+    }
+
     /// Removes a run and frees its resources; `None` if this run is not booked.
     pub(super) fn release(&mut self, task: TaskKey, run: RunId) -> Option<PlacedRun> {
         if self.runs.get(&task)?.run != run {
--- a/crates/job/src/planner/trial.rs
+++ b/crates/job/src/planner/trial.rs
@@ -1,7 +1,9 @@
 //! Trials: starts of suspected tasks, each alone on a worker.
 //!
 //! If a worker has several runs and one of them crashes it, the work of the others is lost as
-//! well, and the crash does not show which run caused it.
+//! well, and the crash does not show which run caused it. Most tasks that crash their worker do so
+//! soon after their start, so the worker takes other tasks again after [`TRIAL_PERIOD`]; the
+//! number of crashes bounds the starts of tasks that crash later.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -13,6 +15,7 @@
 use super::place::may_run;
 use super::rank::Rank;
 use super::reservations::Reservations;
+use super::roster::RunPhase;
 use crate::Resources;
 use crate::RunId;
 use crate::StepKey;
@@ -26,6 +29,9 @@
 /// One idle worker in this many may run a trial, if that allows more trials.
 const IDLE_PER_TRIAL: usize = 2;
 
+/// Time after the confirmed start of a trial for which its worker takes no other tasks.
+const TRIAL_PERIOD: Duration = Duration::from_secs(2);
+
 /// A trial that has waited longer than this gets its turn before more urgent ones.
 const MAX_TRIAL_WAIT: Duration = Duration::from_secs(3);
 
@@ -46,6 +52,22 @@
             .max(1)
     }
 
+    /// Ends the trials that have run for [`TRIAL_PERIOD`]: their runs continue, but other tasks may
+    /// join them, and other trials get their turn.
+    pub(super) fn end_long_trials(&mut self) {
+        let now = self.now;
+        let in_trial = self.workers.values_mut();
+        for worker in in_trial.filter(|worker| worker.trials > 0) {
+            let mut trials = worker.runs.values().filter(|placed| placed.trial);
+            let over = trials.all(|placed| {
+                placed.phase == RunPhase::Running && placed.phase_since + TRIAL_PERIOD <= now
+            });
+            if over {
+                worker.end_trials();
+            }
+        }
+    }
+
     /// Starts the trials of single tasks for which there is an idle worker, and reserves workers for
     /// the others. A trial that no worker may run does not count toward the limit.
     pub(super) fn place_trials(
--- a/crates/job/tests/crash_orders.rs
+++ b/crates/job/tests/crash_orders.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
+use job::CrashRecord;
 use job::JobStatus;
+use job::Progress;
 use job::Schedule;
 use job::TaskKey;
 
@@ -190,3 +192,55 @@
     let trials = sim.start_count(sound) - starts;
     assert!(trials > 0, "no trial in {FAILURE_LIMIT:?}");
 }
+
+/// Guards against a trial that waits for the end of another task's long trial, while all other
+/// workers are idle.
+#[test]
+fn a_long_trial_does_not_hold_up_others() {
+    let (long, short) = (task(1, 0, 0), task(2, 0, 0));
+    let mut sim = CrashSim::new(4);
+    sim.submit_tasks(1, 1, 300_000);
+    for _ in 0..2 {
+        crash_worker_of(&mut sim, long);
+    }
+    let tried = sim.run_until(FAILURE_LIMIT, |sim| sim.start_count(long) == 3);
+    assert!(tried, "the first trial does not start");
+    sim.submit_tasks(2, 1, 1000);
+    for _ in 0..2 {
+        crash_worker_of(&mut sim, short);
+    }
+
+    sim.run(FAILURE_LIMIT);
+
+    assert_eq!(sim.start_count(short), 3);
+    assert_eq!(sim.status(2), Some(JobStatus::Completed));
+}
+
+/// Guards against a worker that takes no tasks after a change of owners, as long as a suspect runs
+/// there, though the suspect is not alone.
+#[test]
+fn an_adopted_run_beside_another_is_no_trial() {
+    let (suspect, other) = (task(1, 0, 0), task(1, 0, 1));
+    let mut planner = support::planner(2);
+    let key = support::add(&mut planner, "w1");
+    let mut progress = Progress::default();
+    let record = CrashRecord {
+        runs: [1, 2].into(),
+        ..CrashRecord::default()
+    };
+    progress.crashes.insert((0, 0, 0), record);
+    planner.add_job(
+        1,
+        support::spec(vec![support::step(2)]),
+        Some(&progress),
+        true,
+    );
+    let runs = vec![support::running(suspect, 3), support::running(other, 1)];
+    planner.apply_report(key, Duration::ZERO, &support::worker_report(runs, vec![]));
+    planner.add_job(2, support::spec(vec![support::step(1)]), None, false);
+
+    let starts = support::plan_at(&mut planner, 10);
+
+    assert_eq!(planner.suspect_count(), 1);
+    assert_eq!(starts.len(), 1, "two of four cores are free");
+}
