job: ask the advice service about idle workers for trials

Callers saw: sound jobs that waited for a trial (LOST) beside idle workers that could run it. Cause: a call for single tasks counted free slots on any allowed worker. Once a step had a valid ticket for a worker with room beside other runs, no call asked about idle workers, and the expired ticket of an idle worker was not renewed. A trial can use neither. Evidence: a_trial_asks_about_idle_workers and a_trial_renews_the_ticket_of_an_idle_worker, no second call before. Change: if all waiting tasks of a step need trials, only idle workers count as allowed, and the emptiest of the others are asked about.

--- a/crates/job/src/planner/advice_candidates.rs
+++ b/crates/job/src/planner/advice_candidates.rs
@@ -85,7 +85,8 @@
 
 impl Planner {
     /// Returns the workers to ask about: those that may run the step, if they have free
-    /// resources, otherwise those not asked about yet.
+    /// resources, otherwise those not asked about yet. If the step waits for trials only, those that
+    /// may run it count only if they are idle.
     pub(super) fn workers_to_ask(&self, query: AdviceQuery) -> Vec<WorkerId> {
         let AdviceQuery {
             job, spec, step, ..
@@ -93,16 +94,19 @@
         let Some(advice) = &job.spec.queue.advice else {
             return Vec::new();
         };
-        let classified = self.classify_workers(query);
+        let mut classified = self.classify_workers(query);
+        let only_trials = self.only_trials_wait(query);
+        let suits = |worker: &WorkerState| !only_trials || worker.runs.is_empty();
+        classified
+            .allowed
+            .retain(|candidate| suits(candidate.worker));
         if !step.advised.calls.is_empty() {
             return self.more_workers_to_ask(query, classified, advice);
         }
         let valid_beyond = self.now + advice.fixed + self.policy.ticket_margin;
-        let has_valid = step
-            .advised
-            .permits
-            .values()
-            .any(|(_, until)| *until > valid_beyond);
+        let has_valid = step.advised.permits.iter().any(|(key, (_, until))| {
+            *until > valid_beyond && self.workers.get(*key).is_some_and(suits)
+        });
         let needed = if spec.gang { step.waiting() as u64 } else { 1 };
         let call_size = max_per_call(query, advice);
         let enough = slots(&classified.allowed) >= needed;
@@ -131,7 +135,7 @@
             // The workers not asked about yet go into a parallel call.
             return worker_ids(asked_again);
         }
-        let chosen = if spec.gang {
+        let chosen = if spec.gang || only_trials {
             emptiest_workers(classified.unasked, call_size)
         } else {
             let limit = max_call_size(advice.fixed, advice.each);
@@ -140,6 +144,13 @@
         worker_ids(asked_again.into_iter().chain(chosen))
     }
 
+    /// Returns whether all waiting tasks of a step of single tasks need trials.
+    fn only_trials_wait(&self, query: AdviceQuery) -> bool {
+        !query.spec.gang
+            && self.has_suspects(query.key)
+            && self.waiting_trials(query.key).len() == query.step.waiting()
+    }
+
     /// Returns the workers for one more call, in parallel to the unanswered ones for the same step.
     /// These are workers not asked about yet; none once the expected number of slots is sufficient.
     fn more_workers_to_ask(
--- a/crates/job/tests/advice.rs
+++ b/crates/job/tests/advice.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use job::Advice;
+use job::CrashRecord;
 use job::FreeHelpers;
 use job::JobSpec;
 use job::Planner;
+use job::Progress;
 use job::StepKey;
 use job::StepSpec;
 use job::Ticket;
@@ -160,3 +162,59 @@
     let asked = asked.expect("a call");
     assert!(asked.workers.iter().all(|id| id.starts_with("empty")));
 }
+
+/// Creates a planner with a busy worker and a job whose only task needs a trial and has a ticket
+/// for that worker until 1.6 s.
+fn trial_beside_busy_worker() -> Planner {
+    let mut planner = planner(1);
+    add_claimed(&mut planner, "busy");
+    planner.add_job(FILLING, spec(vec![step(1)]), None, false);
+    plan_at(&mut planner, 5);
+    let mut progress = Progress::default();
+    let record = CrashRecord {
+        runs: [1, 2].into(),
+        ..CrashRecord::default()
+    };
+    progress.crashes.insert((0, 0, 0), record);
+    planner.add_job(LOOKUP, advised(step(1)), Some(&progress), false);
+    planner.advance(Duration::from_millis(10));
+    let first = planner
+        .next_advice_request(FreeHelpers::Some)
+        .expect("first call");
+    allow(&mut planner, &first.workers, Duration::from_millis(1600));
+    plan_at(&mut planner, 110);
+    planner
+}
+
+/// Guards against a trial that waits beside idle workers: the step has a ticket for a worker with
+/// free resources, but with other runs, and no call asked about idle ones.
+#[test]
+fn a_trial_asks_about_idle_workers() {
+    let mut planner = trial_beside_busy_worker();
+    add_claimed(&mut planner, "idle");
+
+    let second = planner
+        .next_advice_request(FreeHelpers::Some)
+        .expect("second call");
+
+    assert_eq!(second.workers, ["idle"]);
+}
+
+/// Guards against a trial that waits beside an idle worker for which its ticket has expired.
+#[test]
+fn a_trial_renews_the_ticket_of_an_idle_worker() {
+    let mut planner = trial_beside_busy_worker();
+    add_claimed(&mut planner, "idle");
+    allow(
+        &mut planner,
+        &["idle".to_owned()],
+        Duration::from_millis(300),
+    );
+    plan_at(&mut planner, 400);
+
+    let second = planner
+        .next_advice_request(FreeHelpers::Some)
+        .expect("second call");
+
+    assert_eq!(second.workers, ["idle"]);
+}
