job: let gangs with suspects share the limit on trials

Callers saw: sound jobs that waited (LOST) while most of the pool was kept idle. Cause: each gang with suspects reserved a whole worker for each of them, beside the limit on trials, and held them until all were idle at the same time and the other members fitted. Evidence: gangs_with_suspects_share_the_limit_on_trials (12 reserved workers instead of 2) and a_gang_with_a_suspect_starts_though_no_worker_becomes_idle (2 starts instead of 3); both failed before. Change: gangs get what single tasks leave of the limit, and otherwise reserve nothing. A gang whose suspects have all waited for 5 s, or since 5 s after a take-over, starts them like its other members, as gangs with more suspects than the limit did before; the number of crashes bounds such starts.

--- a/crates/job/src/planner/reservations.rs
+++ b/crates/job/src/planner/reservations.rs
@@ -33,6 +33,8 @@
     cpu: u64,
     /// Processors of the reservations for gangs, in thousandths of a core.
     gang_cpu: u64,
+    /// Number of workers that may still run a trial or be reserved for one, in this pass.
+    pub(super) remaining_trials: usize,
 }
 
 impl Reservations {
--- a/crates/job/src/planner/trial.rs
+++ b/crates/job/src/planner/trial.rs
@@ -35,6 +35,10 @@
 /// A trial that has waited longer than this gets its turn before more urgent ones.
 const MAX_TRIAL_WAIT: Duration = Duration::from_secs(3);
 
+/// Time after which a gang no longer waits for the trials of its suspects. It needs idle workers for
+/// all of them, and room for the other members, at the same time.
+const MAX_GANG_WAIT: Duration = Duration::from_secs(5);
+
 /// Sorts idle workers first, and those with newer reports before others. If a trial were sent to
 /// a worker that has just crashed for another reason, the crash would count against the task,
 /// and its job might fail though the task crashes no workers.
@@ -97,6 +101,7 @@
             }
             remaining -= self.reserve_idle(1, rank, key, reservations);
         }
+        reservations.remaining_trials = remaining;
     }
 
     /// Returns the trials of single tasks that may start: first those that have waited longer than
@@ -183,9 +188,9 @@
         eligible.len()
     }
 
-    /// Starts a gang that has suspects among its members, each suspect alone on a worker.
-    /// Returns false if the other members do not fit; true if the gang was started or has to
-    /// wait for idle workers.
+    /// Starts a gang that has suspects among its members, each suspect alone on a worker, unless
+    /// there are too many of them or the gang has waited for [`MAX_GANG_WAIT`]. Returns false if
+    /// the other members do not fit; true if the gang was started or has to wait for idle workers.
     pub(super) fn place_suspected_gang(
         &mut self,
         rank: Rank,
@@ -194,17 +199,25 @@
         (trials, reservations): (Vec<TaskKey>, &mut Reservations),
     ) -> bool {
         let mut trials = trials;
-        if trials.len() > self.max_trials() {
-            // There are more suspects than workers for trials. It is unlikely that all of them
-            // cause crashes, and that many workers may never be idle at the same time, so they
-            // start like the other members.
+        let overdue = trials.iter().all(|task| {
+            let due = self.trial_due(*task).max(self.started_at);
+            due + MAX_GANG_WAIT < self.now
+        });
+        if trials.len() > self.max_trials() || overdue {
+            // It is unlikely that all of many suspects cause crashes, and enough workers may never
+            // be idle at the same time, so they start like the other members. The number of
+            // crashes bounds their starts.
             trials.clear();
         }
+        if trials.len() > reservations.remaining_trials {
+            return true;
+        }
         let mut candidates = self.candidates(key, spec, reservations);
         sort_for_trials(&mut candidates);
         let idle = candidates.iter().filter(|candidate| candidate.idle).count();
         if idle < trials.len() {
-            self.reserve_idle(trials.len(), rank, key, reservations);
+            let reserved = self.reserve_idle(trials.len(), rank, key, reservations);
+            reservations.remaining_trials -= reserved;
             return true;
         }
         let mut others = candidates.split_off(trials.len());
@@ -215,6 +228,7 @@
         let Some(slots) = assign_slots(&others, regular.len(), spec) else {
             return false;
         };
+        reservations.remaining_trials -= trials.len();
         for (task, chosen) in trials.into_iter().zip(&mut candidates) {
             self.start_trial((task, run), spec, chosen);
         }
--- a/crates/job/tests/crash_orders.rs
+++ b/crates/job/tests/crash_orders.rs
@@ -244,3 +244,64 @@
     assert_eq!(planner.suspect_count(), 1);
     assert_eq!(starts.len(), 1, "two of four cores are free");
 }
+
+/// Guards against gangs that keep most of the pool from other work: each of them reserved a worker
+/// for each of its suspects.
+#[test]
+fn gangs_with_suspects_share_the_limit_on_trials() {
+    let mut planner = support::planner(1);
+    for nth in 0..24 {
+        support::add_claimed(&mut planner, &format!("w{nth}"));
+    }
+    planner.add_job(1, support::spec(vec![support::step(96)]), None, false);
+    support::plan_at(&mut planner, 10);
+    let mut progress = Progress::default();
+    for member in 0..2 {
+        let record = CrashRecord {
+            runs: [1, 2].into(),
+            ..CrashRecord::default()
+        };
+        progress.crashes.insert((0, 0, member), record);
+    }
+    let mut gang = support::step(4);
+    gang.gang = true;
+    for id in 2..8 {
+        planner.add_job(
+            id,
+            support::spec(vec![gang.clone()]),
+            Some(&progress),
+            false,
+        );
+    }
+    support::plan_at(&mut planner, 20);
+    let batch = planner.take_batch(10);
+    planner.batch_saved(&batch);
+
+    support::plan_at(&mut planner, 30);
+
+    assert_eq!(planner.suspect_count(), 12);
+    assert_eq!(planner.load().reserved_workers, 2);
+}
+
+/// Guards against a gang that waits without end for an idle worker for one of its members.
+#[test]
+fn a_gang_with_a_suspect_starts_though_no_worker_becomes_idle() {
+    let member = task(2, 0, 0);
+    let mut sim = CrashSim::new(2);
+    let mut step = support::step(2);
+    step.worker_limit = 1;
+    step.estimate = Duration::from_mins(5);
+    sim.submit(1, support::spec(vec![step.clone()]));
+    sim.run(Duration::from_millis(100));
+    step.gang = true;
+    step.estimate = Duration::from_secs(1);
+    sim.submit(2, support::spec(vec![step]));
+    for _ in 0..2 {
+        crash_worker_of(&mut sim, member);
+    }
+
+    sim.run(FAILURE_LIMIT);
+
+    assert_eq!(sim.start_count(member), 3);
+    assert_eq!(sim.status(2), Some(JobStatus::Completed));
+}
