job: disregard crashes that a later suspect explains in verdicts on trials

Callers saw: a job whose task crashes its workers was started more often than allowed (BUDGET). Cause: the crash of a trial's worker proves nothing if other workers without suspects crashed within 1.5 s. Often that other worker crashed under another task that crashes its workers, whose first crash it was; when the verdict was due, that task had become a suspect, but its first crash still counted as one with a possible common cause. Change: a crash of a worker without suspects keeps the tasks that were on it, and is dropped once one of them needs a trial.

--- a/crates/job/src/planner/crash_count.rs
+++ b/crates/job/src/planner/crash_count.rs
@@ -10,6 +10,7 @@
 use super::roster::PlacedRun;
 use super::roster::RunPhase;
 use super::suspicion::Suspicion;
+use super::suspicion::UnexplainedCrash;
 use crate::Outcome;
 use crate::RunId;
 use crate::TaskKey;
@@ -71,8 +72,8 @@
     ) {
         let alone = all_known && runs.len() == 1 && transferred == 0;
         let now = self.now;
-        let recent = self.suspects.crash_times.iter();
-        let recent = recent.filter(|crash| now < **crash + COMMON_CAUSE_WINDOW);
+        let recent = self.suspects.unexplained.iter();
+        let recent = recent.filter(|crash| now < crash.at + COMMON_CAUSE_WINDOW);
         let common_cause = recent.count() >= MASS_CRASH_WORKERS;
         let mut any_suspect = false;
         for (task, placed) in runs {
@@ -81,7 +82,9 @@
             any_suspect |= self.record_crash(*task, placed.run, certain, alone);
         }
         if all_known && !any_suspect {
-            self.suspects.crash_times.push_back(self.now);
+            let tasks = runs.iter().map(|(task, _)| *task).collect();
+            let crash = UnexplainedCrash { at: now, tasks };
+            self.suspects.unexplained.push_back(crash);
         }
         // The worker may have had a run for which the former owner saved a start intent.
         self.suspects.unreported_crash |= !all_known && self.recovering;
@@ -117,6 +120,8 @@
         self.dirty_jobs.insert(task.step.job);
         self.suspects.tasks.insert(task);
         if needs_trial {
+            let unexplained = &mut self.suspects.unexplained;
+            unexplained.retain(|crash| !crash.tasks.contains(&task));
             self.record_finding(task, run, Finding::Suspected);
         }
         needs_trial
@@ -145,8 +150,8 @@
     pub(super) fn decide_suspects(&mut self) {
         let now = self.now;
         self.suspects
-            .crash_times
-            .retain(|crash| *crash + COMMON_CAUSE_WINDOW + TRIAL_DELAY >= now);
+            .unexplained
+            .retain(|crash| crash.at + COMMON_CAUSE_WINDOW + TRIAL_DELAY >= now);
         let mut crashers = Vec::new();
         self.suspects.decision_due = false;
         for task in std::mem::take(&mut self.suspects.tasks) {
@@ -163,10 +168,10 @@
                 continue;
             }
             let alone = suspicion.alone_crash.take();
-            let nearby =
-                |at: Duration| move |crash: &Duration| crash.abs_diff(at) < COMMON_CAUSE_WINDOW;
-            let sole_crash =
-                alone.is_some_and(|at| !self.suspects.crash_times.iter().any(nearby(at)));
+            let sole_crash = alone.is_some_and(|at| {
+                let mut others = self.suspects.unexplained.iter();
+                !others.any(|crash| crash.at.abs_diff(at) < COMMON_CAUSE_WINDOW)
+            });
             let run = suspicion.crashes.last().copied();
             if sole_crash && suspicion.trial_decides() {
                 crashers.extend(run.map(|run| (task, run)));
--- a/crates/job/src/planner/suspicion.rs
+++ b/crates/job/src/planner/suspicion.rs
@@ -54,12 +54,22 @@
     pub(super) decision_due: bool,
     /// During recovery, a worker crashed before it sent a report of the former owner's runs.
     pub(super) unreported_crash: bool,
-    /// Times of recent crashes of workers that had no suspects.
-    pub(super) crash_times: VecDeque<Duration>,
+    /// Recent crashes of workers that had no suspects.
+    pub(super) unexplained: VecDeque<UnexplainedCrash>,
     /// Findings since the last [`super::Planner::take_findings`].
     pub(super) findings: Vec<Suspect>,
 }
 
+/// Crash of a worker that had no suspects, so that it may have the same cause as other crashes at
+/// the time.
+#[derive(Debug)]
+pub(super) struct UnexplainedCrash {
+    /// When the crash was detected.
+    pub(super) at: Duration,
+    /// Tasks that had runs on the worker. If one of them becomes a suspect, it is the likely cause.
+    pub(super) tasks: Vec<TaskKey>,
+}
+
 /// Worker crashes that count against a task.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Suspicion {
--- a/crates/job/tests/crash_orders.rs
+++ b/crates/job/tests/crash_orders.rs
@@ -20,6 +20,14 @@
 use crash_sim::TICK;
 use support::task;
 
+/// Creates a pool with one job, whose only task crashes its workers.
+fn with_crashing_task(workers: usize) -> CrashSim {
+    let mut sim = CrashSim::new(workers);
+    sim.submit_tasks(1, 1, 800);
+    sim.crashers.insert(task(1, 0, 0), CRASH_DELAY);
+    sim
+}
+
 /// Runs until the task is active, crashes its worker, and runs until the record of the crash is
 /// saved.
 fn crash_worker_of(sim: &mut CrashSim, task: TaskKey) {
@@ -305,3 +313,21 @@
     assert_eq!(sim.start_count(member), 3);
     assert_eq!(sim.status(2), Some(JobStatus::Completed));
 }
+
+/// Guards against a verdict on a trial that is put off because another task crashes its first worker
+/// at the same time, though that task has become a suspect by the time of the verdict.
+#[test]
+fn crashes_of_another_crashing_task_do_not_put_off_the_verdict() {
+    let (tried, other) = (task(1, 0, 0), task(2, 0, 0));
+    let mut sim = with_crashing_task(12);
+    let in_trial = sim.run_until(FAILURE_LIMIT, |sim| sim.start_count(tried) == 3);
+    assert!(in_trial, "no trial");
+    sim.submit_tasks(2, 1, 800);
+    sim.crashers.insert(other, CRASH_DELAY);
+
+    sim.run(FAILURE_LIMIT);
+
+    assert_eq!(sim.start_count(tried), 3);
+    assert_eq!(sim.status(1), Some(JobStatus::Failed));
+    assert_eq!(sim.status(2), Some(JobStatus::Failed));
+}
