job: let steps take turns with their trials

Cause: among trials that had waited beyond the limit, all of a step that had waited longest, often since a take-over, went first. Evidence: steps_take_turns_with_their_trials, five trials of the wide step before, the fourth is now that of the other job. Change: when a trial of a step starts, the wait of the others of the step begins anew.

--- a/crates/job/src/planner/trial.rs
+++ b/crates/job/src/planner/trial.rs
@@ -125,7 +125,7 @@
         ready
     }
 
-    /// Returns since when a waiting trial may start; zero if it was due under a former owner.
+    /// Returns since when a trial waits for its turn; zero if it was due under a former owner.
     fn trial_due(&self, task: TaskKey) -> Duration {
         let job = self.jobs.get(&task.step.job);
         let suspicion = job.and_then(|job| job.suspicion(task));
@@ -148,10 +148,17 @@
         true
     }
 
-    /// Starts a trial on an idle worker.
+    /// Starts a trial on an idle worker. The wait of the other trials of its step begins anew, so
+    /// that steps take turns.
     fn start_trial(&mut self, run: (TaskKey, RunId), spec: &StepSpec, chosen: &mut Candidate) {
+        let now = self.now;
         self.record_finding(run.0, run.1, Finding::Tried);
         self.start_run(run, true, spec, chosen);
+        for task in self.waiting_trials(run.0.step) {
+            if let Some(suspicion) = self.suspicion_of(task) {
+                suspicion.not_before = suspicion.not_before.max(now);
+            }
+        }
         // No other task is placed on this worker in this pass.
         chosen.free = Resources::default();
     }
--- a/crates/job/tests/crash_orders.rs
+++ b/crates/job/tests/crash_orders.rs
@@ -9,6 +9,7 @@
 use job::CrashRecord;
 use job::JobStatus;
 use job::Progress;
+use job::RunEnd;
 use job::Schedule;
 use job::TaskKey;
 
@@ -28,6 +29,19 @@
     sim
 }
 
+/// Creates the progress of a job in which two crashes count against each of the first `count` tasks.
+fn crashed_twice(count: u32) -> Progress {
+    let mut progress = Progress::default();
+    for index in 0..count {
+        let record = CrashRecord {
+            runs: [1, 2].into(),
+            ..CrashRecord::default()
+        };
+        progress.crashes.insert((0, 0, index), record);
+    }
+    progress
+}
+
 /// Runs until the task is active, crashes its worker, and runs until the record of the crash is
 /// saved.
 fn crash_worker_of(sim: &mut CrashSim, task: TaskKey) {
@@ -231,12 +245,7 @@
     let (suspect, other) = (task(1, 0, 0), task(1, 0, 1));
     let mut planner = support::planner(2);
     let key = support::add(&mut planner, "w1");
-    let mut progress = Progress::default();
-    let record = CrashRecord {
-        runs: [1, 2].into(),
-        ..CrashRecord::default()
-    };
-    progress.crashes.insert((0, 0, 0), record);
+    let progress = crashed_twice(1);
     planner.add_job(
         1,
         support::spec(vec![support::step(2)]),
@@ -263,14 +272,7 @@
     }
     planner.add_job(1, support::spec(vec![support::step(96)]), None, false);
     support::plan_at(&mut planner, 10);
-    let mut progress = Progress::default();
-    for member in 0..2 {
-        let record = CrashRecord {
-            runs: [1, 2].into(),
-            ..CrashRecord::default()
-        };
-        progress.crashes.insert((0, 0, member), record);
-    }
+    let progress = crashed_twice(2);
     let mut gang = support::step(4);
     gang.gang = true;
     for id in 2..8 {
@@ -331,3 +333,33 @@
     assert_eq!(sim.status(1), Some(JobStatus::Failed));
     assert_eq!(sim.status(2), Some(JobStatus::Failed));
 }
+
+/// Guards against a trial that waits behind all trials of a wide step, though it has waited as long.
+#[test]
+fn steps_take_turns_with_their_trials() {
+    let mut planner = support::planner(1);
+    let key = support::add_claimed(&mut planner, "w1");
+    let mut wide = support::spec(vec![support::step(8)]);
+    wide.queue.slack = Duration::from_mins(1);
+    planner.add_job(1, wide, Some(&crashed_twice(8)), false);
+    let late = support::deferrable(support::step(1));
+    planner.add_job(2, late, Some(&crashed_twice(1)), false);
+    support::plan_at(&mut planner, 10);
+    let batch = planner.take_batch(10);
+    planner.batch_saved(&batch);
+
+    let mut tried = Vec::new();
+    let mut ended = Vec::new();
+    for second in 0..5 {
+        for (task, run, _) in support::plan_at(&mut planner, 20 + 1000 * second) {
+            tried.push(task.step.job);
+            let number = ended.len() as u64 + 1;
+            ended.push(support::ended(number, task, run, RunEnd::Done));
+        }
+        planner.advance(Duration::from_millis(520 + 1000 * second));
+        let report = support::worker_report(vec![], ended.clone());
+        planner.apply_report(key, Duration::from_millis(510 + 1000 * second), &report);
+    }
+
+    assert_eq!(tried, [1, 1, 1, 2, 1]);
+}
