--- a/crates/job/src/planner/crash_count.rs
+++ b/crates/job/src/planner/crash_count.rs
@@ -10,6 +10,7 @@
 use super::roster::PlacedRun;
 use super::roster::RunPhase;
 use super::suspicion::Suspicion;
+use super::suspicion::UnexplainedCrash;
 use crate::Outcome;
 use crate::RunId;
 use crate::TaskKey;
@@ -71,8 +72,8 @@
     ) {
         let alone = all_known && runs.len() == 1 && transferred == 0;
         let now = self.now;
-        let recent = self.suspects.crash_times.iter();
-        let recent = recent.filter(|crash| now < **crash + COMMON_CAUSE_WINDOW);
+        let recent = self.suspects.unexplained.iter();
+        let recent = recent.filter(|crash| now < crash.at + COMMON_CAUSE_WINDOW);
         let common_cause = recent.count() >= MASS_CRASH_WORKERS;
         let mut any_suspect = false;
         for (task, placed) in runs {
@@ -81,7 +82,9 @@
             any_suspect |= self.record_crash(*task, placed.run, certain, alone);
         }
         if all_known && !any_suspect {
-            self.suspects.crash_times.push_back(self.now);
+            let tasks = runs.iter().map(|(task, _)| *task).collect();
+            let crash = UnexplainedCrash { at: now, tasks };
+            self.suspects.unexplained.push_back(crash);
         }
     }
 
@@ -121,6 +124,8 @@
         self.dirty_jobs.insert(task.step.job);
         self.suspects.tasks.insert(task);
         if needs_trial {
+            let unexplained = &mut self.suspects.unexplained;
+            unexplained.retain(|crash| !crash.tasks.contains(&task));
             self.record_finding(task, run, Finding::Suspected);
         }
         needs_trial
@@ -128,6 +133,7 @@
 
     /// Removes a run from the crashes of its task, since no worker crash has ended it.
     pub(super) fn clear_run(&mut self, task: TaskKey, run: RunId) {
+        let now = self.now;
         let Some(suspicion) = self.suspicion_of(task) else {
             return;
         };
@@ -135,6 +141,8 @@
             return;
         }
         let needs_trial = suspicion.needs_trial();
+        // The wait for the next trial begins now.
+        suspicion.not_before = suspicion.not_before.max(now);
         self.dirty_jobs.insert(task.step.job);
         if needs_trial {
             self.record_finding(task, run, Finding::Cleared);
@@ -146,8 +154,8 @@
     pub(super) fn decide_suspects(&mut self) {
         let now = self.now;
         self.suspects
-            .crash_times
-            .retain(|crash| *crash + COMMON_CAUSE_WINDOW + TRIAL_DELAY >= now);
+            .unexplained
+            .retain(|crash| crash.at + COMMON_CAUSE_WINDOW + TRIAL_DELAY >= now);
         let mut crashers = Vec::new();
         self.suspects.decision_due = false;
         for task in std::mem::take(&mut self.suspects.tasks) {
@@ -168,10 +176,10 @@
                 // A successor has nothing left to decide.
                 self.dirty_jobs.insert(task.step.job);
             }
-            let nearby =
-                |at: Duration| move |crash: &Duration| crash.abs_diff(at) < COMMON_CAUSE_WINDOW;
-            let sole_crash =
-                alone.is_some_and(|at| !self.suspects.crash_times.iter().any(nearby(at)));
+            let sole_crash = alone.is_some_and(|at| {
+                let mut others = self.suspects.unexplained.iter();
+                !others.any(|crash| crash.at.abs_diff(at) < COMMON_CAUSE_WINDOW)
+            });
             let run = suspicion.crashes.last().copied();
             if sole_crash && suspicion.trial_decides() {
                 crashers.extend(run.map(|run| (task, run)));
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -204,7 +204,7 @@
             let candidate = &mut candidates[index];
             if suspected && !self.start_saved(task, run, candidate.key) {
                 self.record_intent(task, run, Some(candidate.key));
-                reservations.reserve(candidate.key, rank, key, spec.booked());
+                reservations.hold(candidate.key, rank, key, spec.booked());
                 candidate.free = candidate.free.minus(&spec.booked());
                 continue;
             }
--- a/crates/job/src/planner/start_intent.rs
+++ b/crates/job/src/planner/start_intent.rs
@@ -125,16 +125,15 @@
     }
 
     /// Keeps free what the unsaved start intents of a step need on their workers, so that no other
-    /// task takes it until they are saved. Returns these tasks. An intent whose worker cannot run the
-    /// task any more is dropped.
+    /// task takes it until they are saved. An intent whose worker cannot run the task any more is
+    /// dropped.
     pub(super) fn hold_intents(
         &mut self,
         rank: Rank,
         key: StepKey,
         spec: &StepSpec,
         reservations: &mut Reservations,
-    ) -> Vec<TaskKey> {
-        let mut held = Vec::new();
+    ) {
         for task in self.waiting_suspects(key) {
             let Some(intent) = self.intent_of(task).filter(|intent| !intent.saved) else {
                 continue;
@@ -154,10 +153,8 @@
                 continue;
             };
             let needed = if alone { free } else { spec.booked() };
-            reservations.reserve(worker, rank, key, needed);
-            held.push(task);
+            reservations.hold(worker, rank, key, needed);
         }
-        held
     }
 
     /// Returns whether a start intent of a task is being saved.
