--- a/crates/cell/tests/stale_capacity.rs
+++ b/crates/cell/tests/stale_capacity.rs
@@ -167,3 +167,40 @@
 
     assert_eq!(violations, Vec::<String>::new());
 }
+
+/// Guards against a successor that does not know that workers shrink, because the row of the worker
+/// that has shrunk was removed when the worker had ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_smallest_share_outlives_the_worker_that_shrank() {
+    let caller = Caller::new();
+    let cell = TestCell::open(1, 3).await;
+    cell.wait_owner(|_| true).await;
+    tokio::time::sleep(READ_TIME).await;
+    for cores in [2, 4] {
+        cell.resize(0, cores);
+        tokio::time::sleep(READ_TIME).await;
+    }
+    let row = |index: usize| {
+        let id = &cell.workers[index].id;
+        let row = cell
+            .store
+            .raw(cell::USED_WORKER_TABLE, cell::OWNER_PART, id)?;
+        cell::decode_used_worker(&row).ok()
+    };
+    let before = row(0).map(|worker| worker.share());
+    // Only a worker with runs is looked up when it does not answer.
+    caller.submit(&cell.servers(), PATH, &job(12, "2000")).await;
+    caller.wait_state(&cell.servers(), PATH, "active").await;
+    tokio::time::sleep(READ_TIME).await;
+    cell.workers[0].die();
+    cell.unregister(0);
+
+    caller.wait_state(&cell.servers(), PATH, "completed").await;
+    tokio::time::sleep(READ_TIME).await;
+
+    let shares = [1, 2].map(|index| row(index).map_or(1.0, |worker| worker.share()));
+    assert_eq!(before, Some(0.5));
+    assert!(row(0).is_none());
+    assert!(shares.contains(&0.5), "{shares:?}");
+    cell.close().await;
+}
