cell: read the parts of a table again less often while its feed hangs

A full read of the job rows takes a request for each of up to 128 parts. Behind a hung feed, one started about every 0.6 s where it took up to 0.3 s. The next one now starts after ten times the duration of the last. The new test got a full read in the first call before.

--- a/crates/cell/src/follower.rs
+++ b/crates/cell/src/follower.rs
@@ -26,6 +26,9 @@
 /// duration, so that a large table is not read again and again over a slow link.
 const REREAD_FACTOR: u32 = 2;
 
+/// The same for a table with parts, each of which takes a request.
+const PARTS_REREAD_FACTOR: u32 = 10;
+
 /// Timeouts of a full read of a large table, by an owner that renews its ownership meanwhile.
 pub(crate) const LONG_READ_TIMEOUTS: ReadTimeouts = ReadTimeouts {
     first: READ_TIMEOUT,
@@ -200,10 +203,15 @@
 
     /// Whether the table may be read in full in place of the feed.
     fn reread_due(&self) -> bool {
+        let factor = if self.all_parts {
+            PARTS_REREAD_FACTOR
+        } else {
+            REREAD_FACTOR
+        };
         self.rereads
             && self
                 .last_full
-                .is_none_or(|(ended, took)| ended.elapsed() >= took * REREAD_FACTOR)
+                .is_none_or(|(ended, took)| ended.elapsed() >= took * factor)
     }
 
     /// Whether a full read is due and took less time than the feed has now taken for a part of the
--- a/crates/cell/tests/feed.rs
+++ b/crates/cell/tests/feed.rs
@@ -42,7 +42,10 @@
 }
 
 /// Starts a store, and a follower that has read the empty table in a page that took `first_read`.
-async fn open(first_read: Duration) -> (Arc<FakeStore>, Follower, watch::Sender<bool>) {
+async fn open(
+    all_parts: bool,
+    first_read: Duration,
+) -> (Arc<FakeStore>, Follower, watch::Sender<bool>) {
     let fake_store = FakeStore::new();
     fake_store.set_faults(StoreFaults {
         slow_rows: Some((TABLE, first_read)),
@@ -51,7 +54,7 @@
     let (stop, stopped) = watch::channel(false);
     let address = serve(fake_store.clone(), &stopped).await;
     let store = Store::new(Client::new(Duration::from_secs(1)), address);
-    let mut follower = Follower::new(&store, TABLE, false);
+    let mut follower = Follower::new(&store, TABLE, all_parts);
     follower.next(Duration::ZERO).await.expect("full read");
     (fake_store, follower, stop)
 }
@@ -69,7 +72,25 @@
 /// repeated only after twice its duration.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_long_full_read_is_not_repeated_at_once() {
-    let (fake_store, mut follower, _stop) = open(Duration::from_secs(1)).await;
+    let (fake_store, mut follower, _stop) = open(false, Duration::from_secs(1)).await;
+    fake_store.set_faults(StoreFaults {
+        hung_feed: true,
+        ..StoreFaults::default()
+    });
+
+    let first = follower.next(Duration::ZERO).await;
+    let second = follower.next(Duration::ZERO).await;
+    let third = follower.next(Duration::ZERO).await;
+
+    assert!(first.is_err() && second.is_err(), "{first:?}, {second:?}");
+    assert!(matches!(third, Ok(Change::Snapshot(_))), "{third:?}");
+}
+
+/// Guards against reading all parts of a table, each of which takes a request, about as often as
+/// the feed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_full_read_of_parts_is_repeated_later() {
+    let (fake_store, mut follower, _stop) = open(true, Duration::from_millis(250)).await;
     fake_store.set_faults(StoreFaults {
         hung_feed: true,
         ..StoreFaults::default()
@@ -87,7 +108,7 @@
 /// delay of the full read.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_follower_of_a_slow_store_continues_with_the_feed() {
-    let (fake_store, mut follower, _stop) = open(Duration::ZERO).await;
+    let (fake_store, mut follower, _stop) = open(false, Duration::ZERO).await;
     let delay = Duration::from_millis(700);
     fake_store.set_faults(slow(delay, delay));
 
@@ -102,7 +123,7 @@
 /// timeouts.
 #[tokio::test(flavor = "multi_thread")]
 async fn timeouts_grow_until_a_reply_arrives() {
-    let (fake_store, mut follower, _stop) = open(Duration::ZERO).await;
+    let (fake_store, mut follower, _stop) = open(false, Duration::ZERO).await;
     let delay = Duration::from_millis(2_200);
     fake_store.set_faults(slow(delay, delay));
     let mut lost = 0;
@@ -116,7 +137,7 @@
 /// Guards against rows that count as current although the read stopped before the last page.
 #[tokio::test(flavor = "multi_thread")]
 async fn rows_are_not_current_before_the_last_page() {
-    let (fake_store, mut follower, _stop) = open(Duration::from_millis(1_200)).await;
+    let (fake_store, mut follower, _stop) = open(false, Duration::from_millis(1_200)).await;
     fake_store.set_faults(slow(Duration::from_millis(400), Duration::ZERO));
     for nth in 0..3600 {
         fake_store.write_row(TABLE, "", &format!("w{nth:04}"), b"{}");
