--- a/crates/cell/tests/feed.rs
+++ b/crates/cell/tests/feed.rs
@@ -134,6 +134,24 @@
     }
 }
 
+/// Guards against a follower behind a hung feed that never reads the table, because each page takes
+/// longer than the first timeout.
+#[tokio::test(flavor = "multi_thread")]
+async fn timeouts_of_full_reads_grow_until_a_reply_arrives() {
+    let (fake_store, mut follower, _stop) = open(false, Duration::ZERO).await;
+    fake_store.set_faults(StoreFaults {
+        hung_feed: true,
+        slow_rows: Some((TABLE, Duration::from_millis(2_200))),
+        ..StoreFaults::default()
+    });
+    let mut lost = 0;
+
+    while follower.next(Duration::ZERO).await.is_err() {
+        lost += 1;
+        assert!(lost < 6, "{lost} reads in a row got no reply");
+    }
+}
+
 /// Guards against rows that count as current although the read stopped before the last page.
 #[tokio::test(flavor = "multi_thread")]
 async fn rows_are_not_current_before_the_last_page() {
--- a/crates/cell/tests/rows.rs
+++ b/crates/cell/tests/rows.rs
@@ -122,6 +122,20 @@
     assert_eq!(decoded, Ok(without_incarnation(&row)));
 }
 
+/// Guards against a stored value that is no share: a negative one would stop all starts while the
+/// registrations are stale.
+#[test]
+fn a_value_that_is_no_share_does_not_limit_the_pool() {
+    let shares = [-1.0, 7.0, f64::NAN].map(|smallest_share| UsedWorker {
+        smallest_share,
+        ..used_worker(resources(), &[])
+    });
+
+    let shares = shares.map(|worker| worker.share().to_string());
+
+    assert_eq!(shares, ["1", "1", "1"]);
+}
+
 fn resources() -> Resources {
     Resources {
         cpu: 4000,
