Test verdicts on sound tasks after a change of owners

Callers would see a sound job as failed in two orders of events.

a_successor_does_not_fail_a_job_for_a_trial_beside_another_crash: the workers of a trial and of no task crash at the same time, and the owner dies between the save of the crash and the verdict. The successor restores `undecided`, but not that another worker crashed, and fails the job. Without a change of owners (a_trial_beside_another_crash_does_not_fail_a_job) the job completes.

workers_that_are_cut_off_do_not_fail_a_job: after three crashes two owners die between the save of an intent and the start, while the intended worker answers no calls. `assume_crashes` counts both, and the job fails at five.

--- a/crates/job/tests/crash_orders.rs
+++ b/crates/job/tests/crash_orders.rs
@@ -264,3 +264,78 @@
     let starts = sim.start_count(crashing);
     assert!(starts <= MAX_STARTS, "{starts} starts");
 }
+
+/// Crashes the worker of a sound task's trial and an idle one at the same time. With `take_over`, the
+/// owner dies between the save of the crash and the verdict. Returns the status of the job.
+fn sound_trial_beside_another_crash(take_over: bool) -> Option<JobStatus> {
+    let sound = task(1, 0, 0);
+    let mut sim = CrashSim::new(12);
+    sim.submit_tasks(1, 1, 2000);
+    for crashes in 1..=3 {
+        let started = sim.run_until(FAILURE_LIMIT, |sim| sim.machine_of(sound).is_some());
+        assert!(started, "start {crashes} does not take place");
+        sim.run(Duration::from_millis(100));
+        let machine = sim.machine_of(sound).expect("a machine");
+        if crashes == 3 {
+            let mut others = sim.machines_before_crash().into_iter();
+            let idle = others.rfind(|other| *other != machine);
+            sim.crash(idle.expect("an idle worker"));
+        }
+        sim.crash(machine);
+        let saved = sim.run_until(FAILURE_LIMIT, |sim| sim.stored_crashes(sound) == crashes);
+        assert!(saved, "crash {crashes} is not saved");
+    }
+    if take_over {
+        sim.take_over();
+    }
+    sim.run(FAILURE_LIMIT);
+    sim.status(1)
+}
+
+/// Guards against a failed job of a sound task whose trial was on one of two workers that crashed at
+/// the same time.
+#[test]
+fn a_trial_beside_another_crash_does_not_fail_a_job() {
+    let status = sound_trial_beside_another_crash(false);
+
+    assert_eq!(status, Some(JobStatus::Completed));
+}
+
+/// Guards against a failed job of a sound task whose trial was on one of two workers that crashed at
+/// the same time: the owner dies before the verdict, and the successor does not know of the other
+/// crash.
+#[test]
+fn a_successor_does_not_fail_a_job_for_a_trial_beside_another_crash() {
+    let status = sound_trial_beside_another_crash(true);
+
+    assert_eq!(status, Some(JobStatus::Completed));
+}
+
+/// Guards against a failed job of a sound task after three crashes: two owners die between the save of
+/// a start intent and the start, and its worker, which has not crashed, answers no calls.
+#[test]
+fn workers_that_are_cut_off_do_not_fail_a_job() {
+    let sound = task(1, 0, 0);
+    let mut sim = full_pool(30);
+    for _ in 0..3 {
+        crash_with_others(&mut sim, sound);
+        sim.run(Duration::from_secs(1));
+    }
+
+    for _ in 0..2 {
+        let former = sim.stored_intent(sound);
+        let ahead = sim.run_until(FAILURE_LIMIT, |sim| {
+            let intent = sim.stored_intent(sound);
+            intent.is_some() && intent != former
+        });
+        assert!(ahead, "no start intent is saved");
+        assert_eq!(sim.start_count(sound), 3);
+        let machine = sim.stored_machine(sound).expect("a placement");
+        sim.incarnation(machine).cut_off = true;
+        sim.take_over();
+    }
+    sim.run(Duration::from_mins(1));
+
+    assert_eq!(sim.crash_count(sound), 3);
+    assert_eq!(sim.status(1), Some(JobStatus::Completed));
+}
--- a/crates/job/tests/crash_sim/mod.rs
+++ b/crates/job/tests/crash_sim/mod.rs
@@ -310,6 +310,20 @@
         self.stored_record(task)?.pending
     }
 
+    /// Returns the machine of the worker that a task's placement in the store names.
+    pub fn stored_machine(&self, task: TaskKey) -> Option<usize> {
+        let step = task.step;
+        let progress = self.stored.get(&step.job)?;
+        let placement = progress
+            .placements
+            .get(&(step.round, step.step, task.index))?;
+        let named = |incarnations: &Vec<Incarnation>| {
+            let newest = incarnations.last();
+            newest.is_some_and(|incarnation| incarnation.id == placement.worker)
+        };
+        self.machines.iter().position(named)
+    }
+
     /// Returns the machines on which no worker has crashed.
     pub fn machines_before_crash(&self) -> Vec<usize> {
         let machines = (0..).zip(&self.machines);
