job: leave a verdict to a successor only if no other crash was near

Callers saw (found in review): a sound job is shown as failed if its owner dies after it has saved that the job's task was alone on a crashed worker, while another worker without suspects crashed with it: the successor knew of no other crash and took the task for the cause. Change: the progress marks a task as undecided only while no unexplained crash is near, and is saved again when one is detected; a successor counts workers that end before their first report among the unexplained crashes, unless a suspect was on them. Beside it, a release during recovery keeps the intents of the former owner, which may have sent the starts.

--- a/crates/cell/tests/lost_replies.rs
+++ b/crates/cell/tests/lost_replies.rs
@@ -128,3 +128,24 @@
     assert!(writes <= 4, "{writes} writes in 1.8 s");
     cell.close().await;
 }
+
+/// Guards against an owner that loses the pool to a single lost reply because an earlier reply was
+/// slow: it then awaits replies for longer than the ownership lasts.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_keeps_the_pool_if_a_reply_is_lost_after_a_slow_one() {
+    let (cell, _) = open().await;
+    cell.store.set_faults(StoreFaults {
+        delay: Duration::from_millis(450),
+        ..StoreFaults::default()
+    });
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    cell.store.set_faults(StoreFaults::default());
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let epoch = cell.epoch();
+
+    lose_replies(&cell, true, 1);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+
+    assert_eq!(cell.epoch(), epoch, "another process took the pool");
+    cell.close().await;
+}
--- a/crates/job/src/planner/batch.rs
+++ b/crates/job/src/planner/batch.rs
@@ -6,6 +6,7 @@
 
 use super::Planner;
 use super::WorkerKey;
+use super::crash_count::is_sole_crash;
 use super::job_state::JobState;
 use super::job_state::Phase;
 use super::job_state::TaskState;
@@ -71,6 +72,17 @@
         if job.outcome.is_some() {
             return progress;
         }
+        // A successor does not know of the other crashes, so only a sole one is left to its decision.
+        progress.undecided.retain(|&(round, step, index)| {
+            let step = StepKey {
+                job: id,
+                round,
+                step,
+            };
+            let suspicion = job.suspicion(TaskKey { step, index });
+            let at = suspicion.and_then(|suspicion| suspicion.alone_crash);
+            at.is_some_and(|at| is_sole_crash(&self.suspects.unexplained, at))
+        });
         for (&round, steps) in &job.rounds {
             for (step, state) in (0..).zip(steps) {
                 let key = StepKey {
--- a/crates/job/src/planner/crash_count.rs
+++ b/crates/job/src/planner/crash_count.rs
@@ -1,6 +1,7 @@
 //! Counts worker crashes per task, and fails the jobs of tasks that cause them; see
 //! [`super::suspicion`].
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::Finding;
@@ -82,9 +83,7 @@
             any_suspect |= self.record_crash(*task, placed.run, certain, alone);
         }
         if all_known && !any_suspect {
-            let tasks = runs.iter().map(|(task, _)| *task).collect();
-            let crash = UnexplainedCrash { at: now, tasks };
-            self.suspects.unexplained.push_back(crash);
+            self.record_unexplained(runs.iter().map(|(task, _)| *task).collect());
         }
     }
 
@@ -176,10 +175,8 @@
                 // A successor has nothing left to decide.
                 self.dirty_jobs.insert(task.step.job);
             }
-            let sole_crash = alone.is_some_and(|at| {
-                let mut others = self.suspects.unexplained.iter();
-                !others.any(|crash| crash.at.abs_diff(at) < COMMON_CAUSE_WINDOW)
-            });
+            let unexplained = &self.suspects.unexplained;
+            let sole_crash = alone.is_some_and(|at| is_sole_crash(unexplained, at));
             let run = suspicion.crashes.last().copied();
             if sole_crash && suspicion.trial_decides() {
                 crashers.extend(run.map(|run| (task, run)));
@@ -190,9 +187,36 @@
         }
     }
 
+    /// Records a crash of a worker that had these tasks and no suspect.
+    pub(super) fn record_unexplained(&mut self, tasks: Vec<TaskKey>) {
+        let at = self.now;
+        self.suspects
+            .unexplained
+            .push_back(UnexplainedCrash { at, tasks });
+        self.save_undecided();
+    }
+
+    /// Saves again the jobs of suspects for which a decision is due, since a crash that may have a
+    /// common cause has been detected.
+    fn save_undecided(&mut self) {
+        for task in &self.suspects.tasks {
+            let job = self.jobs.get(&task.step.job);
+            let suspicion = job.and_then(|job| job.suspicion(*task));
+            if suspicion.is_some_and(|suspicion| suspicion.alone_crash.is_some()) {
+                self.dirty_jobs.insert(task.step.job);
+            }
+        }
+    }
+
     /// Fails the job of a suspect.
     pub(super) fn fail_suspect(&mut self, task: TaskKey, run: RunId) {
         self.record_finding(task, run, Finding::JobFailed);
         self.finish_job(task.step.job, Outcome::Failed);
     }
 }
+
+/// Returns whether no other crash near `at` shows a common cause.
+pub(super) fn is_sole_crash(unexplained: &VecDeque<UnexplainedCrash>, at: Duration) -> bool {
+    let mut others = unexplained.iter();
+    !others.any(|crash| crash.at.abs_diff(at) < COMMON_CAUSE_WINDOW)
+}
--- a/crates/job/src/planner/inherited.rs
+++ b/crates/job/src/planner/inherited.rs
@@ -76,8 +76,11 @@
     pub(super) fn resolve_ended(&mut self, key: WorkerKey, cause: LossCause) {
         let worker = &self.workers[key];
         let (id, incarnation) = (worker.info.id.clone(), worker.info.incarnation);
+        let unreported = !worker.claimed && worker.inherited;
         let placed = self.inherited.take_worker(&id);
         let other_runs = placed.len().saturating_sub(1);
+        let tasks = placed.iter().map(|(task, _)| *task).collect();
+        let mut any_suspect = false;
         for (task, placement) in placed {
             self.started_jobs.insert(task.step.job);
             // The crash of an earlier incarnation is recorded before its row is replaced.
@@ -97,12 +100,15 @@
                         other_runs,
                     };
                     self.lost_runs.push(lost);
-                    self.record_crash(task, placement.run, false, false);
+                    any_suspect |= self.record_crash(task, placement.run, false, false);
                 }
                 LossCause::Left => self.clear_run(task, placement.run),
                 _ => {}
             }
         }
+        if unreported && cause == LossCause::Crashed && !any_suspect {
+            self.record_unexplained(tasks);
+        }
     }
 
     /// Counts an uncertain crash for each placement on a worker of which nothing is known when the
--- a/crates/job/src/planner/start_intent.rs
+++ b/crates/job/src/planner/start_intent.rs
@@ -168,9 +168,13 @@
     }
 
     /// Withdraws the start intents that were not sent, since the pool is being released: a successor
-    /// would count them if their workers crashed. No further ones are recorded.
+    /// would count them if their workers crashed. No further ones are recorded. During recovery, the
+    /// intents are those of the former owner, which may have sent the starts.
     pub fn begin_release(&mut self) {
         self.releasing = true;
+        if self.recovering {
+            return;
+        }
         let suspects: Vec<TaskKey> = self.suspects.tasks.iter().copied().collect();
         for task in suspects {
             let job = self.jobs.get(&task.step.job);
