--- a/crates/job/src/planner/stale_capacity.rs
+++ b/crates/job/src/planner/stale_capacity.rs
@@ -3,9 +3,9 @@
 //! A worker's capacity may shrink while it runs, and only its registration shows that. An owner
 //! that cannot reach the store would fill workers by an outdated capacity, beyond the current one,
 //! and tasks would run very slowly. So in a pool in which this owner or a former one has seen
-//! capacities shrink, each worker is filled only up to a share of its largest capacity: the smallest share that any
-//! worker of the pool has had. Other pools are not affected: an owner of a pool in which no worker
-//! has ever shrunk relies on the last registrations that it could read.
+//! capacities shrink, each worker is filled only up to a share of its largest capacity: the
+//! smallest share that any worker of the pool has had. Other pools are not affected: an owner of a
+//! pool in which no worker has ever shrunk relies on the last registrations that it could read.
 
 use super::Planner;
 use super::WorkerKey;
