auth: look up the holder of a key by its digest

Cause: the entry's tokens were compared one by one, so a lookup grew with their number; the cell had no keys at all and needs the same lookup for thousands of them.

--- a/crates/entry/src/auth.rs
+++ b/crates/entry/src/auth.rs
@@ -1,10 +1,10 @@
-//! Bearer tokens, stored as hashes and compared in constant time.
+//! Bearer tokens, stored as digests.
 
+use auth::KeyDigest;
+use auth::KeyTable;
 use model::TeamId;
-use model::digest;
 use serde::Deserialize;
 use serde::Serialize;
-use subtle::ConstantTimeEq;
 
 /// Permissions of the holder of a token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,33 +40,32 @@
 /// All tokens that a process accepts.
 #[derive(Clone, Debug)]
 pub struct Tokens {
-    tokens: Vec<Token>,
+    holders: KeyTable<Caller>,
 }
 
 impl Tokens {
-    /// Creates the set from the tokens in the settings.
+    /// Creates the set from the tokens in the settings, which have been checked. A token that
+    /// occurs twice belongs to its first holder.
     #[must_use]
     pub fn new(tokens: Vec<Token>) -> Tokens {
-        Tokens { tokens }
+        let mut holders = KeyTable::default();
+        for token in tokens {
+            if let Some(key) = KeyDigest::from_hex(&token.sha256) {
+                let caller = Caller {
+                    team: token.team,
+                    role: token.role,
+                };
+                holders.insert(key, caller);
+            }
+        }
+        Tokens { holders }
     }
 
     /// Returns the holder of `token`; `None` if it is not in the settings.
-    /// Compares all hashes, each in constant time, so that the duration reveals
-    /// nothing about them.
     #[must_use]
     pub fn caller(&self, token: &str) -> Option<Caller> {
-        let hash = digest(token);
-        let mut found = None;
-        for configured in &self.tokens {
-            let same = configured.sha256.as_bytes().ct_eq(hash.as_bytes());
-            if bool::from(same) {
-                found = Some(configured);
-            }
-        }
-        found.map(|configured| Caller {
-            team: configured.team.clone(),
-            role: configured.role,
-        })
+        let key = KeyDigest::of(token.as_bytes());
+        self.holders.holder(key).cloned()
     }
 }
 
