--- a/crates/bench/benches/main/plan.rs
+++ b/crates/bench/benches/main/plan.rs
@@ -48,6 +48,7 @@
             each: Duration::from_millis(1),
             valid: Duration::from_millis(1500),
         }),
+        public: true,
     }
 }
 
@@ -145,6 +146,7 @@
         schedule: None,
         received: Duration::ZERO,
         canceled: false,
+        organisation: None,
     }
 }
 
--- a/crates/cell/src/acceptor.rs
+++ b/crates/cell/src/acceptor.rs
@@ -14,6 +14,7 @@
 use crate::Context;
 use crate::callers::RETRY_PAUSE;
 use crate::callers::millis;
+use crate::decode_job_row;
 use crate::encode_row;
 use crate::hex;
 use crate::job_rows;
@@ -36,6 +37,8 @@
         /// Whether this call created the row; false if the row already existed.
         first: bool,
     },
+    /// The id belongs to a job of another organisation.
+    Taken,
     /// The job is certainly not accepted; the text is the reason for the caller.
     Refused(String),
     /// The job may or may not have been accepted; the text is the reason for the caller.
@@ -64,6 +67,7 @@
         let label = match &acceptance {
             Acceptance::Accepted { first: true } => "accepted",
             Acceptance::Accepted { first: false } => "repeated",
+            Acceptance::Taken => "taken",
             Acceptance::Refused(_) => "refused",
             Acceptance::Unknown(_) => "unknown",
         };
@@ -94,6 +98,16 @@
                 () = self.wait_silent() => return unreachable_acceptance(&id, true),
             };
             let elapsed = self.context.now().saturating_sub(started);
+            let result = match result {
+                Ok(Committed::Conflict) if job.spec.organisation.is_some() => {
+                    match self.is_same_job(&rows[index], job, deadline).await {
+                        Ok(true) => Ok(Committed::Conflict),
+                        Ok(false) => return Acceptance::Taken,
+                        Err(error) => Err(error),
+                    }
+                }
+                result => result,
+            };
             match result {
                 Ok(committed) => {
                     let first = committed != Committed::Conflict;
@@ -131,6 +145,25 @@
         }
     }
 
+    /// Reads the row that exists under the id of a job, and returns whether it is of the same
+    /// organisation. An error does not say that the job is not stored.
+    async fn is_same_job(
+        &self,
+        row: &RowName,
+        job: &AcceptedJob,
+        deadline: Duration,
+    ) -> Result<bool, StoreError> {
+        let remaining = deadline.saturating_sub(self.context.now());
+        let read = self.context.store.read_row(row, remaining).await;
+        let Some(stored) = read.map_err(into_ambiguous)? else {
+            // The job was removed after its retention.
+            return Ok(true);
+        };
+        let stored = decode_job_row(&stored.value);
+        // An undecodable row keeps its id.
+        Ok(stored.is_ok_and(|stored| stored.organisation_name() == job.spec.organisation_name()))
+    }
+
     /// Waits until a write in progress is unlikely to get a reply: the store has become unreachable,
     /// and if it refuses calls instead of being silent, [`REFUSAL_WAIT`] is over.
     async fn wait_silent(&self) {
--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -8,12 +8,15 @@
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
+use hyper::header::WWW_AUTHENTICATE;
 use job::Config;
 use job::JobId;
 use job::JobStatus;
 use job::Queue;
+use platform::CHALLENGE;
 use platform::encode_status;
 use platform::encode_waiting;
+use platform::request_key;
 use serde::Serialize;
 use web::Handler;
 use web::HttpRequest;
@@ -23,6 +26,10 @@
 use crate::Context;
 use crate::JobView;
 use crate::OwnerClient;
+use crate::access;
+use crate::access::Access;
+use crate::access::Denial;
+use crate::access::Viewer;
 use crate::metrics::count;
 
 /// Timeout of one call to the store. A slow store takes up to 1.2 s for a transaction; two
@@ -57,10 +64,12 @@
 #[derive(Serialize)]
 pub(crate) struct EmptyBody {}
 
-/// The queue or job that a request addresses.
-enum Target<'a> {
-    Queue(&'a Queue),
-    Job(&'a Queue, JobId),
+/// A request whose caller may use the queue that it addresses.
+pub(crate) struct Admitted<'a> {
+    pub(crate) queue: &'a Queue,
+    /// Job that the request addresses; `None` if it addresses the queue.
+    job: Option<JobId>,
+    pub(crate) viewer: Viewer<'a>,
 }
 
 impl CallerHandler {
@@ -76,43 +85,97 @@
     }
 
     async fn respond(&self, request: &HttpRequest) -> HttpResponse {
-        let config = self.context.config.borrow().clone();
-        let Some(config) = config else {
+        let Some(config) = self.context.config.borrow().clone() else {
             return service_unavailable("no configuration yet");
         };
-        match resolve(&config, request) {
-            Err(response) if response.status() == StatusCode::NOT_FOUND => {
-                self.not_found(*response)
-            }
-            Ok(Target::Queue(queue)) if request.method == Method::GET => {
-                self.query_length(queue).await
-            }
-            Ok(Target::Job(queue, id)) if request.method == Method::POST => {
-                self.submit(&config, queue, id, request).await
-            }
-            Ok(Target::Job(_, id)) if request.method == Method::GET => self.query_status(id).await,
-            Ok(Target::Job(queue, id)) if request.method == Method::DELETE => {
-                self.cancel(queue, id).await
-            }
-            Ok(_) => web::error(
+        // The caller's key may have been removed while the body of the request arrived.
+        let admitted = match self.admit(&config, request) {
+            Ok(admitted) => admitted,
+            Err(response) => return *response,
+        };
+        let Admitted { queue, job, viewer } = admitted;
+        match (&request.method, job) {
+            (&Method::GET, None) => self.query_length(queue).await,
+            (&Method::POST, Some(id)) => self.submit(&config, &admitted, id, request).await,
+            (&Method::GET, Some(id)) => self.query_status(id, viewer).await,
+            (&Method::DELETE, Some(id)) => self.cancel(queue, id, viewer).await,
+            _ => web::error(
                 StatusCode::METHOD_NOT_ALLOWED,
                 "allowed: POST, GET and DELETE of a job, GET of a queue",
             ),
-            Err(response) => *response,
         }
     }
 
+    /// Returns what a request addresses and for whom its caller acts, or the response to a caller
+    /// that may not use the queue.
+    fn admit<'a>(
+        &self,
+        config: &'a Config,
+        request: &HttpRequest,
+    ) -> Result<Admitted<'a>, Box<HttpResponse>> {
+        let queue =
+            find_queue(config, request).ok_or_else(|| Box::new(self.not_found()))?;
+        let viewer = self.authorize(config, queue, request)?;
+        let rest = &request.path[queue.prefix.len()..];
+        let job = if rest.is_empty() {
+            None
+        } else {
+            let id = job::parse_job_id(rest);
+            Some(id.map_err(|error| web::error(StatusCode::BAD_REQUEST, &error.to_string()))?)
+        };
+        Ok(Admitted { queue, job, viewer })
+    }
+
+    fn authorize<'a>(
+        &self,
+        config: &'a Config,
+        queue: &Queue,
+        request: &HttpRequest,
+    ) -> Result<Viewer<'a>, Box<HttpResponse>> {
+        let key = request_key(&request.headers);
+        let age = self.context.config_age();
+        match access::decide(config, queue, key, age, self.context.settings.config_ages()) {
+            Access::Granted(viewer) => Ok(viewer),
+            Access::Denied(denial) => Err(Box::new(self.unauthorized(queue, denial))),
+            Access::Undecided => {
+                count(&self.context.metrics.denied, "undecided");
+                log::warn!(
+                    code = 420, queue = queue.name.as_str(), age_ms = millis(age), version = config.version;
+                    "configuration too old to decide about a key; the caller gets 503"
+                );
+                Err(Box::new(service_unavailable(
+                    "the configuration of this host is too old to check the key",
+                )))
+            }
+        }
+    }
+
+    fn unauthorized(&self, queue: &Queue, denial: Denial) -> HttpResponse {
+        count(&self.context.metrics.denied, denial.label());
+        log::info!(
+            code = 419, queue = queue.name.as_str(), reason = denial.label();
+            "request without a key of an organisation; the caller gets 401"
+        );
+        let mut response = web::error(StatusCode::UNAUTHORIZED, &denial.to_string());
+        let challenge = HeaderValue::from_static(CHALLENGE);
+        response.headers_mut().insert(WWW_AUTHENTICATE, challenge);
+        response
+    }
+
     /// Returns 404 for a queue that the configuration does not contain, or 503 if the configuration
     /// was read too long ago: the queue may have been added since.
-    fn not_found(&self, response: HttpResponse) -> HttpResponse {
+    fn not_found(&self) -> HttpResponse {
         if self.context.config_age() > CONFIG_MAX_AGE {
             return service_unavailable("the configuration cannot be read from this host");
         }
-        response
+        web::error(StatusCode::NOT_FOUND, "no such queue")
     }
 
-    async fn query_status(&self, id: JobId) -> HttpResponse {
-        let view = self.owner.query_status(id).await;
+    /// Returns the status of a job. A job of another organisation is answered like one that does not
+    /// exist.
+    async fn query_status(&self, id: JobId, viewer: Viewer<'_>) -> HttpResponse {
+        let organisation = viewer.organisation().map(|one| one.name.clone());
+        let view = self.owner.query_status(id, organisation).await;
         if let Ok(JobView::Job(job_status)) = view {
             count(&self.context.metrics.states, "owner");
             return status_reply(id, job_status, "owner");
@@ -123,7 +186,7 @@
                 "neither the owner nor the store can be reached from this host",
             );
         }
-        match self.stored_status(id, not_started).await {
+        match self.stored_status(id, not_started, viewer).await {
             Ok(Some(job_status)) => {
                 count(&self.context.metrics.states, "store");
                 status_reply(id, job_status, "store")
@@ -169,32 +232,28 @@
 }
 
 impl Handler for CallerHandler {
+    /// Rejects a caller without access before the body of its request is read.
+    fn screen(&self, head: &HttpRequest) -> Option<HttpResponse> {
+        let config = self.context.config.borrow().clone()?;
+        self.admit(&config, head).err().map(|response| *response)
+    }
+
     async fn handle(&self, request: HttpRequest) -> HttpResponse {
         self.respond(&request).await
     }
 }
 
-fn resolve<'a>(config: &'a Config, request: &HttpRequest) -> Result<Target<'a>, Box<HttpResponse>> {
-    let Some(queue) = config.route(&request.host, &request.path) else {
+/// Returns the queue that a request addresses; `None` if the configuration does not contain it.
+fn find_queue<'a>(config: &'a Config, request: &HttpRequest) -> Option<&'a Queue> {
+    let queue = config.route(&request.host, &request.path);
+    if queue.is_none() {
         log::info!(
             code = 411, host = request.host.as_str(), path = request.path.as_str(),
             version = config.version;
             "request matches no queue; the caller gets 404, or 503 if the configuration is outdated"
         );
-        let response = web::error(StatusCode::NOT_FOUND, "no such queue");
-        return Err(Box::new(response));
-    };
-    let rest = &request.path[queue.prefix.len()..];
-    if rest.is_empty() {
-        return Ok(Target::Queue(queue));
-    }
-    match job::parse_job_id(rest) {
-        Ok(id) => Ok(Target::Job(queue, id)),
-        Err(error) => {
-            let response = web::error(StatusCode::BAD_REQUEST, &error.to_string());
-            Err(Box::new(response))
-        }
     }
+    queue
 }
 
 fn status_reply(id: JobId, job_status: JobStatus, source: &'static str) -> HttpResponse {
--- a/crates/cell/src/cancel.rs
+++ b/crates/cell/src/cancel.rs
@@ -11,6 +11,7 @@
 use web::HttpResponse;
 
 use crate::CallerHandler;
+use crate::access::Viewer;
 use crate::callers::ATTEMPT_SHARE;
 use crate::callers::EmptyBody;
 use crate::callers::RETRY_PAUSE;
@@ -57,11 +58,16 @@
 impl CallerHandler {
     /// Cancels a job. Once a reply to a write has been lost, the response may no longer be "not
     /// stored", because the store may still carry out that write.
-    pub(crate) async fn cancel(&self, queue: &Queue, id: JobId) -> HttpResponse {
+    pub(crate) async fn cancel(
+        &self,
+        queue: &Queue,
+        id: JobId,
+        viewer: Viewer<'_>,
+    ) -> HttpResponse {
         let deadline = self.context.now() + caller_timeout(queue).mul_f64(ATTEMPT_SHARE);
         let mut ambiguous = false;
         let response = loop {
-            match self.try_cancel(id).await {
+            match self.try_cancel(id, viewer).await {
                 Ok(status) => {
                     log::info!(
                         code = 421, job:% = hex(id), status = status.as_u16();
@@ -71,7 +77,8 @@
                         // The caller does not wait for this message. If it is lost, the owner
                         // reads the cancellation from the change feed of the store.
                         let owner = self.owner.clone();
-                        tokio::spawn(async move { owner.notify_canceled(id).await });
+                        let organisation = viewer.organisation().map(|one| one.name.clone());
+                        tokio::spawn(async move { owner.notify_canceled(id, organisation).await });
                     }
                     break web::json(status, &EmptyBody {});
                 }
@@ -98,8 +105,8 @@
 
     /// Makes one attempt to write the cancellation. Returns the status for the caller: 200, or 410
     /// if there is no such job.
-    async fn try_cancel(&self, id: JobId) -> Result<StatusCode, CancelError> {
-        let Some(stored) = self.stored_job(id).await.context(RowSnafu)? else {
+    async fn try_cancel(&self, id: JobId, viewer: Viewer<'_>) -> Result<StatusCode, CancelError> {
+        let Some(stored) = self.stored_job(id, viewer).await.context(RowSnafu)? else {
             return Ok(StatusCode::GONE);
         };
         let StoredJob { row, mut spec, .. } = stored;
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -2,6 +2,7 @@
 //! store; one process at a time owns the pool and sends commands to the workers.
 
 mod acceptor;
+pub mod access;
 mod advice_helper;
 mod callers;
 mod cancel;
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -30,6 +30,9 @@
     registry: Registry,
     /// Submissions by result: `accepted`, `repeated`, `refused`, `unknown`.
     pub submits: IntCounterVec,
+    /// Requests that were not authorized, by reason: `missing`, `repeated`, `malformed`, `unknown`,
+    /// `undecided`.
+    pub denied: IntCounterVec,
     /// Status replies to callers, by source: `owner`, `store`, `none`, `unreadable`.
     pub states: IntCounterVec,
     /// Cancel requests by HTTP status.
@@ -111,6 +114,7 @@
         };
         CellMetrics {
             submits: counters(&registry, "submits", "Submissions by result", "result"),
+            denied: counters(&registry, "denied", "Requests not authorized", "reason"),
             states: counters(&registry, "states", "States shown by source", "source"),
             cancels: counters(&registry, "cancels", "Cancels by status", "status"),
             starts: counters(&registry, "starts", "Answers to starts", "result"),
--- a/crates/cell/src/owner/dispatch.rs
+++ b/crates/cell/src/owner/dispatch.rs
@@ -1,6 +1,7 @@
 //! Dispatches each message to the owner to its handler.
 
 use job::JobId;
+use job::OrganisationName;
 
 use super::Pool;
 use crate::JobView;
@@ -10,10 +11,10 @@
     pub(super) fn dispatch(&mut self, message: OwnerMessage) {
         match message {
             // Without a reply, the caller falls back to the store.
-            OwnerMessage::QueryStatus(id, reply) => {
+            OwnerMessage::QueryStatus(id, organisation, reply) => {
                 if self.owned() {
                     // The caller may have closed its request; then it needs no reply.
-                    let _ = reply.send(self.job_view(id));
+                    let _ = reply.send(self.job_view(id, organisation.as_ref()));
                 }
             }
             OwnerMessage::QueryLength(queue, reply) => {
@@ -33,10 +34,12 @@
                 // The handler of the request may have ended; then it needs no reply.
                 let _ = reply.send(());
             }
-            OwnerMessage::JobCanceled(id, reply) => {
+            OwnerMessage::JobCanceled(id, organisation, reply) => {
                 // If the owner has not read the job's row yet, the row will contain the
                 // cancellation.
-                self.planner.cancel(id);
+                if self.planner.is_open_to(id, organisation.as_ref()) {
+                    self.planner.cancel(id);
+                }
                 // The handler of the request may have ended; then it needs no reply.
                 let _ = reply.send(());
             }
@@ -61,8 +64,11 @@
         count.waiting
     }
 
-    /// Status of a job, for a caller.
-    fn job_view(&self, id: JobId) -> JobView {
+    /// Status of a job, for a caller that acts for an organisation or for anybody.
+    fn job_view(&self, id: JobId, organisation: Option<&OrganisationName>) -> JobView {
+        if !self.planner.is_open_to(id, organisation) {
+            return JobView::Unknown;
+        }
         if self.planner.status_undecided(id) {
             return JobView::Undecided;
         }
--- a/crates/cell/src/owner/handlers.rs
+++ b/crates/cell/src/owner/handlers.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use job::JobId;
-use job::JobSpec;
 use job::Progress;
 use job::ReportOrigin;
 use job::WorkerInfo;
@@ -20,7 +19,7 @@
 use crate::RegistrationChange;
 use crate::UsedWorker;
 use crate::WorkerEvent;
-use crate::decode_row;
+use crate::decode_job_row;
 use crate::job_id_of;
 use crate::metrics::count;
 
@@ -39,7 +38,7 @@
             return;
         }
         let id = job_id_of(&row.name);
-        let spec = decode_row::<JobSpec>(&row.value);
+        let spec = decode_job_row(&row.value);
         if let Ok(id) = id {
             self.retention.record_row(id, &row.name);
         }
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -362,6 +362,7 @@
         self.publish_reply_delay();
         self.planner.advance(now);
         self.check_registration_age(now);
+        self.check_limits_age();
         let recovering = self.planner.recovering();
         if self.owned() && !self.saver.holds_starts(now) {
             self.planner.set_start_budget(self.start_window.available());
@@ -403,6 +404,19 @@
         }
     }
 
+    /// While the configuration cannot be read, a lower limit of an organisation may be in force, so
+    /// its work does not start.
+    fn check_limits_age(&mut self) {
+        let age = self.context.config_age();
+        let outdated = age > self.context.settings.config_ages().usable;
+        if self.planner.set_limits_outdated(outdated) {
+            log::warn!(
+                code = 388, epoch = self.epoch, outdated = outdated, age_ms = millis(age);
+                "configuration became outdated or current; while outdated, no work of organisations starts"
+            );
+        }
+    }
+
     pub(super) fn worker_id(&self, key: WorkerKey) -> &str {
         self.planner
             .worker_info(key)
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -4,12 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use auth::KeyDigest;
 use hyper::Method;
 use hyper::StatusCode;
 use job::Epoch;
 use job::JobId;
 use job::JobSpec;
 use job::JobStatus;
+use job::OrganisationName;
 use job::StepKey;
 use job::WorkerId;
 use serde::Deserialize;
@@ -84,6 +86,10 @@
     pub id: JobId,
     /// Specification of the job.
     pub spec: JobSpec,
+    /// Digest of the caller's key, for the host of the owner, which checks it again; `None` if the
+    /// caller needed no key, or the job is accepted already.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub key: Option<KeyDigest>,
 }
 
 /// The owner's reply to a question about a job.
@@ -118,6 +124,18 @@
     backoff: watch::Sender<(Epoch, Duration)>,
 }
 
+/// Query parameter with the organisation for which a request is made; absent for anybody.
+const ORGANISATION_PARAMETER: &str = "organisation";
+
+/// Returns the path of a request about a job.
+fn job_path(prefix: &str, id: JobId, organisation: Option<&OrganisationName>) -> String {
+    let path = format!("{prefix}{id:016x}");
+    match organisation {
+        Some(name) => format!("{path}?{ORGANISATION_PARAMETER}={}", web::encode(name)),
+        None => path,
+    }
+}
+
 /// Time for which an owner that did not answer is not called again. Otherwise each caller would
 /// first wait for the timeout before the store is read.
 const OWNER_BACKOFF: Duration = Duration::from_millis(700);
@@ -134,20 +152,20 @@
         }
     }
 
-    /// Asks for the status of a job.
+    /// Asks for the status of a job on behalf of an organisation, or of anybody. A job of another
+    /// organisation is unknown to it.
     ///
     /// # Errors
     /// See [`OwnerError`].
-    pub async fn query_status(&self, id: JobId) -> Result<JobView, OwnerError> {
-        let make_message = |reply| OwnerMessage::QueryStatus(id, reply);
-        self.send_request(
-            make_message,
-            Method::GET,
-            &format!("/state/{id:016x}"),
-            &(),
-            OWNER_TIMEOUT,
-        )
-        .await
+    pub async fn query_status(
+        &self,
+        id: JobId,
+        organisation: Option<OrganisationName>,
+    ) -> Result<JobView, OwnerError> {
+        let path = job_path("/state/", id, organisation.as_ref());
+        let make_message = |reply| OwnerMessage::QueryStatus(id, organisation, reply);
+        self.send_request(make_message, Method::GET, &path, &(), OWNER_TIMEOUT)
+            .await
     }
 
     /// Asks for the number of jobs that wait in a queue.
@@ -179,14 +197,18 @@
         .await
     }
 
-    /// Notifies the owner of a cancelled job. The change feed also delivers the cancellation, but
+    /// Notifies the owner of a job that an organisation, or anybody, has cancelled. The change feed also delivers the cancellation, but
     /// later, and tasks of the job could start in the meantime.
     ///
     /// # Errors
     /// See [`OwnerError`]; the owner may have received the message.
-    pub async fn notify_canceled(&self, id: JobId) -> Result<(), OwnerError> {
-        let make_message = |reply| OwnerMessage::JobCanceled(id, reply);
-        let path = format!("/canceled/{id:016x}");
+    pub async fn notify_canceled(
+        &self,
+        id: JobId,
+        organisation: Option<OrganisationName>,
+    ) -> Result<(), OwnerError> {
+        let path = job_path("/canceled/", id, organisation.as_ref());
+        let make_message = |reply| OwnerMessage::JobCanceled(id, organisation, reply);
         self.send_request(make_message, Method::POST, &path, &(), OWNER_TIMEOUT)
             .await
     }
@@ -304,7 +326,12 @@
     }
 
     /// Accepts a job on behalf of a host that the store refuses.
-    async fn accept(&self, job: AcceptedJob) -> HttpResponse {
+    async fn accept(&self, mut job: AcceptedJob) -> HttpResponse {
+        if !self.holds_key(&job) {
+            let reason = "the key is not configured on the host of the owner".to_owned();
+            return web::json(StatusCode::OK, &Acceptance::Refused(reason));
+        }
+        job.key = None;
         let deadline = self.context.now() + FORWARD_TIMEOUT;
         let acceptance = self.acceptor.accept(&job, deadline).await;
         if acceptance == (Acceptance::Accepted { first: true }) {
@@ -319,6 +346,19 @@
         web::json(StatusCode::OK, &acceptance)
     }
 
+    /// Returns whether the organisation of a forwarded job still holds the key with which the job was
+    /// submitted. The host that forwards a job cannot read the store, so it may not know that the key
+    /// was removed. A host of an earlier version sends no key.
+    fn holds_key(&self, job: &AcceptedJob) -> bool {
+        let (Some(key), Some(name)) = (job.key, job.spec.organisation_name()) else {
+            return true;
+        };
+        let config = self.context.config.borrow();
+        let holder = config.as_ref().and_then(|config| config.key_holder(key));
+        let usable = self.context.settings.config_ages().usable;
+        self.context.config_age() <= usable && holder.is_some_and(|holder| holder.name == *name)
+    }
+
     /// Sends a message to the owner in this process, and responds with its reply; with status 409
     /// if there is no owner here or it does not reply in time.
     async fn relay<T: Serialize>(
@@ -335,11 +375,12 @@
 
 impl Handler for PeerHandler {
     async fn handle(&self, incoming: HttpRequest) -> HttpResponse {
+        let organisation = incoming.parameter(ORGANISATION_PARAMETER);
         if let Some(id) = incoming.path.strip_prefix("/state/") {
             return match job::parse_job_id(id) {
                 Ok(id) => {
-                    self.relay(|reply| OwnerMessage::QueryStatus(id, reply), OWNER_TIMEOUT)
-                        .await
+                    let make_message = |reply| OwnerMessage::QueryStatus(id, organisation, reply);
+                    self.relay(make_message, OWNER_TIMEOUT).await
                 }
                 Err(error) => web::error(StatusCode::BAD_REQUEST, &error.to_string()),
             };
@@ -347,7 +388,7 @@
         if let Some(id) = incoming.path.strip_prefix("/canceled/") {
             return match job::parse_job_id(id) {
                 Ok(id) => {
-                    let make_message = |reply| OwnerMessage::JobCanceled(id, reply);
+                    let make_message = |reply| OwnerMessage::JobCanceled(id, organisation, reply);
                     self.relay(make_message, OWNER_TIMEOUT).await
                 }
                 Err(error) => web::error(StatusCode::BAD_REQUEST, &error.to_string()),
--- a/crates/cell/src/rows.rs
+++ b/crates/cell/src/rows.rs
@@ -2,16 +2,21 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use job::CrashRecord;
 use job::Epoch;
 use job::IdError;
 use job::IncarnationId;
 use job::JobId;
+use job::JobSpec;
 use job::Outcome;
 use job::Progress;
+use job::Queue;
 use job::Resources;
+use job::Schedule;
 use job::StepProgress;
+use job::StepSpec;
 use platform::RowName;
 use serde::Deserialize;
 use serde::Serialize;
@@ -265,6 +270,38 @@
     })
 }
 
+/// A job's row as written by earlier versions, without the organisation.
+#[derive(Deserialize)]
+struct LegacyJobSpec {
+    queue: Queue,
+    payload: String,
+    steps: Vec<StepSpec>,
+    schedule: Option<Schedule>,
+    received: Duration,
+    canceled: bool,
+}
+
+/// Decodes the row of an accepted job, including one of an earlier version, which has no
+/// organisation.
+///
+/// # Errors
+/// Fails if the bytes are not such a row.
+pub fn decode_job_row(bytes: &[u8]) -> Result<JobSpec, postcard::Error> {
+    if let Ok(job) = decode_row::<JobSpec>(bytes) {
+        return Ok(job);
+    }
+    let legacy = decode_row::<LegacyJobSpec>(bytes)?;
+    Ok(JobSpec {
+        queue: legacy.queue,
+        payload: legacy.payload,
+        steps: legacy.steps,
+        schedule: legacy.schedule,
+        received: legacy.received,
+        canceled: legacy.canceled,
+        organisation: None,
+    })
+}
+
 /// A job's progress as written by earlier versions, without placements. Even earlier versions wrote
 /// no crashes either, see [`ProgressWithoutCrashes`].
 #[derive(Deserialize)]
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -13,6 +13,7 @@
 use snafu::ResultExt;
 
 use crate::CellError;
+use crate::access::ConfigAges;
 use crate::calls_per_second;
 use crate::error::ReadSettingsSnafu;
 
@@ -43,6 +44,16 @@
     pub keep_s: f64,
     /// Time between the stop signal and the kill, in seconds.
     pub grace_s: f64,
+    /// Time within which a new configuration must take effect, in milliseconds.
+    #[serde(default = "default_config_ms")]
+    pub config_ms: u64,
+    /// Time by which an unstable store may extend that time, in milliseconds.
+    #[serde(default = "default_stretch_ms")]
+    pub stretch_ms: u64,
+    /// Share by which an organisation may exceed its limits while it is not known what it has
+    /// running; 0 if the platform states none.
+    #[serde(default)]
+    pub overshoot: Option<f64>,
 }
 
 /// Settings of a process.
@@ -87,6 +98,16 @@
 /// a worker that crashed without notice soon start again.
 const LEASE_SHARE: f64 = 0.75;
 
+/// Default time within which a new configuration must take effect, in milliseconds.
+fn default_config_ms() -> u64 {
+    2000
+}
+
+/// Default time by which an unstable store may extend it, in milliseconds.
+fn default_stretch_ms() -> u64 {
+    5000
+}
+
 /// Default bandwidth of a host's link, in megabits per second.
 fn default_link() -> f64 {
     1000.0
@@ -157,6 +178,16 @@
         Duration::try_from_secs_f64(self.bounds.grace_s).unwrap_or_default()
     }
 
+    /// Returns the ages up to which the configuration may be relied on.
+    #[must_use]
+    pub fn config_ages(&self) -> ConfigAges {
+        let current = Duration::from_millis(self.bounds.config_ms);
+        ConfigAges {
+            current,
+            usable: current + Duration::from_millis(self.bounds.stretch_ms),
+        }
+    }
+
     /// Returns the planner's parameters.
     #[must_use]
     pub fn policy(&self) -> Policy {
@@ -165,6 +196,7 @@
             lease: longest.mul_f64(LEASE_SHARE),
             max_lease: longest,
             switches: Switches::disabling(&self.off),
+            overshoot: self.bounds.overshoot.unwrap_or_default(),
             ..Policy::default()
         }
     }
--- a/crates/cell/src/stored.rs
+++ b/crates/cell/src/stored.rs
@@ -10,9 +10,10 @@
 use snafu::Snafu;
 
 use crate::CallerHandler;
+use crate::access::Viewer;
 use crate::callers::STORE_TIMEOUT;
+use crate::decode_job_row;
 use crate::decode_progress;
-use crate::decode_row;
 use crate::hex;
 use crate::job_rows;
 use crate::progress_row;
@@ -54,12 +55,14 @@
         &self,
         id: JobId,
         not_started: bool,
+        viewer: Viewer<'_>,
     ) -> Result<Option<JobStatus>, StoredError> {
         let progress = self.stored_progress(id).await?;
         if let Some(outcome) = progress.as_ref().and_then(|progress| progress.outcome) {
-            return Ok(Some(outcome.into()));
+            let visible = self.job_visible(id, viewer).await?;
+            return Ok(visible.then_some(outcome.into()));
         }
-        let Some(job) = self.stored_job(id).await? else {
+        let Some(job) = self.stored_job(id, viewer).await? else {
             return Ok(None);
         };
         let spec = job.spec;
@@ -84,8 +87,28 @@
             .transpose()
     }
 
-    /// Combines the rows of a job; returns `None` if the job certainly has none.
-    pub(crate) async fn stored_job(&self, id: JobId) -> Result<Option<StoredJob>, StoredError> {
+    /// Returns whether a caller may see a job that has ended.
+    async fn job_visible(&self, id: JobId, viewer: Viewer<'_>) -> Result<bool, StoredError> {
+        if viewer == Viewer::Anybody {
+            return Ok(true);
+        }
+        let store = &self.context.store;
+        for name in &job_rows(id) {
+            let row = store.read_row(name, STORE_TIMEOUT).await;
+            if let Some(row) = row.context(ReadSnafu)? {
+                let spec = log_undecodable(id, &row, decode_job_row(&row.value))?;
+                return Ok(viewer.may_see(&spec));
+            }
+        }
+        Ok(false)
+    }
+
+    /// Combines the rows of a job that a caller may see; returns `None` if there certainly are none.
+    pub(crate) async fn stored_job(
+        &self,
+        id: JobId,
+        viewer: Viewer<'_>,
+    ) -> Result<Option<StoredJob>, StoredError> {
         let store = &self.context.store;
         let mut found: Option<StoredJob> = None;
         let mut read_error = None;
@@ -98,7 +121,10 @@
                     continue;
                 }
             };
-            let spec: JobSpec = log_undecodable(id, &row, decode_row(&row.value))?;
+            let spec = log_undecodable(id, &row, decode_job_row(&row.value))?;
+            if !viewer.may_see(&spec) {
+                continue;
+            }
             match &mut found {
                 Some(job) => job.spec.canceled |= spec.canceled,
                 None => {
--- a/crates/cell/src/submit.rs
+++ b/crates/cell/src/submit.rs
@@ -3,10 +3,12 @@
 
 use hyper::StatusCode;
 use job::Config;
+use job::ExcessiveStep;
 use job::JobId;
 use job::Mechanism;
-use job::Queue;
+use job::Organisation;
 use platform::decode_job;
+use platform::request_key;
 use web::HttpRequest;
 use web::HttpResponse;
 
@@ -14,6 +16,7 @@
 use crate::AcceptedJob;
 use crate::CallerHandler;
 use crate::callers::ATTEMPT_SHARE;
+use crate::callers::Admitted;
 use crate::callers::EmptyBody;
 use crate::callers::caller_timeout;
 use crate::callers::outcome_unknown;
@@ -25,7 +28,7 @@
     pub(crate) async fn submit(
         &self,
         config: &Config,
-        queue: &Queue,
+        admitted: &Admitted<'_>,
         id: JobId,
         request: &HttpRequest,
     ) -> HttpResponse {
@@ -33,11 +36,19 @@
             let reason = format!("body: allowed: at most {} bytes", config.body_bytes);
             return web::error(StatusCode::PAYLOAD_TOO_LARGE, &reason);
         }
-        let spec = match decode_job(&request.body, queue, self.context.wall_time()) {
+        let Admitted { queue, viewer, .. } = *admitted;
+        let mut spec = match decode_job(&request.body, queue, self.context.wall_time()) {
             Ok(spec) => spec,
             Err(error) => return web::error(StatusCode::BAD_REQUEST, &error.to_string()),
         };
-        let job = AcceptedJob { id, spec };
+        if let Some(organisation) = viewer.organisation() {
+            if let Some(excessive) = organisation.excessive_step(&spec) {
+                return self.over_limit(organisation, excessive);
+            }
+            spec.organisation = Some(organisation.clone());
+        }
+        let key = request_key(&request.headers).ok();
+        let job = AcceptedJob { id, spec, key };
         let deadline = self.context.now() + caller_timeout(queue).mul_f64(ATTEMPT_SHARE);
         let mut acceptance = self.acceptor.accept(&job, deadline).await;
         let forwards = self.context.settings.has(Mechanism::ForwardToOwner);
@@ -53,14 +64,33 @@
                 web::json(StatusCode::OK, &EmptyBody {})
             }
             Acceptance::Accepted { first: false } => web::json(StatusCode::OK, &EmptyBody {}),
+            Acceptance::Taken => web::error(StatusCode::CONFLICT, "id of the job is in use"),
             Acceptance::Refused(reason) => service_unavailable(&reason),
             Acceptance::Unknown(reason) => outcome_unknown(&reason),
         }
     }
 
+    /// Rejects a job that the limit of its organisation never lets start. Only a current
+    /// configuration shows that the limit has not been raised.
+    fn over_limit(&self, organisation: &Organisation, excessive: ExcessiveStep) -> HttpResponse {
+        if self.context.config_age() > self.context.settings.config_ages().current {
+            return service_unavailable(
+                "the configuration of this host is too old to check limits",
+            );
+        }
+        let ExcessiveStep { step, need } = excessive;
+        let limit = organisation.limit.0;
+        let reason = format!(
+            "steps: step {step} needs {need} at the same time, allowed for organisation {:?}: {limit}",
+            organisation.name
+        );
+        web::error(StatusCode::UNPROCESSABLE_ENTITY, &reason)
+    }
+
     /// Notifies the owner without delaying the caller. If the message is lost, the owner reads
     /// the job from the change feed.
-    fn notify_owner(&self, job: AcceptedJob) {
+    fn notify_owner(&self, mut job: AcceptedJob) {
+        job.key = None;
         let owner = self.owner.clone();
         tokio::spawn(async move {
             let id = job.id;
--- a/crates/cell/tests/context.rs
+++ b/crates/cell/tests/context.rs
@@ -40,6 +40,9 @@
             lease_ms: 6000,
             keep_s: 120.0,
             grace_s: 6.0,
+            config_ms: 2000,
+            stretch_ms: 5000,
+            overshoot: None,
         },
         off: Vec::new(),
     }
--- a/crates/cell/tests/rows.rs
+++ b/crates/cell/tests/rows.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use cell::UsedWorker;
+use cell::decode_job_row;
 use cell::decode_progress;
 use cell::decode_row;
 use cell::decode_used_worker;
@@ -263,3 +265,72 @@
     assert!(by_current.crashes.is_empty());
     assert_eq!(by_earlier, Ok(earlier));
 }
+
+/// A job's row as written by the previous version, without the organisation.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct JobWithoutOrganisation {
+    queue: job::Queue,
+    payload: String,
+    steps: Vec<job::StepSpec>,
+    schedule: Option<job::Schedule>,
+    received: Duration,
+    canceled: bool,
+}
+
+fn stored_job(organisation: Option<job::Organisation>) -> job::JobSpec {
+    job::JobSpec {
+        queue: job::Queue {
+            name: "bins".to_owned(),
+            host: "desk.example".to_owned(),
+            prefix: "/bins/".to_owned(),
+            service: "desk".to_owned(),
+            priority: 1,
+            attempts: 2,
+            stretch: 2.0,
+            slack: Duration::from_secs(1),
+            timeout: Duration::from_secs(3),
+            advice: None,
+            public: false,
+        },
+        payload: "text".to_owned(),
+        steps: vec![job::StepSpec {
+            count: 3,
+            need: resources(),
+            ..job::StepSpec::default()
+        }],
+        schedule: None,
+        received: Duration::from_secs(9),
+        canceled: false,
+        organisation,
+    }
+}
+
+fn without_organisation(job: &job::JobSpec) -> JobWithoutOrganisation {
+    JobWithoutOrganisation {
+        queue: job.queue.clone(),
+        payload: job.payload.clone(),
+        steps: job.steps.clone(),
+        schedule: job.schedule,
+        received: job.received,
+        canceled: job.canceled,
+    }
+}
+
+/// While a cell is updated process by process, processes of both versions run at the same time.
+#[test]
+fn both_versions_read_the_job_row_of_both() {
+    let organisation = job::Organisation {
+        name: "stores".to_owned(),
+        weight: 46.0,
+        limit: job::ResourceLimit(resources()),
+    };
+    let row = stored_job(Some(organisation));
+
+    let by_current = decode_job_row(&encode_row(&row));
+    let old_by_current = decode_job_row(&encode_row(&without_organisation(&row)));
+    let by_previous = decode_row::<JobWithoutOrganisation>(&encode_row(&row));
+
+    assert_eq!(by_current, Ok(row.clone()));
+    assert_eq!(old_by_current, Ok(stored_job(None)));
+    assert_eq!(by_previous, Ok(without_organisation(&row)));
+}
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod id;
 mod mechanism;
+mod organisation;
 mod planner;
 mod progress;
 mod queue;
@@ -14,6 +15,7 @@
 
 pub use id::*;
 pub use mechanism::*;
+pub use organisation::*;
 pub use planner::*;
 pub use progress::*;
 pub use queue::*;
--- a/crates/job/src/planner/adopt.rs
+++ b/crates/job/src/planner/adopt.rs
@@ -40,6 +40,7 @@
             self.book_unknown_run(key, running);
             return;
         };
+        let organisation = job.organisation;
         // Runs of an ended job keep their resources booked until they have stopped.
         let (booked, filler_cpu) = job
             .spec
@@ -66,6 +67,7 @@
             run: running.run,
             booked,
             filler_cpu,
+            organisation,
             unknown_size: false,
             phase: RunPhase::Running,
             phase_since: now,
@@ -76,7 +78,7 @@
             from_start: false,
             trial,
         };
-        self.workers[key].book(task, placed);
+        self.book_run(key, task, placed);
         self.run_observed(task, running.run, observation);
         if !adopted {
             self.stop_run(key, task, running.run, StopReason::Superseded);
@@ -90,6 +92,7 @@
             run: running.run,
             booked: Resources::default(),
             filler_cpu: 0,
+            organisation: None,
             unknown_size: true,
             phase: RunPhase::Running,
             phase_since: self.now,
@@ -100,7 +103,7 @@
             from_start: false,
             trial: false,
         };
-        self.workers[key].book(running.task, placed);
+        self.book_run(key, running.task, placed);
         self.stop_run(key, running.task, running.run, StopReason::JobUnknown);
     }
 
--- a/crates/job/src/planner/advice.rs
+++ b/crates/job/src/planner/advice.rs
@@ -104,7 +104,7 @@
             self.rank_steps();
         }
         while let Some((rank, key)) = self.advice_queue.waiting.pop_front() {
-            if !self.may_start_next(key) {
+            if !self.limit_admits(key) || !self.may_start_next(key) {
                 continue;
             }
             let Some(request) = self.build_request(rank, key, free) else {
--- a/crates/job/src/planner/incarnations.rs
+++ b/crates/job/src/planner/incarnations.rs
@@ -129,9 +129,9 @@
         let transferable = transferable_runs(worker, sent, report);
         let transferred: Vec<(TaskKey, PlacedRun)> = transferable
             .into_iter()
-            .filter_map(|(task, run)| Some((task, worker.release(task, run)?)))
+            .filter_map(|(task, run)| Some((task, self.release_run(key, task, run)?)))
             .collect();
-        let drained = worker.info.draining;
+        let drained = self.workers[key].info.draining;
         let cause = if drained {
             LossCause::Left
         } else {
@@ -164,7 +164,7 @@
         {
             state.phase = Phase::Active(next, run);
         }
-        self.workers[next].book(task, placed);
+        self.book_run(next, task, placed);
     }
 
     /// Returns the unresponsive workers that have registered as another incarnation, each with the
--- a/crates/job/src/planner/job_state.rs
+++ b/crates/job/src/planner/job_state.rs
@@ -9,6 +9,7 @@
 use super::Planner;
 use super::WorkerKey;
 use super::expected::Expected;
+use super::organisations::OrganisationKey;
 use super::run_times::RunTimes;
 use super::suspicion::Suspicion;
 use crate::CrashRecord;
@@ -188,6 +189,8 @@
 #[derive(Debug)]
 pub(super) struct JobState {
     pub spec: JobSpec,
+    /// Organisation that the job belongs to.
+    pub organisation: Option<OrganisationKey>,
     /// When the job was accepted. For a job of a former owner, this is computed from the wall
     /// clock; the age is limited to [`super::Policy::max_age`].
     pub accepted_at: Duration,
@@ -219,6 +222,7 @@
         let mut job = JobState {
             expected: Expected::new(&spec, run_times),
             spec,
+            organisation: None,
             accepted_at,
             maybe_started,
             started: false,
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -26,6 +26,7 @@
 mod late_end;
 mod load;
 mod loss;
+mod organisations;
 mod peak_pools;
 mod place;
 mod policy;
@@ -67,6 +68,7 @@
 use incarnations::EndedIncarnations;
 use inherited::InheritedRuns;
 use job_state::JobState;
+use organisations::Organisations;
 use peak_pools::PeakPools;
 use reservations::Reservations;
 use roster::WorkerState;
@@ -222,6 +224,8 @@
     started_at: Duration,
     /// Largest pool of each service seen by this owner.
     peak_pools: PeakPools,
+    /// Organisations, and what each of them has running.
+    organisations: Organisations,
 }
 
 /// Time after a take-over within which another process may still send a new job to the former
@@ -244,6 +248,7 @@
             unreadable_workers: 0,
             started_at: now,
             peak_pools: PeakPools::default(),
+            organisations: Organisations::default(),
             policy,
             now,
             wall_origin,
@@ -287,6 +292,7 @@
     /// Applies a configuration if it is newer than the current one.
     pub fn configure(&mut self, config: &Config) {
         if config.version > self.config.version {
+            self.organisations.configure(&config.organisations);
             self.config = config.clone();
         }
     }
@@ -313,7 +319,8 @@
     /// cancelled. `old` is set if a former owner may have started the job.
     pub fn add_job(&mut self, id: JobId, spec: JobSpec, progress: Option<&Progress>, old: bool) {
         if self.jobs.contains_key(&id) {
-            if spec.canceled {
+            // A row of another organisation with the same id, in another place, is ignored.
+            if spec.canceled && self.is_open_to(id, spec.organisation_name()) {
                 self.cancel(id);
             }
             return;
@@ -326,7 +333,10 @@
         let early = self.recovering && self.now < self.started_at + LATE_SUBMIT_WINDOW;
         let canceled = spec.canceled;
         let accepted_at = self.now.saturating_sub(age.min(self.policy.max_age));
+        let organisation = spec.organisation.as_ref();
+        let organisation = organisation.map(|stored| self.organisations.key_of(stored));
         let mut job = JobState::new(spec, accepted_at, old || early, &self.run_times);
+        job.organisation = organisation;
         self.learn_mean_work(&job.spec.queue.name, job.expected.work);
         if let Some(progress) = progress {
             job.restore(progress);
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -68,6 +68,7 @@
 
     /// Starts the waiting tasks that fit, in order of rank.
     pub(super) fn place(&mut self) {
+        self.begin_limits();
         self.overdue_gang = None;
         self.overdue_gang = self.find_overdue_gang();
         let mut ranked: Vec<(Rank, StepKey)> = self
@@ -84,6 +85,10 @@
             let Some(spec) = self.step_spec(key) else {
                 continue;
             };
+            if !self.limit_admits(key) {
+                self.hold_limit(key);
+                continue;
+            }
             if !spec.gang {
                 self.place_tasks(rank, key, &spec, &mut reservations);
                 continue;
@@ -186,6 +191,10 @@
             if self.start_budget == 0 {
                 return;
             }
+            if !self.limit_admits(key) {
+                self.hold_limit(key);
+                return;
+            }
             if suspected && self.awaits_save(task) {
                 continue;
             }
@@ -335,6 +344,7 @@
         let state = &mut step.tasks[task.index as usize];
         state.phase = Phase::Active(candidate.key, run);
         state.run = run;
+        let organisation = job.organisation;
         let (booked, filler_cpu) = spec.booked_and_filler();
         candidate.free = candidate.free.minus(&booked);
         candidate.unused_cpu = candidate.unused_cpu.saturating_sub(spec.need.cpu);
@@ -343,6 +353,7 @@
             run,
             booked,
             filler_cpu,
+            organisation,
             unknown_size: false,
             phase: RunPhase::Sent,
             phase_since: self.now,
@@ -353,7 +364,7 @@
             from_start: checkpoint.is_empty(),
             trial,
         };
-        self.workers[candidate.key].book(task, placed);
+        self.book_run(candidate.key, task, placed);
         if let Some(headroom) = self.headrooms.get_mut(candidate.key) {
             headroom.free = headroom.free.minus(&booked);
         }
--- a/crates/job/src/planner/policy.rs
+++ b/crates/job/src/planner/policy.rs
@@ -34,6 +34,8 @@
     /// Maximum age that is assumed for a job at a take-over. Ages are computed from the wall clock,
     /// which may jump.
     pub max_age: Duration,
+    /// Share by which an organisation may exceed its limits because of runs that are not known.
+    pub overshoot: f64,
     /// Disabled mechanisms.
     pub switches: Switches,
 }
@@ -95,6 +97,7 @@
             max_stall: Duration::from_millis(2500),
             stall_pause: Duration::from_millis(2500),
             max_age: Duration::from_mins(2),
+            overshoot: 0.0,
             switches: Switches::default(),
         }
     }
--- a/crates/job/src/planner/rank.rs
+++ b/crates/job/src/planner/rank.rs
@@ -121,7 +121,7 @@
             let job = self.jobs.get(&key.job);
             let step = job.and_then(|job| job.step(**key));
             let gang = step.is_some_and(|(spec, _)| spec.gang);
-            gang && self.rank(**key).is_some_and(|rank| rank.stage > 0)
+            gang && self.limit_admits(**key) && self.rank(**key).is_some_and(|rank| rank.stage > 0)
         });
         late.min_by_key(|key| self.jobs.get(&key.job).map(|job| job.accepted_at))
             .copied()
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/report.rs
@@ -81,12 +81,12 @@
             }
             StartReply::Unknown => {}
             StartReply::Refused => {
-                worker.release(task, run);
                 worker.paused_until = worker.paused_until.max(now + REFUSAL_PAUSE);
+                self.release_run(key, task, run);
                 self.start_refused(task, key, run);
             }
             StartReply::InvalidTicket => {
-                worker.release(task, run);
+                self.release_run(key, task, run);
                 self.revoke_ticket(task.step, key);
                 self.start_refused(task, key, run);
             }
@@ -205,7 +205,8 @@
             return;
         }
         worker.last_end = end.number;
-        let placed = worker.release(end.task, end.run);
+        let placed = self.release_run(key, end.task, end.run);
+        let worker = &mut self.workers[key];
         let was_booked = placed.is_some();
         let job = end.task.step.job;
         match end.how {
@@ -290,11 +291,10 @@
         }
         let other_runs = self.workers[key].runs.len().saturating_sub(1);
         for (task, run) in unlisted {
-            let worker = &mut self.workers[key];
-            let Some(placed) = worker.release(task, run) else {
+            let Some(placed) = self.release_run(key, task, run) else {
                 continue;
             };
-            let id = worker.info.id.clone();
+            let id = self.workers[key].info.id.clone();
             let lost = LostRun::new(
                 (task, &placed),
                 id,
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/roster.rs
@@ -9,6 +9,7 @@
 use super::Planner;
 use super::StopReason;
 use super::WorkerKey;
+use super::organisations::OrganisationKey;
 use super::speed::Speed;
 use crate::JobId;
 use crate::Resources;
@@ -49,6 +50,8 @@
     pub booked: Resources,
     /// Processors that a filler may use while others leave them free; they are not booked.
     pub filler_cpu: u64,
+    /// Organisation of the job; `None` if it has none, or if the job was not read yet.
+    pub organisation: Option<OrganisationKey>,
     /// The worker reported the run before its job was read, so the resources it needs are unknown.
     pub unknown_size: bool,
     pub phase: RunPhase,
@@ -70,6 +73,16 @@
     pub trial: bool,
 }
 
+impl PlacedRun {
+    /// Returns the resources that the run needs, the processors of a filler included.
+    pub(super) fn need(&self) -> Resources {
+        Resources {
+            cpu: self.booked.cpu + self.filler_cpu,
+            ..self.booked
+        }
+    }
+}
+
 /// The planner's state of one incarnation of a worker.
 #[derive(Debug)]
 #[allow(clippy::struct_excessive_bools)] // independent facts
@@ -207,6 +220,24 @@
 }
 
 impl Planner {
+    /// Books a run on a worker.
+    pub(super) fn book_run(&mut self, key: WorkerKey, task: TaskKey, placed: PlacedRun) {
+        self.organisations.add(&placed);
+        self.workers[key].book(task, placed);
+    }
+
+    /// Removes a run from a worker and frees its resources; `None` if this run is not booked.
+    pub(super) fn release_run(
+        &mut self,
+        key: WorkerKey,
+        task: TaskKey,
+        run: RunId,
+    ) -> Option<PlacedRun> {
+        let placed = self.workers.get_mut(key)?.release(task, run)?;
+        self.organisations.remove(&placed);
+        Some(placed)
+    }
+
     /// Processes a worker's registration; returns the worker's key if the worker is new.
     pub fn register_worker(&mut self, info: WorkerInfo) -> Option<WorkerKey> {
         self.peak_pools.workers_changed(self.now);
@@ -399,6 +430,9 @@
         self.resolve_ended(key, cause);
         let runs = std::mem::take(&mut self.workers[key].runs);
         let runs: Vec<(TaskKey, PlacedRun)> = runs.into_iter().collect();
+        for (_, placed) in &runs {
+            self.organisations.remove(placed);
+        }
         self.record_lost_runs(key, &runs, cause, transferred);
         let worker = self.workers.remove(key)?;
         self.peak_pools.workers_changed(self.now);
@@ -462,8 +496,7 @@
     /// Counts the runs of a worker whose lease has expired as lost.
     fn expire_runs(&mut self, key: WorkerKey) {
         let now = self.now;
-        let worker = &mut self.workers[key];
-        let runs = worker.runs.iter();
+        let runs = self.workers[key].runs.iter();
         let past_expiry = runs.filter(|(_, placed)| placed.late_expiry <= now);
         let past_expiry: Vec<(TaskKey, RunId)> = past_expiry
             .map(|(task, placed)| (*task, placed.run))
@@ -473,10 +506,10 @@
         }
         let past_expiry = past_expiry.into_iter();
         let past_expiry =
-            past_expiry.filter_map(|(task, run)| Some((task, worker.release(task, run)?)));
+            past_expiry.filter_map(|(task, run)| Some((task, self.release_run(key, task, run)?)));
         let past_expiry: Vec<(TaskKey, PlacedRun)> = past_expiry.collect();
         // The worker gets no work before its next report.
-        worker.claimed = false;
+        self.workers[key].claimed = false;
         self.record_lost_runs(key, &past_expiry, LossCause::LeaseExpired, 0);
     }
 
--- a/crates/job/src/planner/start_intent.rs
+++ b/crates/job/src/planner/start_intent.rs
@@ -143,6 +143,7 @@
             };
             let alone = self.jobs[&key.job].needs_trial(task);
             let free = self.workers.get(worker).filter(|state| self.usable(state));
+            let free = free.filter(|_| self.limit_admits(key));
             let free = free.filter(|state| !alone || state.runs.is_empty());
             let free = free.map(|state| reservations.remaining(worker, state.free()));
             let Some(free) = free.filter(|free| free.can_fit(&spec.booked())) else {
--- a/crates/job/src/planner/trial.rs
+++ b/crates/job/src/planner/trial.rs
@@ -91,6 +91,9 @@
             if remaining == 0 {
                 break;
             }
+            if !self.limit_admits(task.step) {
+                continue;
+            }
             if self.start_on_idle(rank, task, reservations) {
                 remaining -= 1;
             } else {
@@ -125,7 +128,7 @@
             for task in self.waiting_trials(key) {
                 if self.awaits_save(task) {
                     held += 1;
-                } else if self.may_start(task) {
+                } else if self.may_start(task) && self.limit_admits(key) {
                     ready.push((rank, task));
                 }
             }
--- a/crates/job/src/queue.rs
+++ b/crates/job/src/queue.rs
@@ -2,9 +2,13 @@
 
 use std::time::Duration;
 
+use auth::KeyDigest;
+use auth::KeyTable;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Organisation;
+
 /// How a queue uses the advice service, which decides which workers may run a step.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Advice {
@@ -40,6 +44,10 @@
     pub timeout: Duration,
     /// How the advice service is used; `None` if all workers may run a step.
     pub advice: Option<Advice>,
+    /// Callers need no key. This is not stored with a job, since only the current configuration
+    /// says who may call.
+    #[serde(skip)]
+    pub public: bool,
 }
 
 /// A pool of workers.
@@ -60,6 +68,10 @@
     pub queues: Vec<Queue>,
     /// Services of the cluster.
     pub services: Vec<Service>,
+    /// Organisations that may submit jobs.
+    pub organisations: Vec<Organisation>,
+    /// Keys of callers; the holder is the index of an organisation.
+    pub keys: KeyTable<usize>,
     /// Maximum size of a request's body, in bytes.
     pub body_bytes: usize,
 }
@@ -81,6 +93,12 @@
             .max_by_key(|queue| queue.prefix.len())
     }
 
+    /// Returns the organisation that holds a key; `None` if the key is not configured.
+    #[must_use]
+    pub fn key_holder(&self, key: KeyDigest) -> Option<&Organisation> {
+        self.organisations.get(*self.keys.holder(key)?)
+    }
+
     /// Returns a queue by its name.
     #[must_use]
     pub fn queue(&self, name: &str) -> Option<&Queue> {
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -1,10 +1,13 @@
 //! Specification of a job and its steps, as submitted by a caller.
 
+use std::fmt;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Organisation;
+use crate::OrganisationName;
 use crate::Queue;
 
 /// Amounts of processor time, memory and accelerators.
@@ -76,6 +79,16 @@
     }
 }
 
+impl fmt::Display for Resources {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Resources { cpu, memory, gpu } = self;
+        write!(
+            out,
+            "{cpu} thousandths of a core, {memory} MB, {gpu} accelerators"
+        )
+    }
+}
+
 /// A group of identical tasks within a job.
 #[allow(clippy::struct_excessive_bools)] // independent wishes of the caller
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -119,6 +132,14 @@
         Resources { cpu, ..self.need }
     }
 
+    /// Returns the resources that the smallest start of the step needs at the same time, those of a
+    /// filler included: one task, or all tasks of a gang.
+    #[must_use]
+    pub fn smallest_start(&self) -> Resources {
+        let tasks = if self.gang { self.count } else { 1 };
+        self.need.times(u64::from(tasks))
+    }
+
     /// Returns the resources that one task books on a worker, and the processors that it uses
     /// only while other tasks leave them free.
     #[must_use]
@@ -156,9 +177,23 @@
     pub received: Duration,
     /// Set when a caller has cancelled the job.
     pub canceled: bool,
+    /// Organisation that the job belongs to, as configured when the job was accepted; `None` if its
+    /// caller needed no key. The current configuration of the organisation takes precedence while it
+    /// exists. This must stay the last field: earlier versions decode only the fields that they know
+    /// and ignore the rest of the row.
+    #[serde(default)]
+    pub organisation: Option<Organisation>,
 }
 
 impl JobSpec {
+    /// Returns the name of the organisation that the job belongs to.
+    #[must_use]
+    pub fn organisation_name(&self) -> Option<&OrganisationName> {
+        self.organisation
+            .as_ref()
+            .map(|organisation| &organisation.name)
+    }
+
     /// Returns the number of rounds; 1 for a job without a schedule.
     #[must_use]
     pub fn rounds(&self) -> u32 {
--- a/crates/job/tests/support/mod.rs
+++ b/crates/job/tests/support/mod.rs
@@ -10,12 +10,15 @@
 
 use job::ActiveRun;
 use job::Command;
+use job::Config;
 use job::EndedRun;
 use job::JobId;
 use job::JobSpec;
+use job::Organisation;
 use job::Planner;
 use job::Policy;
 use job::Queue;
+use job::ResourceLimit;
 use job::Resources;
 use job::RunEnd;
 use job::RunId;
@@ -45,6 +48,7 @@
         slack: Duration::from_secs(1),
         timeout: Duration::from_secs(3),
         advice: None,
+        public: false,
     }
 }
 
@@ -76,6 +80,34 @@
         schedule: None,
         received: Duration::ZERO,
         canceled: false,
+        organisation: None,
+    }
+}
+
+/// Creates an organisation that may have `cpu` thousandths of a core running; 0 for no limit.
+pub fn organisation(name: &str, cpu: u64) -> Organisation {
+    Organisation {
+        name: name.to_owned(),
+        weight: 1.0,
+        limit: ResourceLimit(resources(cpu, 0)),
+    }
+}
+
+/// Creates a job of an organisation that may have `cpu` thousandths of a core running.
+pub fn spec_of(name: &str, cpu: u64, steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        organisation: Some(organisation(name, cpu)),
+        ..spec(steps)
+    }
+}
+
+/// Creates a configuration of one queue, with these organisations.
+pub fn config(version: u64, organisations: Vec<Organisation>) -> Config {
+    Config {
+        version,
+        queues: vec![queue(2)],
+        organisations,
+        ..Config::default()
     }
 }
 
--- a/crates/site/src/caller.rs
+++ b/crates/site/src/caller.rs
@@ -21,6 +21,8 @@
 #[derive(Clone, Debug)]
 pub struct Caller {
     client: Client,
+    /// Value of the `Authorization` header of each request; none if it is empty.
+    authorization: String,
 }
 
 impl Caller {
@@ -30,6 +32,16 @@
         Caller {
             // The timeout of opening a connection.
             client: Client::new(Duration::from_secs(1)),
+            authorization: String::new(),
+        }
+    }
+
+    /// Creates a caller that sends this `Authorization` header.
+    #[must_use]
+    pub fn authorized(authorization: &str) -> Caller {
+        Caller {
+            authorization: authorization.to_owned(),
+            ..Caller::new()
         }
     }
 
@@ -44,9 +56,12 @@
     ) -> (u16, Value) {
         // The queue of a request is selected by its path and by this host, which all queues of
         // `crate::config` name.
-        let call = Call::new(method, server, path, REPLY_TIMEOUT)
+        let mut call = Call::new(method, server, path, REPLY_TIMEOUT)
             .header("host", "desk.example".to_owned())
             .json(body);
+        if !self.authorization.is_empty() {
+            call = call.header("authorization", self.authorization.clone());
+        }
         match self.client.send(call).await {
             Ok(reply) => {
                 let body = serde_json::from_slice(&reply.body).unwrap_or_default();
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -483,6 +483,23 @@
     })
 }
 
+/// Returns the same configuration with organisations. Each has a name, keys, and a number of cores
+/// that it may have running, 0 for no limit. The queue `plain` and all others need a key, but
+/// `advised` is public.
+#[must_use]
+pub fn organisations_config(version: u64, organisations: &[(&str, &[&str], u64)]) -> Value {
+    let mut config = config(version);
+    config["routes"][1]["public"] = true.into();
+    let organisations = organisations.iter().map(|(name, keys, cores)| {
+        json!({
+            "name": name, "api_keys": keys, "weight": 1.0,
+            "max_count": {"cpu": cores * 1000, "mem_mb": 0, "gpu": 0},
+        })
+    });
+    config["tenants"] = organisations.collect();
+    config
+}
+
 /// Returns a job of one step with `count` tasks. `payload` determines how they end: it is
 /// `fail`, a run time in milliseconds, or `crash INDEX RUN_TIME CRASH_TIME`, with which the task
 /// with this index crashes its worker after the crash time and the others succeed after the run
--- a/crates/site/src/worker.rs
+++ b/crates/site/src/worker.rs
@@ -244,6 +244,12 @@
         self.lock().highest_token
     }
 
+    /// Returns the number of runs that are active or being stopped.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.lock().running.len()
+    }
+
     /// Returns the number of runs that have ended in this incarnation.
     #[must_use]
     pub fn ends(&self) -> u64 {
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use hyper::header::HOST;
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -68,6 +69,13 @@
 
 /// Handles requests.
 pub trait Handler: Send + Sync + 'static {
+    /// Rejects a request before its body is read, by returning the response to it. The body of
+    /// `head` is still empty.
+    fn screen(&self, head: &HttpRequest) -> Option<HttpResponse> {
+        let _ = head;
+        None
+    }
+
     /// Handles one request and returns the response.
     fn handle(&self, http_request: HttpRequest) -> impl Future<Output = HttpResponse> + Send;
 }
@@ -150,7 +158,11 @@
     limits: Limits,
 ) -> HttpResponse {
     let (head, body) = request.into_parts();
-    let body = if let Ok(body) = Limited::new(body, limits.body_bytes).collect().await {
+    let mut http_request = without_body(head);
+    if let Some(rejection) = handler.screen(&http_request) {
+        return rejection;
+    }
+    http_request.body = if let Ok(body) = Limited::new(body, limits.body_bytes).collect().await {
         body.to_bytes()
     } else {
         // The body is longer than allowed, or the connection ended before its end.
@@ -160,6 +172,10 @@
         );
         return error(StatusCode::PAYLOAD_TOO_LARGE, &reason);
     };
+    handler.handle(http_request).await
+}
+
+fn without_body(head: Parts) -> HttpRequest {
     let token = head
         .headers
         .get(AUTHORIZATION)
@@ -173,14 +189,13 @@
         .and_then(|value| value.split(':').next())
         .unwrap_or_default()
         .to_ascii_lowercase();
-    let http_request = HttpRequest {
+    HttpRequest {
         method: head.method,
         path: decode(head.uri.path()),
         query: head.uri.query().unwrap_or_default().to_owned(),
         token,
         host,
         headers: head.headers,
-        body,
-    };
-    handler.handle(http_request).await
+        body: Bytes::new(),
+    }
 }
