job: random events with organisations whose limits change

Cause: the random events had no organisations, so no order of events had been tried on the count of runs. Change: jobs of two organisations, limits that rise and fall, and a judge that counts what the workers have running, over all owners, late starts, crashes and restarts.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -113,8 +113,7 @@
         config: &'a Config,
         request: &HttpRequest,
     ) -> Result<Admitted<'a>, Box<HttpResponse>> {
-        let queue =
-            find_queue(config, request).ok_or_else(|| Box::new(self.not_found()))?;
+        let queue = find_queue(config, request).ok_or_else(|| Box::new(self.not_found()))?;
         let viewer = self.authorize(config, queue, request)?;
         let rest = &request.path[queue.prefix.len()..];
         let job = if rest.is_empty() {
--- a/crates/job/tests/event_sim/checks.rs
+++ b/crates/job/tests/event_sim/checks.rs
@@ -23,6 +23,7 @@
             !self.acked_done.contains_key(&task),
             "{task} was started after a stored successful end"
         );
+        self.check_limit(sent, task);
         let spec = &self.jobs[&task.step.job];
         let failures = self.acked_failures.get(&task).map_or(0, BTreeSet::len);
         assert!(
--- a/crates/job/tests/event_sim/mod.rs
+++ b/crates/job/tests/event_sim/mod.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod delivery;
 mod former_owner;
+mod organisations;
 mod same_ids;
 mod status;
 mod worker;
@@ -37,6 +38,7 @@
 
 use crashes::Faults;
 use former_owner::FormerOwner;
+use organisations::Organisations;
 use status::StartedJobs;
 use worker::Worker;
 
@@ -101,6 +103,8 @@
     started: StartedJobs,
     /// Tasks that have ended successfully on any worker, even if the worker has crashed since.
     done: HashSet<TaskKey>,
+    /// Organisations of the jobs; `None` if no job belongs to one.
+    organisations: Option<Organisations>,
     /// State of crashes and restarts; `None` if there are none.
     faults: Option<Faults>,
     /// Number of starts carried out by workers.
@@ -132,6 +136,7 @@
             acked_failures: HashMap::new(),
             started: StartedJobs::new(),
             done: HashSet::new(),
+            organisations: None,
             faults: None,
             starts: 0,
         };
@@ -151,6 +156,7 @@
         }
         let policy = Policy::default();
         self.planner = Planner::new(policy, self.epoch, self.now, Duration::ZERO);
+        self.configure();
         for (&id, spec) in &self.jobs {
             let progress = self.stored.get(&id);
             self.planner.add_job(id, spec.clone(), progress, true);
@@ -210,6 +216,9 @@
     pub fn step(&mut self, event: Event) {
         let machine = usize::from(event.pick) % WORKERS;
         match event.kind % 16 {
+            0 if event.pick >= 240 && self.organisations.is_some() => {
+                self.change_limit(event.pick);
+            }
             0 => self.submit(event.pick),
             1..=3 => self.renew_lease(machine),
             4 | 5 => self.plan(event.pick),
@@ -270,6 +279,7 @@
         // Different priorities and deadlines let gangs preempt less urgent jobs.
         spec.queue.priority = u32::from(pick % 3);
         spec.queue.slack = Duration::from_secs(u64::from(pick % 16));
+        self.assign_organisation(id, &mut spec);
         self.jobs.insert(id, spec.clone());
         self.planner.add_job(id, spec, None, false);
     }
--- a/crates/job/tests/invariants.rs
+++ b/crates/job/tests/invariants.rs
@@ -240,3 +240,98 @@
             }
         });
 }
+
+/// Usual events of the simulations with organisations: most submit jobs, plan, and change limits.
+const LIMIT_EVENTS: [(u8, u8); 31] = [
+    (0, 10),  // submit a job of one task
+    (0, 33),  // submit a job of two steps
+    (0, 14),  // submit a gang of five
+    (0, 246), // change a limit to four cores
+    (0, 253), // change the other limit to seven cores
+    (1, 0),   // renew the lease on machine 0
+    (1, 1),   // on machine 1
+    (1, 2),   // on machine 2
+    (4, 1),   // plan and send commands; some get no reply
+    (4, 2),   // plan and send commands
+    (4, 4),   // plan and send commands
+    (6, 0),   // a run on machine 0 succeeds
+    (6, 1),   // on machine 1
+    (6, 2),   // on machine 2
+    (8, 0),   // begin to write progress
+    (9, 1),   // the write succeeds
+    (10, 5),  // 0.1 s pass
+    (10, 5),  // 0.1 s pass
+    (11, 3),  // deliver a command that got no reply
+    (12, 8),  // replace the owner, and cut its successor off from machines 1 and 2
+    (1, 0),   // renew the lease on machine 0
+    (1, 1),   // on machine 1
+    (1, 2),   // on machine 2
+    (4, 6),   // plan and send commands
+    (4, 7),   // plan and send commands
+    (6, 4),   // a run on machine 1 succeeds
+    (6, 5),   // on machine 2
+    (15, 2),  // machine 2 is cut off
+    (15, 5),  // machine 2 answers again
+    (13, 2),  // the former owner renews the lease on machine 2
+    (15, 1),  // machine 1 answers again
+];
+
+/// For any order of events, no start brings what an organisation has running on the workers above
+/// the highest limit that was in force since the start was sent. Limits rise and fall.
+#[test]
+fn limits_hold_for_any_order_of_events() {
+    bolero::check!()
+        .with_type::<Vec<(u8, u8)>>()
+        .for_each(|events| {
+            let mut sim = EventSim::new().with_organisations();
+            for &(kind, pick) in events {
+                sim.step(Event { kind, pick });
+            }
+        });
+}
+
+#[test]
+fn limits_hold_over_long_sequences() {
+    let mut state: u64 = 0x6a09_e667_f3bc_c908;
+    let mut starts = 0;
+
+    for _ in 0..220 {
+        let mut sim = EventSim::new().with_organisations();
+        drive(&mut state, 800, &LIMIT_EVENTS, 20, |event| sim.step(event));
+        starts += sim.starts;
+    }
+
+    assert!(starts > 5000, "{starts} starts");
+}
+
+#[test]
+fn limits_hold_where_tasks_crash_their_workers() {
+    let mut state: u64 = 0xbb67_ae85_84ca_a73b;
+    let mut starts = 0;
+
+    for _ in 0..100 {
+        let mut sim = EventSim::with_crashes().with_organisations();
+        drive(&mut state, 800, &LIMIT_EVENTS, 60, |event| {
+            sim.crash_step(event)
+        });
+        starts += sim.starts;
+    }
+
+    assert!(starts > 1000, "{starts} starts");
+}
+
+#[test]
+fn limits_hold_where_workers_restart_under_the_same_id() {
+    let mut state: u64 = 0x3c6e_f372_fe94_f82b;
+    let mut starts = 0;
+
+    for _ in 0..100 {
+        let mut sim = EventSim::with_same_ids().with_organisations();
+        drive(&mut state, 800, &LIMIT_EVENTS, 60, |event| {
+            sim.same_ids_step(event)
+        });
+        starts += sim.starts;
+    }
+
+    assert!(starts > 1000, "{starts} starts");
+}
