cell: callers of a host that is cut off may come back at once

Cause: each refusal asked the caller to come back after 1 s. Change: Retry-After is 0 if the host reaches neither the store nor the owner, or cannot check a key because its configuration is too old. It stays 1 s where the owner refuses too, or this host owns the pool: all hosts would refuse again. Tests: callers_of_a_host_that_is_cut_off_may_come_back_at_once ("1" before), and callers_wait_a_second_while_the_store_is_down. Also a test that a body without a key is not awaited.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -31,6 +31,7 @@
 use crate::access::Denial;
 use crate::access::Viewer;
 use crate::metrics::count;
+use crate::retry::RefusalScope;
 
 /// Timeout of one call to the store. A slow store takes up to 1.2 s for a transaction; two
 /// attempts fit into a caller's three seconds.
@@ -49,10 +50,6 @@
 /// instead of 404: two reads in a row have failed by then.
 const CONFIG_MAX_AGE: Duration = Duration::from_secs(4);
 
-/// Value of the `Retry-After` header, in seconds, for a refused caller. It is short because
-/// another host may be able to serve the request at once.
-const RETRY_AFTER_SECONDS: &str = "1";
-
 /// Handles callers' HTTP requests.
 pub struct CallerHandler {
     pub(crate) context: Context,
@@ -142,8 +139,9 @@
                     code = 420, queue = queue.name.as_str(), age_ms = millis(age), version = config.version;
                     "configuration too old to decide about a key; the caller gets 503"
                 );
-                Err(Box::new(service_unavailable(
+                Err(Box::new(refusal(
                     "the configuration of this host is too old to check the key",
+                    RefusalScope::Host,
                 )))
             }
         }
@@ -266,9 +264,14 @@
 /// Response 503: nothing was done. The connection is closed so that the balancer directs the
 /// caller's next request to a working host.
 pub(crate) fn service_unavailable(reason: &str) -> HttpResponse {
+    refusal(reason, RefusalScope::Cell)
+}
+
+/// The same response for a refusal that concerns only this host, or perhaps all hosts.
+pub(crate) fn refusal(reason: &str, scope: RefusalScope) -> HttpResponse {
     let mut response = web::error(StatusCode::SERVICE_UNAVAILABLE, reason);
     let headers = response.headers_mut();
-    headers.insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_SECONDS));
+    headers.insert(RETRY_AFTER, scope.retry_after().as_secs().into());
     headers.insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod probe;
 mod process;
+mod retry;
 mod rows;
 mod settings;
 mod stored;
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -114,6 +114,18 @@
     Silent,
 }
 
+/// Result of passing a job to the owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Forwarded {
+    /// The owner has replied, or may have handled the job.
+    Replied(Acceptance),
+    /// The process that owns the pool certainly did not handle the job: it cannot be reached, or is
+    /// not the owner any more.
+    OwnerSilent,
+    /// No process owns the pool, or this one does.
+    NoOtherOwner,
+}
+
 /// Sends requests to the owner of the pool, in this process or another one.
 #[derive(Clone, Debug)]
 pub struct OwnerClient {
@@ -214,32 +226,28 @@
     }
 
     /// Asks the owner to accept a job, because the store refuses this host. The job must certainly
-    /// not be accepted yet. Returns `None` if there is no owner in another process, or if it
-    /// certainly did not handle the request; if that is uncertain, returns
+    /// not be accepted yet. If it is uncertain whether the owner has handled the request, the reply is
     /// [`Acceptance::Unknown`].
-    pub(crate) async fn forward_job(
-        &self,
-        job: &AcceptedJob,
-        timeout: Duration,
-    ) -> Option<Acceptance> {
-        let owner = self.context.ownership.borrow().owner().cloned()?;
-        if owner.incarnation == self.context.incarnation {
-            return None;
-        }
+    pub(crate) async fn forward_job(&self, job: &AcceptedJob, timeout: Duration) -> Forwarded {
+        let owner = self.context.ownership.borrow().owner().cloned();
+        let other = owner.filter(|owner| owner.incarnation != self.context.incarnation);
+        let Some(owner) = other else {
+            return Forwarded::NoOtherOwner;
+        };
         let call = Call::new(Method::POST, owner.address, "/accept", timeout).json(job);
         match self.context.client.send(call).await {
             Ok(reply) if reply.status == StatusCode::OK => {
                 let decoded = reply.json(owner.address);
                 let unclear = |_| Acceptance::Unknown("the owner's answer is unclear".to_owned());
-                Some(decoded.unwrap_or_else(unclear))
+                Forwarded::Replied(decoded.unwrap_or_else(unclear))
             }
-            Ok(_) | Err(CallError::Connect { .. }) => None,
+            Ok(_) | Err(CallError::Connect { .. }) => Forwarded::OwnerSilent,
             Err(error) => {
                 log::warn!(
                     code = 403, job = crate::hex(job.id), error:% = error;
                     "unknown whether the owner accepted the job; the caller gets 504"
                 );
-                Some(Acceptance::Unknown("the owner does not answer".to_owned()))
+                Forwarded::Replied(Acceptance::Unknown("the owner does not answer".to_owned()))
             }
         }
     }
--- a/crates/cell/src/submit.rs
+++ b/crates/cell/src/submit.rs
@@ -20,8 +20,11 @@
 use crate::callers::EmptyBody;
 use crate::callers::caller_timeout;
 use crate::callers::outcome_unknown;
+use crate::callers::refusal;
 use crate::callers::service_unavailable;
 use crate::hex;
+use crate::peers::Forwarded;
+use crate::retry::RefusalScope;
 
 impl CallerHandler {
     /// Accepts a caller's job and replies.
@@ -52,11 +55,17 @@
         let deadline = self.context.now() + caller_timeout(queue).mul_f64(ATTEMPT_SHARE);
         let mut acceptance = self.acceptor.accept(&job, deadline).await;
         let forwards = self.context.settings.has(Mechanism::ForwardToOwner);
+        let mut scope = RefusalScope::Cell;
         if forwards && matches!(acceptance, Acceptance::Refused(_)) {
             // The store may refuse only this host.
             let remaining = deadline.saturating_sub(self.context.now());
-            let reply = self.owner.forward_job(&job, remaining).await;
-            acceptance = reply.unwrap_or(acceptance);
+            match self.owner.forward_job(&job, remaining).await {
+                Forwarded::Replied(reply) => acceptance = reply,
+                Forwarded::OwnerSilent if self.context.store_unreachable() => {
+                    scope = RefusalScope::Host;
+                }
+                Forwarded::OwnerSilent | Forwarded::NoOtherOwner => {}
+            }
         }
         match acceptance {
             Acceptance::Accepted { first: true } => {
@@ -65,7 +74,7 @@
             }
             Acceptance::Accepted { first: false } => web::json(StatusCode::OK, &EmptyBody {}),
             Acceptance::Taken => web::error(StatusCode::CONFLICT, "id of the job is in use"),
-            Acceptance::Refused(reason) => service_unavailable(&reason),
+            Acceptance::Refused(reason) => refusal(&reason, scope),
             Acceptance::Unknown(reason) => outcome_unknown(&reason),
         }
     }
--- a/crates/cell/tests/keys.rs
+++ b/crates/cell/tests/keys.rs
@@ -8,6 +8,9 @@
 use site::TestCell;
 use site::job;
 use site::organisations_config;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// Path of the job of each test.
 const PATH: &str = "/plain/00000000000000a1";
@@ -292,3 +295,26 @@
     assert!(!text.contains("k-wrong") && !text.contains("k-stores"));
     cell.close().await;
 }
+
+/// Guards against bodies of callers without a key that are read, and kept in memory, before they are
+/// rejected.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_without_a_key_is_rejected_before_its_body_arrives() {
+    let cell = open(1).await;
+    let mut stream = TcpStream::connect(cell.server(0))
+        .await
+        .expect("a connection");
+    let head =
+        format!("POST {PATH} HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 4000\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("sent");
+
+    let mut reply = [0; 12];
+    let read = tokio::time::timeout(Duration::from_secs(5), stream.read_exact(&mut reply)).await;
+
+    assert!(
+        read.is_ok_and(|read| read.is_ok()),
+        "no reply without the body"
+    );
+    assert_eq!(&reply, b"HTTP/1.1 401");
+    cell.close().await;
+}
--- a/crates/cell/tests/refusals.rs
+++ b/crates/cell/tests/refusals.rs
@@ -5,6 +5,7 @@
 use hyper::Method;
 use serde_json::Value;
 use site::Caller;
+use site::StoreFaults;
 use site::TestCell;
 use site::job;
 
@@ -41,3 +42,55 @@
     assert_eq!(body["state"], "pending");
     cell.close().await;
 }
+
+/// Guards against callers of a host that is cut off who come back only after a second, though other
+/// hosts serve.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_a_host_that_is_cut_off_may_come_back_at_once() {
+    let mut cell = TestCell::open(3, 1).await;
+    let owner = cell.wait_owner(|_| true).await;
+    let other = (owner + 1) % 3;
+    // The host reaches neither the store nor the owner.
+    cell.store_proxies[other].set_cut(true);
+    cell.kill(owner).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+
+    let (status, retry) = Caller::new()
+        .retry_after(
+            Method::POST,
+            cell.server(other),
+            "/plain/00000000000000d3",
+            &job(1, "20"),
+        )
+        .await;
+
+    assert_eq!((status, retry.as_deref()), (503, Some("0")));
+    cell.close().await;
+}
+
+/// Guards against callers who come back at once, and in vain, while the store is down for all hosts.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_wait_a_second_while_the_store_is_down() {
+    let cell = TestCell::open(2, 1).await;
+    cell.wait_owner(|_| true).await;
+    cell.store.set_faults(StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let mut found = Vec::new();
+
+    for server in cell.servers() {
+        let path = "/plain/00000000000000d4";
+        let caller = Caller::new();
+        found.push(
+            caller
+                .retry_after(Method::POST, server, path, &job(1, "20"))
+                .await,
+        );
+    }
+
+    let refused = (503, Some("1".to_owned()));
+    assert_eq!(found, [refused.clone(), refused]);
+    cell.close().await;
+}
--- a/crates/site/src/caller.rs
+++ b/crates/site/src/caller.rs
@@ -56,12 +56,7 @@
     ) -> (u16, Value) {
         // The queue of a request is selected by its path and by this host, which all queues of
         // `crate::config` name.
-        let mut call = Call::new(method, server, path, REPLY_TIMEOUT)
-            .header("host", "desk.example".to_owned())
-            .json(body);
-        if !self.authorization.is_empty() {
-            call = call.header("authorization", self.authorization.clone());
-        }
+        let call = self.call(method, server, path, body);
         match self.client.send(call).await {
             Ok(reply) => {
                 let body = serde_json::from_slice(&reply.body).unwrap_or_default();
@@ -71,6 +66,34 @@
         }
     }
 
+    /// Sends one request; returns the HTTP status and the `Retry-After` header of the reply, or status
+    /// 0 if there was no reply.
+    pub async fn retry_after(
+        &self,
+        method: Method,
+        server: SocketAddr,
+        path: &str,
+        body: &Value,
+    ) -> (u16, Option<String>) {
+        let call = self.call(method, server, path, body);
+        let Ok(reply) = self.client.send(call).await else {
+            return (0, None);
+        };
+        let header = reply.headers.get("retry-after");
+        let header = header.and_then(|value| value.to_str().ok());
+        (reply.status.as_u16(), header.map(str::to_owned))
+    }
+
+    fn call(&self, method: Method, server: SocketAddr, path: &str, body: &Value) -> Call {
+        let call = Call::new(method, server, path, REPLY_TIMEOUT)
+            .header("host", "desk.example".to_owned())
+            .json(body);
+        if self.authorization.is_empty() {
+            return call;
+        }
+        call.header("authorization", self.authorization.clone())
+    }
+
     /// Returns the body of a GET request as text, empty if there was no reply.
     pub async fn text(&self, server: SocketAddr, path: &str) -> String {
         let reply = self.client.get(server, path, REPLY_TIMEOUT).await;
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
@@ -85,6 +86,8 @@
 pub struct Reply {
     /// HTTP status.
     pub status: StatusCode,
+    /// All headers.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
 }
@@ -218,14 +221,15 @@
             }
             Err(error) => return Err(call_lost(error.to_string())),
         };
-        let status = response.status();
-        let limited = Limited::new(response.into_body(), MAX_REPLY_BYTES);
+        let (head, body) = response.into_parts();
+        let limited = Limited::new(body, MAX_REPLY_BYTES);
         let body = limited
             .collect()
             .await
             .map_err(|error| call_lost(error.to_string()))?;
         Ok(Reply {
-            status,
+            status: head.status,
+            headers: head.headers,
             body: body.to_bytes(),
         })
     }
