Save more jobs in a transaction, first those whose results are still in time

Cause: a transaction of the owner held 60 jobs even if it held no rows of workers, and took them in order of their ids. Change: up to 97 rows of jobs and workers, which the store takes in one transaction; jobs with an outcome that can still be shown within the objective go first, then those in progress, then late outcomes. Tests: outcomes_in_time_are_saved_before_late_ones, red without the order.

--- a/crates/cell/src/owner/saver.rs
+++ b/crates/cell/src/owner/saver.rs
@@ -48,9 +48,9 @@
 /// average.
 const MIN_SAVE_GAP: Duration = Duration::from_millis(30);
 
-/// Maximum number of jobs in one transaction. The store takes 100 rows in a transaction; besides
-/// these jobs they are up to [`MAX_WORKERS`] workers, the guard row and the ownership row.
-const MAX_JOBS: usize = 60;
+/// Maximum number of rows of jobs and workers in one transaction. The store takes 100 entries, which
+/// are these rows, the condition, the guard row and the ownership row.
+const MAX_ROWS: usize = 97;
 
 /// Maximum number of workers whose rows are written or removed in one transaction.
 const MAX_WORKERS: usize = 35;
@@ -286,6 +286,11 @@
         wanted && !self.in_progress && !self.released() && now >= self.not_before
     }
 
+    /// Returns the number of jobs that fit into the next transaction beside the rows of workers.
+    fn max_jobs(&self) -> usize {
+        MAX_ROWS - self.row_changes.len().min(MAX_WORKERS)
+    }
+
     /// Builds the transaction for the batch in `save`, and adds to `save` what else it writes: rows
     /// of workers, a renewal if one is due, and the release.
     fn build_transaction(&mut self, save: &mut Save, now: Duration) -> Transaction {
@@ -335,7 +340,7 @@
             return;
         }
         let mut save = Save {
-            batch: self.planner.take_batch(MAX_JOBS),
+            batch: self.planner.take_batch(self.saver.max_jobs()),
             started: now,
             ..Save::default()
         };
@@ -455,7 +460,7 @@
         // dependent steps, and `work_ms`, the work of all its tasks in milliseconds of one core.
         log::info!(
             code = 362, job:% = crate::hex(id), outcome:% = outcome, queue = timing.queue.as_str(),
-            priority = timing.priority, ms = millis(timing.age), objective_ms = millis(timing.objective),
+            organisation = timing.organisation.as_deref(), priority = timing.priority, ms = millis(timing.age), objective_ms = millis(timing.objective),
             chain_ms = millis(timing.critical_path), work_ms = timing.work;
             "job ended, outcome stored"
         );
--- a/crates/cell/src/owner/worker_rows.rs
+++ b/crates/cell/src/owner/worker_rows.rs
@@ -44,6 +44,12 @@
         self.changes.is_empty()
     }
 
+    /// Returns the number of pending changes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.changes.len()
+    }
+
     /// Queues the row of a worker to be written.
     pub fn put(&mut self, id: String, worker: UsedWorker) {
         let drops_row = self.changes.get(&id).is_some_and(RowChange::drops_row);
--- a/crates/job/src/planner/batch.rs
+++ b/crates/job/src/planner/batch.rs
@@ -10,6 +10,7 @@
 use super::job_state::JobState;
 use super::job_state::Phase;
 use super::job_state::TaskState;
+use super::save_order::save_rank;
 use crate::JobId;
 use crate::Placement;
 use crate::Progress;
@@ -42,11 +43,12 @@
     /// after a thousand jobs have started at the same time. Numbers of ends are included only if no
     /// dirty job is left out, because the numbers do not show to which job an end belongs.
     pub fn take_batch(&mut self, limit: usize) -> Batch {
-        let ids = self
-            .dirty_jobs
-            .iter()
-            .chain(self.started_jobs.difference(&self.dirty_jobs));
-        let ids: Vec<JobId> = ids.take(limit).copied().collect();
+        let mut ids: Vec<JobId> = self.dirty_jobs.iter().copied().collect();
+        if ids.len() > limit {
+            ids.sort_by_cached_key(|id| self.jobs.get(id).map(|job| save_rank(job, self.now)));
+        }
+        ids.extend(self.started_jobs.difference(&self.dirty_jobs));
+        ids.truncate(limit);
         let mut batch = Batch::default();
         for id in ids {
             self.dirty_jobs.remove(&id);
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -37,6 +37,7 @@
 mod roster;
 mod run_times;
 mod speed;
+mod save_order;
 mod stale_capacity;
 mod start_intent;
 mod stop_reason;
--- a/crates/job/tests/saving.rs
+++ b/crates/job/tests/saving.rs
@@ -5,10 +5,13 @@
 use std::time::Duration;
 
 use job::JobStatus;
+use job::Placement;
 use job::Planner;
+use job::Progress;
 use job::RunEnd;
 use job::RunId;
 use job::StartReply;
+use job::StepProgress;
 use job::TaskKey;
 use job::WorkerKey;
 use support::add_claimed;
@@ -19,6 +22,8 @@
 use support::resources;
 use support::spec;
 use support::step;
+use support::task;
+use support::worker;
 use support::worker_report;
 
 /// Number of jobs that start at the same time.
@@ -92,3 +97,105 @@
     assert_eq!(before, (Some(JobStatus::Pending), 1));
     assert_eq!(after, (Some(JobStatus::Failed), 0));
 }
+
+/// Guards against results that all become late while the store is so slow that more jobs end than a
+/// transaction holds: those that can still be shown in time are saved first.
+#[test]
+fn outcomes_in_time_are_saved_before_late_ones() {
+    let mut planner = planner(1);
+    for id in 0..JOBS {
+        add_claimed(&mut planner, &format!("w{id}"));
+        let mut job = spec(vec![step(1)]);
+        job.steps[0].need = resources(4000, 1000);
+        // The objective of every second job ends after 3 s, that of the others after a minute.
+        if id.is_multiple_of(2) {
+            job.queue.slack = Duration::from_mins(1);
+        }
+        planner.add_job(id, job, None, false);
+    }
+    let starts = plan_at(&mut planner, 10);
+    while planner.has_unsaved() {
+        planner.take_batch(BATCH);
+    }
+    planner.advance(Duration::from_secs(10));
+    for &(task, run, key) in &starts {
+        let done = worker_report(vec![], vec![ended(1, task, run, RunEnd::Done)]);
+        planner.apply_report(key, Duration::from_secs(10), &done);
+    }
+
+    let first = planner.take_batch(BATCH);
+
+    assert_eq!(first.jobs.len(), BATCH);
+    assert!(first.jobs.iter().all(|(id, _)| id.is_multiple_of(2)));
+    assert!(!first.ends_complete);
+}
+
+/// Creates the progress of a job whose first task the former owner has placed on worker `w1`.
+fn placed() -> Progress {
+    let mut progress = Progress::default();
+    let placement = Placement {
+        run: 1,
+        worker: "w1".to_owned(),
+        incarnation: None,
+    };
+    progress.placements.insert((0, 0, 0), placement);
+    progress.steps.insert((0, 0), StepProgress::default());
+    progress
+}
+
+/// Guards against a placement of the former owner that is lost when its successor saves the job
+/// before the worker has reported: the next successor would not count a crash under the run.
+#[test]
+fn a_placement_on_a_silent_worker_is_saved_again() {
+    let mut planner = planner(2);
+    planner.restore_worker(worker("w1")).expect("a new worker");
+    let other = planner.restore_worker(worker("w2")).expect("a new worker");
+    planner.add_job(7, spec(vec![step(2)]), Some(&placed()), true);
+    let failed = ended(1, task(7, 0, 1), 1, RunEnd::Failed);
+    planner.apply_report(other, Duration::ZERO, &worker_report(vec![], vec![failed]));
+
+    let batch = planner.take_batch(BATCH);
+
+    let (_, progress) = batch.jobs.first().expect("the job has a failed run");
+    assert_eq!(progress.placements, placed().placements);
+}
+
+/// Crashes the worker of a task twice while nothing else runs on it; returns whether the second crash
+/// is left to the decision of a successor. With `others`, another worker crashes at the same time.
+fn undecided_after_two_crashes(others: bool) -> bool {
+    let mut planner = planner(1);
+    planner.add_job(7, spec(vec![step(1)]), None, false);
+    let mut at = 10;
+    for id in ["w1", "w2"] {
+        let key = add_claimed(&mut planner, id);
+        plan_at(&mut planner, at);
+        let batch = planner.take_batch(BATCH);
+        planner.batch_saved(&batch);
+        for (task, run, key) in plan_at(&mut planner, at + 1) {
+            planner.start_reply(key, task, run, StartReply::Started);
+        }
+        planner.start_reply(key, task(7, 0, 0), planner_run(id), StartReply::Started);
+        planner.worker_ended(key);
+        at += 5000;
+    }
+    if others {
+        let key = add_claimed(&mut planner, "w3");
+        planner.worker_ended(key);
+    }
+    let batch = planner.take_batch(BATCH);
+    let saved = batch.jobs.iter().find(|(id, _)| *id == 7);
+    saved.is_some_and(|(_, progress)| !progress.undecided.is_empty())
+}
+
+/// Returns the number of the run that a test starts on a worker.
+fn planner_run(worker: &str) -> RunId {
+    if worker == "w1" { 1 } else { 2 }
+}
+
+/// Guards against a successor that fails the job of a task for a crash that other workers shared: it
+/// does not know of the other crashes.
+#[test]
+fn only_a_sole_crash_is_left_to_a_successor() {
+    assert!(undecided_after_two_crashes(false));
+    assert!(!undecided_after_two_crashes(true));
+}
