job: late work alone holds an organisation's limit; jobs beyond a share go last

Cause, limit: a step that its organisation's limit delayed kept what it needed from all later steps of the organisation. Change: only a late step keeps resources. Such a gang counts as the oldest late one even while the limit delays it. Change: jobs beyond an organisation's weight, counted by second of their receipt, go after all others (excess.rs).

--- a/crates/cell/src/owner/load.rs
+++ b/crates/cell/src/owner/load.rs
@@ -13,6 +13,9 @@
 /// Time between two log lines about the pool's load.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Number of organisations that are logged at the same time.
+const MAX_ORGANISATIONS: usize = 10;
+
 impl Pool {
     /// Logs the pool's load and the owner's traffic, and updates the load metrics, at most once in
     /// each [`LOG_INTERVAL`].
@@ -31,6 +34,20 @@
             "load of the pool; cpu in 1/1000 cores, memory in MB; reserved for gangs: kept_idle cpu on kept workers"
         );
         self.log_traffic();
+        self.log_limits();
+    }
+
+    /// Logs the organisations whose limits delay the most work.
+    fn log_limits(&self) {
+        for delayed in self.planner.delayed_organisations(MAX_ORGANISATIONS) {
+            let (used, limit) = (delayed.used, delayed.limit.0);
+            log::info!(
+                code = 375, organisation = delayed.name.as_str(), epoch = self.epoch, steps = delayed.steps,
+                cpu_used = used.cpu, cpu = limit.cpu, memory_used = used.memory, memory = limit.memory,
+                gpu_used = used.gpu, gpu = limit.gpu;
+                "limit of an organisation delays its work; 0 means no limit"
+            );
+        }
     }
 
     /// Logs the traffic on the owner's link, which distinguishes a full link from workers that
@@ -87,9 +104,9 @@
                         "run of a suspected task ended without a worker crash; the next start of the task is a trial"
                     );
                 }
-                Finding::JobFailed => {
+                Finding::JobFailed(verdict) => {
                     log::warn!(
-                        code = 359, task:% = task, run = run, crashes = crashes;
+                        code = 359, task:% = task, run = run, crashes = crashes, verdict:% = verdict;
                         "task crashed a worker in its trial, or too many crashes count against it; its job fails"
                     );
                 }
--- a/crates/cell/src/process.rs
+++ b/crates/cell/src/process.rs
@@ -216,7 +216,8 @@
             return false;
         }
         log::info!(
-            code = 200, version = newer.version, former = version, queues = newer.queues.len();
+            code = 200, version = newer.version, former = version, queues = newer.queues.len(),
+            organisations = newer.organisations.len(), keys = newer.keys.len();
             "configuration applied"
         );
         *current = Some(Arc::new(newer));
--- a/crates/job/src/mechanism.rs
+++ b/crates/job/src/mechanism.rs
@@ -63,6 +63,8 @@
     #[serde(rename = "life_check")]
     #[strum(serialize = "life_check")]
     MachineLookup,
+    /// Jobs that exceed the share of their organisation go after all others.
+    ExcessLast,
     /// A job whose row the store refuses is stored in another row. The rows of a job are in
     /// different parts of the table of jobs, some of which the store may refuse while it serves
     /// the others.
--- a/crates/job/src/planner/crash_count.rs
+++ b/crates/job/src/planner/crash_count.rs
@@ -12,6 +12,7 @@
 use super::roster::RunPhase;
 use super::suspicion::Suspicion;
 use super::suspicion::UnexplainedCrash;
+use super::suspicion::Verdict;
 use crate::Outcome;
 use crate::RunId;
 use crate::TaskKey;
@@ -183,7 +184,7 @@
             }
         }
         for (task, run) in crashers {
-            self.fail_suspect(task, run);
+            self.fail_suspect(task, run, Verdict::Trial);
         }
     }
 
@@ -209,8 +210,8 @@
     }
 
     /// Fails the job of a suspect.
-    pub(super) fn fail_suspect(&mut self, task: TaskKey, run: RunId) {
-        self.record_finding(task, run, Finding::JobFailed);
+    pub(super) fn fail_suspect(&mut self, task: TaskKey, run: RunId, verdict: Verdict) {
+        self.record_finding(task, run, Finding::JobFailed(verdict));
         self.finish_job(task.step.job, Outcome::Failed);
     }
 }
--- a/crates/job/src/planner/job_state.rs
+++ b/crates/job/src/planner/job_state.rs
@@ -191,6 +191,8 @@
     pub spec: JobSpec,
     /// Organisation that the job belongs to.
     pub organisation: Option<OrganisationKey>,
+    /// The job exceeds the share of its organisation.
+    pub excess: bool,
     /// When the job was accepted. For a job of a former owner, this is computed from the wall
     /// clock; the age is limited to [`super::Policy::max_age`].
     pub accepted_at: Duration,
@@ -223,6 +225,7 @@
             expected: Expected::new(&spec, run_times),
             spec,
             organisation: None,
+            excess: false,
             accepted_at,
             maybe_started,
             started: false,
--- a/crates/job/src/planner/load.rs
+++ b/crates/job/src/planner/load.rs
@@ -7,6 +7,7 @@
 use super::Planner;
 use super::roster::RunPhase;
 use crate::JobId;
+use crate::OrganisationName;
 use crate::Resources;
 
 /// Load of a pool.
@@ -51,6 +52,8 @@
 pub struct Timing {
     /// Name of the job's queue.
     pub queue: String,
+    /// Organisation that the job belongs to.
+    pub organisation: Option<OrganisationName>,
     /// Priority of the queue; 0 is the most urgent.
     pub priority: u32,
     /// Time since the job was accepted; limited for a job of a former owner.
@@ -70,6 +73,7 @@
         let job = self.jobs.get(&id)?;
         Some(Timing {
             queue: job.spec.queue.name.clone(),
+            organisation: job.spec.organisation_name().cloned(),
             priority: job.spec.queue.priority,
             age: self.now.saturating_sub(job.accepted_at),
             objective: job.expected.objective,
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -15,6 +15,7 @@
 mod advice_candidates;
 mod batch;
 mod crash_count;
+mod excess;
 mod expected;
 mod gang;
 mod headroom;
@@ -36,8 +37,8 @@
 mod reservations;
 mod roster;
 mod run_times;
-mod speed;
 mod save_order;
+mod speed;
 mod stale_capacity;
 mod start_intent;
 mod stop_reason;
@@ -85,6 +86,7 @@
 pub use load::Timing;
 pub use loss::LossCause;
 pub use loss::LostRun;
+pub use organisations::DelayedOrganisation;
 pub use policy::Policy;
 pub use report::StartReply;
 pub use report::StopReply;
@@ -92,6 +94,7 @@
 pub use stop_reason::StopReason;
 pub use suspicion::Finding;
 pub use suspicion::Suspect;
+pub use suspicion::Verdict;
 
 slotmap::new_key_type! {
     /// Key of one incarnation of a worker in the planner.
@@ -336,8 +339,10 @@
         let accepted_at = self.now.saturating_sub(age.min(self.policy.max_age));
         let organisation = spec.organisation.as_ref();
         let organisation = organisation.map(|stored| self.organisations.key_of(stored));
+        let excess = organisation.is_some_and(|key| self.exceeds_share(key, spec.received));
         let mut job = JobState::new(spec, accepted_at, old || early, &self.run_times);
         job.organisation = organisation;
+        job.excess = excess;
         self.learn_mean_work(&job.spec.queue.name, job.expected.work);
         if let Some(progress) = progress {
             job.restore(progress);
--- a/crates/job/src/planner/organisations.rs
+++ b/crates/job/src/planner/organisations.rs
@@ -10,10 +10,13 @@
 //! limit, by the share that the platform tolerates.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use slotmap::SlotMap;
 
 use super::Planner;
+use super::excess::Submissions;
+use super::rank::Rank;
 use super::roster::PlacedRun;
 use super::roster::WorkerState;
 use crate::JobId;
@@ -31,12 +34,31 @@
 /// The planner's state of an organisation.
 #[derive(Debug)]
 struct OrganisationState {
+    name: OrganisationName,
     /// Configured limit. After the organisation has left the configuration, it is the last one.
     limit: ResourceLimit,
     /// Resources that its runs need, of all runs that may be active.
     used: Resources,
     /// Step that waits for the limit, and resources that steps after it may not use in this pass.
     held: Option<(StepKey, Resources)>,
+    /// Number of steps that the limit has delayed in this pass.
+    delayed: usize,
+    /// Configured share, in jobs a second.
+    weight: f64,
+    submissions: Submissions,
+}
+
+/// An organisation whose limit delays some of its work, for logs and metrics.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DelayedOrganisation {
+    /// Name of the organisation.
+    pub name: OrganisationName,
+    /// Resources that its runs need, of all runs that may be active.
+    pub used: Resources,
+    /// Its limit.
+    pub limit: ResourceLimit,
+    /// Number of its steps that would start if they were within the limit and had resources.
+    pub steps: usize,
 }
 
 /// Organisations of the jobs, and what each of them has running.
@@ -61,6 +83,10 @@
             limit: stored.limit,
             used: Resources::default(),
             held: None,
+            name: stored.name.clone(),
+            delayed: 0,
+            weight: stored.weight,
+            submissions: Submissions::default(),
         });
         self.by_name.insert(stored.name.clone(), key);
         key
@@ -71,6 +97,7 @@
         for organisation in configured {
             let key = self.key_of(organisation);
             self.states[key].limit = organisation.limit;
+            self.states[key].weight = organisation.weight;
         }
     }
 
@@ -110,16 +137,18 @@
         let held = held.map_or_else(Resources::default, |(_, held)| held);
         let wanted = state.used.plus(need).plus(&held);
         let tolerated = state.limit.raised_by(overshoot).ceiling();
-        state.limit.ceiling().can_fit(&wanted) && tolerated.can_fit(&wanted.plus(&self.unknown))
+        let ceiling = state.limit.ceiling();
+        ceiling.can_fit(&wanted) && tolerated.can_fit(&wanted.plus(&self.unknown))
     }
 
-    /// Keeps resources of an organisation for a step that its limit delays, unless another step has
-    /// such resources already or the limit would never suffice.
-    fn hold(&mut self, key: OrganisationKey, step: StepKey, need: &Resources) {
-        if let Some(state) = self.states.get_mut(key)
-            && state.held.is_none()
-            && state.limit.ceiling().can_fit(need)
-        {
+    /// Counts a step that the limit of an organisation delays. If `holds`, keeps what it needs, unless
+    /// another step has resources kept already or the limit would never suffice.
+    fn delay(&mut self, key: OrganisationKey, step: StepKey, need: &Resources, holds: bool) {
+        let Some(state) = self.states.get_mut(key) else {
+            return;
+        };
+        state.delayed += 1;
+        if holds && state.held.is_none() && state.limit.ceiling().can_fit(need) {
             state.held = Some((step, *need));
         }
     }
@@ -143,11 +172,37 @@
         }
     }
 
+    /// Returns up to `limit` organisations whose limits have delayed work in the last pass, those with
+    /// the most delayed steps first.
+    #[must_use]
+    pub fn delayed_organisations(&self, limit: usize) -> Vec<DelayedOrganisation> {
+        let states = self.organisations.states.values();
+        let mut delayed: Vec<DelayedOrganisation> = states
+            .filter(|state| state.delayed > 0)
+            .map(|state| DelayedOrganisation {
+                name: state.name.clone(),
+                used: state.used,
+                limit: state.limit,
+                steps: state.delayed,
+            })
+            .collect();
+        delayed.sort_by(|one, other| (other.steps, &one.name).cmp(&(one.steps, &other.name)));
+        delayed.truncate(limit);
+        delayed
+    }
+
+    /// Counts a new job of an organisation; returns whether it exceeds the organisation's share.
+    pub(super) fn exceeds_share(&mut self, key: OrganisationKey, received: Duration) -> bool {
+        let state = self.organisations.states.get_mut(key);
+        state.is_some_and(|state| state.submissions.add(received, state.weight))
+    }
+
     /// Begins a planning pass: nothing is held, and the capacity is counted of workers on which
     /// unknown runs may be active.
     pub(super) fn begin_limits(&mut self) {
         for state in self.organisations.states.values_mut() {
             state.held = None;
+            state.delayed = 0;
         }
         let unknown = self.workers.values().filter(|worker| has_unknown(worker));
         let unknown = unknown.fold(Resources::default(), |sum, worker| {
@@ -176,11 +231,21 @@
             .admits(organisation, key, &need, overshoot)
     }
 
-    /// Keeps for a step that its organisation's limit delays what it needs, so that later steps of
-    /// the organisation do not use it.
-    pub(super) fn hold_limit(&mut self, key: StepKey) {
+    /// Returns whether a step could start if nothing else of its organisation were running.
+    pub(super) fn limit_suffices(&self, key: StepKey) -> bool {
+        self.limited_start(key).is_none_or(|(organisation, need)| {
+            let state = self.organisations.states.get(organisation);
+            state.is_none_or(|state| state.limit.ceiling().can_fit(&need))
+        })
+    }
+
+    /// Counts a step that its organisation's limit delays. If the step is late, keeps what it needs, so
+    /// that later steps of the organisation do not use it: a wide gang would never start otherwise. An
+    /// early step keeps nothing, since the organisation would often use little of its limit meanwhile.
+    pub(super) fn hold_limit(&mut self, rank: Rank, key: StepKey) {
         if let Some((organisation, need)) = self.limited_start(key) {
-            self.organisations.hold(organisation, key, &need);
+            let late = rank.stage > 0 || self.overdue_gang == Some(key);
+            self.organisations.delay(organisation, key, &need, late);
         }
     }
 
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/place.rs
@@ -86,7 +86,7 @@
                 continue;
             };
             if !self.limit_admits(key) {
-                self.hold_limit(key);
+                self.hold_limit(rank, key);
                 continue;
             }
             if !spec.gang {
@@ -192,7 +192,7 @@
                 return;
             }
             if !self.limit_admits(key) {
-                self.hold_limit(key);
+                self.hold_limit(rank, key);
                 return;
             }
             if suspected && self.awaits_save(task) {
--- a/crates/job/src/planner/rank.rs
+++ b/crates/job/src/planner/rank.rs
@@ -18,6 +18,8 @@
 /// Rank of a step; lower ranks are served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
+    /// The job exceeds the share of its organisation.
+    pub(super) excess: bool,
     /// 0 while the objective can be met, 1 while a late result still has value, 2 after that.
     pub(super) stage: u8,
     /// Priority of the queue; 0 is the most urgent.
@@ -74,6 +76,7 @@
             due
         };
         Some(Rank {
+            excess: job.excess && switches.enabled(Mechanism::ExcessLast),
             stage,
             priority: job.spec.queue.priority,
             due,
@@ -121,7 +124,8 @@
             let job = self.jobs.get(&key.job);
             let step = job.and_then(|job| job.step(**key));
             let gang = step.is_some_and(|(spec, _)| spec.gang);
-            gang && self.limit_admits(**key) && self.rank(**key).is_some_and(|rank| rank.stage > 0)
+            gang && self.limit_suffices(**key)
+                && self.rank(**key).is_some_and(|rank| rank.stage > 0)
         });
         late.min_by_key(|key| self.jobs.get(&key.job).map(|job| job.accepted_at))
             .copied()
--- a/crates/job/src/planner/start_intent.rs
+++ b/crates/job/src/planner/start_intent.rs
@@ -10,6 +10,7 @@
 use super::reservations::Reservations;
 use super::suspicion::MAX_CRASHES;
 use super::suspicion::StartIntent;
+use super::suspicion::Verdict;
 use crate::JobId;
 use crate::Progress;
 use crate::RunId;
@@ -75,7 +76,7 @@
                 continue;
             }
             if suspicion.crash_count() >= MAX_CRASHES {
-                self.fail_suspect(task, run);
+                self.fail_suspect(task, run, Verdict::TooManyCrashes);
                 return;
             }
             if gang {
--- a/crates/job/src/planner/suspicion.rs
+++ b/crates/job/src/planner/suspicion.rs
@@ -175,10 +175,19 @@
     Tried,
     /// A run of the task ended without a worker crash, and the task still needs a trial.
     Cleared,
-    /// The task caused a worker crash during a trial, or too many crashes count against it; its job
-    /// fails.
+    /// The job of the task fails.
     #[strum(serialize = "given_up")]
-    JobFailed,
+    JobFailed(Verdict),
+}
+
+/// Why the job of a suspect fails.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Verdict {
+    /// The task caused a worker crash during a trial.
+    Trial,
+    /// [`MAX_CRASHES`] count against the task.
+    TooManyCrashes,
 }
 
 /// A finding on a task, for logs and metrics.
