job: sums of resources do not overflow; late gangs within their share come first

Cause, by reading: the sum that is compared with a limit wraps for a job that asks for the highest amounts, and a gang beyond its organisation's share could take the place of the oldest late gang. Change: sums stop at the highest amount; of the late gangs, one within its share is preferred. the_largest_need_does_not_overflow panicked before.

--- a/crates/job/src/planner/organisations.rs
+++ b/crates/job/src/planner/organisations.rs
@@ -34,6 +34,7 @@
 /// The planner's state of an organisation.
 #[derive(Debug)]
 struct OrganisationState {
+    /// Name given by the operator.
     name: OrganisationName,
     /// Configured limit. After the organisation has left the configuration, it is the last one.
     limit: ResourceLimit,
@@ -45,6 +46,7 @@
     delayed: usize,
     /// Configured share, in jobs a second.
     weight: f64,
+    /// Jobs that it has submitted.
     submissions: Submissions,
 }
 
@@ -115,8 +117,8 @@
         }
     }
 
-    /// Returns whether an organisation may start work that needs these resources, for a step that is
-    /// not `excluded` from what it holds itself.
+    /// Returns whether the limit of an organisation lets a step start that needs these resources. What
+    /// is kept for the step itself does not count.
     fn admits(
         &self,
         key: OrganisationKey,
--- a/crates/job/src/planner/rank.rs
+++ b/crates/job/src/planner/rank.rs
@@ -127,7 +127,10 @@
             gang && self.limit_suffices(**key)
                 && self.rank(**key).is_some_and(|rank| rank.stage > 0)
         });
-        late.min_by_key(|key| self.jobs.get(&key.job).map(|job| job.accepted_at))
-            .copied()
+        late.min_by_key(|key| {
+            let job = self.jobs.get(&key.job);
+            job.map(|job| (job.excess, job.accepted_at))
+        })
+        .copied()
     }
 }
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -68,13 +68,13 @@
         }
     }
 
-    /// Adds up each resource.
+    /// Adds up each resource, up to the highest possible amount.
     #[must_use]
     pub fn plus(&self, other: &Resources) -> Resources {
         Resources {
-            cpu: self.cpu + other.cpu,
-            memory: self.memory + other.memory,
-            gpu: self.gpu + other.gpu,
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory: self.memory.saturating_add(other.memory),
+            gpu: self.gpu.saturating_add(other.gpu),
         }
     }
 }
--- a/crates/job/tests/limits.rs
+++ b/crates/job/tests/limits.rs
@@ -473,3 +473,23 @@
     assert!(starts.is_empty(), "the starts may still reach the worker");
     let _ = add(&mut planner, "w3");
 }
+
+/// Guards against an addition that overflows, and a limit that then seems to suffice.
+#[test]
+fn the_largest_need_does_not_overflow() {
+    let mut planner = planner(1);
+    add_claimed(&mut planner, "w1");
+    let mut huge = spec_of("stores", LIMIT, vec![gang(2)]);
+    huge.steps[0].need = resources(1000, u64::MAX);
+    planner.add_job(JOB, huge, None, false);
+    planner.add_job(
+        JOB + 1,
+        spec_of("stores", LIMIT, vec![step(3)]),
+        None,
+        false,
+    );
+
+    let starts = plan_at(&mut planner, 10);
+
+    assert_eq!(starts.len(), 3);
+}
