job: a late gang leaves half of its organisation's limit to other work

Change: what a late step keeps does not count for steps with which the organisation stays within half of its limit.

--- a/crates/job/src/planner/organisations.rs
+++ b/crates/job/src/planner/organisations.rs
@@ -40,7 +40,8 @@
     limit: ResourceLimit,
     /// Resources that its runs need, of all runs that may be active.
     used: Resources,
-    /// Step that waits for the limit, and resources that steps after it may not use in this pass.
+    /// Step that waits for the limit, and resources that steps after it may not use in this pass, beyond
+    /// half of the limit.
     held: Option<(StepKey, Resources)>,
     /// Number of steps that the limit has delayed in this pass.
     delayed: usize,
@@ -135,11 +136,13 @@
         if !state.limit.is_limited() {
             return true;
         }
+        let ceiling = state.limit.ceiling();
+        let used = state.used.plus(need);
         let held = state.held.filter(|(holder, _)| *holder != step);
+        let held = held.filter(|_| !ceiling.half().can_fit(&used));
         let held = held.map_or_else(Resources::default, |(_, held)| held);
-        let wanted = state.used.plus(need).plus(&held);
+        let wanted = used.plus(&held);
         let tolerated = state.limit.raised_by(overshoot).ceiling();
-        let ceiling = state.limit.ceiling();
         ceiling.can_fit(&wanted) && tolerated.can_fit(&wanted.plus(&self.unknown))
     }
 
@@ -242,8 +245,9 @@
     }
 
     /// Counts a step that its organisation's limit delays. If the step is late, keeps what it needs, so
-    /// that later steps of the organisation do not use it: a wide gang would never start otherwise. An
-    /// early step keeps nothing, since the organisation would often use little of its limit meanwhile.
+    /// that later steps of the organisation do not use it: a wide gang would hardly ever start otherwise.
+    /// An early step keeps nothing, and later steps may always use half of the limit, since the
+    /// organisation would use little of it while the gang waits.
     pub(super) fn hold_limit(&mut self, rank: Rank, key: StepKey) {
         if let Some((organisation, need)) = self.limited_start(key) {
             let late = rank.stage > 0 || self.overdue_gang == Some(key);
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -48,6 +48,16 @@
         }
     }
 
+    /// Returns half of each resource.
+    #[must_use]
+    pub fn half(&self) -> Resources {
+        Resources {
+            cpu: self.cpu / 2,
+            memory: self.memory / 2,
+            gpu: self.gpu / 2,
+        }
+    }
+
     /// Returns the smaller amount of each resource.
     #[must_use]
     pub fn elementwise_min(&self, bound: &Resources) -> Resources {
