cell: a public queue shows no jobs of other queues

Cause, by reading: whoever used a public queue counted as anybody, and anybody could see and cancel each job by its id, also one that an organisation had submitted to a queue that needs a key. Change: a caller without a key sees jobs of organisations only if they are of the public queue that it uses. The requester, an organisation or a public queue, is named to the owner.

--- a/crates/cell/src/access.rs
+++ b/crates/cell/src/access.rs
@@ -6,10 +6,9 @@
 
 use auth::KeyDigest;
 use job::Config;
-use job::JobSpec;
 use job::Organisation;
-use job::OrganisationName;
 use job::Queue;
+use job::Requester;
 use platform::KeyError;
 use snafu::Snafu;
 
@@ -70,8 +69,8 @@
 /// For whom a caller acts.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Viewer<'a> {
-    /// Anybody: the queue is public, and the request has no key of an organisation.
-    Anybody,
+    /// Anybody: this queue is public, and the request has no key of an organisation.
+    Anybody(&'a Queue),
     /// An organisation.
     Member(&'a Organisation),
 }
@@ -81,24 +80,17 @@
     #[must_use]
     pub fn organisation(self) -> Option<&'a Organisation> {
         match self {
-            Viewer::Anybody => None,
+            Viewer::Anybody(_) => None,
             Viewer::Member(organisation) => Some(organisation),
         }
     }
 
-    /// Returns whether the caller may see and cancel a job. A job that belongs to no organisation is
-    /// open to every caller of its queue, and so is every job of a queue that has become public.
+    /// Returns the requester to name to the owner of the pool.
     #[must_use]
-    pub fn may_see(self, job: &JobSpec) -> bool {
-        self.may_see_jobs_of(job.organisation_name())
-    }
-
-    /// Returns whether the caller may see the jobs of an organisation, or those of none.
-    #[must_use]
-    pub fn may_see_jobs_of(self, owner: Option<&OrganisationName>) -> bool {
-        match (self, owner) {
-            (Viewer::Anybody, _) | (_, None) => true,
-            (Viewer::Member(organisation), Some(owner)) => organisation.name == *owner,
+    pub fn requester(self) -> Requester {
+        match self {
+            Viewer::Anybody(queue) => Requester::Queue(queue.name.clone()),
+            Viewer::Member(organisation) => Requester::Organisation(organisation.name.clone()),
         }
     }
 }
@@ -108,7 +100,7 @@
 #[must_use]
 pub fn decide<'a>(
     config: &'a Config,
-    queue: &Queue,
+    queue: &'a Queue,
     key: Result<KeyDigest, KeyError>,
     age: Duration,
     ages: ConfigAges,
@@ -116,7 +108,7 @@
     let holder = key.ok().and_then(|key| config.key_holder(key));
     if queue.public {
         // A key that is not known is not needed.
-        return Access::Granted(holder.map_or(Viewer::Anybody, Viewer::Member));
+        return Access::Granted(holder.map_or(Viewer::Anybody(queue), Viewer::Member));
     }
     match (holder, key) {
         (Some(_), _) if age > ages.usable => Access::Undecided,
--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -125,7 +125,7 @@
     fn authorize<'a>(
         &self,
         config: &'a Config,
-        queue: &Queue,
+        queue: &'a Queue,
         request: &HttpRequest,
     ) -> Result<Viewer<'a>, Box<HttpResponse>> {
         let key = request_key(&request.headers);
@@ -171,8 +171,7 @@
     /// Returns the status of a job. A job of another organisation is answered like one that does not
     /// exist.
     async fn query_status(&self, id: JobId, viewer: Viewer<'_>) -> HttpResponse {
-        let organisation = viewer.organisation().map(|one| one.name.clone());
-        let view = self.owner.query_status(id, organisation).await;
+        let view = self.owner.query_status(id, viewer.requester()).await;
         if let Ok(JobView::Job(job_status)) = view {
             count(&self.context.metrics.states, "owner");
             return status_reply(id, job_status, "owner");
--- a/crates/cell/src/cancel.rs
+++ b/crates/cell/src/cancel.rs
@@ -77,8 +77,8 @@
                         // The caller does not wait for this message. If it is lost, the owner
                         // reads the cancellation from the change feed of the store.
                         let owner = self.owner.clone();
-                        let organisation = viewer.organisation().map(|one| one.name.clone());
-                        tokio::spawn(async move { owner.notify_canceled(id, organisation).await });
+                        let requester = viewer.requester();
+                        tokio::spawn(async move { owner.notify_canceled(id, requester).await });
                     }
                     break web::json(status, &EmptyBody {});
                 }
--- a/crates/cell/src/owner/dispatch.rs
+++ b/crates/cell/src/owner/dispatch.rs
@@ -1,7 +1,7 @@
 //! Dispatches each message to the owner to its handler.
 
 use job::JobId;
-use job::OrganisationName;
+use job::Requester;
 
 use super::Pool;
 use crate::JobView;
@@ -11,10 +11,10 @@
     pub(super) fn dispatch(&mut self, message: OwnerMessage) {
         match message {
             // Without a reply, the caller falls back to the store.
-            OwnerMessage::QueryStatus(id, organisation, reply) => {
+            OwnerMessage::QueryStatus(id, requester, reply) => {
                 if self.owned() {
                     // The caller may have closed its request; then it needs no reply.
-                    let _ = reply.send(self.job_view(id, organisation.as_ref()));
+                    let _ = reply.send(self.job_view(id, requester.as_ref()));
                 }
             }
             OwnerMessage::QueryLength(queue, reply) => {
@@ -34,10 +34,10 @@
                 // The handler of the request may have ended; then it needs no reply.
                 let _ = reply.send(());
             }
-            OwnerMessage::JobCanceled(id, organisation, reply) => {
+            OwnerMessage::JobCanceled(id, requester, reply) => {
                 // If the owner has not read the job's row yet, the row will contain the
                 // cancellation.
-                if self.planner.is_open_to(id, organisation.as_ref()) {
+                if self.planner.is_open_to(id, requester.as_ref()) {
                     self.planner.cancel(id);
                 }
                 // The handler of the request may have ended; then it needs no reply.
@@ -64,9 +64,9 @@
         count.waiting
     }
 
-    /// Status of a job, for a caller that acts for an organisation or for anybody.
-    fn job_view(&self, id: JobId, organisation: Option<&OrganisationName>) -> JobView {
-        if !self.planner.is_open_to(id, organisation) {
+    /// Status of a job, for a caller.
+    fn job_view(&self, id: JobId, requester: Option<&Requester>) -> JobView {
+        if !self.planner.is_open_to(id, requester) {
             return JobView::Unknown;
         }
         if self.planner.status_undecided(id) {
--- a/crates/cell/src/owner/messages.rs
+++ b/crates/cell/src/owner/messages.rs
@@ -4,7 +4,7 @@
 
 use job::Batch;
 use job::JobId;
-use job::OrganisationName;
+use job::Requester;
 use job::RunId;
 use job::StartReply;
 use job::StopReply;
@@ -33,8 +33,8 @@
 /// A message to the owner's task.
 #[derive(Debug)]
 pub enum OwnerMessage {
-    /// Asks for the status of a job on behalf of an organisation, or of anybody.
-    QueryStatus(JobId, Option<OrganisationName>, oneshot::Sender<JobView>),
+    /// Asks for the status of a job. Processes of earlier versions do not name the requester.
+    QueryStatus(JobId, Option<Requester>, oneshot::Sender<JobView>),
     /// Asks how many jobs of a queue wait.
     QueryLength(String, oneshot::Sender<usize>),
     /// A helper delivers the result of its last advice call and asks for the next one.
@@ -43,8 +43,8 @@
     JobRows(Change, Duration),
     /// A job was accepted; sent by the process that accepted it.
     JobAccepted(Box<AcceptedJob>, oneshot::Sender<()>),
-    /// A job was cancelled by an organisation, or by anybody; sent by the process that cancelled it.
-    JobCanceled(JobId, Option<OrganisationName>, oneshot::Sender<()>),
+    /// A job was cancelled; sent by the process that cancelled it.
+    JobCanceled(JobId, Option<Requester>, oneshot::Sender<()>),
     /// Registrations of workers have changed.
     Registrations(RegistrationChange),
     /// An event from the link to a worker.
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -11,7 +11,7 @@
 use job::JobId;
 use job::JobSpec;
 use job::JobStatus;
-use job::OrganisationName;
+use job::Requester;
 use job::StepKey;
 use job::WorkerId;
 use serde::Deserialize;
@@ -136,16 +136,24 @@
     backoff: watch::Sender<(Epoch, Duration)>,
 }
 
-/// Query parameter with the organisation for which a request is made; absent for anybody.
+/// Query parameters that name the requester of a request about a job.
 const ORGANISATION_PARAMETER: &str = "organisation";
+const QUEUE_PARAMETER: &str = "queue";
 
 /// Returns the path of a request about a job.
-fn job_path(prefix: &str, id: JobId, organisation: Option<&OrganisationName>) -> String {
-    let path = format!("{prefix}{id:016x}");
-    match organisation {
-        Some(name) => format!("{path}?{ORGANISATION_PARAMETER}={}", web::encode(name)),
-        None => path,
-    }
+fn job_path(prefix: &str, id: JobId, requester: &Requester) -> String {
+    let (parameter, name) = match requester {
+        Requester::Organisation(name) => (ORGANISATION_PARAMETER, name),
+        Requester::Queue(name) => (QUEUE_PARAMETER, name),
+    };
+    format!("{prefix}{id:016x}?{parameter}={}", web::encode(name))
+}
+
+/// Returns the requester that a request names.
+fn requester_of(request: &HttpRequest) -> Option<Requester> {
+    let organisation = request.parameter(ORGANISATION_PARAMETER);
+    let queue = || request.parameter(QUEUE_PARAMETER).map(Requester::Queue);
+    organisation.map(Requester::Organisation).or_else(queue)
 }
 
 /// Time for which an owner that did not answer is not called again. Otherwise each caller would
@@ -164,18 +172,17 @@
         }
     }
 
-    /// Asks for the status of a job on behalf of an organisation, or of anybody. A job of another
-    /// organisation is unknown to it.
+    /// Asks for the status of a job. A job that the requester may not see is unknown.
     ///
     /// # Errors
     /// See [`OwnerError`].
     pub async fn query_status(
         &self,
         id: JobId,
-        organisation: Option<OrganisationName>,
+        requester: Requester,
     ) -> Result<JobView, OwnerError> {
-        let path = job_path("/state/", id, organisation.as_ref());
-        let make_message = |reply| OwnerMessage::QueryStatus(id, organisation, reply);
+        let path = job_path("/state/", id, &requester);
+        let make_message = |reply| OwnerMessage::QueryStatus(id, Some(requester), reply);
         self.send_request(make_message, Method::GET, &path, &(), OWNER_TIMEOUT)
             .await
     }
@@ -209,18 +216,14 @@
         .await
     }
 
-    /// Notifies the owner of a job that an organisation, or anybody, has cancelled. The change feed also delivers the cancellation, but
-    /// later, and tasks of the job could start in the meantime.
+    /// Notifies the owner of a job that the requester has cancelled. The change feed also delivers the
+    /// cancellation, but later, and tasks of the job could start in the meantime.
     ///
     /// # Errors
     /// See [`OwnerError`]; the owner may have received the message.
-    pub async fn notify_canceled(
-        &self,
-        id: JobId,
-        organisation: Option<OrganisationName>,
-    ) -> Result<(), OwnerError> {
-        let path = job_path("/canceled/", id, organisation.as_ref());
-        let make_message = |reply| OwnerMessage::JobCanceled(id, organisation, reply);
+    pub async fn notify_canceled(&self, id: JobId, requester: Requester) -> Result<(), OwnerError> {
+        let path = job_path("/canceled/", id, &requester);
+        let make_message = |reply| OwnerMessage::JobCanceled(id, Some(requester), reply);
         self.send_request(make_message, Method::POST, &path, &(), OWNER_TIMEOUT)
             .await
     }
@@ -383,11 +386,11 @@
 
 impl Handler for PeerHandler {
     async fn handle(&self, incoming: HttpRequest) -> HttpResponse {
-        let organisation = incoming.parameter(ORGANISATION_PARAMETER);
+        let requester = requester_of(&incoming);
         if let Some(id) = incoming.path.strip_prefix("/state/") {
             return match job::parse_job_id(id) {
                 Ok(id) => {
-                    let make_message = |reply| OwnerMessage::QueryStatus(id, organisation, reply);
+                    let make_message = |reply| OwnerMessage::QueryStatus(id, requester, reply);
                     self.relay(make_message, OWNER_TIMEOUT).await
                 }
                 Err(error) => web::error(StatusCode::BAD_REQUEST, &error.to_string()),
@@ -396,7 +399,7 @@
         if let Some(id) = incoming.path.strip_prefix("/canceled/") {
             return match job::parse_job_id(id) {
                 Ok(id) => {
-                    let make_message = |reply| OwnerMessage::JobCanceled(id, organisation, reply);
+                    let make_message = |reply| OwnerMessage::JobCanceled(id, requester, reply);
                     self.relay(make_message, OWNER_TIMEOUT).await
                 }
                 Err(error) => web::error(StatusCode::BAD_REQUEST, &error.to_string()),
--- a/crates/cell/src/stored.rs
+++ b/crates/cell/src/stored.rs
@@ -89,7 +89,8 @@
 
     /// Returns whether a caller may see a job that has ended.
     async fn job_visible(&self, id: JobId, viewer: Viewer<'_>) -> Result<bool, StoredError> {
-        if viewer == Viewer::Anybody {
+        let config = self.context.config.borrow().clone();
+        if config.is_some_and(|config| config.organisations.is_empty()) {
             return Ok(true);
         }
         let store = &self.context.store;
@@ -97,7 +98,7 @@
             let row = store.read_row(name, STORE_TIMEOUT).await;
             if let Some(row) = row.context(ReadSnafu)? {
                 let spec = log_undecodable(id, &row, decode_job_row(&row.value))?;
-                return Ok(viewer.may_see(&spec));
+                return Ok(viewer.requester().may_see(&spec));
             }
         }
         Ok(false)
@@ -122,7 +123,7 @@
                 }
             };
             let spec = log_undecodable(id, &row, decode_job_row(&row.value))?;
-            if !viewer.may_see(&spec) {
+            if !viewer.requester().may_see(&spec) {
                 continue;
             }
             match &mut found {
--- a/crates/cell/tests/keys.rs
+++ b/crates/cell/tests/keys.rs
@@ -296,6 +296,25 @@
     cell.close().await;
 }
 
+/// Guards against callers without a key who see and cancel the jobs of organisations through another
+/// queue, which is public.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_public_queue_shows_no_jobs_of_other_queues() {
+    let cell = open(1).await;
+    stores()
+        .submit(&cell.servers(), PATH, &job(1, "600000"))
+        .await;
+    stores().wait_state(&cell.servers(), PATH, "active").await;
+    let path = PATH.replace("plain", "advised");
+
+    let shown = status(&cell, &Caller::new(), Method::GET, &path).await;
+    let canceled = status(&cell, &Caller::new(), Method::DELETE, &path).await;
+    let own = status(&cell, &stores(), Method::GET, PATH).await;
+
+    assert_eq!((shown, canceled, own), (410, 410, 200));
+    cell.close().await;
+}
+
 /// Guards against bodies of callers without a key that are read, and kept in memory, before they are
 /// rejected.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/job/src/organisation.rs
+++ b/crates/job/src/organisation.rs
@@ -61,6 +61,28 @@
     }
 }
 
+/// On whose behalf a caller asks about a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Requester {
+    /// Anybody who may use this public queue.
+    Queue(String),
+    /// An organisation.
+    Organisation(OrganisationName),
+}
+
+impl Requester {
+    /// Returns whether the caller may see and cancel a job. A job that belongs to no organisation is
+    /// open to every caller, and a job of a queue that has become public to those of this queue.
+    #[must_use]
+    pub fn may_see(&self, job: &JobSpec) -> bool {
+        match (self, job.organisation_name()) {
+            (_, None) => true,
+            (Requester::Queue(queue), Some(_)) => job.queue.name == *queue,
+            (Requester::Organisation(name), Some(owner)) => name == owner,
+        }
+    }
+}
+
 /// A step that an organisation's limit never lets start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ExcessiveStep {
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -322,9 +322,12 @@
     /// Adds an accepted job, or cancels one that was added before if its row is marked as
     /// cancelled. `old` is set if a former owner may have started the job.
     pub fn add_job(&mut self, id: JobId, spec: JobSpec, progress: Option<&Progress>, old: bool) {
-        if self.jobs.contains_key(&id) {
-            // A row of another organisation with the same id, in another place, is ignored.
-            if spec.canceled && self.is_open_to(id, spec.organisation_name()) {
+        if let Some(job) = self.jobs.get(&id) {
+            // A row of another organisation with the same id, in another place, is ignored. An earlier
+            // version that cancels a job leaves out its organisation.
+            let name = spec.organisation_name();
+            let same = name.is_none() || name == job.spec.organisation_name();
+            if spec.canceled && same {
                 self.cancel(id);
             }
             return;
--- a/crates/job/src/planner/organisations.rs
+++ b/crates/job/src/planner/organisations.rs
@@ -22,6 +22,7 @@
 use crate::JobId;
 use crate::Organisation;
 use crate::OrganisationName;
+use crate::Requester;
 use crate::ResourceLimit;
 use crate::Resources;
 use crate::StepKey;
@@ -166,15 +167,13 @@
         std::mem::replace(&mut self.organisations.outdated, outdated) != outdated
     }
 
-    /// Returns whether a caller may see and cancel a job: it acts for the job's organisation or for
-    /// anybody (`None`), or the job belongs to none or was not added.
+    /// Returns whether a caller may see and cancel a job, or the job was not added. Processes of earlier
+    /// versions do not name the requester.
     #[must_use]
-    pub fn is_open_to(&self, id: JobId, caller: Option<&OrganisationName>) -> bool {
-        let owner = self.jobs.get(&id).map(|job| job.spec.organisation_name());
-        match (caller, owner.flatten()) {
-            (Some(caller), Some(owner)) => caller == owner,
-            _ => true,
-        }
+    pub fn is_open_to(&self, id: JobId, requester: Option<&Requester>) -> bool {
+        let job = self.jobs.get(&id);
+        let asked = requester.zip(job);
+        asked.is_none_or(|(requester, job)| requester.may_see(&job.spec))
     }
 
     /// Returns up to `limit` organisations whose limits have delayed work in the last pass, those with
--- a/crates/job/tests/limits.rs
+++ b/crates/job/tests/limits.rs
@@ -8,6 +8,7 @@
 use job::JobSpec;
 use job::Planner;
 use job::Policy;
+use job::Requester;
 use job::RunEnd;
 use job::StartReply;
 use job::StepSpec;
@@ -444,11 +445,13 @@
 #[test]
 fn only_the_organisation_of_a_job_sees_it() {
     let (planner, _) = limited();
-    let [stores, desk] = ["stores", "desk"].map(str::to_owned);
+    let organisation = |name: &str| Requester::Organisation(name.to_owned());
+    let queue = |name: &str| Requester::Queue(name.to_owned());
 
-    assert!(planner.is_open_to(JOB, Some(&stores)));
-    assert!(!planner.is_open_to(JOB, Some(&desk)));
-    assert!(planner.is_open_to(JOB, None));
+    assert!(planner.is_open_to(JOB, Some(&organisation("stores"))));
+    assert!(!planner.is_open_to(JOB, Some(&organisation("desk"))));
+    assert!(planner.is_open_to(JOB, Some(&queue("bins"))));
+    assert!(!planner.is_open_to(JOB, Some(&queue("other"))));
 }
 
 /// Guards against the cancel of a job by another organisation that has submitted a job under the same
