--- a/crates/job/src/planner/crash_count.rs
+++ b/crates/job/src/planner/crashes/crash_count.rs
@@ -1,21 +1,21 @@
 //! Counts worker crashes per task, and fails the jobs of tasks that cause them; see
-//! [`super::suspicion`].
+//! [`crate::planner::state::suspicion`].
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::Finding;
-use super::Planner;
-use super::Suspect;
-use super::job_state::Phase;
-use super::roster::PlacedRun;
-use super::roster::RunPhase;
-use super::suspicion::Suspicion;
-use super::suspicion::UnexplainedCrash;
-use super::suspicion::Verdict;
 use crate::Outcome;
 use crate::RunId;
 use crate::TaskKey;
+use crate::planner::Finding;
+use crate::planner::Planner;
+use crate::planner::Suspect;
+use crate::planner::state::job_state::Phase;
+use crate::planner::state::roster::PlacedRun;
+use crate::planner::state::roster::RunPhase;
+use crate::planner::state::suspicion::Suspicion;
+use crate::planner::state::suspicion::UnexplainedCrash;
+use crate::planner::state::suspicion::Verdict;
 
 /// A crash counts as uncertain if, within [`COMMON_CAUSE_WINDOW`] before it, at least this many
 /// workers without suspects crashed. One is not enough: two tasks that crash their workers at
@@ -25,7 +25,7 @@
 /// Delay between a crash and the trial that follows it. Within this time, all crashes of the
 /// same moment are detected: a call to an idle worker fails within 0.65 s, and the list of
 /// machines is read every 0.5 s.
-pub(super) const TRIAL_DELAY: Duration = Duration::from_millis(1200);
+pub(crate) const TRIAL_DELAY: Duration = Duration::from_millis(1200);
 
 /// Two crashes that are detected within this time of each other may have a common cause. Of
 /// workers that crash together, the first is detected within 0.5 s and the last within 1.2 s;
@@ -48,11 +48,11 @@
         self.suspects.tasks.iter().filter(needs_trial).count()
     }
 
-    pub(super) fn suspicion_of(&mut self, task: TaskKey) -> Option<&mut Suspicion> {
+    pub(crate) fn suspicion_of(&mut self, task: TaskKey) -> Option<&mut Suspicion> {
         self.jobs.get_mut(&task.step.job)?.suspicion_mut(task)
     }
 
-    pub(super) fn record_finding(&mut self, task: TaskKey, run: RunId, finding: Finding) {
+    pub(crate) fn record_finding(&mut self, task: TaskKey, run: RunId, finding: Finding) {
         let crashes = self.suspicion_of(task);
         let crashes = crashes.map_or(0, |suspicion| suspicion.crash_count());
         self.suspects.findings.push(Suspect {
@@ -66,7 +66,7 @@
     /// Counts the crash of a worker against the runs that were on it. If `all_known` is set, these
     /// are all of its runs, except for `transferred` runs that may have been on it or may be on
     /// its next incarnation.
-    pub(super) fn count_crash(
+    pub(crate) fn count_crash(
         &mut self,
         runs: &[(TaskKey, PlacedRun)],
         all_known: bool,
@@ -90,7 +90,7 @@
 
     /// Counts a crash against a task; returns whether the task needs a trial. `alone` is set if
     /// no other run was on the worker.
-    pub(super) fn record_crash(
+    pub(crate) fn record_crash(
         &mut self,
         task: TaskKey,
         run: RunId,
@@ -132,7 +132,7 @@
     }
 
     /// Removes a run from the crashes of its task, since no worker crash has ended it.
-    pub(super) fn clear_run(&mut self, task: TaskKey, run: RunId) {
+    pub(crate) fn clear_run(&mut self, task: TaskKey, run: RunId) {
         let now = self.now;
         let Some(suspicion) = self.suspicion_of(task) else {
             return;
@@ -151,7 +151,7 @@
 
     /// Decides about suspects that were alone on a worker that crashed, once crashes with a common
     /// cause would have been detected. Fails the jobs of those that caused the crash.
-    pub(super) fn decide_suspects(&mut self) {
+    pub(crate) fn decide_suspects(&mut self) {
         let now = self.now;
         self.suspects
             .unexplained
@@ -189,7 +189,7 @@
     }
 
     /// Records a crash of a worker that had these tasks and no suspect.
-    pub(super) fn record_unexplained(&mut self, tasks: Vec<TaskKey>) {
+    pub(crate) fn record_unexplained(&mut self, tasks: Vec<TaskKey>) {
         let at = self.now;
         self.suspects
             .unexplained
@@ -210,14 +210,14 @@
     }
 
     /// Fails the job of a suspect.
-    pub(super) fn fail_suspect(&mut self, task: TaskKey, run: RunId, verdict: Verdict) {
+    pub(crate) fn fail_suspect(&mut self, task: TaskKey, run: RunId, verdict: Verdict) {
         self.record_finding(task, run, Finding::JobFailed(verdict));
         self.finish_job(task.step.job, Outcome::Failed);
     }
 }
 
 /// Returns whether no other crash near `at` shows a common cause.
-pub(super) fn is_sole_crash(unexplained: &VecDeque<UnexplainedCrash>, at: Duration) -> bool {
+pub(crate) fn is_sole_crash(unexplained: &VecDeque<UnexplainedCrash>, at: Duration) -> bool {
     let mut others = unexplained.iter();
     !others.any(|crash| crash.at.abs_diff(at) < COMMON_CAUSE_WINDOW)
 }
--- a/crates/job/src/planner/start_intent.rs
+++ b/crates/job/src/planner/crashes/start_intent.rs
@@ -2,26 +2,26 @@
 //! sent, so that the count of crashes survives a change of owners. The intent names the worker that
 //! was chosen for the start, so that a successor counts it only if this very worker has crashed.
 
-use super::Planner;
-use super::WorkerKey;
-use super::crash_count::TRIAL_DELAY;
-use super::job_state::Phase;
-use super::rank::Rank;
-use super::reservations::Reservations;
-use super::suspicion::MAX_CRASHES;
-use super::suspicion::StartIntent;
-use super::suspicion::Verdict;
 use crate::JobId;
 use crate::Progress;
 use crate::RunId;
 use crate::StepKey;
 use crate::StepSpec;
 use crate::TaskKey;
+use crate::planner::Planner;
+use crate::planner::WorkerKey;
+use crate::planner::crashes::crash_count::TRIAL_DELAY;
+use crate::planner::order::rank::Rank;
+use crate::planner::placement::reservations::Reservations;
+use crate::planner::state::job_state::Phase;
+use crate::planner::state::suspicion::MAX_CRASHES;
+use crate::planner::state::suspicion::StartIntent;
+use crate::planner::state::suspicion::Verdict;
 
 impl Planner {
     /// Adds the tasks with saved crash records to the suspects. A record contains crashes or a
     /// start intent. The decisions that the former owner had not made yet are made after the delay.
-    pub(super) fn restore_suspects(&mut self, job: JobId, progress: &Progress) {
+    pub(crate) fn restore_suspects(&mut self, job: JobId, progress: &Progress) {
         let now = self.now;
         let key = |&(round, step, index): &(u32, u32, u32)| {
             let step = StepKey { job, round, step };
@@ -37,10 +37,10 @@
     }
 
     /// Resolves the start intents of the former owner at the end of recovery. Those that name a
-    /// worker were resolved with the placements, see [`super::inherited`]. Members of a gang start
+    /// worker were resolved with the placements, see [`crate::planner::recovery::inherited`]. Members of a gang start
     /// under one run number: if a worker has reported the run of another member, the start of this
     /// one was sent, and its worker has crashed without a report.
-    pub(super) fn resolve_intents(&mut self) {
+    pub(crate) fn resolve_intents(&mut self) {
         let suspects: Vec<TaskKey> = self.suspects.tasks.iter().copied().collect();
         for task in suspects {
             let Some(job) = self.jobs.get_mut(&task.step.job) else {
@@ -62,7 +62,7 @@
 
     /// Fails the job of a suspect of a step with too many crashes. Records the start intents of the
     /// members of a gang, which name no workers: they are chosen when the gang starts.
-    pub(super) fn record_intents(&mut self, key: StepKey) {
+    pub(crate) fn record_intents(&mut self, key: StepKey) {
         let now = self.now;
         let gang = self.step_spec(key).is_some_and(|spec| spec.gang);
         for task in self.waiting_suspects(key) {
@@ -87,7 +87,7 @@
 
     /// Records the intent to start a run of a suspect, on `worker` if it is known yet. The start may
     /// be sent once the intent is saved.
-    pub(super) fn record_intent(&mut self, task: TaskKey, run: RunId, worker: Option<WorkerKey>) {
+    pub(crate) fn record_intent(&mut self, task: TaskKey, run: RunId, worker: Option<WorkerKey>) {
         if self.releasing {
             return;
         }
@@ -108,7 +108,7 @@
 
     /// Returns whether a run of a task may be sent to a worker: the task is no suspect, or the
     /// intent to start the run there is saved.
-    pub(super) fn start_saved(&self, task: TaskKey, run: RunId, worker: WorkerKey) -> bool {
+    pub(crate) fn start_saved(&self, task: TaskKey, run: RunId, worker: WorkerKey) -> bool {
         let job = self.jobs.get(&task.step.job);
         let suspicion = job.and_then(|job| job.suspicion(task));
         suspicion.is_none_or(|suspicion| {
@@ -120,7 +120,7 @@
     }
 
     /// Returns the worker that the start intent of a task names.
-    pub(super) fn intended_worker(&self, task: TaskKey) -> Option<WorkerKey> {
+    pub(crate) fn intended_worker(&self, task: TaskKey) -> Option<WorkerKey> {
         let job = self.jobs.get(&task.step.job)?;
         job.suspicion(task)?.intent?.worker
     }
@@ -128,7 +128,7 @@
     /// Keeps free what the unsaved start intents of a step need on their workers, so that no other
     /// task takes it until they are saved. An intent whose worker cannot run the task any more is
     /// dropped.
-    pub(super) fn hold_intents(
+    pub(crate) fn hold_intents(
         &mut self,
         rank: Rank,
         key: StepKey,
@@ -160,7 +160,7 @@
     }
 
     /// Returns whether a start intent of a task is being saved.
-    pub(super) fn awaits_save(&self, task: TaskKey) -> bool {
+    pub(crate) fn awaits_save(&self, task: TaskKey) -> bool {
         let intent = self.intent_of(task);
         intent.is_some_and(|intent| !intent.saved && intent.worker.is_some())
     }
@@ -209,7 +209,7 @@
     }
 
     /// Marks the start intents in a job's progress as saved.
-    pub(super) fn mark_intents_saved(&mut self, job: JobId, progress: &Progress) {
+    pub(crate) fn mark_intents_saved(&mut self, job: JobId, progress: &Progress) {
         for (key, record) in &progress.crashes {
             let &(round, step, index) = key;
             let step = StepKey { job, round, step };
@@ -234,7 +234,7 @@
 
     /// Returns whether a worker may be chosen for a task: it is not a suspect, or its delay has
     /// passed. For a member of a gang, the start intent must be saved, too.
-    pub(super) fn may_start(&self, task: TaskKey) -> bool {
+    pub(crate) fn may_start(&self, task: TaskKey) -> bool {
         let now = self.now;
         let Some(job) = self.jobs.get(&task.step.job) else {
             return true;
@@ -252,14 +252,14 @@
 
     /// Returns whether a step has suspects. Most steps have none, and checking each task of each
     /// waiting step took a third of a planning pass.
-    pub(super) fn has_suspects(&self, key: StepKey) -> bool {
+    pub(crate) fn has_suspects(&self, key: StepKey) -> bool {
         let task = |index: u32| TaskKey { step: key, index };
         let of_step = self.suspects.tasks.range(task(0)..=task(u32::MAX));
         of_step.take(1).count() > 0
     }
 
     /// Returns whether a task may start on a worker that has other runs.
-    pub(super) fn may_share_worker(&self, task: TaskKey) -> bool {
+    pub(crate) fn may_share_worker(&self, task: TaskKey) -> bool {
         let job = self.jobs.get(&task.step.job);
         let alone = job.is_some_and(|job| job.needs_trial(task));
         !alone && self.may_start(task)
@@ -282,7 +282,7 @@
     }
 
     /// Returns the waiting tasks of a step that may only start alone on a worker.
-    pub(super) fn waiting_trials(&self, key: StepKey) -> Vec<TaskKey> {
+    pub(crate) fn waiting_trials(&self, key: StepKey) -> Vec<TaskKey> {
         let mut tasks = self.waiting_suspects(key);
         let job = self.jobs.get(&key.job);
         tasks.retain(|task| job.is_some_and(|job| job.needs_trial(*task)));
--- a/crates/job/src/planner/trial.rs
+++ b/crates/job/src/planner/crashes/trial.rs
@@ -8,19 +8,19 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use super::Finding;
-use super::Planner;
-use super::place::Candidate;
-use super::place::assign_slots;
-use super::place::may_run;
-use super::rank::Rank;
-use super::reservations::Reservations;
-use super::roster::RunPhase;
 use crate::Resources;
 use crate::RunId;
 use crate::StepKey;
 use crate::StepSpec;
 use crate::TaskKey;
+use crate::planner::Finding;
+use crate::planner::Planner;
+use crate::planner::order::rank::Rank;
+use crate::planner::placement::place::Candidate;
+use crate::planner::placement::place::assign_slots;
+use crate::planner::placement::place::may_run;
+use crate::planner::placement::reservations::Reservations;
+use crate::planner::state::roster::RunPhase;
 
 /// One worker in this many, and at least one, may run a trial or be reserved for one. A trial
 /// keeps a whole worker from other work.
@@ -58,7 +58,7 @@
 
     /// Ends the trials that have run for [`TRIAL_PERIOD`]: their runs continue, but other tasks may
     /// join them, and other trials get their turn.
-    pub(super) fn end_long_trials(&mut self) {
+    pub(crate) fn end_long_trials(&mut self) {
         let now = self.now;
         let in_trial = self.workers.values_mut();
         for worker in in_trial.filter(|worker| worker.trials > 0) {
@@ -74,7 +74,7 @@
 
     /// Starts the trials of single tasks for which there is an idle worker, and reserves workers for
     /// the others. A trial that no worker may run does not count toward the limit.
-    pub(super) fn place_trials(
+    pub(crate) fn place_trials(
         &mut self,
         ranked: &[(Rank, StepKey)],
         reservations: &mut Reservations,
@@ -233,7 +233,7 @@
     /// Starts a gang that has suspects among its members, each suspect alone on a worker, unless
     /// there are too many of them or the gang has waited for [`MAX_GANG_WAIT`]. Returns false if
     /// the other members do not fit; true if the gang was started or has to wait for idle workers.
-    pub(super) fn place_suspected_gang(
+    pub(crate) fn place_suspected_gang(
         &mut self,
         rank: Rank,
         key: StepKey,
--- a/crates/job/src/planner/excess.rs
+++ b/crates/job/src/planner/limits/excess.rs
@@ -8,20 +8,20 @@
 use std::time::Duration;
 
 /// Time for which submissions are counted: a successor reads jobs that were accepted up to two minutes
-/// before, see [`super::Policy::max_age`].
+/// before, see [`crate::planner::Policy::max_age`].
 const COUNTED_SECONDS: u64 = 150;
 
 /// Number of jobs that an organisation has submitted, by second since 1970. The count does not depend
 /// on the order in which an owner learns of the jobs, so a successor finds as many of them in excess.
 #[derive(Debug, Default)]
-pub(super) struct Submissions {
+pub(crate) struct Submissions {
     by_second: BTreeMap<u64, u32>,
 }
 
 impl Submissions {
     /// Counts a job that was received at a wall-clock time; returns whether it is in excess of
     /// `weight` jobs a second. A weight of 0 has no share, and no excess.
-    pub(super) fn add(&mut self, received: Duration, weight: f64) -> bool {
+    pub(crate) fn add(&mut self, received: Duration, weight: f64) -> bool {
         let second = received.as_secs();
         let count = self.by_second.entry(second).or_default();
         *count += 1;
--- a/crates/job/src/planner/impossible.rs
+++ b/crates/job/src/planner/limits/impossible.rs
@@ -2,12 +2,12 @@
 
 use std::collections::HashSet;
 
-use super::Planner;
-use super::roster::WorkerState;
 use crate::JobId;
 use crate::Outcome;
 use crate::Resources;
 use crate::StepKey;
+use crate::planner::Planner;
+use crate::planner::state::roster::WorkerState;
 
 impl Planner {
     /// Fails jobs that could not run even if all workers were empty, so that their callers get the
@@ -16,7 +16,7 @@
     /// A failure is final, so a job is checked against the largest pool seen by this owner. When
     /// jobs were checked against the current workers, some failed that only had to wait for absent
     /// workers.
-    pub(super) fn fail_impossible_jobs(&mut self) {
+    pub(crate) fn fail_impossible_jobs(&mut self) {
         self.peak_pools.update(&self.workers);
         // The capacity of an incarnation is unknown until its registration is read.
         let capacity_unknown = |worker: &WorkerState| {
--- a/crates/job/src/planner/organisations.rs
+++ b/crates/job/src/planner/limits/organisations.rs
@@ -14,11 +14,6 @@
 
 use slotmap::SlotMap;
 
-use super::Planner;
-use super::excess::Submissions;
-use super::rank::Rank;
-use super::roster::PlacedRun;
-use super::roster::WorkerState;
 use crate::JobId;
 use crate::Organisation;
 use crate::OrganisationName;
@@ -26,11 +21,12 @@
 use crate::ResourceLimit;
 use crate::Resources;
 use crate::StepKey;
-
-slotmap::new_key_type! {
-    /// Key of an organisation in the planner.
-    pub(super) struct OrganisationKey;
-}
+use crate::planner::OrganisationKey;
+use crate::planner::Planner;
+use crate::planner::limits::excess::Submissions;
+use crate::planner::order::rank::Rank;
+use crate::planner::state::roster::PlacedRun;
+use crate::planner::state::roster::WorkerState;
 
 /// The planner's state of an organisation.
 #[derive(Debug)]
@@ -67,7 +63,7 @@
 
 /// Organisations of the jobs, and what each of them has running.
 #[derive(Debug, Default)]
-pub(super) struct Organisations {
+pub(crate) struct Organisations {
     states: SlotMap<OrganisationKey, OrganisationState>,
     by_name: HashMap<OrganisationName, OrganisationKey>,
     /// Capacity of the workers on which unknown runs may be active.
@@ -79,7 +75,7 @@
 impl Organisations {
     /// Returns the key of an organisation. One that is not configured gets the limit that is stored
     /// with its job.
-    pub(super) fn key_of(&mut self, stored: &Organisation) -> OrganisationKey {
+    pub(crate) fn key_of(&mut self, stored: &Organisation) -> OrganisationKey {
         if let Some(&key) = self.by_name.get(&stored.name) {
             return key;
         }
@@ -97,7 +93,7 @@
     }
 
     /// Applies the limits of a new configuration.
-    pub(super) fn configure(&mut self, configured: &[Organisation]) {
+    pub(crate) fn configure(&mut self, configured: &[Organisation]) {
         for organisation in configured {
             let key = self.key_of(organisation);
             self.states[key].limit = organisation.limit;
@@ -106,14 +102,14 @@
     }
 
     /// Counts a run that may be active from now on.
-    pub(super) fn add(&mut self, run: &PlacedRun) {
+    pub(crate) fn add(&mut self, run: &PlacedRun) {
         if let Some(state) = run.organisation.and_then(|key| self.states.get_mut(key)) {
             state.used = state.used.plus(&run.need());
         }
     }
 
     /// Stops counting a run that is certainly not active any more.
-    pub(super) fn remove(&mut self, run: &PlacedRun) {
+    pub(crate) fn remove(&mut self, run: &PlacedRun) {
         if let Some(state) = run.organisation.and_then(|key| self.states.get_mut(key)) {
             state.used = state.used.minus(&run.need());
         }
@@ -196,14 +192,14 @@
     }
 
     /// Counts a new job of an organisation; returns whether it exceeds the organisation's share.
-    pub(super) fn exceeds_share(&mut self, key: OrganisationKey, received: Duration) -> bool {
+    pub(crate) fn exceeds_share(&mut self, key: OrganisationKey, received: Duration) -> bool {
         let state = self.organisations.states.get_mut(key);
         state.is_some_and(|state| state.submissions.add(received, state.weight))
     }
 
     /// Begins a planning pass: nothing is held, and the capacity is counted of workers on which
     /// unknown runs may be active.
-    pub(super) fn begin_limits(&mut self) {
+    pub(crate) fn begin_limits(&mut self) {
         for state in self.organisations.states.values_mut() {
             state.held = None;
             state.delayed = 0;
@@ -226,7 +222,7 @@
 
     /// Returns whether the limit of its organisation lets a step start: one task, or all waiting
     /// members of a gang.
-    pub(super) fn limit_admits(&self, key: StepKey) -> bool {
+    pub(crate) fn limit_admits(&self, key: StepKey) -> bool {
         let Some((organisation, need)) = self.limited_start(key) else {
             return true;
         };
@@ -236,7 +232,7 @@
     }
 
     /// Returns whether a step could start if nothing else of its organisation were running.
-    pub(super) fn limit_suffices(&self, key: StepKey) -> bool {
+    pub(crate) fn limit_suffices(&self, key: StepKey) -> bool {
         self.limited_start(key).is_none_or(|(organisation, need)| {
             let state = self.organisations.states.get(organisation);
             state.is_none_or(|state| state.limit.ceiling().can_fit(&need))
@@ -247,7 +243,7 @@
     /// that later steps of the organisation do not use it: a wide gang would hardly ever start otherwise.
     /// An early step keeps nothing, and later steps may always use half of the limit, since the
     /// organisation would use little of it while the gang waits.
-    pub(super) fn hold_limit(&mut self, rank: Rank, key: StepKey) {
+    pub(crate) fn hold_limit(&mut self, rank: Rank, key: StepKey) {
         if let Some((organisation, need)) = self.limited_start(key) {
             let late = rank.stage > 0 || self.overdue_gang == Some(key);
             self.organisations.delay(organisation, key, &need, late);
--- a/crates/job/src/planner/peak_pools.rs
+++ b/crates/job/src/planner/limits/peak_pools.rs
@@ -14,10 +14,10 @@
 
 use slotmap::SlotMap;
 
-use super::WorkerKey;
-use super::roster::WorkerState;
 use crate::Resources;
 use crate::StepSpec;
+use crate::planner::WorkerKey;
+use crate::planner::state::roster::WorkerState;
 
 /// A job that the pool cannot run fails only when the pool has not grown for this time: while
 /// workers of a starting cluster are being added, more of them may follow.
@@ -79,7 +79,7 @@
 
 /// Largest pool seen of each service.
 #[derive(Debug, Default)]
-pub(super) struct PeakPools {
+pub(crate) struct PeakPools {
     pools: HashMap<String, Pool>,
     /// When the workers last changed, by the owner's monotonic clock; `None` if they have been
     /// counted since.
@@ -88,12 +88,12 @@
 
 impl PeakPools {
     /// Records that a worker was added, changed or removed.
-    pub(super) fn workers_changed(&mut self, now: Duration) {
+    pub(crate) fn workers_changed(&mut self, now: Duration) {
         self.changed_at = Some(now);
     }
 
     /// Counts the workers if any has changed.
-    pub(super) fn update(&mut self, workers: &SlotMap<WorkerKey, WorkerState>) {
+    pub(crate) fn update(&mut self, workers: &SlotMap<WorkerKey, WorkerState>) {
         let Some(changed) = self.changed_at.take() else {
             return;
         };
@@ -121,7 +121,7 @@
     /// Returns whether the largest pool seen could not run `members` tasks of a step at the same
     /// time, and has stopped growing for [`SETTLE_TIME`]. Returns false if this owner has seen no
     /// worker of the service, or does not know the capacity of one.
-    pub(super) fn cannot_fit(
+    pub(crate) fn cannot_fit(
         &self,
         service: &str,
         spec: &StepSpec,
--- a/crates/job/src/planner/stale_capacity.rs
+++ b/crates/job/src/planner/limits/stale_capacity.rs
@@ -7,13 +7,13 @@
 //! smallest share that any worker of the pool has had. Other pools are not affected: an owner of a
 //! pool in which no worker has ever shrunk relies on the last registrations that it could read.
 
-use super::Planner;
-use super::WorkerKey;
-use super::roster::WorkerState;
 use crate::Resources;
+use crate::planner::Planner;
+use crate::planner::WorkerKey;
+use crate::planner::state::roster::WorkerState;
 
 /// Share of a worker's capacity, from 0 to 1.
-pub(super) type Share = f64;
+pub(crate) type Share = f64;
 
 /// Returns the smallest capacity of a worker as a share of its largest one, for processors or
 /// memory, whichever share is smaller.
@@ -66,7 +66,7 @@
     }
 
     /// Adds the state of a new worker, or of a new incarnation.
-    pub(super) fn insert_worker(&mut self, mut worker: WorkerState) -> WorkerKey {
+    pub(crate) fn insert_worker(&mut self, mut worker: WorkerState) -> WorkerKey {
         worker.fill_limit = fill_bound(&worker, self.stale_registrations, self.smallest_share);
         let id = worker.info.id.clone();
         let key = self.workers.insert(worker);
@@ -75,7 +75,7 @@
     }
 
     /// Updates the smallest share and the worker's fill limit after a new registration.
-    pub(super) fn update_fill_limit(&mut self, key: WorkerKey) {
+    pub(crate) fn update_fill_limit(&mut self, key: WorkerKey) {
         let worker = &mut self.workers[key];
         self.smallest_share = self.smallest_share.min(smallest_ratio(worker));
         worker.fill_limit = fill_bound(worker, self.stale_registrations, self.smallest_share);
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -10,40 +10,15 @@
 //!   when the run has ended;
 //! - the end of a run counts as recorded only after the progress that contains it was saved.
 
-mod adopt;
-mod advice;
-mod advice_candidates;
-mod batch;
-mod crash_count;
-mod excess;
-mod expected;
-mod gang;
-mod headroom;
-mod impossible;
-mod incarnations;
-mod inherited;
-mod job_start;
-mod job_state;
-mod late_end;
-mod load;
-mod loss;
-mod organisations;
-mod peak_pools;
-mod place;
+mod crashes;
+mod limits;
+mod order;
+mod placement;
 mod policy;
-mod preempt;
-mod rank;
-mod report;
-mod reservations;
-mod roster;
-mod run_times;
-mod save_order;
-mod speed;
-mod stale_capacity;
-mod start_intent;
-mod stop_reason;
-mod suspicion;
-mod trial;
+mod recovery;
+mod reports;
+mod state;
+mod times;
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -65,40 +40,43 @@
 use crate::TaskKey;
 use crate::WorkerId;
 
-use advice::AdviceQueue;
-use headroom::Headrooms;
-use incarnations::EndedIncarnations;
-use inherited::InheritedRuns;
-use job_state::JobState;
-use organisations::Organisations;
-use peak_pools::PeakPools;
-use reservations::Reservations;
-use roster::WorkerState;
-use run_times::RunTimes;
-use suspicion::Suspects;
-
-pub use advice::AdviceRequest;
-pub use advice::FreeHelpers;
-pub use batch::Batch;
-pub use incarnations::ReportOrigin;
-pub use load::Load;
-pub use load::QueueCount;
-pub use load::Timing;
-pub use loss::LossCause;
-pub use loss::LostRun;
-pub use organisations::DelayedOrganisation;
+use limits::organisations::Organisations;
+use limits::peak_pools::PeakPools;
+use placement::advice::AdviceQueue;
+use placement::headroom::Headrooms;
+use placement::reservations::Reservations;
+use recovery::incarnations::EndedIncarnations;
+use recovery::inherited::InheritedRuns;
+use state::job_state::JobState;
+use state::roster::WorkerState;
+use state::suspicion::Suspects;
+use times::run_times::RunTimes;
+
+pub use limits::organisations::DelayedOrganisation;
+pub use placement::advice::AdviceRequest;
+pub use placement::advice::FreeHelpers;
 pub use policy::Policy;
-pub use report::StartReply;
-pub use report::StopReply;
-pub use roster::Capacity;
-pub use stop_reason::StopReason;
-pub use suspicion::Finding;
-pub use suspicion::Suspect;
-pub use suspicion::Verdict;
+pub use recovery::batch::Batch;
+pub use recovery::incarnations::ReportOrigin;
+pub use reports::report::StartReply;
+pub use reports::report::StopReply;
+pub use state::load::Load;
+pub use state::load::QueueCount;
+pub use state::load::Timing;
+pub use state::loss::LossCause;
+pub use state::loss::LostRun;
+pub use state::roster::Capacity;
+pub use state::stop_reason::StopReason;
+pub use state::suspicion::Finding;
+pub use state::suspicion::Suspect;
+pub use state::suspicion::Verdict;
 
 slotmap::new_key_type! {
     /// Key of one incarnation of a worker in the planner.
     pub struct WorkerKey;
+
+    /// Key of an organisation in the planner.
+    pub(crate) struct OrganisationKey;
 }
 
 /// Run numbers of a task that are reserved for each epoch. Those of a later epoch are higher
@@ -199,7 +177,7 @@
     /// The workers' registrations are too old to rely on the capacities in them.
     stale_registrations: bool,
     /// Smallest share of its own largest capacity that any worker has had.
-    smallest_share: stale_capacity::Share,
+    smallest_share: limits::stale_capacity::Share,
     /// Learnt share of workers that may run a step, by queue.
     allowed_shares: HashMap<String, f64>,
     /// Commands issued since the last [`Planner::take_commands`].
--- a/crates/job/src/planner/rank.rs
+++ b/crates/job/src/planner/order/rank.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use super::Planner;
-use super::job_state::JobState;
 use crate::Mechanism;
 use crate::StepKey;
+use crate::planner::Planner;
+use crate::planner::state::job_state::JobState;
 
 /// Bounds of a gang's relative size. In its rank, the time to its objective is multiplied by this
 /// size. Because of the bounds, a large gang that has waited goes before a small one that is
@@ -17,13 +17,13 @@
 
 /// Rank of a step; lower ranks are served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Rank {
+pub(crate) struct Rank {
     /// The job exceeds the share of its organisation.
-    pub(super) excess: bool,
+    pub(crate) excess: bool,
     /// 0 while the objective can be met, 1 while a late result still has value, 2 after that.
-    pub(super) stage: u8,
+    pub(crate) stage: u8,
     /// Priority of the queue; 0 is the most urgent.
-    pub(super) priority: u32,
+    pub(crate) priority: u32,
     /// End of the objective; for a gang, it is adjusted by the gang's relative size.
     due: Duration,
 }
@@ -45,7 +45,7 @@
 impl Planner {
     /// Returns the rank of a step; `None` if a former owner may have started its job and recovery
     /// has not ended.
-    pub(super) fn rank(&self, key: StepKey) -> Option<Rank> {
+    pub(crate) fn rank(&self, key: StepKey) -> Option<Rank> {
         let job = self.jobs.get(&key.job)?;
         if job.maybe_started && self.recovering {
             return None;
@@ -101,7 +101,7 @@
     }
 
     /// Updates the mean work of a queue's jobs with a new job.
-    pub(super) fn learn_mean_work(&mut self, queue: &str, work: u64) {
+    pub(crate) fn learn_mean_work(&mut self, queue: &str, work: u64) {
         #[allow(clippy::cast_precision_loss)]
         let work = work as f64;
         if let Some(mean) = self.mean_work.get_mut(queue) {
@@ -116,7 +116,7 @@
     /// time take each processor that becomes free, and a gang that few workers may run never
     /// starts. Only one gang is preferred in this way; under overload, more of them would make all
     /// others late.
-    pub(super) fn find_overdue_gang(&self) -> Option<StepKey> {
+    pub(crate) fn find_overdue_gang(&self) -> Option<StepKey> {
         if !self.policy.switches.enabled(Mechanism::OldestLateGang) {
             return None;
         }
--- a/crates/job/src/planner/save_order.rs
+++ b/crates/job/src/planner/order/save_order.rs
@@ -4,11 +4,11 @@
 
 use std::time::Duration;
 
-use super::job_state::JobState;
+use crate::planner::state::job_state::JobState;
 
 /// Rank of an unsaved job; lower ranks are saved first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct SaveRank {
+pub(crate) struct SaveRank {
     /// The job has an outcome that can no longer be shown within the objective.
     late: bool,
     /// End of the objective.
@@ -17,7 +17,7 @@
 
 /// Returns the rank of an unsaved job. A job without an outcome is never late: the next starts of its
 /// tasks may depend on the records of their crashes.
-pub(super) fn save_rank(job: &JobState, now: Duration) -> SaveRank {
+pub(crate) fn save_rank(job: &JobState, now: Duration) -> SaveRank {
     let due = job.accepted_at + job.expected.objective;
     SaveRank {
         late: job.outcome.is_some() && now > due,
--- a/crates/job/src/planner/advice.rs
+++ b/crates/job/src/planner/placement/advice.rs
@@ -6,22 +6,22 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::Planner;
-use super::WorkerKey;
-use super::advice_candidates::AdviceQuery;
-use super::job_state::AdviceCall;
-use super::rank::Rank;
 use crate::Mechanism;
 use crate::StepKey;
 use crate::Ticket;
 use crate::WorkerId;
+use crate::planner::Planner;
+use crate::planner::WorkerKey;
+use crate::planner::order::rank::Rank;
+use crate::planner::placement::advice_candidates::AdviceQuery;
+use crate::planner::state::job_state::AdviceCall;
 
 /// Fixed part of a call's duration above which the call counts as slow. Slow calls must not
 /// delay quick ones, which are made for jobs whose callers wait for the result.
 const QUICK_CALL: Duration = Duration::from_millis(60);
 
 /// Share of workers that may run a step, assumed for a queue until its first answer arrives.
-pub(super) const DEFAULT_SHARE: f64 = 0.4;
+pub(crate) const DEFAULT_SHARE: f64 = 0.4;
 
 /// Weight of the newest answer in the learnt share.
 const SHARE_GAIN: f64 = 0.1;
@@ -68,7 +68,7 @@
 /// made at the same time: with hundreds of waiting steps, ranking them for each call took
 /// most of the owner's time.
 #[derive(Debug, Default)]
-pub(super) struct AdviceQueue {
+pub(crate) struct AdviceQueue {
     /// When the steps were ranked; `None` before the first time.
     ranked_at: Option<Duration>,
     /// Ranked steps that were not examined yet.
@@ -287,7 +287,7 @@
     }
 
     /// Expires a step's ticket that a worker has refused.
-    pub(super) fn revoke_ticket(&mut self, key: StepKey, worker: WorkerKey) {
+    pub(crate) fn revoke_ticket(&mut self, key: StepKey, worker: WorkerKey) {
         let job = self.jobs.get_mut(&key.job);
         if let Some((_, step)) = job.and_then(|job| job.step_mut(key))
             && let Some((_, until)) = step.advised.permits.get_mut(&worker)
--- a/crates/job/src/planner/advice_candidates.rs
+++ b/crates/job/src/planner/placement/advice_candidates.rs
@@ -3,19 +3,19 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use super::Planner;
-use super::WorkerKey;
-use super::advice::DEFAULT_SHARE;
-use super::job_state::JobState;
-use super::job_state::StepState;
-use super::place::may_run;
-use super::rank::Rank;
-use super::roster::WorkerState;
 use crate::Advice;
 use crate::JobId;
 use crate::StepKey;
 use crate::StepSpec;
 use crate::WorkerId;
+use crate::planner::Planner;
+use crate::planner::WorkerKey;
+use crate::planner::order::rank::Rank;
+use crate::planner::placement::advice::DEFAULT_SHARE;
+use crate::planner::placement::place::may_run;
+use crate::planner::state::job_state::JobState;
+use crate::planner::state::job_state::StepState;
+use crate::planner::state::roster::WorkerState;
 
 /// Maximum number of workers that the advice service accepts in one call.
 const MAX_CALL_WORKERS: usize = 100;
@@ -46,7 +46,7 @@
 
 /// A step that needs workers, with the data for selecting those to ask about.
 #[derive(Clone, Copy)]
-pub(super) struct AdviceQuery<'a> {
+pub(crate) struct AdviceQuery<'a> {
     pub rank: Rank,
     pub key: StepKey,
     pub job: &'a JobState,
@@ -87,7 +87,7 @@
     /// Returns the workers to ask about: those that may run the step, if they have free
     /// resources, otherwise those not asked about yet. If the step waits for trials only, those that
     /// may run it count only if they are idle.
-    pub(super) fn workers_to_ask(&self, query: AdviceQuery) -> Vec<WorkerId> {
+    pub(crate) fn workers_to_ask(&self, query: AdviceQuery) -> Vec<WorkerId> {
         let AdviceQuery {
             job, spec, step, ..
         } = query;
--- a/crates/job/src/planner/gang.rs
+++ b/crates/job/src/planner/placement/gang.rs
@@ -1,17 +1,17 @@
 //! Gangs: tasks that start, work and end together under one run number.
 
-use super::Planner;
-use super::StopReason;
-use super::job_state::Phase;
 use crate::EndedRun;
 use crate::RunEnd;
 use crate::RunId;
 use crate::StepKey;
 use crate::TaskKey;
+use crate::planner::Planner;
+use crate::planner::StopReason;
+use crate::planner::state::job_state::Phase;
 
 impl Planner {
     /// Handles the reported end of a member's run. The job must not have ended.
-    pub(super) fn member_ended(&mut self, key: StepKey, end: &EndedRun) {
+    pub(crate) fn member_ended(&mut self, key: StepKey, end: &EndedRun) {
         let job = self.jobs.get_mut(&key.job);
         let Some((spec, step)) = job.and_then(|job| job.step_mut(key)) else {
             return;
@@ -43,7 +43,7 @@
     /// Stops the remaining members of a run of which one member has ended, was lost or was
     /// refused. They would wait for that member until the gang's start timeout, and occupy their
     /// resources until then.
-    pub(super) fn break_gang(&mut self, key: StepKey, run: RunId) {
+    pub(crate) fn break_gang(&mut self, key: StepKey, run: RunId) {
         let job = self.jobs.get(&key.job);
         let Some((_, step)) = job.and_then(|job| job.step(key)) else {
             return;
--- a/crates/job/src/planner/headroom.rs
+++ b/crates/job/src/planner/placement/headroom.rs
@@ -3,18 +3,18 @@
 
 use slotmap::SecondaryMap;
 
-use super::Planner;
-use super::WorkerKey;
-use super::job_state::JobState;
-use super::roster::PlacedRun;
-use super::roster::RunPhase;
-use super::roster::WorkerState;
 use crate::Mechanism;
 use crate::Resources;
 use crate::RunId;
 use crate::StepKey;
 use crate::StepSpec;
 use crate::TaskKey;
+use crate::planner::Planner;
+use crate::planner::WorkerKey;
+use crate::planner::state::job_state::JobState;
+use crate::planner::state::roster::PlacedRun;
+use crate::planner::state::roster::RunPhase;
+use crate::planner::state::roster::WorkerState;
 
 /// Maximum number of preemptions of a task: each resumption costs the worker the time to
 /// restore the checkpoint.
@@ -30,7 +30,7 @@
 
 /// A run that may be preempted.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Victim {
+pub(crate) struct Victim {
     pub task: TaskKey,
     pub run: RunId,
     /// Priority of the job's queue; higher numbers are less urgent.
@@ -40,7 +40,7 @@
 
 /// Resources available to gangs on one worker.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Headroom {
+pub(crate) struct Headroom {
     /// Resources that are free or about to be: a run that is being stopped occupies its
     /// resources for up to 0.3 s.
     pub free: Resources,
@@ -51,7 +51,7 @@
 impl Headroom {
     /// Returns the resources available to a gang of this priority if all less urgent victims were
     /// preempted.
-    pub(super) fn available_to(&self, priority: u32) -> Resources {
+    pub(crate) fn available_to(&self, priority: u32) -> Resources {
         let victims = self.victims.iter();
         victims
             .filter(|victim| victim.priority > priority)
@@ -66,11 +66,11 @@
 
 /// Headroom by worker, computed once in each planning pass. Computing it for each waiting gang
 /// took 2.2 ms of a pass with 350 workers and 300 steps.
-pub(super) type Headrooms = SecondaryMap<WorkerKey, Headroom>;
+pub(crate) type Headrooms = SecondaryMap<WorkerKey, Headroom>;
 
 impl Planner {
     /// Computes the headroom of all workers, and the processors available to gangs.
-    pub(super) fn update_headrooms(&mut self) {
+    pub(crate) fn update_headrooms(&mut self) {
         let mut headrooms = std::mem::take(&mut self.headrooms);
         headrooms.clear();
         for (key, worker) in &self.workers {
@@ -85,7 +85,7 @@
     }
 
     /// Returns the processors of all usable workers, in thousandths of a core.
-    pub(super) fn usable_cpu(&self) -> u64 {
+    pub(crate) fn usable_cpu(&self) -> u64 {
         let usable = self.workers.values().filter(|worker| self.usable(worker));
         usable.map(|worker| worker.info.capacity.cpu).sum()
     }
@@ -106,7 +106,7 @@
     }
 
     /// Computes the headroom of a worker.
-    pub(super) fn headroom(&self, worker: &WorkerState) -> Headroom {
+    pub(crate) fn headroom(&self, worker: &WorkerState) -> Headroom {
         let mut headroom = Headroom::default();
         let mut remaining = worker.total_booked;
         for (&task, placed) in &worker.runs {
--- a/crates/job/src/planner/place.rs
+++ b/crates/job/src/planner/placement/place.rs
@@ -2,22 +2,22 @@
 
 use std::time::Duration;
 
-use super::Command;
-use super::Planner;
-use super::WorkerKey;
-use super::job_state::JobState;
-use super::job_state::Phase;
-use super::job_state::StepState;
-use super::rank::Rank;
-use super::reservations::Reservations;
-use super::roster::PlacedRun;
-use super::roster::RunPhase;
-use super::roster::WorkerState;
 use crate::Resources;
 use crate::RunId;
 use crate::StepKey;
 use crate::StepSpec;
 use crate::TaskKey;
+use crate::planner::Command;
+use crate::planner::Planner;
+use crate::planner::WorkerKey;
+use crate::planner::order::rank::Rank;
+use crate::planner::placement::reservations::Reservations;
+use crate::planner::state::job_state::JobState;
+use crate::planner::state::job_state::Phase;
+use crate::planner::state::job_state::StepState;
+use crate::planner::state::roster::PlacedRun;
+use crate::planner::state::roster::RunPhase;
+use crate::planner::state::roster::WorkerState;
 
 impl Resources {
     /// Returns how many times `need` fits into these resources.
@@ -32,16 +32,16 @@
 
 /// A worker that may take tasks of a step, during one planning pass.
 #[allow(clippy::struct_excessive_bools)] // independent facts
-pub(super) struct Candidate {
-    pub(super) key: WorkerKey,
+pub(crate) struct Candidate {
+    pub(crate) key: WorkerKey,
     /// Free resources that are not reserved.
-    pub(super) free: Resources,
+    pub(crate) free: Resources,
     /// Processors used by no run, fillers included, in thousandths of a core.
     unused_cpu: u64,
     /// Whether the worker has no runs.
-    pub(super) idle: bool,
+    pub(crate) idle: bool,
     /// When the newest report of the worker arrived.
-    pub(super) last_report: Duration,
+    pub(crate) last_report: Duration,
     /// Tasks of the step on the worker; counted only for steps with a limit per worker.
     tasks_here: u32,
     /// Whether the worker is in the rack that the step prefers, if any.
@@ -56,7 +56,7 @@
 
 impl Planner {
     /// Returns whether a worker may get new tasks.
-    pub(super) fn usable(&self, worker: &WorkerState) -> bool {
+    pub(crate) fn usable(&self, worker: &WorkerState) -> bool {
         let reachable = worker.claimed
             && !worker.unresponsive
             && !worker.unregistered
@@ -67,7 +67,7 @@
     }
 
     /// Starts the waiting tasks that fit, in order of rank.
-    pub(super) fn place(&mut self) {
+    pub(crate) fn place(&mut self) {
         self.begin_limits();
         self.overdue_gang = None;
         self.overdue_gang = self.find_overdue_gang();
@@ -105,13 +105,13 @@
     }
 
     /// Returns the specification of a step; `None` if its job or the step does not exist.
-    pub(super) fn step_spec(&self, key: StepKey) -> Option<StepSpec> {
+    pub(crate) fn step_spec(&self, key: StepKey) -> Option<StepSpec> {
         let job = self.jobs.get(&key.job)?;
         job.spec.steps.get(key.step as usize).cloned()
     }
 
     /// Returns the usable workers on which at least one task of a step fits.
-    pub(super) fn candidates(
+    pub(crate) fn candidates(
         &self,
         key: StepKey,
         spec: &StepSpec,
@@ -153,7 +153,7 @@
 
     /// Returns the workers that may run a step: all workers, or, if its queue uses the advice
     /// service, those with a ticket that is valid beyond the time `valid_beyond`.
-    pub(super) fn allowed_workers(
+    pub(crate) fn allowed_workers(
         &self,
         job: &JobState,
         step: &StepState,
@@ -301,7 +301,7 @@
     }
 
     /// Returns the waiting tasks of a step; none if its round is not open.
-    pub(super) fn waiting_tasks(&self, key: StepKey) -> Vec<TaskKey> {
+    pub(crate) fn waiting_tasks(&self, key: StepKey) -> Vec<TaskKey> {
         let job = self.jobs.get(&key.job);
         let Some((_, step)) = job.and_then(|job| job.step(key)) else {
             return Vec::new();
@@ -314,7 +314,7 @@
     }
 
     /// Returns the number for the next run of a task.
-    pub(super) fn next_run(&self, task: TaskKey) -> RunId {
+    pub(crate) fn next_run(&self, task: TaskKey) -> RunId {
         let job = self.jobs.get(&task.step.job);
         let step = job.and_then(|job| job.step(task.step));
         let state = step.and_then(|(_, step)| step.tasks.get(task.index as usize));
@@ -323,7 +323,7 @@
     }
 
     /// Starts a run on a candidate worker. For a trial, the worker gets no other work.
-    pub(super) fn start_run(
+    pub(crate) fn start_run(
         &mut self,
         (task, run): (TaskKey, RunId),
         trial: bool,
@@ -383,7 +383,7 @@
     }
 
     /// Removes a step from the pending ones if none of its tasks waits.
-    pub(super) fn close_step(&mut self, key: StepKey) {
+    pub(crate) fn close_step(&mut self, key: StepKey) {
         let job = self.jobs.get(&key.job);
         let step = job.and_then(|job| job.step(key));
         if step.is_none_or(|(_, step)| step.waiting() == 0) {
@@ -393,13 +393,13 @@
 }
 
 /// Returns whether a worker's service and labels allow it to run a step.
-pub(super) fn may_run(worker: &WorkerState, service: &str, spec: &StepSpec) -> bool {
+pub(crate) fn may_run(worker: &WorkerState, service: &str, spec: &StepSpec) -> bool {
     let labels = &worker.info.labels;
     worker.info.service == service && (spec.label.is_empty() || labels.contains(&spec.label))
 }
 
 /// Returns the number of tasks of a step on a worker; 0 for steps without a limit per worker.
-pub(super) fn tasks_on_worker(worker: &WorkerState, key: StepKey, spec: &StepSpec) -> u32 {
+pub(crate) fn tasks_on_worker(worker: &WorkerState, key: StepKey, spec: &StepSpec) -> u32 {
     if spec.worker_limit == 0 {
         return 0;
     }
@@ -410,7 +410,7 @@
 /// Assigns a candidate, by index, to each of `count` members, or returns `None` if they do not
 /// all fit. Other things being equal, fast workers are preferred, and of these the emptiest, so
 /// that a gang uses few workers.
-pub(super) fn assign_slots(
+pub(crate) fn assign_slots(
     candidates: &[Candidate],
     count: usize,
     spec: &StepSpec,
--- a/crates/job/src/planner/preempt.rs
+++ b/crates/job/src/planner/placement/preempt.rs
@@ -8,17 +8,17 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use super::Planner;
-use super::StopReason;
-use super::WorkerKey;
-use super::headroom::Victim;
-use super::place::may_run;
-use super::place::tasks_on_worker;
-use super::rank::Rank;
-use super::reservations::Reservations;
 use crate::Resources;
 use crate::StepKey;
 use crate::StepSpec;
+use crate::planner::Planner;
+use crate::planner::StopReason;
+use crate::planner::WorkerKey;
+use crate::planner::order::rank::Rank;
+use crate::planner::placement::headroom::Victim;
+use crate::planner::placement::place::may_run;
+use crate::planner::placement::place::tasks_on_worker;
+use crate::planner::placement::reservations::Reservations;
 
 /// Minimum remaining validity of a ticket for which tasks are preempted: a stop takes up to
 /// 0.2 s, and the end is reported up to 0.1 s later.
@@ -66,7 +66,7 @@
     /// lightly loaded pool of 350 workers, the results of gangs that callers got in time made up
     /// 0.82 of the value of all results of gangs to their callers without preemption, and 0.90 with
     /// it; the share of processors in use rose from 0.77 to 0.81.
-    pub(super) fn preempt_for_gang(
+    pub(crate) fn preempt_for_gang(
         &mut self,
         rank: Rank,
         key: StepKey,
--- a/crates/job/src/planner/reservations.rs
+++ b/crates/job/src/planner/placement/reservations.rs
@@ -5,13 +5,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::Planner;
-use super::WorkerKey;
-use super::rank::Rank;
 use crate::Mechanism;
 use crate::Resources;
 use crate::StepKey;
 use crate::StepSpec;
+use crate::planner::Planner;
+use crate::planner::WorkerKey;
+use crate::planner::order::rank::Rank;
 
 /// Share of the pool's processors. Once at least this much is reserved, no further gang gets a
 /// reservation; the first gang may reserve more.
@@ -27,19 +27,19 @@
 
 /// Resources reserved for gangs, and for trials of suspected tasks, by worker.
 #[derive(Debug, Default)]
-pub(super) struct Reservations {
+pub(crate) struct Reservations {
     workers: HashMap<WorkerKey, Vec<Reservation>>,
     /// Processors of all reservations, in thousandths of a core.
     cpu: u64,
     /// Processors of the reservations for gangs, in thousandths of a core.
     gang_cpu: u64,
     /// Number of workers that may still run a trial or be reserved for one, in this pass.
-    pub(super) remaining_trials: usize,
+    pub(crate) remaining_trials: usize,
 }
 
 impl Reservations {
     /// Reserves resources of a worker for a gang.
-    pub(super) fn reserve(
+    pub(crate) fn reserve(
         &mut self,
         worker: WorkerKey,
         rank: Rank,
@@ -52,7 +52,7 @@
 
     /// Reserves resources of a worker for the start of a suspect. They do not count toward the limit
     /// for gangs.
-    pub(super) fn hold(
+    pub(crate) fn hold(
         &mut self,
         worker: WorkerKey,
         rank: Rank,
@@ -69,18 +69,18 @@
     }
 
     /// Returns whether a worker has a reservation.
-    pub(super) fn is_reserved(&self, worker: WorkerKey) -> bool {
+    pub(crate) fn is_reserved(&self, worker: WorkerKey) -> bool {
         self.workers.contains_key(&worker)
     }
 
     /// Returns whether a worker has a reservation for another step.
-    pub(super) fn reserved_for_other(&self, worker: WorkerKey, key: StepKey) -> bool {
+    pub(crate) fn reserved_for_other(&self, worker: WorkerKey, key: StepKey) -> bool {
         let reserved = self.workers.get(&worker);
         reserved.is_some_and(|reserved| reserved.iter().any(|reservation| reservation.gang != key))
     }
 
     /// Returns a worker's resources minus all reservations.
-    pub(super) fn remaining(&self, worker: WorkerKey, resources: Resources) -> Resources {
+    pub(crate) fn remaining(&self, worker: WorkerKey, resources: Resources) -> Resources {
         let reserved = self.workers.get(&worker).into_iter().flatten();
         reserved.fold(resources, |resources, reservation| {
             resources.minus(&reservation.resources)
@@ -89,7 +89,7 @@
 
     /// Returns the part of a worker's resources that a step of this rank may use: only reservations
     /// for other steps that are served before it are subtracted.
-    pub(super) fn remaining_for(
+    pub(crate) fn remaining_for(
         &self,
         worker: WorkerKey,
         resources: Resources,
@@ -105,12 +105,12 @@
     }
 
     /// Returns the number of workers with reservations.
-    pub(super) fn worker_count(&self) -> usize {
+    pub(crate) fn worker_count(&self) -> usize {
         self.workers.len()
     }
 
     /// Returns the processors of all reservations, in thousandths of a core.
-    pub(super) fn cpu(&self) -> u64 {
+    pub(crate) fn cpu(&self) -> u64 {
         self.cpu
     }
 }
@@ -127,7 +127,7 @@
     /// More urgent tasks are still placed first in each pass, but on workers without reservations
     /// if possible. Without that, in a lightly loaded pool, a gang that needed a quarter of the
     /// pool waited 27 s while urgent single tasks used the resources that became free.
-    pub(super) fn reserve_resources(
+    pub(crate) fn reserve_resources(
         &self,
         rank: Rank,
         key: StepKey,
--- a/crates/job/src/planner/adopt.rs
+++ b/crates/job/src/planner/recovery/adopt.rs
@@ -3,23 +3,23 @@
 
 use std::time::Duration;
 
-use super::Command;
-use super::Planner;
-use super::StopReason;
-use super::WorkerKey;
-use super::job_start::Observation;
-use super::job_state::Phase;
-use super::roster::PlacedRun;
-use super::roster::RunPhase;
 use crate::ActiveRun;
 use crate::JobId;
 use crate::Resources;
 use crate::StepSpec;
+use crate::planner::Command;
+use crate::planner::Planner;
+use crate::planner::StopReason;
+use crate::planner::WorkerKey;
+use crate::planner::reports::job_start::Observation;
+use crate::planner::state::job_state::Phase;
+use crate::planner::state::roster::PlacedRun;
+use crate::planner::state::roster::RunPhase;
 
 impl Planner {
     /// Adopts a reported run if its task is waiting, and stops it otherwise. Either way the run
     /// keeps its resources booked until it has ended.
-    pub(super) fn adopt_run(&mut self, key: WorkerKey, running: &ActiveRun) {
+    pub(crate) fn adopt_run(&mut self, key: WorkerKey, running: &ActiveRun) {
         let task = running.task;
         let now = self.now;
         let observation = Observation::of_progress(running.percent);
@@ -109,7 +109,7 @@
 
     /// Marks tasks of a newly read job as active if a worker reported a run of them before, so
     /// that no task starts elsewhere before that run has stopped.
-    pub(super) fn bind_unknown_runs(&mut self, id: JobId) {
+    pub(crate) fn bind_unknown_runs(&mut self, id: JobId) {
         let mut found = Vec::new();
         for (key, worker) in &self.workers {
             let runs = worker.runs.iter();
--- a/crates/job/src/planner/batch.rs
+++ b/crates/job/src/planner/recovery/batch.rs
@@ -4,19 +4,19 @@
 //! until they are acknowledged, which may happen only after the progress that contains them is
 //! saved.
 
-use super::Planner;
-use super::WorkerKey;
-use super::crash_count::is_sole_crash;
-use super::job_state::JobState;
-use super::job_state::Phase;
-use super::job_state::TaskState;
-use super::save_order::save_rank;
 use crate::JobId;
 use crate::Placement;
 use crate::Progress;
 use crate::RunId;
 use crate::StepKey;
 use crate::TaskKey;
+use crate::planner::Planner;
+use crate::planner::WorkerKey;
+use crate::planner::crashes::crash_count::is_sole_crash;
+use crate::planner::order::save_order::save_rank;
+use crate::planner::state::job_state::JobState;
+use crate::planner::state::job_state::Phase;
+use crate::planner::state::job_state::TaskState;
 
 /// Progress to be saved in one transaction.
 #[derive(Clone, Debug, Default)]
--- a/crates/job/src/planner/incarnations.rs
+++ b/crates/job/src/planner/recovery/incarnations.rs
@@ -13,14 +13,6 @@
 
 use strum::Display;
 
-use super::Command;
-use super::LossCause;
-use super::Planner;
-use super::WorkerKey;
-use super::job_state::Phase;
-use super::roster::PlacedRun;
-use super::roster::RunPhase;
-use super::roster::WorkerState;
 use crate::IncarnationId;
 use crate::Resources;
 use crate::RunId;
@@ -29,6 +21,14 @@
 use crate::WorkerId;
 use crate::WorkerInfo;
 use crate::WorkerReport;
+use crate::planner::Command;
+use crate::planner::LossCause;
+use crate::planner::Planner;
+use crate::planner::WorkerKey;
+use crate::planner::state::job_state::Phase;
+use crate::planner::state::roster::PlacedRun;
+use crate::planner::state::roster::RunPhase;
+use crate::planner::state::roster::WorkerState;
 
 /// Number of the newest ended incarnations that are remembered per worker. Replies and
 /// registrations of older ones are no longer expected.
@@ -53,7 +53,7 @@
 
 /// Newest ended incarnations of each worker, oldest first.
 #[derive(Debug, Default)]
-pub(super) struct EndedIncarnations(HashMap<WorkerId, Vec<IncarnationId>>);
+pub(crate) struct EndedIncarnations(HashMap<WorkerId, Vec<IncarnationId>>);
 
 impl EndedIncarnations {
     /// Adds an ended incarnation, unless it is unknown.
@@ -67,7 +67,7 @@
     }
 
     /// Returns whether an incarnation of a worker was recorded as ended.
-    pub(super) fn has_ended(&self, id: &str, incarnation: Option<IncarnationId>) -> bool {
+    pub(crate) fn has_ended(&self, id: &str, incarnation: Option<IncarnationId>) -> bool {
         let ids = self.0.get(id);
         incarnation.is_some_and(|incarnation| ids.is_some_and(|ids| ids.contains(&incarnation)))
     }
@@ -111,7 +111,7 @@
     /// former one are lost, except for those that the report lists and those that were not
     /// confirmed: their starts may reach the new one, or may have reached it already. They stay
     /// booked until the new one reports their end or confirms their stop.
-    pub(super) fn replace_incarnation(
+    pub(crate) fn replace_incarnation(
         &mut self,
         key: WorkerKey,
         sent: Duration,
@@ -180,7 +180,7 @@
 
     /// Returns whether a registration is of another incarnation than the current one. Only a
     /// report of the other one will show whether the current one has ended.
-    pub(super) fn is_other_incarnation(&self, key: WorkerKey, info: &WorkerInfo) -> bool {
+    pub(crate) fn is_other_incarnation(&self, key: WorkerKey, info: &WorkerInfo) -> bool {
         let worker = &self.workers[key];
         let current = worker.info.incarnation;
         current != info.incarnation && (current.is_some() || worker.last_report > Duration::ZERO)
--- a/crates/job/src/planner/inherited.rs
+++ b/crates/job/src/planner/recovery/inherited.rs
@@ -10,21 +10,21 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::LossCause;
-use super::LostRun;
-use super::Planner;
-use super::WorkerKey;
-use super::job_state::Phase;
 use crate::JobId;
 use crate::Placement;
 use crate::Progress;
 use crate::StepKey;
 use crate::TaskKey;
 use crate::WorkerId;
+use crate::planner::LossCause;
+use crate::planner::LostRun;
+use crate::planner::Planner;
+use crate::planner::WorkerKey;
+use crate::planner::state::job_state::Phase;
 
 /// Placements of the former owner on workers that have neither sent a report nor ended.
 #[derive(Debug, Default)]
-pub(super) struct InheritedRuns {
+pub(crate) struct InheritedRuns {
     by_task: BTreeMap<TaskKey, Placement>,
     by_worker: HashMap<WorkerId, Vec<TaskKey>>,
 }
@@ -37,7 +37,7 @@
     }
 
     /// Returns the placement of a task whose fate is unknown.
-    pub(super) fn get(&self, task: TaskKey) -> Option<&Placement> {
+    pub(crate) fn get(&self, task: TaskKey) -> Option<&Placement> {
         self.by_task.get(&task)
     }
 
@@ -53,7 +53,7 @@
 
 impl Planner {
     /// Adds the placements that the former owner has saved for a job.
-    pub(super) fn restore_placements(&mut self, job: JobId, progress: &Progress) {
+    pub(crate) fn restore_placements(&mut self, job: JobId, progress: &Progress) {
         for (&(round, step, index), placement) in &progress.placements {
             let step = StepKey { job, round, step };
             self.inherited.add(TaskKey { step, index }, placement);
@@ -62,7 +62,7 @@
 
     /// Drops the placements on a worker that has sent its first report: the report lists each run
     /// that is on it, and its ends. The worker has not crashed under the other runs.
-    pub(super) fn resolve_reported(&mut self, key: WorkerKey) {
+    pub(crate) fn resolve_reported(&mut self, key: WorkerKey) {
         let id = self.workers[key].info.id.clone();
         for (task, placement) in self.inherited.take_worker(&id) {
             self.clear_run(task, placement.run);
@@ -73,7 +73,7 @@
     /// Counts the crash of a worker that has sent no report against the runs that the former owner
     /// has placed on it. A worker that left has not crashed under its runs. If its lease has expired,
     /// its runs remain as [`Planner::assume_crashes`] has left them.
-    pub(super) fn resolve_ended(&mut self, key: WorkerKey, cause: LossCause) {
+    pub(crate) fn resolve_ended(&mut self, key: WorkerKey, cause: LossCause) {
         let worker = &self.workers[key];
         let (id, incarnation) = (worker.info.id.clone(), worker.info.incarnation);
         let unreported = !worker.claimed && worker.inherited;
@@ -113,7 +113,7 @@
 
     /// Counts an uncertain crash for each placement on a worker of which nothing is known when the
     /// recovery ends. The count is corrected once the worker sends a report.
-    pub(super) fn assume_crashes(&mut self) {
+    pub(crate) fn assume_crashes(&mut self) {
         let by_id = &self.by_id;
         let unknown: Vec<(TaskKey, Placement)> = self
             .inherited
--- a/crates/job/src/planner/job_start.rs
+++ b/crates/job/src/planner/reports/job_start.rs
@@ -3,21 +3,21 @@
 
 use std::time::Duration;
 
-use super::Planner;
-use super::WorkerKey;
-use super::job_state::JobState;
-use super::job_state::Phase;
-use super::roster::RunPhase;
 use crate::EndedRun;
 use crate::JobId;
 use crate::RunEnd;
 use crate::RunId;
 use crate::StepKey;
 use crate::TaskKey;
+use crate::planner::Planner;
+use crate::planner::WorkerKey;
+use crate::planner::state::job_state::JobState;
+use crate::planner::state::job_state::Phase;
+use crate::planner::state::roster::RunPhase;
 
 /// What a worker report or a reply to a start command shows about a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Observation {
+pub(crate) enum Observation {
     /// The worker has the run; a member of a gang may still wait for the others.
     Present,
     /// The run has made progress.
@@ -26,7 +26,7 @@
 
 impl Observation {
     /// Classifies an active run in a worker report by its progress.
-    pub(super) fn of_progress(percent: u32) -> Observation {
+    pub(crate) fn of_progress(percent: u32) -> Observation {
         if percent > 0 {
             Observation::Worked
         } else {
@@ -36,7 +36,7 @@
 
     /// Classifies a reported end. A gang member that has neither succeeded nor failed, and has no
     /// checkpoint, may have ended before all members were present.
-    pub(super) fn of_end(end: &EndedRun) -> Observation {
+    pub(crate) fn of_end(end: &EndedRun) -> Observation {
         let worked = matches!(end.how, RunEnd::Done | RunEnd::Failed);
         if worked || !end.checkpoint.is_empty() {
             Observation::Worked
@@ -50,7 +50,7 @@
     /// Handles evidence that a worker has or had a run; only this marks a job as started. When
     /// the start command did, jobs whose starts got no reply were missing from the queue's
     /// length (1 counted as waiting while 10 had waited for 5 s).
-    pub(super) fn run_observed(&mut self, task: TaskKey, run: RunId, observation: Observation) {
+    pub(crate) fn run_observed(&mut self, task: TaskKey, run: RunId, observation: Observation) {
         let Some(job) = self.jobs.get(&task.step.job) else {
             return;
         };
--- a/crates/job/src/planner/late_end.rs
+++ b/crates/job/src/planner/reports/late_end.rs
@@ -1,17 +1,17 @@
 //! Handles reports of a run as done that arrive after the run was counted as lost.
 
-use super::Planner;
-use super::StopReason;
-use super::WorkerKey;
-use super::job_state::Phase;
 use crate::EndedRun;
 use crate::RunId;
 use crate::TaskKey;
+use crate::planner::Planner;
+use crate::planner::StopReason;
+use crate::planner::WorkerKey;
+use crate::planner::state::job_state::Phase;
 
 impl Planner {
     /// Marks the task of a run that was counted as lost as done, and stops the runs that replaced
     /// it: work that is done must not be repeated.
-    pub(super) fn accept_late_end(&mut self, end: &EndedRun, gang: bool) {
+    pub(crate) fn accept_late_end(&mut self, end: &EndedRun, gang: bool) {
         let task = end.task;
         let replacements = self.replacement_runs(task, gang);
         self.dirty_jobs.insert(task.step.job);
--- a/crates/job/src/planner/report.rs
+++ b/crates/job/src/planner/reports/report.rs
@@ -5,16 +5,6 @@
 
 use strum::Display;
 
-use super::Command;
-use super::LossCause;
-use super::LostRun;
-use super::Planner;
-use super::ReportOrigin;
-use super::StopReason;
-use super::WorkerKey;
-use super::job_start::Observation;
-use super::job_state::Phase;
-use super::roster::RunPhase;
 use crate::ActiveRun;
 use crate::EndedRun;
 use crate::Mechanism;
@@ -23,6 +13,16 @@
 use crate::RunId;
 use crate::TaskKey;
 use crate::WorkerReport;
+use crate::planner::Command;
+use crate::planner::LossCause;
+use crate::planner::LostRun;
+use crate::planner::Planner;
+use crate::planner::ReportOrigin;
+use crate::planner::StopReason;
+use crate::planner::WorkerKey;
+use crate::planner::reports::job_start::Observation;
+use crate::planner::state::job_state::Phase;
+use crate::planner::state::roster::RunPhase;
 
 /// A worker's reply to a start command.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -309,7 +309,7 @@
 
     /// Closes a run that was lost or refused. Its task waits again unless the task is done,
     /// another run of it is active, or its job has ended.
-    pub(super) fn close_run(
+    pub(crate) fn close_run(
         &mut self,
         task: TaskKey,
         key: WorkerKey,
@@ -353,7 +353,7 @@
 
     /// Processes the end of a run for its task and job. If the job was not read yet, the end is
     /// retained until then.
-    pub(super) fn run_ended(&mut self, key: WorkerKey, end: &EndedRun) {
+    pub(crate) fn run_ended(&mut self, key: WorkerKey, end: &EndedRun) {
         let task = end.task;
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             let unmatched = self.unmatched_ends.entry(task.step.job).or_default();
@@ -419,7 +419,7 @@
     }
 
     /// Marks a task that is not in a gang as done.
-    pub(super) fn task_done(&mut self, task: TaskKey) {
+    pub(crate) fn task_done(&mut self, task: TaskKey) {
         let job = self.jobs.get_mut(&task.step.job);
         let Some((_, step)) = job.and_then(|job| job.step_mut(task.step)) else {
             return;
@@ -433,7 +433,7 @@
 
     /// Updates the pending steps after a task is done: if its step is complete, steps that depend
     /// on it open.
-    pub(super) fn step_advanced(&mut self, task: TaskKey) {
+    pub(crate) fn step_advanced(&mut self, task: TaskKey) {
         let job = self.jobs.get(&task.step.job);
         let Some((_, step)) = job.and_then(|job| job.step(task.step)) else {
             return;
--- a/crates/job/src/planner/job_state.rs
+++ b/crates/job/src/planner/state/job_state.rs
@@ -6,12 +6,6 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use super::Planner;
-use super::WorkerKey;
-use super::expected::Expected;
-use super::organisations::OrganisationKey;
-use super::run_times::RunTimes;
-use super::suspicion::Suspicion;
 use crate::CrashRecord;
 use crate::JobId;
 use crate::JobSpec;
@@ -23,10 +17,16 @@
 use crate::StepSpec;
 use crate::TaskKey;
 use crate::WorkerId;
+use crate::planner::OrganisationKey;
+use crate::planner::Planner;
+use crate::planner::WorkerKey;
+use crate::planner::state::suspicion::Suspicion;
+use crate::planner::times::expected::Expected;
+use crate::planner::times::run_times::RunTimes;
 
 /// Phase of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Phase {
+pub(crate) enum Phase {
     /// The task has no active run and is not done.
     Waiting,
     /// This run was sent to this worker or reported by it, and may still be active.
@@ -37,7 +37,7 @@
 
 /// The planner's state of a task.
 #[derive(Clone, Debug)]
-pub(super) struct TaskState {
+pub(crate) struct TaskState {
     pub phase: Phase,
     /// Number of the newest run; 0 if there was none.
     pub run: RunId,
@@ -56,7 +56,7 @@
 
 /// An advice call that has not been answered yet.
 #[derive(Debug)]
-pub(super) struct AdviceCall {
+pub(crate) struct AdviceCall {
     /// Workers that the call asks about.
     pub workers: Vec<WorkerId>,
     /// Incarnation of each worker when the call was made; the answer is valid for it alone.
@@ -67,7 +67,7 @@
 
 /// Advice on a step: which workers may run it.
 #[derive(Debug, Default)]
-pub(super) struct StepAdvice {
+pub(crate) struct StepAdvice {
     /// Workers for which an advice call was answered. The answer for a step does not change.
     pub asked: HashSet<WorkerKey>,
     /// Workers that may run the step, each with its ticket and the ticket's expiry.
@@ -80,7 +80,7 @@
 
 /// The planner's state of a step in one round.
 #[derive(Debug)]
-pub(super) struct StepState {
+pub(crate) struct StepState {
     pub tasks: Vec<TaskState>,
     /// Number of tasks that are done.
     pub done: u32,
@@ -110,12 +110,12 @@
     }
 
     /// Returns whether all tasks are done.
-    pub(super) fn complete(&self) -> bool {
+    pub(crate) fn complete(&self) -> bool {
         self.done as usize == self.tasks.len()
     }
 
     /// Returns the number of waiting tasks.
-    pub(super) fn waiting(&self) -> usize {
+    pub(crate) fn waiting(&self) -> usize {
         let waiting = self
             .tasks
             .iter()
@@ -125,7 +125,7 @@
 
     /// Counts a failed run unless it is counted already; returns the number of failed runs. A gang
     /// fails as a whole: its failed runs are counted for task 0.
-    pub(super) fn count_failure(&mut self, index: u32, run: RunId, gang: bool) -> usize {
+    pub(crate) fn count_failure(&mut self, index: u32, run: RunId, gang: bool) -> usize {
         let index = if gang { 0 } else { index as usize };
         let Some(task) = self.tasks.get_mut(index) else {
             return 0;
@@ -187,14 +187,14 @@
 
 /// The planner's state of a job.
 #[derive(Debug)]
-pub(super) struct JobState {
+pub(crate) struct JobState {
     pub spec: JobSpec,
     /// Organisation that the job belongs to.
     pub organisation: Option<OrganisationKey>,
     /// The job exceeds the share of its organisation.
     pub excess: bool,
     /// When the job was accepted. For a job of a former owner, this is computed from the wall
-    /// clock; the age is limited to [`super::Policy::max_age`].
+    /// clock; the age is limited to [`crate::planner::Policy::max_age`].
     pub accepted_at: Duration,
     /// Expected run time and work of the job, and its objective.
     pub expected: Expected,
@@ -215,7 +215,7 @@
 }
 
 impl JobState {
-    pub(super) fn new(
+    pub(crate) fn new(
         spec: JobSpec,
         accepted_at: Duration,
         maybe_started: bool,
@@ -242,21 +242,21 @@
     }
 
     /// Opens the next round.
-    pub(super) fn open_round(&mut self) {
+    pub(crate) fn open_round(&mut self) {
         let steps = self.spec.steps.iter().map(StepState::new).collect();
         self.rounds.insert(self.opened_rounds, steps);
         self.opened_rounds += 1;
     }
 
     /// Opens all rounds up to `round`, but none beyond the job's last one.
-    pub(super) fn open_rounds_through(&mut self, round: u32) {
+    pub(crate) fn open_rounds_through(&mut self, round: u32) {
         while self.opened_rounds <= round && self.opened_rounds < self.spec.rounds() {
             self.open_round();
         }
     }
 
     /// Restores the progress that a former owner saved.
-    pub(super) fn restore(&mut self, progress: &Progress) {
+    pub(crate) fn restore(&mut self, progress: &Progress) {
         self.outcome = progress.outcome;
         self.saved_outcome = progress.outcome;
         for (&(round, step), saved) in &progress.steps {
@@ -283,7 +283,7 @@
     }
 
     /// Returns the progress of the job to be saved, without the placements of its runs.
-    pub(super) fn progress(&self) -> Progress {
+    pub(crate) fn progress(&self) -> Progress {
         let mut progress = Progress {
             outcome: self.outcome,
             ..Progress::default()
@@ -314,7 +314,7 @@
     /// Returns whether the job counts as unfinished in the lengths of the queues. A failure counts
     /// as its end only once it is saved: until then, a successor may decide otherwise. A cancel
     /// counts at once, since it is stored in the job's own row; so does a completion.
-    pub(super) fn in_progress(&self) -> bool {
+    pub(crate) fn in_progress(&self) -> bool {
         match self.outcome {
             None => true,
             Some(Outcome::Failed) => self.saved_outcome.is_none(),
@@ -323,7 +323,7 @@
     }
 
     /// Returns the runs of the job that may still be active.
-    pub(super) fn active_runs(&self, id: JobId) -> Vec<(TaskKey, WorkerKey, RunId)> {
+    pub(crate) fn active_runs(&self, id: JobId) -> Vec<(TaskKey, WorkerKey, RunId)> {
         let mut runs = Vec::new();
         for (&round, steps) in &self.rounds {
             for (step, state) in (0..).zip(steps) {
@@ -343,19 +343,19 @@
     }
 
     /// Drops the rounds and the payload, which an ended job does not need.
-    pub(super) fn drop_details(&mut self) {
+    pub(crate) fn drop_details(&mut self) {
         self.rounds.clear();
         self.spec.payload = String::new();
     }
 
     /// Returns a step; `None` if its round is not open or the step does not exist.
-    pub(super) fn step(&self, key: StepKey) -> Option<(&StepSpec, &StepState)> {
+    pub(crate) fn step(&self, key: StepKey) -> Option<(&StepSpec, &StepState)> {
         let spec = self.spec.steps.get(key.step as usize)?;
         let state = self.rounds.get(&key.round)?.get(key.step as usize)?;
         Some((spec, state))
     }
 
-    pub(super) fn step_mut(&mut self, key: StepKey) -> Option<(&StepSpec, &mut StepState)> {
+    pub(crate) fn step_mut(&mut self, key: StepKey) -> Option<(&StepSpec, &mut StepState)> {
         let spec = self.spec.steps.get(key.step as usize)?;
         let state = self
             .rounds
@@ -365,7 +365,7 @@
     }
 
     /// Returns whether a worker has reported the run of any member of a gang.
-    pub(super) fn gang_started(&self, key: StepKey, run: RunId) -> bool {
+    pub(crate) fn gang_started(&self, key: StepKey, run: RunId) -> bool {
         let gang = self.step(key).filter(|(spec, _)| spec.gang);
         gang.is_some_and(|(_, step)| {
             let mut members = step.tasks.iter();
@@ -374,7 +374,7 @@
     }
 
     /// Returns whether all rounds were opened and all their tasks are done.
-    pub(super) fn complete(&self) -> bool {
+    pub(crate) fn complete(&self) -> bool {
         let all_opened = self.opened_rounds >= self.spec.rounds();
         all_opened && self.rounds.values().flatten().all(StepState::complete)
     }
@@ -383,7 +383,7 @@
 impl Planner {
     /// Completes a job whose tasks are all done; otherwise opens its steps that have waiting
     /// tasks and whose preceding steps are complete.
-    pub(super) fn open_steps(&mut self, id: JobId) {
+    pub(crate) fn open_steps(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
@@ -409,7 +409,7 @@
     }
 
     /// Opens the next round of each repeated job for which it is due.
-    pub(super) fn open_rounds(&mut self) {
+    pub(crate) fn open_rounds(&mut self) {
         let now = self.wall_origin + self.now;
         let mut due = Vec::new();
         for (&id, job) in &self.jobs {
@@ -429,3 +429,27 @@
         }
     }
 }
+
+impl JobState {
+    pub(crate) fn suspicion(&self, task: TaskKey) -> Option<&Suspicion> {
+        let (_, step) = self.step(task.step)?;
+        step.tasks.get(task.index as usize)?.suspicion.as_deref()
+    }
+
+    pub(crate) fn suspicion_mut(&mut self, task: TaskKey) -> Option<&mut Suspicion> {
+        let (_, step) = self.step_mut(task.step)?;
+        let state = step.tasks.get_mut(task.index as usize)?;
+        state.suspicion.as_deref_mut()
+    }
+
+    /// Returns whether a task may only start alone on a worker.
+    pub(crate) fn needs_trial(&self, task: TaskKey) -> bool {
+        self.suspicion(task).is_some_and(Suspicion::needs_trial)
+    }
+
+    /// Returns the phase of a task; `None` if its round is not open or the task does not exist.
+    pub(crate) fn phase(&self, task: TaskKey) -> Option<Phase> {
+        let (_, step) = self.step(task.step)?;
+        Some(step.tasks.get(task.index as usize)?.phase)
+    }
+}
--- a/crates/job/src/planner/load.rs
+++ b/crates/job/src/planner/state/load.rs
@@ -4,11 +4,11 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use super::Planner;
-use super::roster::RunPhase;
 use crate::JobId;
 use crate::OrganisationName;
 use crate::Resources;
+use crate::planner::Planner;
+use crate::planner::state::roster::RunPhase;
 
 /// Load of a pool.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/job/src/planner/loss.rs
+++ b/crates/job/src/planner/state/loss.rs
@@ -5,12 +5,12 @@
 
 use strum::Display;
 
-use super::Planner;
-use super::roster::PlacedRun;
-use super::roster::RunPhase;
 use crate::RunId;
 use crate::TaskKey;
 use crate::WorkerId;
+use crate::planner::Planner;
+use crate::planner::state::roster::PlacedRun;
+use crate::planner::state::roster::RunPhase;
 
 /// Why a run counts as lost.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -51,7 +51,7 @@
 }
 
 impl LostRun {
-    pub(super) fn new(
+    pub(crate) fn new(
         (task, placed): (TaskKey, &PlacedRun),
         worker: WorkerId,
         (cause, other_runs): (LossCause, usize),
--- a/crates/job/src/planner/roster.rs
+++ b/crates/job/src/planner/state/roster.rs
@@ -3,14 +3,6 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::Command;
-use super::LossCause;
-use super::LostRun;
-use super::Planner;
-use super::StopReason;
-use super::WorkerKey;
-use super::organisations::OrganisationKey;
-use super::speed::Speed;
 use crate::JobId;
 use crate::Resources;
 use crate::RunId;
@@ -18,6 +10,14 @@
 use crate::TaskKey;
 use crate::WorkerId;
 use crate::WorkerInfo;
+use crate::planner::Command;
+use crate::planner::LossCause;
+use crate::planner::LostRun;
+use crate::planner::OrganisationKey;
+use crate::planner::Planner;
+use crate::planner::StopReason;
+use crate::planner::WorkerKey;
+use crate::planner::times::speed::Speed;
 
 /// Capacity of a worker, which may shrink and grow while the worker runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,7 +30,7 @@
 
 /// Phase of a run on a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum RunPhase {
+pub(crate) enum RunPhase {
     /// The start command was sent and has no reply yet.
     Sent,
     /// The worker has confirmed that the run started.
@@ -45,7 +45,7 @@
 
 /// A run that has resources booked on a worker.
 #[derive(Debug)]
-pub(super) struct PlacedRun {
+pub(crate) struct PlacedRun {
     pub run: RunId,
     pub booked: Resources,
     /// Processors that a filler may use while others leave them free; they are not booked.
@@ -75,7 +75,7 @@
 
 impl PlacedRun {
     /// Returns the resources that the run needs, the processors of a filler included.
-    pub(super) fn need(&self) -> Resources {
+    pub(crate) fn need(&self) -> Resources {
         Resources {
             cpu: self.booked.cpu + self.filler_cpu,
             ..self.booked
@@ -86,7 +86,7 @@
 /// The planner's state of one incarnation of a worker.
 #[derive(Debug)]
 #[allow(clippy::struct_excessive_bools)] // independent facts
-pub(super) struct WorkerState {
+pub(crate) struct WorkerState {
     /// Newest registration of this incarnation.
     pub info: WorkerInfo,
     /// Registration of another incarnation, which may be the next one, and when it was read.
@@ -139,7 +139,7 @@
 }
 
 impl WorkerState {
-    pub(super) fn new(info: WorkerInfo, lease_expiry: Duration) -> WorkerState {
+    pub(crate) fn new(info: WorkerInfo, lease_expiry: Duration) -> WorkerState {
         WorkerState {
             largest: info.capacity,
             smallest: info.capacity,
@@ -180,12 +180,12 @@
     }
 
     /// Returns the resources that may still be booked.
-    pub(super) fn free(&self) -> Resources {
+    pub(crate) fn free(&self) -> Resources {
         self.fill_limit.minus(&self.total_booked)
     }
 
     /// Books a run with its resources. A run is a trial only while it is alone.
-    pub(super) fn book(&mut self, task: TaskKey, mut placed: PlacedRun) {
+    pub(crate) fn book(&mut self, task: TaskKey, mut placed: PlacedRun) {
         if !self.runs.is_empty() {
             placed.trial = false;
             self.end_trials();
@@ -198,7 +198,7 @@
     }
 
     /// Lets other tasks start beside the worker's trials, if there are any.
-    pub(super) fn end_trials(&mut self) {
+    pub(crate) fn end_trials(&mut self) {
         self.trials = 0;
         for placed in self.runs.values_mut() {
             placed.trial = false;
@@ -206,7 +206,7 @@
     }
 
     /// Removes a run and frees its resources; `None` if this run is not booked.
-    pub(super) fn release(&mut self, task: TaskKey, run: RunId) -> Option<PlacedRun> {
+    pub(crate) fn release(&mut self, task: TaskKey, run: RunId) -> Option<PlacedRun> {
         if self.runs.get(&task)?.run != run {
             return None;
         }
@@ -221,13 +221,13 @@
 
 impl Planner {
     /// Books a run on a worker.
-    pub(super) fn book_run(&mut self, key: WorkerKey, task: TaskKey, placed: PlacedRun) {
+    pub(crate) fn book_run(&mut self, key: WorkerKey, task: TaskKey, placed: PlacedRun) {
         self.organisations.add(&placed);
         self.workers[key].book(task, placed);
     }
 
     /// Removes a run from a worker and frees its resources; `None` if this run is not booked.
-    pub(super) fn release_run(
+    pub(crate) fn release_run(
         &mut self,
         key: WorkerKey,
         task: TaskKey,
@@ -347,7 +347,7 @@
     /// Returns when a run whose start is sent now has certainly ended, whichever incarnation of the
     /// worker the start reaches late, and whatever late renewal follows it there. Zero if the
     /// worker does not name its incarnations.
-    pub(super) fn late_run_expiry(&self, key: WorkerKey) -> Duration {
+    pub(crate) fn late_run_expiry(&self, key: WorkerKey) -> Duration {
         let names_incarnations = self.workers[key].info.incarnation.is_some();
         if names_incarnations {
             self.now + self.policy.late_lease_expiry()
@@ -418,7 +418,7 @@
 
     /// Removes an incarnation of a worker and counts its runs as lost. Further runs, `transferred`
     /// in number, were booked on the next incarnation, but may have been on this one.
-    pub(super) fn end_incarnation(
+    pub(crate) fn end_incarnation(
         &mut self,
         key: WorkerKey,
         cause: LossCause,
@@ -472,7 +472,7 @@
 
     /// Counts the runs of workers with expired leases as lost, except for those that may still be
     /// active on another incarnation. Unregistered workers without runs are removed.
-    pub(super) fn expire_workers(&mut self) {
+    pub(crate) fn expire_workers(&mut self) {
         let now = self.now;
         let renewable = |worker: &WorkerState| worker.inherited && !worker.claimed;
         let past_expiry = |worker: &WorkerState| {
@@ -514,7 +514,7 @@
     }
 
     /// Issues a stop command, unless the run is being stopped. It stays booked until it has ended.
-    pub(super) fn stop_run(
+    pub(crate) fn stop_run(
         &mut self,
         worker: WorkerKey,
         task: TaskKey,
--- a/crates/job/src/planner/suspicion.rs
+++ b/crates/job/src/planner/state/suspicion.rs
@@ -11,7 +11,7 @@
 //!   worker, or if other workers without suspects crashed just before;
 //! - after the first crash, each start is saved before it is sent, as an intent that names the
 //!   worker, however long that takes. A successor counts a crash if this worker crashed before it
-//!   sent a report, see [`super::inherited`];
+//!   sent a report, see [`crate::planner::recovery::inherited`];
 //! - with [`CERTAIN_CRASH_LIMIT`] certain crashes, or [`ANY_CRASH_LIMIT`] of any kind, the next
 //!   start is a trial: alone on a worker, after a delay;
 //! - the task's job fails if the worker of a trial crashes as well, unless other workers without
@@ -24,12 +24,10 @@
 
 use strum::Display;
 
-use super::WorkerKey;
-use super::job_state::JobState;
-use super::job_state::Phase;
 use crate::CrashRecord;
 use crate::RunId;
 use crate::TaskKey;
+use crate::planner::WorkerKey;
 
 /// Number of certain crashes after which the next start is a trial. Two certain crashes rarely
 /// count against a task that does not cause them, though a crash ends all runs on the worker.
@@ -43,64 +41,64 @@
 
 /// Number of crashes after which a task's job fails, even if other workers crashed at the same
 /// times. The platform tolerates two more starts after three crashes.
-pub(super) const MAX_CRASHES: usize = 5;
+pub(crate) const MAX_CRASHES: usize = 5;
 
 /// The suspects, and what is needed to decide whether they caused the crashes.
 #[derive(Debug, Default)]
-pub(super) struct Suspects {
+pub(crate) struct Suspects {
     /// All suspects, including those that may still share a worker with other runs.
-    pub(super) tasks: BTreeSet<TaskKey>,
+    pub(crate) tasks: BTreeSet<TaskKey>,
     /// A suspect was alone on a worker that crashed, and it is not decided yet whether the suspect
     /// caused the crash.
-    pub(super) decision_due: bool,
+    pub(crate) decision_due: bool,
     /// Recent crashes of workers that had no suspects.
-    pub(super) unexplained: VecDeque<UnexplainedCrash>,
-    /// Findings since the last [`super::Planner::take_findings`].
-    pub(super) findings: Vec<Suspect>,
+    pub(crate) unexplained: VecDeque<UnexplainedCrash>,
+    /// Findings since the last [`crate::planner::Planner::take_findings`].
+    pub(crate) findings: Vec<Suspect>,
 }
 
 /// Crash of a worker that had no suspects, so that it may have the same cause as other crashes at
 /// the time.
 #[derive(Debug)]
-pub(super) struct UnexplainedCrash {
+pub(crate) struct UnexplainedCrash {
     /// When the crash was detected.
-    pub(super) at: Duration,
+    pub(crate) at: Duration,
     /// Tasks that had runs on the worker. If one of them becomes a suspect, it is the likely cause.
-    pub(super) tasks: Vec<TaskKey>,
+    pub(crate) tasks: Vec<TaskKey>,
 }
 
 /// Worker crashes that count against a task.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Suspicion {
+pub(crate) struct Suspicion {
     /// Runs whose worker crashed after it had confirmed them, unless a common cause is likely.
-    pub(super) crashes: BTreeSet<RunId>,
+    pub(crate) crashes: BTreeSet<RunId>,
     /// Runs whose start got no reply, so that they may not have been on the crashed worker, or
     /// for whose crash a common cause is likely: several workers without suspects crashed just
     /// before.
-    pub(super) uncertain: BTreeSet<RunId>,
+    pub(crate) uncertain: BTreeSet<RunId>,
     /// Intent of the next start, or of the newest one while the end of its run is not reported yet.
-    pub(super) intent: Option<StartIntent>,
+    pub(crate) intent: Option<StartIntent>,
     /// No trial starts before this time.
-    pub(super) not_before: Duration,
+    pub(crate) not_before: Duration,
     /// When a worker crashed on which the task was alone, until it is decided whether the task
     /// caused the crash.
-    pub(super) alone_crash: Option<Duration>,
+    pub(crate) alone_crash: Option<Duration>,
 }
 
 /// A start that is saved with the job's progress before it is sent.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct StartIntent {
-    pub(super) run: RunId,
+pub(crate) struct StartIntent {
+    pub(crate) run: RunId,
     /// Worker that the run is to start on; `None` for a member of a gang, and for an intent of the
     /// former owner.
-    pub(super) worker: Option<WorkerKey>,
+    pub(crate) worker: Option<WorkerKey>,
     /// The intent is in the store, so the start may be sent.
-    pub(super) saved: bool,
+    pub(crate) saved: bool,
 }
 
 impl Suspicion {
     /// Restores the suspicion from the crash record that the former owner saved.
-    pub(super) fn restored(record: &CrashRecord) -> Suspicion {
+    pub(crate) fn restored(record: &CrashRecord) -> Suspicion {
         let intent = record.pending.map(|run| StartIntent {
             run,
             worker: None,
@@ -116,7 +114,7 @@
 
     /// Returns the crash record to be saved for a successor; `None` if nothing counts against the
     /// task.
-    pub(super) fn record(&self) -> Option<CrashRecord> {
+    pub(crate) fn record(&self) -> Option<CrashRecord> {
         let record = CrashRecord {
             runs: self.crashes.clone(),
             uncertain: self.uncertain.clone(),
@@ -126,30 +124,30 @@
     }
 
     /// Returns the number of crashes, including uncertain ones.
-    pub(super) fn crash_count(&self) -> usize {
+    pub(crate) fn crash_count(&self) -> usize {
         self.crashes.len() + self.uncertain.len()
     }
 
     /// Returns whether the task may only start alone on a worker. Crashes of workers with other
     /// runs do not prove that the task caused them.
-    pub(super) fn needs_trial(&self) -> bool {
+    pub(crate) fn needs_trial(&self) -> bool {
         self.crashes.len() >= CERTAIN_CRASH_LIMIT || self.crash_count() >= ANY_CRASH_LIMIT
     }
 
     /// Returns whether enough crashes count against the task that a crash during a trial, without
     /// others at the time, proves that the task caused it.
-    pub(super) fn trial_decides(&self) -> bool {
+    pub(crate) fn trial_decides(&self) -> bool {
         self.crashes.len() > CERTAIN_CRASH_LIMIT || self.crash_count() > ANY_CRASH_LIMIT
     }
 
     /// Returns whether the delay before the next start has passed.
-    pub(super) fn delay_over(&self, now: Duration) -> bool {
+    pub(crate) fn delay_over(&self, now: Duration) -> bool {
         self.crash_count() == 0 || now >= self.not_before
     }
 
     /// Returns whether a start that needs no named worker may be sent: no crash counts against the
     /// task, or its start intent is saved and the delay before a trial has passed.
-    pub(super) fn may_start(&self, now: Duration) -> bool {
+    pub(crate) fn may_start(&self, now: Duration) -> bool {
         let Some(intent) = self.intent else {
             return self.crash_count() == 0;
         };
@@ -158,7 +156,7 @@
 
     /// Removes a run that no worker crash has ended; returns whether a crash was counted for it or
     /// it had a start intent.
-    pub(super) fn clear_run(&mut self, run: RunId) -> bool {
+    pub(crate) fn clear_run(&mut self, run: RunId) -> bool {
         let intent = self.intent.take_if(|intent| intent.run == run);
         let counted = self.crashes.remove(&run) | self.uncertain.remove(&run);
         counted || intent.is_some()
@@ -202,27 +200,3 @@
     /// Number of crashes that count against the task, including uncertain ones.
     pub crashes: usize,
 }
-
-impl JobState {
-    pub(super) fn suspicion(&self, task: TaskKey) -> Option<&Suspicion> {
-        let (_, step) = self.step(task.step)?;
-        step.tasks.get(task.index as usize)?.suspicion.as_deref()
-    }
-
-    pub(super) fn suspicion_mut(&mut self, task: TaskKey) -> Option<&mut Suspicion> {
-        let (_, step) = self.step_mut(task.step)?;
-        let state = step.tasks.get_mut(task.index as usize)?;
-        state.suspicion.as_deref_mut()
-    }
-
-    /// Returns whether a task may only start alone on a worker.
-    pub(super) fn needs_trial(&self, task: TaskKey) -> bool {
-        self.suspicion(task).is_some_and(Suspicion::needs_trial)
-    }
-
-    /// Returns the phase of a task; `None` if its round is not open or the task does not exist.
-    pub(super) fn phase(&self, task: TaskKey) -> Option<Phase> {
-        let (_, step) = self.step(task.step)?;
-        Some(step.tasks.get(task.index as usize)?.phase)
-    }
-}
--- a/crates/job/src/planner/expected.rs
+++ b/crates/job/src/planner/times/expected.rs
@@ -2,28 +2,19 @@
 
 use std::time::Duration;
 
-use super::Planner;
-use super::roster::PlacedRun;
-use super::roster::RunPhase;
-use super::run_times::RunTimes;
 use crate::JobSpec;
-use crate::Mechanism;
-use crate::TaskKey;
+use crate::planner::times::run_times::RunTimes;
 
 /// Number of workers in the advice call for which the platform's definition of objectives allows
 /// in each step.
 const WORKERS_PER_CALL: u32 = 30;
 
-/// Interval at which the estimates of open jobs are computed again. Within it, newly learnt run
-/// times change a queue's estimates by a few percent.
-const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Amounts of processor time are in thousandths of a core.
 const MILLICORES_PER_CORE: u64 = 1000;
 
 /// Estimates for a job.
 #[derive(Debug)]
-pub(super) struct Expected {
+pub(crate) struct Expected {
     /// Run time of one task, by step.
     pub task_times: Vec<Duration>,
     /// Time from acceptance within which callers want the job completed.
@@ -37,7 +28,7 @@
 }
 
 impl Expected {
-    pub(super) fn new(spec: &JobSpec, learnt: &RunTimes) -> Expected {
+    pub(crate) fn new(spec: &JobSpec, learnt: &RunTimes) -> Expected {
         let queue = &spec.queue;
         let steps = spec.steps.iter();
         let task_times: Vec<Duration> = steps
@@ -92,40 +83,3 @@
     });
     each.fold(0, u64::saturating_add)
 }
-
-impl Planner {
-    /// Computes the estimates of open jobs again if [`REFRESH_INTERVAL`] has passed.
-    pub(super) fn refresh_estimates(&mut self) {
-        if self.now < self.refreshed_at + REFRESH_INTERVAL {
-            return;
-        }
-        self.refreshed_at = self.now;
-        let open = self.jobs.values_mut().filter(|job| job.outcome.is_none());
-        for job in open {
-            job.expected = Expected::new(&job.spec, &self.run_times);
-        }
-    }
-
-    /// Updates the learnt run times of a queue with a completed run. Members of a gang end
-    /// together, so only the first reported end of a gang counts.
-    pub(super) fn learn_run_time(&mut self, task: TaskKey, run: &PlacedRun) {
-        let learning = self.policy.switches.enabled(Mechanism::LearntTimes);
-        if !learning || !run.from_start || run.phase != RunPhase::Running {
-            return;
-        }
-        let Some(job) = self.jobs.get(&task.step.job) else {
-            return;
-        };
-        let Some((spec, step)) = job.step(task.step) else {
-            return;
-        };
-        let weight = match (spec.gang, step.complete()) {
-            (true, true) => return,
-            (true, false) => 1.0,
-            (false, _) => 1.0 / f64::from(spec.count.max(1)),
-        };
-        let took = self.now.saturating_sub(run.phase_since);
-        let queue = &job.spec.queue.name;
-        self.run_times.observe(queue, spec.estimate, took, weight);
-    }
-}
--- /dev/null
+++ b/crates/job/src/planner/times/mod.rs
@@ -0,0 +1,5 @@
+//! Estimates of run times and of the speeds of workers. They know neither jobs nor workers.
+
+pub(crate) mod expected;
+pub(crate) mod run_times;
+pub(crate) mod speed;
--- a/crates/job/src/planner/run_times.rs
+++ b/crates/job/src/planner/times/run_times.rs
@@ -58,7 +58,7 @@
 
 /// Learnt run times, by queue.
 #[derive(Debug, Default)]
-pub(super) struct RunTimes {
+pub(crate) struct RunTimes {
     queues: HashMap<String, RegressionSums>,
 }
 
