--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -85,6 +85,9 @@
     pub machines: String,
     /// Times that the platform guarantees or requires.
     pub bounds: Bounds,
+    /// Optional mechanisms that are switched on.
+    #[serde(default)]
+    pub on: Vec<Mechanism>,
     /// Mechanisms that are switched off, in order to measure their benefit.
     #[serde(default)]
     pub off: Vec<Mechanism>,
@@ -195,7 +198,7 @@
         Policy {
             lease: longest.mul_f64(LEASE_SHARE),
             max_lease: longest,
-            switches: Switches::disabling(&self.off),
+            switches: self.switches(),
             overshoot: self.bounds.overshoot.unwrap_or_default(),
             ..Policy::default()
         }
@@ -210,9 +213,15 @@
         calls
     }
 
+    /// Returns which mechanisms are switched on.
+    #[must_use]
+    pub fn switches(&self) -> Switches {
+        Switches::new(&self.on, &self.off)
+    }
+
     /// Whether a mechanism is switched on.
     #[must_use]
     pub fn has(&self, mechanism: Mechanism) -> bool {
-        !self.off.contains(&mechanism)
+        self.switches().enabled(mechanism)
     }
 }
--- a/crates/cell/tests/context.rs
+++ b/crates/cell/tests/context.rs
@@ -44,6 +44,7 @@
             stretch_ms: 5000,
             overshoot: None,
         },
+        on: Vec::new(),
         off: Vec::new(),
     }
 }
--- a/crates/cell/tests/switches.rs
+++ b/crates/cell/tests/switches.rs
@@ -10,27 +10,47 @@
     CellSettings::parse(&(template::filled() + rest))
 }
 
+/// Returns the disabled mechanisms.
+fn disabled(settings: &CellSettings) -> Vec<Mechanism> {
+    let switches = settings.policy().switches;
+    let disabled = Mechanism::all().filter(|one| !switches.enabled(*one));
+    disabled.collect()
+}
+
 #[test]
-fn every_mechanism_is_on_by_default() {
+fn exactly_the_optional_mechanisms_are_off_by_default() {
     let settings = settings("").expect("settings");
 
-    for mechanism in Mechanism::all() {
-        assert!(settings.policy().switches.enabled(mechanism), "{mechanism}");
-    }
+    let optional = Mechanism::all().filter(|one| one.is_optional());
+
+    assert_eq!(disabled(&settings), optional.collect::<Vec<_>>());
 }
 
 #[test]
 fn each_mechanism_can_be_switched_off_by_its_name() {
-    for mechanism in Mechanism::all() {
-        let settings = settings(&format!("off: [{mechanism}]\n")).expect("settings");
+    let optional = Mechanism::all().filter(|one| one.is_optional());
+    let optional: Vec<String> = optional.map(|one| one.to_string()).collect();
+    let on = format!("on: [{}]\n", optional.join(", "));
+    assert_eq!(disabled(&settings(&on).expect("settings")), Vec::new());
 
-        let off = Mechanism::all().filter(|one| !settings.policy().switches.enabled(*one));
+    for mechanism in Mechanism::all() {
+        let settings = settings(&format!("{on}off: [{mechanism}]\n")).expect("settings");
 
-        assert_eq!(off.collect::<Vec<_>>(), vec![mechanism]);
+        assert_eq!(disabled(&settings), vec![mechanism]);
         assert!(!settings.has(mechanism));
     }
 }
 
+#[test]
+fn each_optional_mechanism_can_be_switched_on_by_its_name() {
+    for mechanism in Mechanism::all().filter(|one| one.is_optional()) {
+        let settings = settings(&format!("on: [{mechanism}]\n")).expect("settings");
+
+        assert!(settings.has(mechanism));
+        assert!(!disabled(&settings).contains(&mechanism));
+    }
+}
+
 #[test]
 fn an_unknown_mechanism_is_rejected() {
     let error = settings("off: [luck]\n").expect_err("no such mechanism");
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -3,7 +3,9 @@
 //! This crate does no I/O and reads no clock: the owner process passes in events with the time of
 //! its monotonic clock and sends the commands that the planner returns.
 
+mod admission;
 mod id;
+mod learnt;
 mod mechanism;
 mod organisation;
 mod planner;
@@ -13,7 +15,9 @@
 mod spec;
 mod worker;
 
+pub use admission::*;
 pub use id::*;
+pub use learnt::*;
 pub use mechanism::*;
 pub use organisation::*;
 pub use planner::*;
--- a/crates/job/src/mechanism.rs
+++ b/crates/job/src/mechanism.rs
@@ -65,6 +65,15 @@
     MachineLookup,
     /// Jobs that exceed the share of their organisation go after all others.
     ExcessLast,
+    /// Organisations share the pool by the work that they have and had running. Without it, the
+    /// share is a number of jobs a second, see [`Mechanism::ExcessLast`].
+    WorkShares,
+    /// A job that cannot be done while it is of value to its caller is rejected before it is stored.
+    Admission,
+    /// If workers differ in speed, tasks run where they are expected to end in time.
+    PlacementByEnd,
+    /// What the owner has learnt is stored for its successor.
+    LearntState,
     /// A job whose row the store refuses is stored in another row. The rows of a job are in
     /// different parts of the table of jobs, some of which the store may refuse while it serves
     /// the others.
@@ -82,25 +91,57 @@
     pub fn all() -> impl Iterator<Item = Mechanism> {
         Mechanism::iter()
     }
+
+    /// Returns whether the mechanism is disabled unless the settings enable it.
+    #[must_use]
+    pub fn is_optional(self) -> bool {
+        matches!(
+            self,
+            Mechanism::WorkShares
+                | Mechanism::Admission
+                | Mechanism::PlacementByEnd
+                | Mechanism::LearntState
+        )
+    }
 }
 
-/// Set of disabled mechanisms.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// Set of disabled mechanisms; by default, the optional ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Switches {
     /// One bit for each disabled mechanism, at the position of its variant.
     off: u32,
 }
 
+impl Default for Switches {
+    fn default() -> Switches {
+        Switches::new(&[], &[])
+    }
+}
+
 impl Switches {
-    /// Disables exactly these mechanisms.
+    /// Enables the mechanisms that are not optional and those in `on`, except for those in `off`.
     #[must_use]
-    pub fn disabling(mechanisms: &[Mechanism]) -> Switches {
-        let bits = mechanisms.iter().map(|one| 1 << *one as u32);
+    pub fn new(on: &[Mechanism], off: &[Mechanism]) -> Switches {
+        let disabled =
+            |one: &Mechanism| one.is_optional() && !on.contains(one) || off.contains(one);
+        let disabled = Mechanism::all().filter(disabled);
         Switches {
-            off: bits.fold(0, |all, bit| all | bit),
+            off: disabled.fold(0, |all, one| all | 1 << one as u32),
         }
     }
 
+    /// Disables these mechanisms and the optional ones.
+    #[must_use]
+    pub fn disabling(mechanisms: &[Mechanism]) -> Switches {
+        Switches::new(&[], mechanisms)
+    }
+
+    /// Enables these mechanisms and those that are not optional.
+    #[must_use]
+    pub fn enabling(mechanisms: &[Mechanism]) -> Switches {
+        Switches::new(mechanisms, &[])
+    }
+
     /// Returns whether a mechanism is enabled.
     #[must_use]
     pub fn enabled(self, mechanism: Mechanism) -> bool {
