cell: answer requests within the grace period of a planned stop

Callers saw their connection cut: a host that was stopped while the store was slow ended 1.5 s before the end of its grace period, and requests read until 2.6 s after the signal may take 2.7 s more. Its replies did not tell callers to reconnect, so that idle connections were closed under their next request.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -26,6 +26,7 @@
 use crate::Context;
 use crate::JobView;
 use crate::OwnerClient;
+use crate::StopPhase;
 use crate::access;
 use crate::access::Access;
 use crate::access::Denial;
@@ -235,8 +236,30 @@
     }
 
     async fn handle(&self, request: HttpRequest) -> HttpResponse {
-        self.respond(&request).await
+        let mut response = tokio::select! {
+            response = self.respond(&request) => response,
+            () = self.context.reached(StopPhase::Ending) => unfinished(&request),
+        };
+        if self.context.stopping() {
+            // The balancer does not move open connections to other hosts.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+}
+
+/// Reply of a stopping host to a request that it has not finished.
+fn unfinished(request: &HttpRequest) -> HttpResponse {
+    log::warn!(
+        code = 423, method = request.method.as_str(), path = request.path.as_str();
+        "request not finished within the grace period of the stop; the caller gets 503 or 504"
+    );
+    let reason = "this host is stopping";
+    if request.method == Method::GET {
+        return refusal(reason, RefusalScope::Host);
     }
+    outcome_unknown(reason)
 }
 
 /// Returns the queue that a request addresses; `None` if the configuration does not contain it.
--- a/crates/cell/src/context.rs
+++ b/crates/cell/src/context.rs
@@ -22,6 +22,7 @@
 use crate::CellSettings;
 use crate::Follower;
 use crate::OwnershipView;
+use crate::StopPhase;
 
 /// Connect timeout to peers, the store and the advice service; within a region a connect takes
 /// milliseconds.
@@ -49,8 +50,8 @@
     pub ownership: watch::Receiver<OwnershipView>,
     /// Counters, gauges and latency histograms.
     pub metrics: Arc<CellMetrics>,
-    /// Becomes true when the process has been asked to stop.
-    pub stop: watch::Receiver<bool>,
+    /// How far the stop of the process is.
+    pub stop: watch::Receiver<StopPhase>,
     /// Epoch of an owner whose process may have ended, because it closed a connection during a
     /// call; 0 for none.
     suspected_owner: Arc<AtomicU64>,
@@ -67,7 +68,7 @@
         settings: CellSettings,
         config: watch::Receiver<Option<Arc<Config>>>,
         ownership: watch::Receiver<OwnershipView>,
-        stop: watch::Receiver<bool>,
+        stop: watch::Receiver<StopPhase>,
     ) -> Context {
         let store = Store::new(Client::new(CONNECT_TIMEOUT), settings.store);
         Context {
@@ -186,13 +187,18 @@
     /// Whether the process has been asked to stop.
     #[must_use]
     pub fn stopping(&self) -> bool {
-        *self.stop.borrow()
+        *self.stop.borrow() >= StopPhase::Stopping
     }
 
     /// Waits until the process is asked to stop.
     pub async fn stopped(&self) {
+        self.reached(StopPhase::Stopping).await;
+    }
+
+    /// Waits until the stop of the process has reached `phase`.
+    pub(crate) async fn reached(&self, phase: StopPhase) {
         let mut stop = self.stop.clone();
         // A dropped sender counts as a request to stop.
-        let _ = stop.wait_for(|stop| *stop).await;
+        let _ = stop.wait_for(|current| *current >= phase).await;
     }
 }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -19,6 +19,7 @@
 mod retry;
 mod rows;
 mod settings;
+mod stop;
 mod stored;
 mod submit;
 
@@ -37,3 +38,4 @@
 pub use process::*;
 pub use rows::*;
 pub use settings::*;
+pub use stop::*;
--- a/crates/cell/src/process.rs
+++ b/crates/cell/src/process.rs
@@ -4,7 +4,6 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use hyper::StatusCode;
 use job::Config;
@@ -14,6 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use web::Handler;
 use web::HttpRequest;
 use web::HttpResponse;
@@ -31,6 +31,8 @@
 use crate::OwnerHandle;
 use crate::OwnershipView;
 use crate::PeerHandler;
+use crate::StopPhase;
+use crate::StopTimes;
 use crate::error::ListenSnafu;
 use crate::run_helper;
 use crate::supervise_owner;
@@ -46,27 +48,16 @@
 /// processes may still reach the store.
 const UNREADY_AFTER: Duration = Duration::from_millis(1200);
 
-/// Time for which a stopping process goes on serving: the balancer notices after two checks, one
-/// second apart.
-const DRAIN_TIME: Duration = Duration::from_millis(2600);
-
-/// Part of the grace period that is not used, so that the process ends before the platform kills
-/// it.
-const KILL_MARGIN: Duration = Duration::from_millis(1500);
-
-/// Time within the grace period for open requests to finish after the owner has stopped.
-const FINISH_TIME: Duration = Duration::from_millis(500);
-
 /// A running process.
 pub struct CellProcess {
-    /// Asks all tasks to stop.
-    stop: watch::Sender<bool>,
+    /// Tells all tasks how far the stop of the process is.
+    stop: watch::Sender<StopPhase>,
     /// Asks the servers to accept no more requests.
     close: watch::Sender<bool>,
     /// HTTP servers for callers, readiness checks, peers and metrics.
     servers: JoinSet<()>,
-    /// Time between the stop signal and the kill.
-    grace: Duration,
+    /// Times of a planned stop.
+    times: StopTimes,
     /// Task that runs the owner while this process owns the pool.
     owner: tokio::task::JoinHandle<()>,
     /// Tasks that follow the configuration and the ownership, and the advice helper.
@@ -81,7 +72,7 @@
     pub async fn open(settings: CellSettings) -> Result<CellProcess, CellError> {
         let (config_tx, config) = watch::channel(None);
         let (ownership_tx, ownership) = watch::channel(OwnershipView::default());
-        let (stop, stop_rx) = watch::channel(false);
+        let (stop, stop_rx) = watch::channel(StopPhase::Running);
         let (close, close_rx) = watch::channel(false);
         let (owner_slot, owner_slot_rx) = watch::channel(None);
         let context = Context::new(settings, config, ownership, stop_rx);
@@ -110,13 +101,13 @@
             code = 100, node = context.settings.node.as_str(), zone = context.settings.zone.as_str(),
             incarnation = context.incarnation; "process started; serving callers and peers"
         );
-        let grace = context.settings.grace();
+        let times = StopTimes::new(context.settings.grace());
         let owner = tokio::spawn(supervise_owner(context, owner_slot));
         Ok(CellProcess {
             stop,
             close,
             servers,
-            grace,
+            times,
             owner,
             _tasks: tasks,
         })
@@ -129,25 +120,34 @@
             code = 101;
             "process stopping; releasing the pool if owned, then finishing open requests"
         );
-        let end = Instant::now() + self.grace.saturating_sub(KILL_MARGIN);
-        self.stop.send_replace(true);
+        let started = Instant::now();
+        let times = self.times;
+        self.stop.send_replace(StopPhase::Stopping);
+        let drained = tokio::time::sleep_until(started + times.drain);
         // The owner task ends by itself on a stop; one that hangs is aborted.
-        let remaining = end.saturating_duration_since(Instant::now());
-        let owner = tokio::time::timeout(remaining.saturating_sub(FINISH_TIME), &mut self.owner);
-        let (owner, ()) = tokio::join!(owner, tokio::time::sleep(DRAIN_TIME));
+        let owner = tokio::time::timeout_at(started + times.owner, &mut self.owner);
+        let (owner, ()) = tokio::join!(owner, drained);
         if owner.is_err() {
             log::error!(code = 106; "owner task did not stop in time; aborting it");
             self.owner.abort();
         }
         self.close.send_replace(true);
-        let finish = async { while self.servers.join_next().await.is_some() {} };
-        let remaining = end.saturating_duration_since(Instant::now());
-        let finished = tokio::time::timeout(remaining, finish).await.is_ok();
+        if !self.finish(started + times.answer).await {
+            self.stop.send_replace(StopPhase::Ending);
+        }
+        let finished = self.finish(started + times.end).await;
         log::info!(
             code = 102, whole = finished;
             "process stopped; if not whole, open requests were cut off"
         );
     }
+
+    /// Waits until the servers have no more open requests, at most until `end`; returns whether
+    /// they have none.
+    async fn finish(&mut self, end: Instant) -> bool {
+        let finish = async { while self.servers.join_next().await.is_some() {} };
+        tokio::time::timeout_at(end, finish).await.is_ok()
+    }
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, CellError> {
--- a/crates/cell/tests/context.rs
+++ b/crates/cell/tests/context.rs
@@ -12,6 +12,7 @@
 use cell::Listen;
 use cell::OwnershipView;
 use cell::Peers;
+use cell::StopPhase;
 use platform::StoreError;
 use tokio::sync::watch;
 
@@ -66,7 +67,7 @@
 async fn a_write_to_an_unreachable_store_is_abandoned_when_the_store_recovers() {
     let (_config, config) = watch::channel(None);
     let (ownership_tx, ownership) = watch::channel(OwnershipView::default());
-    let (_stop, stop) = watch::channel(false);
+    let (_stop, stop) = watch::channel(StopPhase::Running);
     let context = Context::new(settings(), config, ownership, stop);
     let write = tokio::spawn(async move {
         let never = pending::<Result<(), StoreError>>();
@@ -86,7 +87,7 @@
 async fn a_write_completes_while_the_store_answers() {
     let (_config, config) = watch::channel(None);
     let (_ownership_tx, ownership) = watch::channel(OwnershipView::default());
-    let (_stop, stop) = watch::channel(false);
+    let (_stop, stop) = watch::channel(StopPhase::Running);
     let context = Context::new(settings(), config, ownership, stop);
 
     let result = context.abandon_on_recovery(async { Ok(7) }).await;
--- a/crates/site/src/caller.rs
+++ b/crates/site/src/caller.rs
@@ -76,10 +76,26 @@
         body: &Value,
     ) -> (u16, Option<String>) {
         let call = self.call(method, server, path, body);
+        self.header(call, "retry-after").await
+    }
+
+    /// The same with the `Connection` header.
+    pub async fn connection(
+        &self,
+        method: Method,
+        server: SocketAddr,
+        path: &str,
+        body: &Value,
+    ) -> (u16, Option<String>) {
+        let call = self.call(method, server, path, body);
+        self.header(call, "connection").await
+    }
+
+    async fn header(&self, call: Call, name: &str) -> (u16, Option<String>) {
         let Ok(reply) = self.client.send(call).await else {
             return (0, None);
         };
-        let header = reply.headers.get("retry-after");
+        let header = reply.headers.get(name);
         let header = header.and_then(|value| value.to_str().ok());
         (reply.status.as_u16(), header.map(str::to_owned))
     }
