Learnt state: one row that an owner writes for its successor

A successor takes all workers for equally fast until each has completed several runs. With the mechanism learnt_state an owner writes the speeds of workers, by incarnation, into one row of its part of the store, in a transaction that renews the ownership, every 5 s at most and only if changed; a successor reads it beside the other rows of a take-over and does not wait for it. A row that is missing, of another version or damaged counts as none.

The fixture TestCell can enable mechanisms and add processes.

--- a/crates/cell/src/owner/messages.rs
+++ b/crates/cell/src/owner/messages.rs
@@ -102,6 +102,8 @@
     pub used_workers: Vec<(String, UsedWorker)>,
     /// Workers on which no run can be running any more.
     pub unused_workers: Vec<String>,
+    /// Row of learnt state.
+    pub learnt: Option<Vec<u8>>,
     /// The transaction releases the pool.
     pub releases: bool,
     /// The transaction renews the ownership.
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -10,6 +10,7 @@
 mod guarded_commit;
 mod handlers;
 mod helpers;
+mod learnt_state;
 mod link;
 mod liveness;
 mod load;
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -195,6 +195,7 @@
         for _ in 0..inherited.undecodable_workers {
             pool.planner.add_unreadable_worker();
         }
+        pool.restore_learnt(inherited.learnt.as_ref());
         for (id, worker) in inherited.used_workers {
             pool.restore_worker(&id, worker);
         }
--- a/crates/cell/src/owner/saver.rs
+++ b/crates/cell/src/owner/saver.rs
@@ -27,6 +27,7 @@
 use super::reply_wait::ReplyWait;
 use crate::Context;
 use crate::Guard;
+use crate::LearntWrites;
 use crate::OwnerMessage;
 use crate::Ownership;
 use crate::Save;
@@ -48,9 +49,12 @@
 /// average.
 const MIN_SAVE_GAP: Duration = Duration::from_millis(30);
 
-/// Maximum number of rows of jobs and workers in one transaction. The store takes 100 entries, which
-/// are these rows, the condition, the guard row and the ownership row.
-const MAX_ROWS: usize = 97;
+/// Maximum number of entries of a transaction.
+pub(super) const MAX_ENTRIES: usize = 100;
+
+/// Maximum number of rows of jobs and workers in one transaction: the other entries are the
+/// condition, the guard row and the ownership row.
+const MAX_ROWS: usize = MAX_ENTRIES - 3;
 
 /// Maximum number of workers whose rows are written or removed in one transaction.
 const MAX_WORKERS: usize = 35;
@@ -110,6 +114,8 @@
     confirmed_renewal: Duration,
     /// Rows of used workers that are still to be written or removed.
     row_changes: WorkerRows,
+    /// Writes of the row of learnt state.
+    pub(super) learnt_writes: LearntWrites,
     release: Release,
     /// The owner cannot keep up with the pool, or has been reading the state of the former owner
     /// for longer than [`LONG_TAKE_OVER`]. Its renewals say so, and a larger host may take the
@@ -131,6 +137,7 @@
             last_renewal: context.now(),
             confirmed_renewal: Duration::ZERO,
             row_changes: WorkerRows::default(),
+            learnt_writes: LearntWrites::new(context.now()),
             release: Release::NotRequested,
             overloaded: false,
         }
@@ -344,7 +351,8 @@
             started: now,
             ..Save::default()
         };
-        let transaction = self.saver.build_transaction(&mut save, now);
+        let mut transaction = self.saver.build_transaction(&mut save, now);
+        self.add_learnt(&mut save, &mut transaction);
         let used_workers = save.used_workers.iter().map(|(id, _)| id);
         for id in used_workers.chain(&save.unused_workers) {
             // A successor may find this row or not. So the worker counts among those of which the
@@ -431,6 +439,9 @@
         for id in &save.unused_workers {
             self.freshness.authority.row_removed(id);
         }
+        if let Some(row) = save.learnt {
+            self.saver.learnt_writes.saved(row);
+        }
         for (id, worker) in save.used_workers {
             self.freshness.authority.row_written(&id);
             let key = self.planner.worker_key(&id);
--- a/crates/cell/src/owner/takeover.rs
+++ b/crates/cell/src/owner/takeover.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use job::JobId;
+use job::LearntState;
 use job::Progress;
 use platform::Row;
 use platform::StoreError;
@@ -14,6 +15,7 @@
 use tokio::sync::oneshot;
 
 use super::Saver;
+use super::learnt_state::read_beside;
 use crate::Change;
 use crate::Context;
 use crate::Follower;
@@ -49,6 +51,8 @@
     pub(super) used_workers: Vec<(String, UsedWorker)>,
     /// Number of rows of used workers that cannot be decoded.
     pub(super) undecodable_workers: usize,
+    /// What the former owner has learnt, if that could be read in time.
+    pub(super) learnt: Option<LearntState>,
 }
 
 /// Reads the state that the former owner left and renews the ownership meanwhile. Returns
@@ -67,9 +71,12 @@
     }
     let (read_done, reading) = oneshot::channel::<()>();
     let read = async move {
-        let inherited = read_inherited(context).await;
+        let (inherited, learnt) = read_beside(context, read_inherited(context)).await;
         drop(read_done);
-        inherited
+        inherited.map(|inherited| InheritedState {
+            learnt,
+            ..inherited
+        })
     };
     tokio::pin!(read);
     let renewals = saver.renew_until(reading);
@@ -100,6 +107,7 @@
         unreadable_jobs: HashSet::new(),
         used_workers: Vec::new(),
         undecodable_workers: 0,
+        learnt: None,
     };
     let unreadable = &context.metrics.unreadable;
     for row in &progress.rows {
--- a/crates/job/src/planner/limits/stale_capacity.rs
+++ b/crates/job/src/planner/limits/stale_capacity.rs
@@ -68,6 +68,7 @@
     /// Adds the state of a new worker, or of a new incarnation.
     pub(crate) fn insert_worker(&mut self, mut worker: WorkerState) -> WorkerKey {
         worker.fill_limit = fill_bound(&worker, self.stale_registrations, self.smallest_share);
+        self.restore_speed(&mut worker);
         let id = worker.info.id.clone();
         let key = self.workers.insert(worker);
         self.by_id.insert(id, key);
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -47,6 +47,7 @@
 use placement::reservations::Reservations;
 use recovery::incarnations::EndedIncarnations;
 use recovery::inherited::InheritedRuns;
+use recovery::learnt::RestoredSpeeds;
 use state::job_state::JobState;
 use state::roster::WorkerState;
 use state::suspicion::Suspects;
@@ -208,6 +209,8 @@
     peak_pools: PeakPools,
     /// Organisations, and what each of them has running.
     organisations: Organisations,
+    /// Speeds of workers that a former owner has learnt.
+    restored_speeds: RestoredSpeeds,
 }
 
 /// Time after a take-over within which another process may still send a new job to the former
@@ -231,6 +234,7 @@
             started_at: now,
             peak_pools: PeakPools::default(),
             organisations: Organisations::default(),
+            restored_speeds: RestoredSpeeds::default(),
             policy,
             now,
             wall_origin,
--- a/crates/job/src/planner/recovery/mod.rs
+++ b/crates/job/src/planner/recovery/mod.rs
@@ -4,3 +4,4 @@
 pub(crate) mod batch;
 pub(crate) mod incarnations;
 pub(crate) mod inherited;
+pub(crate) mod learnt;
--- a/crates/job/src/planner/times/speed.rs
+++ b/crates/job/src/planner/times/speed.rs
@@ -23,6 +23,12 @@
 /// Factor on the expected run times that is assumed for a slow worker.
 pub(crate) const SLOW_FACTOR: f64 = 2.0;
 
+/// Largest weight that observations reach with [`DECAY`], in runs.
+const MAX_WEIGHT: f64 = 10.0;
+
+/// Largest logarithm of a factor on run times that is passed on, in hundredths: a factor of 20.
+const MAX_LOG_FACTOR: i16 = 300;
+
 /// Learnt speed of a worker.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Speed {
@@ -44,6 +50,29 @@
     pub(crate) fn slow(&self) -> bool {
         self.sum / (self.weight + PRIOR_RUNS) > SLOW_THRESHOLD
     }
+
+    /// Returns the mean logarithm of the relative run times, in hundredths, and the weight of the
+    /// observations, in runs.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub(crate) fn learnt(&self) -> (i16, u8) {
+        let weight = self.weight.round().clamp(0.0, MAX_WEIGHT);
+        if weight < 1.0 {
+            return (0, 0);
+        }
+        let bound = f64::from(MAX_LOG_FACTOR);
+        let factor = (self.sum / self.weight * 100.0).clamp(-bound, bound);
+        (factor.round() as i16, weight as u8)
+    }
+
+    /// Returns the speed with this mean and weight.
+    pub(crate) fn restored(log_factor: i16, weight: u8) -> Speed {
+        let weight = f64::from(weight).min(MAX_WEIGHT);
+        let factor = log_factor.clamp(-MAX_LOG_FACTOR, MAX_LOG_FACTOR);
+        Speed {
+            weight,
+            sum: f64::from(factor) / 100.0 * weight,
+        }
+    }
 }
 
 /// Returns, for each of a step's runs, the logarithm of its duration relative to the other runs,
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -10,6 +10,7 @@
 
 use cell::CellProcess;
 use cell::CellSettings;
+use job::Mechanism;
 use serde_json::Value;
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -83,6 +84,8 @@
     link: Option<(Arc<LimitedLink>, f64)>,
     /// Number of cores of hosts that differ from the default.
     cores: HashMap<usize, f64>,
+    /// Optional mechanisms that are enabled.
+    on: Vec<Mechanism>,
     /// Processes of the cell; none for a process that is not running.
     members: Vec<Option<Member>>,
     /// Stops the fakes when it is dropped.
@@ -134,6 +137,19 @@
         TestCell::open_with(processes, workers, 120.0, Some(link), restart_id).await
     }
 
+    /// The same as [`TestCell::open`], with these optional mechanisms enabled.
+    ///
+    /// # Panics
+    /// Panics if an address cannot be bound.
+    pub async fn open_enabling(on: &[Mechanism], processes: usize, workers: usize) -> TestCell {
+        let mut cell = TestCell::open(0, workers).await;
+        cell.on = on.to_vec();
+        for _ in 0..processes {
+            cell.add_process().await;
+        }
+        cell
+    }
+
     async fn open_with(
         processes: usize,
         workers: usize,
@@ -143,13 +159,6 @@
     ) -> TestCell {
         let (serving, stop) = watch::channel(false);
         let store = FakeStore::new();
-        let mut store_proxies = Vec::new();
-        let mut stores = Vec::new();
-        for _ in 0..processes {
-            let proxy = StoreProxy::new(store.clone());
-            stores.push(serve(proxy.clone(), &stop).await);
-            store_proxies.push(proxy);
-        }
         let log = RunLog::default();
         let advice = FakeAdvice::new(Vec::new());
         let services = serve(advice.clone(), &stop).await;
@@ -161,28 +170,41 @@
             restart_id,
             advice,
             log,
-            store_proxies,
+            store_proxies: Vec::new(),
             addresses: Vec::new(),
             worker_proxies: Vec::new(),
             services,
-            stores,
+            stores: Vec::new(),
             number: NEXT_CELL.fetch_add(1, Ordering::Relaxed),
             keep_s,
             link,
             cores: HashMap::new(),
+            on: Vec::new(),
             members: Vec::new(),
             serving,
         };
         for _ in 0..workers {
             cell.add_worker().await;
         }
-        for index in 0..processes {
-            cell.members.push(None);
-            cell.start(index).await;
+        for _ in 0..processes {
+            cell.add_process().await;
         }
         cell
     }
 
+    /// Adds a process and its proxy to the store, and starts the process.
+    ///
+    /// # Panics
+    /// Panics if an address cannot be bound.
+    pub async fn add_process(&mut self) {
+        let proxy = StoreProxy::new(self.store.clone());
+        let stop = self.serving.subscribe();
+        self.stores.push(serve(proxy.clone(), &stop).await);
+        self.store_proxies.push(proxy);
+        self.members.push(None);
+        self.start(self.members.len() - 1).await;
+    }
+
     /// Adds a worker with four cores, which registers, and restarts if a task crashes it.
     ///
     /// # Panics
@@ -408,6 +430,7 @@
             .settings(self.stores[index], Some(self.services));
         let mut settings = CellSettings::parse(&text).expect("settings");
         settings.bounds.keep_s = self.keep_s;
+        settings.on.clone_from(&self.on);
         settings.cores = self.cores.get(&index).copied().unwrap_or(settings.cores);
         if let Some((_, mbps)) = self.link {
             settings.link_mbps = mbps;
