cell: rejections of a stopping host close their connection too

Replies that are made before the body of a request is read (401, 404) left the caller on the connection. Test: the first one of crates/cell/tests/stops.rs now asks for a queue that does not exist.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -207,6 +207,16 @@
         }
     }
 
+    /// Makes a response of a stopping host close its connection: the balancer does not move open
+    /// connections to other hosts.
+    fn mark(&self, mut response: HttpResponse) -> HttpResponse {
+        if self.context.stopping() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+
     async fn query_length(&self, queue: &Queue) -> HttpResponse {
         let name = queue.name.as_str();
         match self.owner.query_length(name).await {
@@ -232,20 +242,16 @@
     /// Rejects a caller without access before the body of its request is read.
     fn screen(&self, head: &HttpRequest) -> Option<HttpResponse> {
         let config = self.context.config.borrow().clone()?;
-        self.admit(&config, head).err().map(|response| *response)
+        let rejection = self.admit(&config, head).err()?;
+        Some(self.mark(*rejection))
     }
 
     async fn handle(&self, request: HttpRequest) -> HttpResponse {
-        let mut response = tokio::select! {
+        let response = tokio::select! {
             response = self.respond(&request) => response,
             () = self.context.reached(StopPhase::Ending) => unfinished(&request),
         };
-        if self.context.stopping() {
-            // The balancer does not move open connections to other hosts.
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(CONNECTION, close);
-        }
-        response
+        self.mark(response)
     }
 }
 
--- a/crates/cell/tests/stops.rs
+++ b/crates/cell/tests/stops.rs
@@ -80,12 +80,22 @@
     let caller = Caller::new();
     let (server, body) = (cell.server(index), job(1, "100"));
     let open = caller.connection(Method::POST, server, PATH, &body).await;
+    let rejected = async {
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let path = "/none/00000000000000a2";
+        Caller::new()
+            .connection(Method::POST, server, path, &body)
+            .await
+    };
 
     let wait = Duration::from_millis(500);
-    let stopping = submit_after_stop(&mut cell, index, &caller, wait).await;
+    let stopping = submit_after_stop(&mut cell, index, &caller, wait);
+    let (stopping, rejected) = tokio::join!(stopping, rejected);
 
+    let close = Some("close".to_owned());
     assert_eq!(open, (200, None));
-    assert_eq!(stopping, (200, Some("close".to_owned()), true));
+    assert_eq!(stopping, (200, close.clone(), true));
+    assert_eq!(rejected, (404, close));
     cell.close().await;
 }
 
