--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -26,6 +26,7 @@
 use crate::Context;
 use crate::JobView;
 use crate::OwnerClient;
+use crate::StopPhase;
 use crate::access;
 use crate::access::Access;
 use crate::access::Denial;
@@ -206,6 +207,16 @@
         }
     }
 
+    /// Makes a response of a stopping host close its connection: the balancer does not move open
+    /// connections to other hosts.
+    fn mark(&self, mut response: HttpResponse) -> HttpResponse {
+        if self.context.stopping() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+
     async fn query_length(&self, queue: &Queue) -> HttpResponse {
         let name = queue.name.as_str();
         match self.owner.query_length(name).await {
@@ -231,12 +242,30 @@
     /// Rejects a caller without access before the body of its request is read.
     fn screen(&self, head: &HttpRequest) -> Option<HttpResponse> {
         let config = self.context.config.borrow().clone()?;
-        self.admit(&config, head).err().map(|response| *response)
+        let rejection = self.admit(&config, head).err()?;
+        Some(self.mark(*rejection))
     }
 
     async fn handle(&self, request: HttpRequest) -> HttpResponse {
-        self.respond(&request).await
+        let response = tokio::select! {
+            response = self.respond(&request) => response,
+            () = self.context.reached(StopPhase::Ending) => unfinished(&request),
+        };
+        self.mark(response)
+    }
+}
+
+/// Reply of a stopping host to a request that it has not finished.
+fn unfinished(request: &HttpRequest) -> HttpResponse {
+    log::warn!(
+        code = 423, method = request.method.as_str(), path = request.path.as_str();
+        "request not finished within the grace period of the stop; the caller gets 503 or 504"
+    );
+    let reason = "this host is stopping";
+    if request.method == Method::GET {
+        return refusal(reason, RefusalScope::Host);
     }
+    outcome_unknown(reason)
 }
 
 /// Returns the queue that a request addresses; `None` if the configuration does not contain it.
