job: no job fails for a crash that is only assumed

Cause: at the end of recovery a placement on a worker of which nothing is known counts as an uncertain crash. It was taken back only by a report of that worker, and the fifth count failed the job at once, though nothing showed a crash.

Now the planner remembers which run is only assumed to have ended by a crash. At the limit of crashes, the task waits while the fate of its worker is looked up: until the worker reports (the count is taken back), has ended or its registration is gone (the count stands, the job fails), or 20 s after the recovery, by which the list of machines would have shown a crash (the count is taken back). A worker with such a run is looked up though no run of this owner is booked on it.

The count of an earlier owner than the last stays, since progress has one placement a task: a task that was cut off under four owners in a row may still wait for a fifth real crash less.

--- a/crates/job/src/planner/crashes/crash_count.rs
+++ b/crates/job/src/planner/crashes/crash_count.rs
@@ -111,6 +111,7 @@
         };
         let suspicion = state.suspicion.get_or_insert_default();
         suspicion.intent = suspicion.intent.filter(|intent| intent.run != run);
+        suspicion.assumed.take_if(|assumed| *assumed == run);
         if certain {
             suspicion.crashes.insert(run);
         } else {
@@ -141,8 +142,8 @@
             return;
         }
         let needs_trial = suspicion.needs_trial();
-        // The wait for the next trial begins now.
-        suspicion.not_before = suspicion.not_before.max(now);
+        // The wait for the next trial begins now; that for the fate of an assumed crash has ended.
+        suspicion.not_before = suspicion.not_before.min(now + TRIAL_DELAY).max(now);
         self.dirty_jobs.insert(task.step.job);
         if needs_trial {
             self.record_finding(task, run, Finding::Cleared);
--- a/crates/job/src/planner/crashes/start_intent.rs
+++ b/crates/job/src/planner/crashes/start_intent.rs
@@ -76,6 +76,9 @@
                 continue;
             }
             if suspicion.crash_count() >= MAX_CRASHES {
+                if self.resolve_assumed(task) {
+                    continue;
+                }
                 self.fail_suspect(task, run, Verdict::TooManyCrashes);
                 return;
             }
--- a/crates/job/src/planner/recovery/inherited.rs
+++ b/crates/job/src/planner/recovery/inherited.rs
@@ -22,9 +22,15 @@
 use crate::planner::WorkerKey;
 use crate::planner::state::job_state::Phase;
 
+/// Time after recovery within which a crash of a worker of the former owner is found. Crashes are
+/// looked up in the list of machines twice a second, and most outages of the list are shorter.
+const CRASH_SEARCH_TIME: Duration = Duration::from_secs(20);
+
 /// Placements of the former owner on workers that have neither sent a report nor ended.
 #[derive(Debug, Default)]
 pub(crate) struct InheritedRuns {
+    /// End of the search for crashes of these workers; zero before recovery has ended.
+    search_end: Duration,
     by_task: BTreeMap<TaskKey, Placement>,
     by_worker: HashMap<WorkerId, Vec<TaskKey>>,
 }
@@ -41,6 +47,11 @@
         self.by_task.get(&task)
     }
 
+    /// Returns whether the fate of runs on a worker is unknown and its crash is looked for at `now`.
+    pub(crate) fn searched(&self, id: &str, now: Duration) -> bool {
+        now < self.search_end && self.by_worker.contains_key(id)
+    }
+
     /// Removes and returns the placements on a worker.
     fn take_worker(&mut self, id: &str) -> Vec<(TaskKey, Placement)> {
         let tasks = self.by_worker.remove(id).unwrap_or_default();
@@ -103,7 +114,14 @@
                     any_suspect |= self.record_crash(task, placement.run, false, false);
                 }
                 LossCause::Left => self.clear_run(task, placement.run),
-                _ => {}
+                _ => {
+                    // The worker's fate will not be learnt any more.
+                    if let Some(suspicion) = self.suspicion_of(task) {
+                        suspicion
+                            .assumed
+                            .take_if(|assumed| *assumed == placement.run);
+                    }
+                }
             }
         }
         if unreported && cause == LossCause::Crashed && !any_suspect {
@@ -112,7 +130,8 @@
     }
 
     /// Counts an uncertain crash for each placement on a worker of which nothing is known when the
-    /// recovery ends. The count is corrected once the worker sends a report.
+    /// recovery ends. The count is corrected once the worker sends a report. No job fails for such a
+    /// crash, see [`Planner::resolve_assumed`].
     pub(crate) fn assume_crashes(&mut self) {
         let by_id = &self.by_id;
         let unknown: Vec<(TaskKey, Placement)> = self
@@ -133,7 +152,29 @@
             let job = self.jobs.get(&task.step.job);
             if job.and_then(|job| job.phase(task)) == Some(Phase::Waiting) {
                 self.record_crash(task, placement.run, false, false);
+                if let Some(suspicion) = self.suspicion_of(task) {
+                    suspicion.assumed = Some(placement.run);
+                }
             }
         }
+        self.inherited.search_end = self.now + CRASH_SEARCH_TIME;
+    }
+
+    /// Takes back the assumed crash of a task, once a crash would have been found. Until then, the
+    /// task waits. Returns false if no crash of the task is assumed.
+    pub(crate) fn resolve_assumed(&mut self, task: TaskKey) -> bool {
+        let (now, search_end) = (self.now, self.inherited.search_end);
+        let Some(suspicion) = self.suspicion_of(task) else {
+            return false;
+        };
+        let Some(run) = suspicion.assumed else {
+            return false;
+        };
+        if now < search_end {
+            suspicion.not_before = search_end;
+        } else {
+            self.clear_run(task, run);
+        }
+        true
     }
 }
--- a/crates/job/src/planner/state/suspicion.rs
+++ b/crates/job/src/planner/state/suspicion.rs
@@ -16,7 +16,8 @@
 //!   start is a trial: alone on a worker, after a delay;
 //! - the task's job fails if the worker of a trial crashes as well, unless other workers without
 //!   suspects crashed at the same time, and in any case after [`MAX_CRASHES`] crashes,
-//!   certain or not.
+//!   certain or not, once the fate of each worker that is assumed to have crashed is known, see
+//!   [`crate::planner::recovery::inherited`].
 
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -76,6 +77,8 @@
     /// for whose crash a common cause is likely: several workers without suspects crashed just
     /// before.
     pub(crate) uncertain: BTreeSet<RunId>,
+    /// The uncertain run of the former owner whose worker has neither ended nor sent a report.
+    pub(crate) assumed: Option<RunId>,
     /// Intent of the next start, or of the newest one while the end of its run is not reported yet.
     pub(crate) intent: Option<StartIntent>,
     /// No trial starts before this time.
@@ -158,6 +161,7 @@
     /// it had a start intent.
     pub(crate) fn clear_run(&mut self, run: RunId) -> bool {
         let intent = self.intent.take_if(|intent| intent.run == run);
+        self.assumed.take_if(|assumed| *assumed == run);
         let counted = self.crashes.remove(&run) | self.uncertain.remove(&run);
         counted || intent.is_some()
     }
--- a/crates/job/tests/start_intents.rs
+++ b/crates/job/tests/start_intents.rs
@@ -3,14 +3,18 @@
 
 mod support;
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use job::CrashRecord;
 use job::JobSpec;
+use job::JobStatus;
 use job::Placement;
 use job::Planner;
 use job::Progress;
+use job::StartReply;
 use job::WorkerInfo;
+use job::WorkerKey;
 
 use support::task;
 
@@ -133,3 +137,92 @@
     let saved = save(&mut planner).expect("unsaved progress");
     assert!(saved.crashes[&(0, 0, 0)].uncertain.is_empty());
 }
+
+/// Creates a successor that has waited for the leases of the former owner to end. Of a task with four
+/// uncertain crashes, it has the placement of a fifth run on a worker that answers no calls. A second
+/// worker is idle.
+fn with_silent_worker() -> (Planner, [WorkerKey; 2]) {
+    let mut progress = Progress::default();
+    let record = CrashRecord {
+        uncertain: (1..=4).collect(),
+        pending: Some(5),
+        ..CrashRecord::default()
+    };
+    let placement = Placement {
+        run: 5,
+        worker: "w1".to_owned(),
+        incarnation: None,
+    };
+    progress.crashes.insert((0, 0, 0), record);
+    progress.placements.insert((0, 0, 0), placement);
+    let mut planner = support::planner(2);
+    let keys = ["w1", "w2"].map(|id| {
+        let row = support::worker(id);
+        let key = planner.restore_worker(row).expect("a new worker");
+        planner.register_worker(support::worker(id));
+        key
+    });
+    let spec = support::spec(vec![support::step(1)]);
+    planner.add_job(1, spec, Some(&progress), true);
+    planner.mark_unresponsive(keys[0]);
+    pass_seconds(&mut planner, 1..=12, keys[1]);
+    (planner, keys)
+}
+
+/// Lets a worker report every second, and saves all progress. Returns the number of starts.
+fn pass_seconds(planner: &mut Planner, seconds: RangeInclusive<u64>, key: WorkerKey) -> usize {
+    let mut count = 0;
+    for second in seconds {
+        planner.advance(Duration::from_secs(second));
+        planner.extend_lease(key);
+        let report = support::worker_report(vec![], vec![]);
+        planner.apply_report(key, Duration::from_secs(second), &report);
+        for (task, run, key) in support::plan_at(planner, 1000 * second) {
+            planner.start_reply(key, task, run, StartReply::Unknown);
+            count += 1;
+        }
+        save(planner);
+    }
+    count
+}
+
+/// Guards against a failed job of a task with four crashes: its next start was intended on a worker
+/// that answers no calls, but is still in the list of machines.
+#[test]
+fn an_assumed_crash_does_not_fail_a_job() {
+    let (mut planner, [silent, idle]) = with_silent_worker();
+    let searched = planner.unresponsive_workers();
+
+    let at_once = pass_seconds(&mut planner, 13..=20, idle);
+    let later = pass_seconds(&mut planner, 21..=40, idle);
+
+    assert_eq!(searched, [(silent, "w1".to_owned())]);
+    assert_eq!((at_once, later.min(1)), (0, 1));
+    assert_ne!(planner.job_status(1), Some(JobStatus::Failed));
+}
+
+/// Guards against a sixth start: the crash of the silent worker is found after the recovery.
+#[test]
+fn an_assumed_crash_that_is_found_fails_the_job() {
+    let (mut planner, [silent, idle]) = with_silent_worker();
+
+    planner.worker_ended(silent);
+    let starts = pass_seconds(&mut planner, 13..=40, idle);
+
+    assert_eq!(starts, 0);
+    assert_eq!(planner.job_status(1), Some(JobStatus::Failed));
+}
+
+/// Guards against a wait for the crash of a worker that has sent its report.
+#[test]
+fn a_report_takes_an_assumed_crash_back() {
+    let (mut planner, [silent, idle]) = with_silent_worker();
+
+    planner.extend_lease(silent);
+    let report = support::worker_report(vec![], vec![]);
+    planner.apply_report(silent, Duration::from_secs(13), &report);
+    let starts = pass_seconds(&mut planner, 13..=18, idle);
+
+    assert!(starts > 0, "no start");
+    assert_eq!(planner.unresponsive_workers(), []);
+}
