job: a start that may not be recorded brings the trial forward

Cause: the successor takes the first crash under it for the first of all, so the trial comes after four.

Now, if a worker of the former owner has crashed, or may have, before it sent a report, then a task of a job that the former owner may have started, of which no crash is known, is tried alone one crash sooner. That proves nothing: the verdict of a trial and the limit of crashes count known crashes as before, so no sound task is given up sooner.

a_start_that_is_not_recorded_brings_the_trial_forward was red before (6 starts). Without any one of the conditions, known_starts_do_not_bring_the_trial_forward fails.

--- a/crates/job/src/planner/crashes/crash_count.rs
+++ b/crates/job/src/planner/crashes/crash_count.rs
@@ -98,10 +98,12 @@
         alone: bool,
     ) -> bool {
         let now = self.now;
+        let first_run = run == self.run_base + 1;
         let job = self.jobs.get_mut(&task.step.job);
         let Some(job) = job.filter(|job| job.outcome.is_none()) else {
             return false;
         };
+        let unrecorded = self.suspects.unreported_crash && job.maybe_started && first_run;
         let Some((_, step)) = job.step_mut(task.step) else {
             return false;
         };
@@ -109,7 +111,9 @@
         let Some(state) = state.filter(|state| state.phase != Phase::Done) else {
             return false;
         };
+        let unrecorded = unrecorded && state.suspicion.is_none();
         let suspicion = state.suspicion.get_or_insert_default();
+        suspicion.unrecorded_start |= unrecorded;
         suspicion.intent = suspicion.intent.filter(|intent| intent.run != run);
         suspicion.assumed.take_if(|assumed| *assumed == run);
         if certain {
--- a/crates/job/src/planner/recovery/inherited.rs
+++ b/crates/job/src/planner/recovery/inherited.rs
@@ -88,6 +88,7 @@
         let worker = &self.workers[key];
         let (id, incarnation) = (worker.info.id.clone(), worker.info.incarnation);
         let unreported = !worker.claimed && worker.inherited;
+        self.suspects.unreported_crash |= unreported && cause == LossCause::Crashed;
         let placed = self.inherited.take_worker(&id);
         let other_runs = placed.len().saturating_sub(1);
         let tasks = placed.iter().map(|(task, _)| *task).collect();
@@ -133,6 +134,9 @@
     /// recovery ends. The count is corrected once the worker sends a report. No job fails for such a
     /// crash, see [`Planner::resolve_assumed`].
     pub(crate) fn assume_crashes(&mut self) {
+        let mut workers = self.workers.values();
+        let unreported = workers.any(|worker| worker.inherited && !worker.claimed);
+        self.suspects.unreported_crash |= unreported;
         let by_id = &self.by_id;
         let unknown: Vec<(TaskKey, Placement)> = self
             .inherited
--- a/crates/job/src/planner/state/suspicion.rs
+++ b/crates/job/src/planner/state/suspicion.rs
@@ -52,6 +52,8 @@
     /// A suspect was alone on a worker that crashed, and it is not decided yet whether the suspect
     /// caused the crash.
     pub(crate) decision_due: bool,
+    /// A worker of the former owner has crashed, or may have, before it sent a report.
+    pub(crate) unreported_crash: bool,
     /// Recent crashes of workers that had no suspects.
     pub(crate) unexplained: VecDeque<UnexplainedCrash>,
     /// Findings since the last [`crate::planner::Planner::take_findings`].
@@ -79,6 +81,9 @@
     pub(crate) uncertain: BTreeSet<RunId>,
     /// The uncertain run of the former owner whose worker has neither ended nor sent a report.
     pub(crate) assumed: Option<RunId>,
+    /// The former owner may have started a run of the task that it did not record, and the worker
+    /// of which has crashed.
+    pub(crate) unrecorded_start: bool,
     /// Intent of the next start, or of the newest one while the end of its run is not reported yet.
     pub(crate) intent: Option<StartIntent>,
     /// No trial starts before this time.
@@ -132,9 +137,11 @@
     }
 
     /// Returns whether the task may only start alone on a worker. Crashes of workers with other
-    /// runs do not prove that the task caused them.
+    /// runs do not prove that the task caused them. A start that may not be recorded brings the
+    /// trial forward, but proves nothing.
     pub(crate) fn needs_trial(&self) -> bool {
-        self.crashes.len() >= CERTAIN_CRASH_LIMIT || self.crash_count() >= ANY_CRASH_LIMIT
+        let possible = self.crash_count() + usize::from(self.unrecorded_start);
+        self.crashes.len() >= CERTAIN_CRASH_LIMIT || possible >= ANY_CRASH_LIMIT
     }
 
     /// Returns whether enough crashes count against the task that a crash during a trial, without
--- a/crates/job/tests/crash_owners.rs
+++ b/crates/job/tests/crash_owners.rs
@@ -6,11 +6,16 @@
 
 use std::time::Duration;
 
+use job::Finding;
 use job::JobStatus;
+use job::TaskKey;
 
 use crash_sim::CRASH_DELAY;
 use crash_sim::CrashSim;
+use crash_sim::DETECTION_DELAY;
+use crash_sim::FAILURE_LIMIT;
 use crash_sim::MAX_STARTS;
+use crash_sim::TICK;
 use support::task;
 
 /// Submits `crashing` jobs of one task that crashes its workers, and twice as many jobs whose
@@ -102,3 +107,95 @@
         assert_eq!(sim.status(id), Some(JobStatus::Completed), "job {id}");
     }
 }
+
+/// Creates 30 workers, and tasks of 20 s for five sixths of their cores.
+fn with_other_tasks() -> CrashSim {
+    let mut sim = CrashSim::new(30);
+    sim.submit_tasks(2, 100, 20_000);
+    sim.run(Duration::from_millis(200));
+    sim
+}
+
+/// Submits the job of the task, and runs until it is started. Returns its machine.
+fn start_first(sim: &mut CrashSim, task: TaskKey) -> usize {
+    sim.submit_tasks(task.step.job, 1, 800);
+    sim.run_until(FAILURE_LIMIT, |sim| sim.machine_of(task).is_some());
+    sim.machine_of(task).expect("a machine")
+}
+
+/// Crashes three other workers, and then that of the task, whose crash is thus uncertain.
+fn crash_beside_others(sim: &mut CrashSim, task: TaskKey) {
+    let machine = sim.machine_of(task).expect("a machine");
+    let others = sim.machines_before_crash().into_iter();
+    for other in others.filter(|other| *other != machine).take(3) {
+        sim.crash(other);
+    }
+    sim.run(Duration::from_millis(100));
+    sim.crash(machine);
+    sim.run(DETECTION_DELAY);
+}
+
+/// Crashes the worker of each start of a task beside others until a start is a trial. Returns the
+/// number of its crashes until then.
+fn crash_until_trial(sim: &mut CrashSim, task: TaskKey) -> usize {
+    sim.planner.take_findings();
+    loop {
+        sim.run_until(FAILURE_LIMIT, |sim| sim.machine_of(task).is_some());
+        sim.run(TICK);
+        let findings = sim.planner.take_findings();
+        let mut findings = findings.into_iter();
+        if findings.any(|suspect| suspect.finding == Finding::Tried) {
+            return sim.crash_count(task);
+        }
+        crash_beside_others(sim, task);
+    }
+}
+
+/// Guards against a sixth start: an owner dies before it has recorded the first start, the next
+/// crashes are uncertain, and so is that of the first trial.
+#[test]
+fn a_start_that_is_not_recorded_brings_the_trial_forward() {
+    let crashing = task(1, 0, 0);
+    let mut sim = with_other_tasks();
+    let machine = start_first(&mut sim, crashing);
+    sim.crash(machine);
+    sim.take_over();
+
+    crash_until_trial(&mut sim, crashing);
+    crash_beside_others(&mut sim, crashing);
+    sim.crashers.insert(crashing, CRASH_DELAY);
+    sim.run(FAILURE_LIMIT);
+
+    let starts = sim.start_count(crashing);
+    assert!(starts <= MAX_STARTS, "{starts} starts");
+    assert_eq!(sim.status(1), Some(JobStatus::Failed));
+}
+
+/// Guards against trials of tasks of which each start is recorded, or none can have taken place.
+#[test]
+fn known_starts_do_not_bring_the_trial_forward() {
+    let crashing = task(1, 0, 0);
+
+    let mut no_crash = with_other_tasks();
+    no_crash.submit_tasks(1, 1, 800);
+    no_crash.take_over();
+    let mut new_job = with_other_tasks();
+    new_job.crash(29);
+    new_job.take_over();
+    new_job.run(Duration::from_secs(10));
+    new_job.submit_tasks(1, 1, 800);
+    let mut adopted = with_other_tasks();
+    start_first(&mut adopted, crashing);
+    adopted.crash(29);
+    adopted.take_over();
+    let mut recorded = with_other_tasks();
+    start_first(&mut recorded, crashing);
+    crash_beside_others(&mut recorded, crashing);
+    recorded.run(Duration::from_millis(100));
+    recorded.crash(29);
+    recorded.take_over();
+
+    for mut sim in [no_crash, new_job, adopted, recorded] {
+        assert_eq!(crash_until_trial(&mut sim, crashing), 3);
+    }
+}
