job: the lookup of workers without booked runs goes; tests of the two mends

It is not needed: the registration of a worker that has crashed expires, and its assumed crash then stands.

an_assumed_crash_is_taken_back_once and a_silent_worker_brings_the_trial_forward fail without the conditions that they guard.

--- a/crates/job/src/planner/recovery/inherited.rs
+++ b/crates/job/src/planner/recovery/inherited.rs
@@ -22,8 +22,8 @@
 use crate::planner::WorkerKey;
 use crate::planner::state::job_state::Phase;
 
-/// Time after recovery within which a crash of a worker of the former owner is found. Crashes are
-/// looked up in the list of machines twice a second, and most outages of the list are shorter.
+/// Time after recovery within which a crash of a worker of the former owner is found: its registration
+/// expires, or it reports as another incarnation. Most outages of the store are shorter.
 const CRASH_SEARCH_TIME: Duration = Duration::from_secs(20);
 
 /// Placements of the former owner on workers that have neither sent a report nor ended.
@@ -47,11 +47,6 @@
         self.by_task.get(&task)
     }
 
-    /// Returns whether the fate of runs on a worker is unknown and its crash is looked for at `now`.
-    pub(crate) fn searched(&self, id: &str, now: Duration) -> bool {
-        now < self.search_end && self.by_worker.contains_key(id)
-    }
-
     /// Removes and returns the placements on a worker.
     fn take_worker(&mut self, id: &str) -> Vec<(TaskKey, Placement)> {
         let tasks = self.by_worker.remove(id).unwrap_or_default();
--- a/crates/job/src/planner/state/roster.rs
+++ b/crates/job/src/planner/state/roster.rs
@@ -376,8 +376,7 @@
 
     /// Returns the workers to look up in the list of machines, since they may have crashed or left.
     /// During recovery, these are the workers that have not sent a report. At any time, they are
-    /// also the unresponsive or unregistered workers that have runs, or may have runs of the former
-    /// owner; while a decision on a suspect
+    /// also the unresponsive or unregistered workers that have runs; while a decision on a suspect
     /// is due, also those without runs, since they may have crashed together with the suspect's
     /// worker. Without the last case, when a rack of idle workers lost power, only the worker with
     /// a trial was found to have crashed.
@@ -387,8 +386,7 @@
         let awaited = self.workers.iter().filter(|(_, worker)| {
             let report_due = recovering && !worker.claimed;
             let absent = worker.unresponsive || worker.unregistered;
-            let searched = self.inherited.searched(&worker.info.id, self.now);
-            let needed = !worker.runs.is_empty() || self.suspects.decision_due || searched;
+            let needed = !worker.runs.is_empty() || self.suspects.decision_due;
             report_due || absent && needed
         });
         awaited
--- a/crates/job/tests/crash_owners.rs
+++ b/crates/job/tests/crash_owners.rs
@@ -151,15 +151,17 @@
     }
 }
 
-/// Guards against a sixth start: an owner dies before it has recorded the first start, the next
-/// crashes are uncertain, and so is that of the first trial.
-#[test]
-fn a_start_that_is_not_recorded_brings_the_trial_forward() {
+/// Replaces the owner before it has recorded the first start of a task, and whose crash is found
+/// `detection` later. The next crashes are uncertain, and so is that of the first trial.
+fn check_unrecorded_start(detection: Duration) {
     let crashing = task(1, 0, 0);
     let mut sim = with_other_tasks();
     let machine = start_first(&mut sim, crashing);
     sim.crash(machine);
+    sim.detection_delay = detection;
     sim.take_over();
+    sim.run_until(FAILURE_LIMIT, |sim| !sim.planner.recovering());
+    sim.detection_delay = DETECTION_DELAY;
 
     crash_until_trial(&mut sim, crashing);
     crash_beside_others(&mut sim, crashing);
@@ -171,6 +173,19 @@
     assert_eq!(sim.status(1), Some(JobStatus::Failed));
 }
 
+/// Guards against a sixth start: the worker of a start that is not recorded crashes, and this is found
+/// during recovery.
+#[test]
+fn a_start_that_is_not_recorded_brings_the_trial_forward() {
+    check_unrecorded_start(DETECTION_DELAY);
+}
+
+/// Guards against a sixth start: the crash of the worker is not found before recovery ends.
+#[test]
+fn a_silent_worker_brings_the_trial_forward() {
+    check_unrecorded_start(Duration::from_secs(20));
+}
+
 /// Guards against trials of tasks of which each start is recorded, or none can have taken place.
 #[test]
 fn known_starts_do_not_bring_the_trial_forward() {
