--- a/crates/job/src/planner/crashes/crash_count.rs
+++ b/crates/job/src/planner/crashes/crash_count.rs
@@ -98,10 +98,12 @@
         alone: bool,
     ) -> bool {
         let now = self.now;
+        let first_run = run == self.run_base + 1;
         let job = self.jobs.get_mut(&task.step.job);
         let Some(job) = job.filter(|job| job.outcome.is_none()) else {
             return false;
         };
+        let unrecorded = self.suspects.unreported_crash && job.maybe_started && first_run;
         let Some((_, step)) = job.step_mut(task.step) else {
             return false;
         };
@@ -109,8 +111,11 @@
         let Some(state) = state.filter(|state| state.phase != Phase::Done) else {
             return false;
         };
+        let unrecorded = unrecorded && state.suspicion.is_none();
         let suspicion = state.suspicion.get_or_insert_default();
+        suspicion.unrecorded_start |= unrecorded;
         suspicion.intent = suspicion.intent.filter(|intent| intent.run != run);
+        suspicion.assumed.take_if(|assumed| *assumed == run);
         if certain {
             suspicion.crashes.insert(run);
         } else {
@@ -141,8 +146,8 @@
             return;
         }
         let needs_trial = suspicion.needs_trial();
-        // The wait for the next trial begins now.
-        suspicion.not_before = suspicion.not_before.max(now);
+        // The wait for the next trial begins now; that for the fate of an assumed crash has ended.
+        suspicion.not_before = suspicion.not_before.min(now + TRIAL_DELAY).max(now);
         self.dirty_jobs.insert(task.step.job);
         if needs_trial {
             self.record_finding(task, run, Finding::Cleared);
