job: placement by expected end, on workers that differ in speed

Cause: two classes of speed, from wide steps only, forgotten slowly; no preference for the fastest.

Change, behind the optional mechanism placement_by_end: a factor on run times per worker with its variance, a gate that leaves pools of about equal workers alone, and a speed need of each step that decides placement, advice candidates and reservations.

The need less 0.2 s for handling is not measured yet.

--- a/crates/cell/src/owner/commands.rs
+++ b/crates/cell/src/owner/commands.rs
@@ -96,7 +96,8 @@
         start.token = link.fencing.begin_start();
         log::info!(
             code = 350, task:% = start.task, run = start.run, worker = link.id.as_str(),
-            epoch = self.epoch, resumes = !start.checkpoint.is_empty();
+            epoch = self.epoch, resumes = !start.checkpoint.is_empty(),
+            factor_percent = self.planner.factor_percent(worker);
             "run start sent"
         );
         self.start_window.record_sent();
--- a/crates/cell/src/owner/load.rs
+++ b/crates/cell/src/owner/load.rs
@@ -33,10 +33,30 @@
             unfinished = load.unfinished;
             "load of the pool; cpu in 1/1000 cores, memory in MB; reserved for gangs: kept_idle cpu on kept workers"
         );
+        self.log_speeds();
         self.log_traffic();
         self.log_limits();
     }
 
+    /// Logs the speeds of the workers, and updates their metrics.
+    fn log_speeds(&self) {
+        let Some(speeds) = self.planner.pool_speeds() else {
+            return;
+        };
+        let (fast, middle, slow) = (speeds.fast, speeds.middle, speeds.slow);
+        log::info!(
+            code = 379, epoch = self.epoch, differs = speeds.differs,
+            fast_percent = speeds.fast_percent, slow_percent = speeds.slow_percent,
+            fast = fast.workers, middle = middle.workers, slow = slow.workers, unknown = speeds.unknown,
+            fast_free = fast.free_cpu, middle_free = middle.free_cpu, slow_free = slow.free_cpu;
+            "speeds of the workers: run times on a fast and a slow one in percent of the mean; workers by speed, and their free processors in 1/1000 cores"
+        );
+        for (name, class) in [("fast", fast), ("middle", middle), ("slow", slow)] {
+            self.set_pool(&format!("workers_{name}"), class.workers as u64);
+            self.set_pool(&format!("cpu_free_{name}"), class.free_cpu);
+        }
+    }
+
     /// Logs the organisations whose limits delay the most work.
     fn log_limits(&self) {
         for delayed in self.planner.delayed_organisations(MAX_ORGANISATIONS) {
@@ -115,11 +135,7 @@
     }
 
     fn publish_load(&self, load: &Load) {
-        let pool = &self.context.metrics.pool;
-        let set = |figure: &str, value: u64| {
-            let value = i64::try_from(value).unwrap_or(i64::MAX);
-            pool.with_label_values(&[figure]).set(value);
-        };
+        let set = |figure: &str, value: u64| self.set_pool(figure, value);
         set("usable", load.usable as u64);
         set("placed", load.placed as u64);
         set("running", load.running as u64);
@@ -130,4 +146,11 @@
         set("memory", load.capacity.memory);
         set("memory_used", load.booked.memory);
     }
+
+    /// Sets one figure of the pool's metric.
+    fn set_pool(&self, figure: &str, value: u64) {
+        let value = i64::try_from(value).unwrap_or(i64::MAX);
+        let pool = &self.context.metrics.pool;
+        pool.with_label_values(&[figure]).set(value);
+    }
 }
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -51,6 +51,7 @@
 use state::roster::WorkerState;
 use state::suspicion::Suspects;
 use times::run_times::RunTimes;
+use times::spread::Spread;
 
 pub use limits::organisations::DelayedOrganisation;
 pub use placement::advice::AdviceRequest;
@@ -65,6 +66,8 @@
 pub use state::load::Timing;
 pub use state::loss::LossCause;
 pub use state::loss::LostRun;
+pub use state::pool_speeds::ClassLoad;
+pub use state::pool_speeds::PoolSpeeds;
 pub use state::roster::Capacity;
 pub use state::stop_reason::StopReason;
 pub use state::suspicion::Finding;
@@ -166,6 +169,10 @@
     run_times: RunTimes,
     /// When the expected run times of open jobs were last computed.
     refreshed_at: Duration,
+    /// Speeds of the workers as a whole.
+    speeds: Spread,
+    /// When they were last computed.
+    speeds_at: Duration,
     /// Steps that may need an advice call, in order of rank.
     advice_queue: AdviceQueue,
     /// Learnt mean work of a job, by queue.
@@ -249,6 +256,8 @@
             gang_cpu: 0,
             run_times: RunTimes::default(),
             refreshed_at: now,
+            speeds: Spread::default(),
+            speeds_at: now,
             advice_queue: AdviceQueue::default(),
             mean_work: HashMap::new(),
             overdue_gang: None,
@@ -376,6 +385,7 @@
             self.unmatched_ends.clear();
         }
         self.open_rounds();
+        self.refresh_speeds();
         self.refresh_estimates();
         self.fail_impossible_jobs();
     }
--- a/crates/job/src/planner/placement/advice.rs
+++ b/crates/job/src/planner/placement/advice.rs
@@ -192,6 +192,7 @@
             spec,
             step,
             parallel,
+            need: self.speed_need(key),
         });
         let asked_count = u32::try_from(workers.len()).unwrap_or(u32::MAX);
         Some(AdviceRequest {
--- a/crates/job/src/planner/placement/advice_candidates.rs
+++ b/crates/job/src/planner/placement/advice_candidates.rs
@@ -13,6 +13,7 @@
 use crate::planner::order::rank::Rank;
 use crate::planner::placement::advice::DEFAULT_SHARE;
 use crate::planner::placement::place::may_run;
+use crate::planner::placement::speed_order::SpeedNeed;
 use crate::planner::state::job_state::JobState;
 use crate::planner::state::job_state::StepState;
 use crate::planner::state::roster::WorkerState;
@@ -44,6 +45,12 @@
 /// before the answer arrives.
 const SLOT_MARGIN: f64 = 2.5;
 
+/// Smallest share of allowed workers that is assumed.
+const MIN_SHARE: f64 = 0.05;
+
+/// Added to the position of a worker without slots: more than any difference in speed.
+const FULL_POSITION: i16 = 100;
+
 /// A step that needs workers, with the data for selecting those to ask about.
 #[derive(Clone, Copy)]
 pub(crate) struct AdviceQuery<'a> {
@@ -54,6 +61,8 @@
     pub step: &'a StepState,
     /// Whether several calls for the step may be made at the same time.
     pub parallel: bool,
+    /// Speed that the step needs, if workers differ in speed.
+    pub need: Option<SpeedNeed>,
 }
 
 /// A worker that could run a step.
@@ -64,6 +73,10 @@
     /// Number of tasks of the step that fit on the worker's available resources.
     slots: u64,
     slow: bool,
+    /// Speed class of the worker.
+    class: i16,
+    /// Position in the step's order of preference by speed; lower is better.
+    position: i16,
 }
 
 /// Workers with enough capacity for a step, grouped by the answers of the advice service.
@@ -77,6 +90,37 @@
     unasked: Vec<AdviceCandidate<'a>>,
 }
 
+impl ClassifiedWorkers<'_> {
+    /// Sets the positions of the workers by the speed that the step needs, if workers differ in
+    /// speed. Workers without slots come last.
+    fn order_by_speed(&mut self, query: AdviceQuery, share: f64) {
+        let Some(mut need) = query.need else {
+            return;
+        };
+        let known = self.allowed.iter().chain(&self.in_call);
+        if query.spec.gang {
+            let all = known.chain(&self.unasked);
+            let classes: Vec<(i16, u64)> = all.map(|one| (one.class, one.slots)).collect();
+            let wanted = wanted_slots(query.step.waiting()) / share.max(MIN_SHARE);
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+            let wanted = wanted as u64;
+            need = need.for_gang(wanted, &classes);
+        }
+        let workers = self.allowed.iter_mut().chain(&mut self.unasked);
+        for worker in workers {
+            let full = i16::from(worker.slots == 0) * FULL_POSITION;
+            worker.position = need.position(worker.class) + full;
+        }
+    }
+}
+
+/// Returns the number of slots to ask for so that enough are left when the answer arrives.
+fn wanted_slots(needed: usize) -> f64 {
+    #[allow(clippy::cast_precision_loss)]
+    let needed = needed as f64;
+    needed * SLOT_MARGIN
+}
+
 /// Returns the total number of slots of some workers.
 fn slots(workers: &[AdviceCandidate]) -> u64 {
     let each = workers.iter().map(|candidate| candidate.slots);
@@ -100,6 +144,9 @@
         classified
             .allowed
             .retain(|candidate| suits(candidate.worker));
+        let share = self.allowed_shares.get(&job.spec.queue.name);
+        let share = share.copied().unwrap_or(DEFAULT_SHARE);
+        classified.order_by_speed(query, share);
         if !step.advised.calls.is_empty() {
             return self.more_workers_to_ask(query, classified, advice);
         }
@@ -110,8 +157,6 @@
         let needed = if spec.gang { step.waiting() as u64 } else { 1 };
         let call_size = max_per_call(query, advice);
         let enough = slots(&classified.allowed) >= needed;
-        let share = self.allowed_shares.get(&job.spec.queue.name);
-        let share = share.copied().unwrap_or(DEFAULT_SHARE);
         #[allow(clippy::cast_precision_loss)]
         let expected =
             slots(&classified.allowed) as f64 + slots(&classified.unasked) as f64 * share;
@@ -245,6 +290,8 @@
             worker,
             slots: available.fit_count(&booked),
             slow: self.slow(worker),
+            class: self.speed_class(worker),
+            position: 0,
         })
     }
 
@@ -261,9 +308,10 @@
     ) -> Vec<AdviceCandidate<'a>> {
         let needed = query.step.waiting();
         let prefers_slow = self.prefers_slow(query.key);
+        let tight = query.need.is_some_and(SpeedNeed::tight);
         let reserved = |candidate: &AdviceCandidate| {
-            self.reservations
-                .reserved_for_other(candidate.key, query.key)
+            let reservations = &self.reservations;
+            !tight && reservations.reserved_for_other(candidate.key, query.key)
         };
         let (reserved, unreserved): (Vec<_>, Vec<_>) = workers.into_iter().partition(reserved);
         let mut chosen = tightest_fit(unreserved, needed, share, limit, prefers_slow);
@@ -294,7 +342,7 @@
 /// for a gang even if some slots are taken before the answer arrives.
 fn most_slots(mut workers: Vec<AdviceCandidate>, needed: u64) -> Vec<AdviceCandidate> {
     workers.retain(|candidate| candidate.slots > 0);
-    workers.sort_by_key(|candidate| (candidate.slow, Reverse(candidate.slots)));
+    workers.sort_by_key(|candidate| (candidate.position, candidate.slow, Reverse(candidate.slots)));
     #[allow(
         clippy::cast_precision_loss,
         clippy::cast_possible_truncation,
@@ -316,6 +364,7 @@
     workers.sort_by_key(|candidate| {
         let available = Reverse(candidate.worker.free().cpu);
         (
+            candidate.position,
             candidate.slow,
             Reverse(candidate.slots.min(MAX_SLOTS)),
             available,
@@ -345,9 +394,11 @@
     prefers_slow: bool,
 ) -> Vec<AdviceCandidate> {
     workers.retain(|candidate| candidate.slots > 0);
-    workers.sort_by_key(|candidate| (candidate.slow != prefers_slow, candidate.worker.free().cpu));
-    #[allow(clippy::cast_precision_loss)]
-    let wanted = needed as f64 * SLOT_MARGIN / share.max(0.05);
+    workers.sort_by_key(|candidate| {
+        let wrong_speed = candidate.slow != prefers_slow;
+        (candidate.position, wrong_speed, candidate.worker.free().cpu)
+    });
+    let wanted = wanted_slots(needed) / share.max(MIN_SHARE);
     let mut slots: f64 = 0.0;
     let mut chosen = Vec::new();
     for candidate in workers {
--- a/crates/job/src/planner/placement/mod.rs
+++ b/crates/job/src/planner/placement/mod.rs
@@ -7,4 +7,5 @@
 pub(crate) mod place;
 pub(crate) mod preempt;
 pub(crate) mod reservations;
+pub(crate) mod speed_order;
 pub(crate) mod speeds;
--- a/crates/job/src/planner/placement/place.rs
+++ b/crates/job/src/planner/placement/place.rs
@@ -12,6 +12,7 @@
 use crate::planner::WorkerKey;
 use crate::planner::order::rank::Rank;
 use crate::planner::placement::reservations::Reservations;
+use crate::planner::placement::speed_order::SpeedNeed;
 use crate::planner::state::job_state::JobState;
 use crate::planner::state::job_state::Phase;
 use crate::planner::state::job_state::StepState;
@@ -52,6 +53,8 @@
     recent_failures: u32,
     /// Whether the worker counts as slow.
     slow: bool,
+    /// Position in the step's order of preference by speed; lower is better.
+    pub(crate) position: i16,
 }
 
 impl Planner {
@@ -124,6 +127,8 @@
             return Vec::new();
         };
         let booked = spec.booked();
+        let need = self.speed_need(key);
+        let tight = need.is_some_and(SpeedNeed::tight);
         let valid_beyond = self.now + self.policy.ticket_margin;
         let mut found = Vec::new();
         for (worker_key, worker) in self.allowed_workers(job, step, valid_beyond) {
@@ -143,9 +148,10 @@
                 last_report: worker.last_report,
                 tasks_here: tasks_on_worker(worker, key, spec),
                 in_rack: spec.rack.is_empty() || info.labels.contains(&spec.rack),
-                reserved: self.reservations.reserved_for_other(worker_key, key),
+                reserved: !tight && self.reservations.reserved_for_other(worker_key, key),
                 recent_failures: worker.failure_streak,
                 slow: self.slow(worker),
+                position: self.speed_position(worker, need),
             });
         }
         found
@@ -251,6 +257,7 @@
                 candidate.reserved,
                 !candidate.in_rack,
                 candidate.recent_failures,
+                candidate.position,
                 wrong_speed,
                 tightness(candidate),
             )
@@ -288,6 +295,7 @@
             return self.place_suspected_gang(rank, key, spec, (trials, reservations));
         }
         let mut candidates = self.candidates(key, spec, reservations);
+        self.order_for_gang(key, spec, &mut candidates, tasks.len());
         let Some(slots) = assign_slots(&candidates, tasks.len(), spec) else {
             return false;
         };
@@ -424,6 +432,7 @@
             candidate.reserved,
             !candidate.in_rack,
             candidate.recent_failures,
+            candidate.position,
             candidate.slow,
             most_free,
         )
--- a/crates/job/src/planner/placement/reservations.rs
+++ b/crates/job/src/planner/placement/reservations.rs
@@ -164,7 +164,17 @@
             // would not help.
             return;
         }
-        allowed.sort_by_key(|(_, free, _)| Reverse(free.cpu));
+        let need_speed = self.speed_need(key).map(|speed| {
+            let workers = allowed.iter();
+            let workers: Vec<(i16, u64)> = workers
+                .map(|(worker, _, all)| (self.speed_class(&self.workers[*worker]), *all))
+                .collect();
+            speed.for_gang(u64::from(spec.count), &workers)
+        });
+        allowed.sort_by_cached_key(|(worker, free, _)| {
+            let position = self.speed_position(&self.workers[*worker], need_speed);
+            (position, Reverse(free.cpu))
+        });
         let mut unplaced = u64::from(spec.count);
         for (worker, free, _) in allowed {
             if unplaced == 0 {
--- a/crates/job/src/planner/reports/observed_times.rs
+++ b/crates/job/src/planner/reports/observed_times.rs
@@ -59,7 +59,7 @@
 
     /// Updates the learnt run times of a queue with a completed run. Members of a gang end
     /// together, so only the first reported end of a gang counts.
-    pub(crate) fn learn_run_time(&mut self, task: TaskKey, run: &PlacedRun) {
+    pub(crate) fn learn_run_time(&mut self, key: WorkerKey, task: TaskKey, run: &PlacedRun) {
         let learning = self.policy.switches.enabled(Mechanism::LearntTimes);
         if !learning || !run.from_start || run.phase != RunPhase::Running {
             return;
@@ -76,6 +76,7 @@
             (false, _) => 1.0 / f64::from(spec.count.max(1)),
         };
         let took = self.now.saturating_sub(run.phase_since);
+        let took = self.normalised(key, task, took);
         let queue = &job.spec.queue.name;
         self.run_times.observe(queue, spec.estimate, took, weight);
     }
--- a/crates/job/src/planner/reports/report.rs
+++ b/crates/job/src/planner/reports/report.rs
@@ -226,7 +226,8 @@
         }
         let trusted = worker.ends_trusted;
         if let Some(placed) = placed.filter(|_| end.how == RunEnd::Done) {
-            self.learn_run_time(end.task, &placed);
+            self.observe_factor(key, end.task, &placed);
+            self.learn_run_time(key, end.task, &placed);
             self.record_run(key, end.task, &placed);
         }
         // If the worker's first report may have come after its lease expired, an end of a run of
--- a/crates/job/src/planner/state/job_state.rs
+++ b/crates/job/src/planner/state/job_state.rs
@@ -22,6 +22,7 @@
 use crate::planner::WorkerKey;
 use crate::planner::state::suspicion::Suspicion;
 use crate::planner::times::expected::Expected;
+use crate::planner::times::factor::StepTimes;
 use crate::planner::times::run_times::RunTimes;
 
 /// Phase of a task.
@@ -86,6 +87,8 @@
     pub done: u32,
     /// Worker of each run that succeeded, and the logarithm of its duration in seconds.
     pub log_seconds: Vec<(WorkerKey, f64)>,
+    /// What its ended runs tell about the time that its tasks take.
+    pub times: StepTimes,
     /// Which workers may run the step, if its queue uses the advice service.
     pub advised: StepAdvice,
 }
@@ -105,6 +108,7 @@
             tasks: vec![task; spec.count as usize],
             done: 0,
             log_seconds: Vec::new(),
+            times: StepTimes::default(),
             advised: StepAdvice::default(),
         }
     }
--- a/crates/job/src/planner/state/mod.rs
+++ b/crates/job/src/planner/state/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod job_state;
 pub(crate) mod load;
 pub(crate) mod loss;
+pub(crate) mod pool_speeds;
 pub(crate) mod roster;
 pub(crate) mod stop_reason;
 pub(crate) mod suspicion;
--- a/crates/job/src/planner/state/roster.rs
+++ b/crates/job/src/planner/state/roster.rs
@@ -17,6 +17,7 @@
 use crate::planner::Planner;
 use crate::planner::StopReason;
 use crate::planner::WorkerKey;
+use crate::planner::times::factor::Factor;
 use crate::planner::times::speed::Speed;
 
 /// Capacity of a worker, which may shrink and grow while the worker runs.
@@ -130,6 +131,8 @@
     pub last_end: u64,
     /// Its speed relative to other workers.
     pub speed: Speed,
+    /// Its factor on run times.
+    pub factor: Factor,
     /// Number of consecutive failures of different jobs.
     pub failure_streak: u32,
     /// Job of the last of these failures.
@@ -161,6 +164,7 @@
             reply_until: Duration::ZERO,
             last_end: 0,
             speed: Speed::default(),
+            factor: Factor::default(),
             failure_streak: 0,
             failed_job: None,
             paused_until: Duration::ZERO,
