--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -52,6 +52,7 @@
 use state::roster::WorkerState;
 use state::suspicion::Suspects;
 use times::run_times::RunTimes;
+use times::spread::Spread;
 
 pub use limits::organisations::DelayedOrganisation;
 pub use placement::advice::AdviceRequest;
@@ -66,6 +67,8 @@
 pub use state::load::Timing;
 pub use state::loss::LossCause;
 pub use state::loss::LostRun;
+pub use state::pool_speeds::ClassLoad;
+pub use state::pool_speeds::PoolSpeeds;
 pub use state::roster::Capacity;
 pub use state::stop_reason::StopReason;
 pub use state::suspicion::Finding;
@@ -167,6 +170,10 @@
     run_times: RunTimes,
     /// When the expected run times of open jobs were last computed.
     refreshed_at: Duration,
+    /// Speeds of the workers as a whole.
+    speeds: Spread,
+    /// When they were last computed.
+    speeds_at: Duration,
     /// Steps that may need an advice call, in order of rank.
     advice_queue: AdviceQueue,
     /// Learnt mean work of a job, by queue.
@@ -253,6 +260,8 @@
             gang_cpu: 0,
             run_times: RunTimes::default(),
             refreshed_at: now,
+            speeds: Spread::default(),
+            speeds_at: now,
             advice_queue: AdviceQueue::default(),
             mean_work: HashMap::new(),
             overdue_gang: None,
@@ -380,6 +389,7 @@
             self.unmatched_ends.clear();
         }
         self.open_rounds();
+        self.refresh_speeds();
         self.refresh_estimates();
         self.fail_impossible_jobs();
     }
