job: shares of organisations by the work that they have and had running

An organisation's share was a number of jobs a second: a wide gang counted as much as a lookup, and bursts lost beside even work. With the optional mechanism work_shares, waiting steps are in bands by the use that their organisation would have if its more urgent steps ran, against its weighted max-min share of the pool.

--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -55,7 +55,7 @@
     /// Rows that cannot be decoded, by table; each worker's registration counts once.
     pub unreadable: IntCounterVec,
     /// Figures of the pool, set by its owner: `usable`, `placed`, `running`, `waiting`,
-    /// `unfinished`, `cpu`, `cpu_used`, `memory`, `memory_used`.
+    /// `unfinished`, `cpu`, `cpu_used`, `memory`, `memory_used`, `over_share`, `largest_use`.
     pub pool: IntGaugeVec,
     /// Epoch in which this process owns the pool; 0 if it does not.
     pub epoch: IntGauge,
--- a/crates/cell/src/owner/load.rs
+++ b/crates/cell/src/owner/load.rs
@@ -35,6 +35,7 @@
         );
         self.log_traffic();
         self.log_limits();
+        self.log_shares();
     }
 
     /// Logs the organisations whose limits delay the most work.
@@ -50,6 +51,24 @@
         }
     }
 
+    /// Logs the organisations that want more than their fair shares.
+    fn log_shares(&self) {
+        let pool = &self.context.metrics.pool;
+        let set = |figure: &str, value: u64| {
+            let value = i64::try_from(value).unwrap_or(i64::MAX);
+            pool.with_label_values(&[figure]).set(value);
+        };
+        set("over_share", self.planner.count_over_share() as u64);
+        set("largest_use", self.planner.largest_use());
+        for over in self.planner.organisations_over_share(MAX_ORGANISATIONS) {
+            log::info!(
+                code = 376, organisation = over.name.as_str(), epoch = self.epoch, steps = over.steps,
+                running = over.running, recent = over.recent, fair = over.fair;
+                "organisation wants more than its fair share: some of its steps go after those of others; in thousandths of the pool"
+            );
+        }
+    }
+
     /// Logs the traffic on the owner's link, which distinguishes a full link from workers that
     /// do not answer.
     fn log_traffic(&self) {
--- a/crates/job/src/planner/limits/organisations.rs
+++ b/crates/job/src/planner/limits/organisations.rs
@@ -24,17 +24,19 @@
 use crate::planner::OrganisationKey;
 use crate::planner::Planner;
 use crate::planner::limits::excess::Submissions;
+use crate::planner::limits::shares::Amount;
+use crate::planner::limits::shares::Usage;
 use crate::planner::order::rank::Rank;
 use crate::planner::state::roster::PlacedRun;
 use crate::planner::state::roster::WorkerState;
 
 /// The planner's state of an organisation.
 #[derive(Debug)]
-struct OrganisationState {
+pub(super) struct OrganisationState {
     /// Name given by the operator.
-    name: OrganisationName,
+    pub(super) name: OrganisationName,
     /// Configured limit. After the organisation has left the configuration, it is the last one.
-    limit: ResourceLimit,
+    pub(super) limit: ResourceLimit,
     /// Resources that its runs need, of all runs that may be active.
     used: Resources,
     /// Step that waits for the limit, and resources that steps after it may not use in this pass, beyond
@@ -42,10 +44,12 @@
     held: Option<(StepKey, Resources)>,
     /// Number of steps that the limit has delayed in this pass.
     delayed: usize,
-    /// Configured share, in jobs a second.
-    weight: f64,
+    /// Configured share, in jobs a second; with work shares, in relation to the weights of others.
+    pub(super) weight: f64,
     /// Jobs that it has submitted.
     submissions: Submissions,
+    /// What it has and had running.
+    pub(super) usage: Usage,
 }
 
 /// An organisation whose limit delays some of its work, for logs and metrics.
@@ -64,12 +68,14 @@
 /// Organisations of the jobs, and what each of them has running.
 #[derive(Debug, Default)]
 pub(crate) struct Organisations {
-    states: SlotMap<OrganisationKey, OrganisationState>,
+    pub(super) states: SlotMap<OrganisationKey, OrganisationState>,
     by_name: HashMap<OrganisationName, OrganisationKey>,
     /// Capacity of the workers on which unknown runs may be active.
     unknown: Resources,
     /// The limits are not known: the configuration was read too long ago.
     outdated: bool,
+    /// Use that a former owner has learnt, and when that was read, of organisations without jobs so far.
+    restored: HashMap<OrganisationName, (Amount, Duration)>,
 }
 
 impl Organisations {
@@ -79,6 +85,10 @@
         if let Some(&key) = self.by_name.get(&stored.name) {
             return key;
         }
+        let mut usage = Usage::default();
+        if let Some((mean, read_at)) = self.restored.remove(&stored.name) {
+            usage.restore(mean, read_at);
+        }
         let key = self.states.insert(OrganisationState {
             limit: stored.limit,
             used: Resources::default(),
@@ -87,6 +97,7 @@
             delayed: 0,
             weight: stored.weight,
             submissions: Submissions::default(),
+            usage,
         });
         self.by_name.insert(stored.name.clone(), key);
         key
@@ -102,16 +113,28 @@
     }
 
     /// Counts a run that may be active from now on.
-    pub(crate) fn add(&mut self, run: &PlacedRun) {
+    pub(crate) fn add(&mut self, run: &PlacedRun, now: Duration) {
         if let Some(state) = run.organisation.and_then(|key| self.states.get_mut(key)) {
             state.used = state.used.plus(&run.need());
+            state.usage.begin(run.priority, &run.need(), now);
         }
     }
 
     /// Stops counting a run that is certainly not active any more.
-    pub(crate) fn remove(&mut self, run: &PlacedRun) {
+    pub(crate) fn remove(&mut self, run: &PlacedRun, now: Duration) {
         if let Some(state) = run.organisation.and_then(|key| self.states.get_mut(key)) {
             state.used = state.used.minus(&run.need());
+            state.usage.end(run.priority, &run.need(), now);
+        }
+    }
+
+    /// Raises the mean use of an organisation to one that a former owner has learnt.
+    pub(super) fn restore(&mut self, name: &OrganisationName, mean: Amount, now: Duration) {
+        let key = self.by_name.get(name);
+        if let Some(state) = key.and_then(|&key| self.states.get_mut(key)) {
+            state.usage.restore(mean, now);
+        } else {
+            self.restored.insert(name.clone(), (mean, now));
         }
     }
 
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -40,6 +40,7 @@
 use crate::TaskKey;
 use crate::WorkerId;
 
+use limits::bands::Bands;
 use limits::organisations::Organisations;
 use limits::peak_pools::PeakPools;
 use placement::advice::AdviceQueue;
@@ -52,6 +53,7 @@
 use state::suspicion::Suspects;
 use times::run_times::RunTimes;
 
+pub use limits::bands::OrganisationShare;
 pub use limits::organisations::DelayedOrganisation;
 pub use placement::advice::AdviceRequest;
 pub use placement::advice::FreeHelpers;
@@ -208,6 +210,8 @@
     peak_pools: PeakPools,
     /// Organisations, and what each of them has running.
     organisations: Organisations,
+    /// Order of the waiting steps by the shares of organisations.
+    bands: Bands,
 }
 
 /// Time after a take-over within which another process may still send a new job to the former
@@ -231,6 +235,7 @@
             started_at: now,
             peak_pools: PeakPools::default(),
             organisations: Organisations::default(),
+            bands: Bands::default(),
             policy,
             now,
             wall_origin,
--- a/crates/job/src/planner/order/rank.rs
+++ b/crates/job/src/planner/order/rank.rs
@@ -18,8 +18,8 @@
 /// Rank of a step; lower ranks are served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
-    /// The job exceeds the share of its organisation.
-    pub(crate) excess: bool,
+    /// Band by the share of its organisation, see [`Planner::band`].
+    pub(crate) band: u8,
     /// 0 while the objective can be met, 1 while a late result still has value, 2 after that.
     pub(crate) stage: u8,
     /// Priority of the queue; 0 is the most urgent.
@@ -62,7 +62,8 @@
         };
         let tail = job.expected.tail_times.get(key.step as usize).copied();
         let ready = self.now + tail.unwrap_or(spec.estimate).mul_f64(work_share);
-        let in_time = ready <= due || !switches.enabled(Mechanism::InTimeFirst);
+        let has_turn = self.has_turn(key);
+        let in_time = has_turn || ready <= due || !switches.enabled(Mechanism::InTimeFirst);
         let stage = if in_time || self.overdue_gang == Some(key) {
             0
         } else if ready <= job.accepted_at + objective * LATE_FACTOR {
@@ -76,9 +77,9 @@
             due
         };
         Some(Rank {
-            excess: job.excess && switches.enabled(Mechanism::ExcessLast),
+            band: if has_turn { 0 } else { self.band(key) },
             stage,
-            priority: job.spec.queue.priority,
+            priority: if has_turn { 0 } else { job.spec.queue.priority },
             due,
         })
     }
@@ -129,7 +130,7 @@
         });
         late.min_by_key(|key| {
             let job = self.jobs.get(&key.job);
-            job.map(|job| (job.excess, job.accepted_at))
+            job.map(|job| (self.band(**key), job.accepted_at))
         })
         .copied()
     }
--- a/crates/job/src/planner/placement/advice.rs
+++ b/crates/job/src/planner/placement/advice.rs
@@ -89,7 +89,7 @@
         // and new steps got their first answer after 15 s.
         ranked.sort_by_cached_key(|&(rank, key)| {
             let repeated = self.has_answer(key);
-            (rank.excess, rank.stage, rank.priority, repeated, rank, key)
+            (rank.band, rank.stage, rank.priority, repeated, rank, key)
         });
         self.advice_queue = AdviceQueue {
             ranked_at: Some(self.now),
--- a/crates/job/src/planner/placement/place.rs
+++ b/crates/job/src/planner/placement/place.rs
@@ -70,6 +70,7 @@
     pub(crate) fn place(&mut self) {
         self.begin_limits();
         self.overdue_gang = None;
+        self.update_bands();
         self.overdue_gang = self.find_overdue_gang();
         let mut ranked: Vec<(Rank, StepKey)> = self
             .pending_steps
@@ -345,6 +346,7 @@
         state.phase = Phase::Active(candidate.key, run);
         state.run = run;
         let organisation = job.organisation;
+        let priority = job.spec.queue.priority;
         let (booked, filler_cpu) = spec.booked_and_filler();
         candidate.free = candidate.free.minus(&booked);
         candidate.unused_cpu = candidate.unused_cpu.saturating_sub(spec.need.cpu);
@@ -354,6 +356,7 @@
             booked,
             filler_cpu,
             organisation,
+            priority,
             unknown_size: false,
             phase: RunPhase::Sent,
             phase_since: self.now,
@@ -372,6 +375,7 @@
         self.extend_lease(candidate.key);
         self.start_budget = self.start_budget.saturating_sub(1);
         self.started_jobs.insert(task.step.job);
+        self.bands.turns.count_start(task.step);
         self.commands.push(Command::Start {
             worker: candidate.key,
             task,
--- a/crates/job/src/planner/recovery/adopt.rs
+++ b/crates/job/src/planner/recovery/adopt.rs
@@ -41,6 +41,7 @@
             return;
         };
         let organisation = job.organisation;
+        let priority = job.spec.queue.priority;
         // Runs of an ended job keep their resources booked until they have stopped.
         let (booked, filler_cpu) = job
             .spec
@@ -68,6 +69,7 @@
             booked,
             filler_cpu,
             organisation,
+            priority,
             unknown_size: false,
             phase: RunPhase::Running,
             phase_since: now,
@@ -93,6 +95,7 @@
             booked: Resources::default(),
             filler_cpu: 0,
             organisation: None,
+            priority: 0,
             unknown_size: true,
             phase: RunPhase::Running,
             phase_since: self.now,
--- a/crates/job/src/planner/state/roster.rs
+++ b/crates/job/src/planner/state/roster.rs
@@ -52,6 +52,8 @@
     pub filler_cpu: u64,
     /// Organisation of the job; `None` if it has none, or if the job was not read yet.
     pub organisation: Option<OrganisationKey>,
+    /// Priority of its job's queue; 0 is the most urgent.
+    pub priority: u32,
     /// The worker reported the run before its job was read, so the resources it needs are unknown.
     pub unknown_size: bool,
     pub phase: RunPhase,
@@ -222,7 +224,7 @@
 impl Planner {
     /// Books a run on a worker.
     pub(crate) fn book_run(&mut self, key: WorkerKey, task: TaskKey, placed: PlacedRun) {
-        self.organisations.add(&placed);
+        self.organisations.add(&placed, self.now);
         self.workers[key].book(task, placed);
     }
 
@@ -234,7 +236,7 @@
         run: RunId,
     ) -> Option<PlacedRun> {
         let placed = self.workers.get_mut(key)?.release(task, run)?;
-        self.organisations.remove(&placed);
+        self.organisations.remove(&placed, self.now);
         Some(placed)
     }
 
@@ -431,7 +433,7 @@
         let runs = std::mem::take(&mut self.workers[key].runs);
         let runs: Vec<(TaskKey, PlacedRun)> = runs.into_iter().collect();
         for (_, placed) in &runs {
-            self.organisations.remove(placed);
+            self.organisations.remove(placed, self.now);
         }
         self.record_lost_runs(key, &runs, cause, transferred);
         let worker = self.workers.remove(key)?;
