job: results without value go after all others with shares by work

A step of stage 2 in a low band went before steps of other organisations that could be in time. steps_without_value_go_last was red without it.

--- a/crates/job/src/planner/limits/shares.rs
+++ b/crates/job/src/planner/limits/shares.rs
@@ -27,6 +27,9 @@
 /// steps that wait.
 const LAST_BAND: u8 = 2;
 
+/// Number of bands.
+pub(crate) const BANDS: u8 = LAST_BAND + 1;
+
 /// Amounts of the resources that shares are about, in the units of [`Resources`].
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Amount {
--- a/crates/job/src/planner/order/rank.rs
+++ b/crates/job/src/planner/order/rank.rs
@@ -5,6 +5,7 @@
 use crate::Mechanism;
 use crate::StepKey;
 use crate::planner::Planner;
+use crate::planner::limits::shares::BANDS;
 use crate::planner::state::job_state::JobState;
 
 /// Bounds of a gang's relative size. In its rank, the time to its objective is multiplied by this
@@ -77,13 +78,23 @@
             due
         };
         Some(Rank {
-            band: if has_turn { 0 } else { self.band(key) },
+            band: self.ranked_band(key, stage),
             stage,
             priority: if has_turn { 0 } else { job.spec.queue.priority },
             due,
         })
     }
 
+    /// Returns the band of a step in its rank. With shares by work, a result without value to its caller
+    /// goes after all others.
+    fn ranked_band(&self, key: StepKey, stage: u8) -> u8 {
+        if self.has_turn(key) {
+            return 0;
+        }
+        let hopeless = stage > 1 && self.policy.switches.enabled(Mechanism::WorkShares);
+        self.band(key) + if hopeless { BANDS } else { 0 }
+    }
+
     /// Returns the work of a job relative to the mean of its queue.
     ///
     /// Under a backlog, not all gangs can be in time, and the resources of one large gang are
--- a/crates/job/tests/event_sim/mod.rs
+++ b/crates/job/tests/event_sim/mod.rs
@@ -107,6 +107,8 @@
     organisations: Option<Organisations>,
     /// State of crashes and restarts; `None` if there are none.
     faults: Option<Faults>,
+    /// Parameters of the planners.
+    policy: Policy,
     /// Number of starts carried out by workers.
     pub starts: usize,
 }
@@ -138,6 +140,7 @@
             done: HashSet::new(),
             organisations: None,
             faults: None,
+            policy: Policy::default(),
             starts: 0,
         };
         sim.take_over();
@@ -154,8 +157,7 @@
         for worker in &mut self.workers {
             worker.in_contact = false;
         }
-        let policy = Policy::default();
-        self.planner = Planner::new(policy, self.epoch, self.now, Duration::ZERO);
+        self.planner = Planner::new(self.policy, self.epoch, self.now, Duration::ZERO);
         self.configure();
         for (&id, spec) in &self.jobs {
             let progress = self.stored.get(&id);
--- a/crates/job/tests/event_sim/organisations.rs
+++ b/crates/job/tests/event_sim/organisations.rs
@@ -5,6 +5,8 @@
 use job::Config;
 use job::JobId;
 use job::JobSpec;
+use job::Mechanism;
+use job::Switches;
 use job::TaskKey;
 
 use super::EventSim;
@@ -69,6 +71,13 @@
         self
     }
 
+    /// Lets organisations share the pool by their work, with a new owner.
+    pub fn with_work_shares(mut self) -> EventSim {
+        self.policy.switches = Switches::new(&[Mechanism::WorkShares], &[]);
+        self.take_over();
+        self
+    }
+
     /// Passes the configuration in force to the planner.
     pub(super) fn configure(&mut self) {
         if let Some(organisations) = &self.organisations {
--- a/crates/job/tests/invariants.rs
+++ b/crates/job/tests/invariants.rs
@@ -304,6 +304,20 @@
     assert!(starts > 5000, "{starts} starts");
 }
 
+#[test]
+fn limits_hold_with_shares_by_work() {
+    let mut state: u64 = 0x510e_527f_ade6_82d1;
+    let mut starts = 0;
+
+    for _ in 0..100 {
+        let mut sim = EventSim::new().with_organisations().with_work_shares();
+        drive(&mut state, 800, &LIMIT_EVENTS, 20, |event| sim.step(event));
+        starts += sim.starts;
+    }
+
+    assert!(starts > 2000, "{starts} starts");
+}
+
 #[test]
 fn limits_hold_where_tasks_crash_their_workers() {
     let mut state: u64 = 0xbb67_ae85_84ca_a73b;
--- a/crates/job/tests/share_sim/mod.rs
+++ b/crates/job/tests/share_sim/mod.rs
@@ -97,14 +97,19 @@
 
     /// Submits a job; returns its id.
     pub fn submit(&mut self, name: &str, priority: u32, step: StepSpec) -> JobId {
+        self.submit_late(name, priority, step, 0)
+    }
+
+    /// Submits a job that was accepted `age` milliseconds ago; returns its id.
+    pub fn submit_late(&mut self, name: &str, priority: u32, step: StepSpec, age: u64) -> JobId {
         let id = self.jobs.len() as JobId + 1;
         let mut spec = spec_of(name, 0, vec![step]);
         spec.queue.priority = priority;
-        spec.received = Duration::from_millis(self.now);
+        spec.received = Duration::from_millis(self.now - age);
         if let Some(organisation) = &mut spec.organisation {
             organisation.weight = self.weights.get(name).copied().unwrap_or(1.0);
         }
-        self.planner.add_job(id, spec.clone(), None, false);
+        self.planner.add_job(id, spec.clone(), None, age > 0);
         let submitted = Submitted {
             open: spec.steps[0].count,
             spec,
@@ -192,6 +197,17 @@
         own.iter().filter(in_time).count() as f64 / own.len() as f64
     }
 
+    /// Returns how long the jobs of an organisation of this priority, submitted within a time, waited for
+    /// their first start, in milliseconds.
+    pub fn waits(&self, name: &str, priority: u32, times: std::ops::Range<u64>) -> Vec<u64> {
+        let own = self.jobs.values().filter(|job| {
+            let same = job.spec.organisation_name().unwrap() == name;
+            same && job.spec.queue.priority == priority && times.contains(&job.at)
+        });
+        let waits = own.map(|job| job.started.map_or(u64::MAX, |started| started - job.at));
+        waits.collect()
+    }
+
     /// Returns how long a job waited for its first start.
     pub fn waited(&self, id: JobId) -> Option<u64> {
         let job = &self.jobs[&id];
--- a/crates/job/tests/work_shares.rs
+++ b/crates/job/tests/work_shares.rs
@@ -183,6 +183,51 @@
     }
 }
 
+/// Guards against results that have lost their value and delay work that can be in time, even of an
+/// organisation beyond its share.
+#[test]
+fn steps_without_value_go_last() {
+    let mut sim = ShareSim::new(ON);
+    for _ in 0..300 {
+        sim.tick();
+    }
+    for _ in 0..100 {
+        sim.submit_many("flood", 4);
+        sim.tick();
+    }
+    for _ in 0..40 {
+        sim.submit_late("usual", 0, step(1), 20_000);
+    }
+
+    for _ in 0..20 {
+        sim.submit_many("flood", 4);
+        sim.tick();
+
+        assert_eq!(sim.running("usual"), 0);
+    }
+}
+
+/// Guards against batch work that delays the lookups of its own organisation.
+#[test]
+fn less_urgent_use_does_not_count() {
+    let mut sim = ShareSim::new(ON);
+    for tick in 0..300 {
+        for _ in 0..4 {
+            sim.submit("mixed", 2, step(1));
+        }
+        if tick >= 200 {
+            if tick % 4 == 0 {
+                sim.submit("mixed", 0, step(1));
+            }
+            sim.submit_many("usual", 4);
+        }
+        sim.tick();
+    }
+
+    let urgent = sim.waits("mixed", 0, 10_000..13_000);
+    assert!(urgent.iter().all(|wait| *wait <= 1500), "{urgent:?}");
+}
+
 /// Replays 60 s of more work than the pool can do, after a job of the lowest priority behind 100 others of
 /// its organisation; returns how long that job waited.
 fn wait_of_old_job(first: &StepSpec) -> Option<u64> {
