--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -40,6 +40,7 @@
 use crate::TaskKey;
 use crate::WorkerId;
 
+use limits::bands::Bands;
 use limits::organisations::Organisations;
 use limits::peak_pools::PeakPools;
 use placement::advice::AdviceQueue;
@@ -54,6 +55,7 @@
 use times::run_times::RunTimes;
 use times::spread::Spread;
 
+pub use limits::bands::OrganisationShare;
 pub use limits::organisations::DelayedOrganisation;
 pub use placement::advice::AdviceRequest;
 pub use placement::advice::FreeHelpers;
@@ -218,6 +220,8 @@
     organisations: Organisations,
     /// Speeds of workers that a former owner has learnt.
     restored_speeds: RestoredSpeeds,
+    /// Order of the waiting steps by the shares of organisations.
+    bands: Bands,
 }
 
 /// Time after a take-over within which another process may still send a new job to the former
@@ -242,6 +246,7 @@
             peak_pools: PeakPools::default(),
             organisations: Organisations::default(),
             restored_speeds: RestoredSpeeds::default(),
+            bands: Bands::default(),
             policy,
             now,
             wall_origin,
--- a/crates/job/src/planner/order/rank.rs
+++ b/crates/job/src/planner/order/rank.rs
@@ -5,6 +5,7 @@
 use crate::Mechanism;
 use crate::StepKey;
 use crate::planner::Planner;
+use crate::planner::limits::shares::BANDS;
 use crate::planner::state::job_state::JobState;
 
 /// Bounds of a gang's relative size. In its rank, the time to its objective is multiplied by this
@@ -18,8 +19,8 @@
 /// Rank of a step; lower ranks are served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
-    /// The job exceeds the share of its organisation.
-    pub(crate) excess: bool,
+    /// Band by the share of its organisation, see [`Planner::band`].
+    pub(crate) band: u8,
     /// 0 while the objective can be met, 1 while a late result still has value, 2 after that.
     pub(crate) stage: u8,
     /// Priority of the queue; 0 is the most urgent.
@@ -62,7 +63,8 @@
         };
         let tail = job.expected.tail_times.get(key.step as usize).copied();
         let ready = self.now + tail.unwrap_or(spec.estimate).mul_f64(work_share);
-        let in_time = ready <= due || !switches.enabled(Mechanism::InTimeFirst);
+        let has_turn = self.has_turn(key);
+        let in_time = has_turn || ready <= due || !switches.enabled(Mechanism::InTimeFirst);
         let stage = if in_time || self.overdue_gang == Some(key) {
             0
         } else if ready <= job.accepted_at + objective * LATE_FACTOR {
@@ -76,13 +78,23 @@
             due
         };
         Some(Rank {
-            excess: job.excess && switches.enabled(Mechanism::ExcessLast),
+            band: self.ranked_band(key, stage),
             stage,
-            priority: job.spec.queue.priority,
+            priority: if has_turn { 0 } else { job.spec.queue.priority },
             due,
         })
     }
 
+    /// Returns the band of a step in its rank. With shares by work, a result without value to its caller
+    /// goes after all others.
+    fn ranked_band(&self, key: StepKey, stage: u8) -> u8 {
+        if self.has_turn(key) {
+            return 0;
+        }
+        let hopeless = stage > 1 && self.policy.switches.enabled(Mechanism::WorkShares);
+        self.band(key) + if hopeless { BANDS } else { 0 }
+    }
+
     /// Returns the work of a job relative to the mean of its queue.
     ///
     /// Under a backlog, not all gangs can be in time, and the resources of one large gang are
@@ -129,7 +141,7 @@
         });
         late.min_by_key(|key| {
             let job = self.jobs.get(&key.job);
-            job.map(|job| (job.excess, job.accepted_at))
+            job.map(|job| (self.band(**key), job.accepted_at))
         })
         .copied()
     }
--- a/crates/job/src/planner/recovery/learnt.rs
+++ b/crates/job/src/planner/recovery/learnt.rs
@@ -11,15 +11,14 @@
 use crate::IncarnationId;
 use crate::LearntSpeed;
 use crate::LearntState;
-use crate::LearntUsage;
 use crate::WorkerId;
 use crate::planner::Planner;
 use crate::planner::state::roster::WorkerState;
-use crate::planner::times::speed::Speed;
+use crate::planner::times::factor::Factor;
 
 /// Speeds of a former owner that no worker has got yet.
 #[derive(Debug, Default)]
-pub(crate) struct RestoredSpeeds(HashMap<WorkerId, (IncarnationId, Speed)>);
+pub(crate) struct RestoredSpeeds(HashMap<WorkerId, (IncarnationId, Factor)>);
 
 impl Planner {
     /// Returns what a successor continues with. Speeds that say most come first: those that differ
@@ -44,9 +43,9 @@
     pub fn restore_learnt_state(&mut self, state: &LearntState) {
         for learnt in &state.speeds {
             if let Some(incarnation) = learnt.incarnation {
-                let speed = Speed::restored(learnt.log_factor, learnt.weight);
+                let factor = Factor::restored(learnt.log_factor, learnt.weight);
                 let restored = &mut self.restored_speeds.0;
-                restored.insert(learnt.worker.clone(), (incarnation, speed));
+                restored.insert(learnt.worker.clone(), (incarnation, factor));
             }
         }
         self.restore_usage(&state.usage);
@@ -56,30 +55,20 @@
     /// same incarnation.
     pub(crate) fn restore_speed(&mut self, worker: &mut WorkerState) {
         let restored = &mut self.restored_speeds.0;
-        let Some(&(incarnation, speed)) = restored.get(&worker.info.id) else {
+        let Some(&(incarnation, factor)) = restored.get(&worker.info.id) else {
             return;
         };
         if worker.info.incarnation == Some(incarnation) {
-            worker.speed = speed;
+            worker.factor = factor;
             restored.remove(&worker.info.id);
         }
     }
-
-    /// The usage of organisations is not learnt yet.
-    #[allow(clippy::unused_self)]
-    fn learnt_usage(&self) -> Vec<LearntUsage> {
-        Vec::new()
-    }
-
-    /// The usage of organisations is not learnt yet.
-    #[allow(clippy::unused_self)]
-    fn restore_usage(&mut self, _usage: &[LearntUsage]) {}
 }
 
 /// Returns the learnt speed of a worker; `None` if there is none, or if its incarnation is unknown.
 fn learnt_speed(worker: &WorkerState) -> Option<LearntSpeed> {
     let incarnation = worker.info.incarnation?;
-    let (log_factor, weight) = worker.speed.learnt();
+    let (log_factor, weight) = worker.factor.learnt();
     (weight > 0).then(|| LearntSpeed {
         worker: worker.info.id.clone(),
         incarnation: Some(incarnation),
