Admission: jobs that would be of no value when done are rejected (optional)

A job was accepted whatever waited before it, and callers were told to come back after 0 or 1 s. A rejection (429) is preceded by a mark in each row of the job, so that a write which was sent before, and is carried out late, fails.

Off by default.

--- a/crates/cell/src/acceptor.rs
+++ b/crates/cell/src/acceptor.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use job::JobSpec;
 use job::Mechanism;
 use platform::Committed;
 use platform::RowName;
 use platform::StoreError;
 use platform::Transaction;
+use platform::Version;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -17,9 +19,11 @@
 use crate::decode_job_row;
 use crate::encode_row;
 use crate::hex;
+use crate::is_rejection_mark;
 use crate::job_rows;
 use crate::metrics::count;
 use crate::metrics::observe;
+use crate::rejection_mark;
 
 /// Time without a reply after which a second, identical commit is sent. A slow store takes up to
 /// 1.2 s for one commit.
@@ -48,7 +52,7 @@
 /// Commits the rows of accepted jobs.
 #[derive(Clone, Debug)]
 pub struct Acceptor {
-    context: Context,
+    pub(crate) context: Context,
 }
 
 impl Acceptor {
@@ -62,7 +66,7 @@
     /// row does not exist, so an attempt that the store carries out late, or one from another
     /// process, creates no second job. Once a reply has been lost, the result may no longer be
     /// "refused", because the store may still carry out that write.
-    pub(crate) async fn accept(&self, job: &AcceptedJob, deadline: Duration) -> Acceptance {
+    pub async fn accept(&self, job: &AcceptedJob, deadline: Duration) -> Acceptance {
         let acceptance = self.commit_any_row(job, deadline).await;
         let label = match &acceptance {
             Acceptance::Accepted { first: true } => "accepted",
@@ -87,22 +91,36 @@
             rows.truncate(1);
         }
         let mut index = 0;
+        // Version of the mark that the row must have if the job was rejected before; 0 for no row.
+        let mut mark = 0;
         loop {
             if self.context.store_unreachable() {
                 return unreachable_acceptance(&id, ambiguous);
             }
             let remaining = deadline.saturating_sub(self.context.now());
-            let transaction = transaction(&rows[index], job);
+            let transaction = transaction(&rows[index], mark, job);
             let result = tokio::select! {
                 result = self.commit(&transaction, remaining) => result,
                 () = self.wait_silent() => return unreachable_acceptance(&id, true),
             };
             let elapsed = self.context.now().saturating_sub(started);
             let result = match result {
-                Ok(Committed::Conflict) if job.spec.organisation.is_some() => {
-                    match self.is_same_job(&rows[index], job, deadline).await {
-                        Ok(true) => Ok(Committed::Conflict),
-                        Ok(false) => return Acceptance::Taken,
+                Ok(Committed::Conflict) => {
+                    match self.existing_row(&rows[index], job, deadline).await {
+                        Ok(ExistingRow::SameJob) => Ok(Committed::Conflict),
+                        Ok(ExistingRow::OtherJob) => return Acceptance::Taken,
+                        Ok(ExistingRow::Mark(version)) if self.context.now() < deadline => {
+                            mark = version;
+                            continue;
+                        }
+                        Ok(ExistingRow::NewerMark) if !ambiguous => {
+                            return Acceptance::Refused(
+                                "a repeated request was rejected".to_owned(),
+                            );
+                        }
+                        Ok(_) => {
+                            return Acceptance::Unknown("the job's row has changed".to_owned());
+                        }
                         Err(error) => Err(error),
                     }
                 }
@@ -121,6 +139,7 @@
                         "part of the store refused the job; trying another part"
                     );
                     index += 1;
+                    mark = 0;
                     continue;
                 }
                 Err(error) if error.certainly_not_done() && !ambiguous => {
@@ -145,23 +164,37 @@
         }
     }
 
-    /// Reads the row that exists under the id of a job, and returns whether it is of the same
-    /// organisation. An error does not say that the job is not stored.
-    async fn is_same_job(
+    /// Reads the row that exists under the id of a job. An error does not say that the job is not
+    /// stored.
+    async fn existing_row(
         &self,
         row: &RowName,
         job: &AcceptedJob,
         deadline: Duration,
-    ) -> Result<bool, StoreError> {
+    ) -> Result<ExistingRow, StoreError> {
         let remaining = deadline.saturating_sub(self.context.now());
         let read = self.context.store.read_row(row, remaining).await;
         let Some(stored) = read.map_err(into_ambiguous)? else {
-            // The job was removed after its retention.
-            return Ok(true);
+            return Ok(ExistingRow::Removed);
         };
-        let stored = decode_job_row(&stored.value);
+        if is_rejection_mark(&stored.value) {
+            let own = job.attempt != 0 && stored.value == rejection_mark(job.attempt);
+            return Ok(if own || stored.version <= job.known {
+                ExistingRow::Mark(stored.version)
+            } else {
+                ExistingRow::NewerMark
+            });
+        }
+        let decoded = decode_job_row(&stored.value);
         // An undecodable row keeps its id.
-        Ok(stored.is_ok_and(|stored| stored.organisation_name() == job.spec.organisation_name()))
+        let same = |spec: JobSpec| spec.organisation_name() == job.spec.organisation_name();
+        Ok(
+            if job.spec.organisation.is_none() || decoded.is_ok_and(same) {
+                ExistingRow::SameJob
+            } else {
+                ExistingRow::OtherJob
+            },
+        )
     }
 
     /// Waits until a write in progress is unlikely to get a reply: the store has become unreachable,
@@ -213,10 +246,26 @@
     }
 }
 
-/// Builds the transaction that creates a job's row; it fails if the row exists.
-fn transaction(row: &RowName, job: &AcceptedJob) -> Transaction {
+/// What is stored under the id of a job.
+enum ExistingRow {
+    /// A job of the same organisation.
+    SameJob,
+    /// A job of another organisation.
+    OtherJob,
+    /// The mark of a rejection before this request, or by it, at this version.
+    Mark(Version),
+    /// The mark of a rejection that may be newer than this request. Its caller was told that no request
+    /// until then has any effect.
+    NewerMark,
+    /// No row any more: the retention of a job or of a mark has just ended.
+    Removed,
+}
+
+/// Builds the transaction that creates a job's row; it fails if the row exists, except for the mark of a
+/// rejection at the version `mark`.
+fn transaction(row: &RowName, mark: Version, job: &AcceptedJob) -> Transaction {
     Transaction {
-        expect: vec![(row.clone(), 0)],
+        expect: vec![(row.clone(), mark)],
         puts: vec![(row.clone(), encode_row(&job.spec))],
         removes: Vec::new(),
     }
--- a/crates/cell/src/advice_helper.rs
+++ b/crates/cell/src/advice_helper.rs
@@ -35,11 +35,18 @@
         let request = HelperPoll {
             node: context.settings.node.clone(),
             result: result.take(),
+            forecast: true,
         };
-        match owner.poll(request).await {
-            Ok(Some(delegated)) => result = Some(call(&advice, delegated).await),
-            Ok(None) => {}
-            Err(_) => tokio::time::sleep(NO_OWNER_PAUSE).await,
+        let sent = context.now();
+        let Ok(reply) = owner.poll(request).await else {
+            tokio::time::sleep(NO_OWNER_PAUSE).await;
+            continue;
+        };
+        if let Some(forecast) = reply.forecast {
+            context.forecast.record(forecast, sent, reply.held);
+        }
+        if let Some(delegated) = reply.call {
+            result = Some(call(&advice, delegated).await);
         }
     }
 }
--- a/crates/cell/src/context.rs
+++ b/crates/cell/src/context.rs
@@ -21,6 +21,8 @@
 use crate::CellMetrics;
 use crate::CellSettings;
 use crate::Follower;
+use crate::ForecastCache;
+use crate::KnownVersions;
 use crate::OwnershipView;
 
 /// Connect timeout to peers, the store and the advice service; within a region a connect takes
@@ -49,6 +51,10 @@
     pub ownership: watch::Receiver<OwnershipView>,
     /// Counters, gauges and latency histograms.
     pub metrics: Arc<CellMetrics>,
+    /// Newest forecast of the pool.
+    pub forecast: ForecastCache,
+    /// Versions of the store that the process has seen.
+    pub versions: KnownVersions,
     /// Becomes true when the process has been asked to stop.
     pub stop: watch::Receiver<bool>,
     /// Epoch of an owner whose process may have ended, because it closed a connection during a
@@ -79,6 +85,8 @@
             config,
             ownership,
             metrics: Arc::default(),
+            forecast: ForecastCache::default(),
+            versions: KnownVersions::default(),
             stop,
             suspected_owner: Arc::default(),
             config_confirmed: Arc::default(),
--- a/crates/cell/src/follower.rs
+++ b/crates/cell/src/follower.rs
@@ -179,6 +179,11 @@
         }
     }
 
+    /// Version up to which all changes have been read; `None` before the first full read.
+    pub(crate) fn version(&self) -> Option<Version> {
+        self.after
+    }
+
     /// Time since the start of the newest read that returned all changes made before it; `None`
     /// before the first full read.
     #[must_use]
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -28,7 +28,7 @@
 #[derive(Debug)]
 pub struct CellMetrics {
     registry: Registry,
-    /// Submissions by result: `accepted`, `repeated`, `refused`, `unknown`.
+    /// Submissions by result: `accepted`, `repeated`, `rejected`, `refused`, `taken`, `unknown`.
     pub submits: IntCounterVec,
     /// Requests that were not authorized, by reason: `missing`, `repeated`, `malformed`, `unknown`,
     /// `undecided`.
@@ -57,6 +57,8 @@
     /// Figures of the pool, set by its owner: `usable`, `placed`, `running`, `waiting`,
     /// `unfinished`, `cpu`, `cpu_used`, `memory`, `memory_used`.
     pub pool: IntGaugeVec,
+    /// Forecast for new jobs, set by the pool's owner, in milliseconds: `wait`, `late_wait`.
+    pub forecast: IntGaugeVec,
     /// Epoch in which this process owns the pool; 0 if it does not.
     pub epoch: IntGauge,
     /// Version of the configuration in force.
@@ -101,6 +103,9 @@
         let registry = Registry::new();
         let pool = Opts::new("clovermount_pool", "Figures of the pool, on its owner");
         let pool = IntGaugeVec::new(pool, &["figure"]).expect("valid name");
+        let forecast = Opts::new("clovermount_forecast_ms", "Wait of a new job, on the owner");
+        let labels = ["service", "priority", "kind", "figure"];
+        let forecast = IntGaugeVec::new(forecast, &labels).expect("valid name");
         let job = HistogramVec::new(
             histogram(
                 "job",
@@ -131,6 +136,7 @@
             saves: counters(&registry, "saves", "Transactions of the owner", "result"),
             unreadable: counters(&registry, "unreadable_rows", "Rows not decoded", "table"),
             pool: register(&registry, pool),
+            forecast: register(&registry, forecast),
             epoch: gauge(
                 &registry,
                 "epoch",
--- a/crates/cell/src/owner/handlers.rs
+++ b/crates/cell/src/owner/handlers.rs
@@ -20,6 +20,7 @@
 use crate::UsedWorker;
 use crate::WorkerEvent;
 use crate::decode_job_row;
+use crate::is_rejection_mark;
 use crate::job_id_of;
 use crate::metrics::count;
 
@@ -37,6 +38,10 @@
         if row.removed {
             return;
         }
+        if is_rejection_mark(&row.value) {
+            self.marks.record(row, self.context.now());
+            return;
+        }
         let id = job_id_of(&row.name);
         let spec = decode_job_row(&row.value);
         if let Ok(id) = id {
--- a/crates/cell/src/owner/helpers.rs
+++ b/crates/cell/src/owner/helpers.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use job::Forecast;
 use job::FreeHelpers;
 use job::Mechanism;
 use job::Ticket;
@@ -14,6 +15,7 @@
 use crate::DelegatedCall;
 use crate::HelperPoll;
 use crate::POLL_WAIT;
+use crate::PollReply;
 use crate::metrics::count;
 
 /// One in this many helpers is reserved for quick calls: slow calls take most of a second, and a
@@ -44,6 +46,10 @@
 /// Validity of a ticket if neither the service nor the queue states one.
 const DEFAULT_VALIDITY: Duration = Duration::from_secs(1);
 
+/// Time between two forecasts for a host, which uses each for up to two seconds. Busy helpers poll
+/// several times a second.
+const FORECAST_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Pause after a failed call before its step may have another one.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -52,16 +58,37 @@
     last_poll: Duration,
     /// The helper is making a slow call.
     slow: bool,
+    /// The helper's version reads forecasts, and marks of rejected jobs.
+    current: bool,
+    /// When the helper was last sent a forecast; `None` if it was sent none.
+    forecast_at: Option<Duration>,
 }
 
 /// A helper that waits for the reply to its poll.
 struct IdleHelper {
     node: String,
-    reply: oneshot::Sender<Option<DelegatedCall>>,
+    reply: oneshot::Sender<PollReply>,
     /// When the poll arrived.
     since: Duration,
 }
 
+impl IdleHelper {
+    /// Replies to the poll; returns whether the helper still waits for it.
+    fn answer(
+        self,
+        now: Duration,
+        call: Option<DelegatedCall>,
+        forecast: Option<Forecast>,
+    ) -> bool {
+        let reply = PollReply {
+            call,
+            forecast,
+            held: now.saturating_sub(self.since),
+        };
+        self.reply.send(reply).is_ok()
+    }
+}
+
 /// All helpers by host, and the polls of idle helpers.
 #[derive(Default)]
 pub(crate) struct Helpers {
@@ -89,15 +116,14 @@
 impl Pool {
     /// Handles a helper's poll: processes the result that it delivers, and queues the helper for
     /// the next call. The reply is sent by [`Pool::assign_calls`].
-    pub(super) fn handle_poll(
-        &mut self,
-        request: HelperPoll,
-        reply: oneshot::Sender<Option<DelegatedCall>>,
-    ) {
+    pub(super) fn handle_poll(&mut self, request: HelperPoll, reply: oneshot::Sender<PollReply>) {
         let now = self.context.now();
+        let known = self.helpers.by_node.get(&request.node);
         let helper = Helper {
             last_poll: now,
             slow: false,
+            current: request.forecast,
+            forecast_at: known.and_then(|helper| helper.forecast_at),
         };
         self.helpers.by_node.insert(request.node.clone(), helper);
         if let Some(result) = request.result {
@@ -173,16 +199,40 @@
                 workers: next.workers,
                 cost: next.cost,
             };
-            if idle.reply.send(Some(call)).is_err() {
+            let forecast = self.forecast_for(&idle.node);
+            if !idle.answer(now, Some(call), forecast) {
                 self.planner.advice_failed(step, &workers, Duration::ZERO);
             }
         }
         let waited = |idle: &IdleHelper| now.saturating_sub(idle.since) >= POLL_WAIT;
         while self.helpers.idle.front().is_some_and(waited) {
             if let Some(idle) = self.helpers.idle.pop_front() {
+                let forecast = self.forecast_for(&idle.node);
                 // The helper may have closed its request; then it needs no reply.
-                let _ = idle.reply.send(None);
+                let _ = idle.answer(now, None, forecast);
             }
         }
     }
+
+    /// Returns the forecast for a host that has none or an older one. No host gets any while one of an
+    /// earlier version takes part: it would take the mark of a rejected job for the job.
+    fn forecast_for(&mut self, node: &str) -> Option<Forecast> {
+        if !self.context.settings.has(Mechanism::Admission) || !self.owned() {
+            return None;
+        }
+        if !self.helpers.by_node.values().all(|helper| helper.current) {
+            return None;
+        }
+        let now = self.context.now();
+        let helper = self.helpers.by_node.get_mut(node)?;
+        if helper
+            .forecast_at
+            .is_some_and(|at| now < at + FORECAST_INTERVAL)
+        {
+            return None;
+        }
+        let forecast = self.planner.forecast(self.epoch)?;
+        helper.forecast_at = Some(now);
+        Some(forecast)
+    }
 }
--- a/crates/cell/src/owner/load.rs
+++ b/crates/cell/src/owner/load.rs
@@ -35,6 +35,34 @@
         );
         self.log_traffic();
         self.log_limits();
+        self.log_forecast();
+    }
+
+    /// Logs the newest forecast, and updates its metrics: one line for each service and priority.
+    fn log_forecast(&self) {
+        let Some(forecast) = self.planner.forecast(self.epoch) else {
+            return;
+        };
+        let gauges = &self.context.metrics.forecast;
+        for pool in &forecast.pools {
+            for level in &pool.levels {
+                for (kind, flow) in [("single", level.single), ("gang", level.gang)] {
+                    let priority = level.priority.to_string();
+                    let (wait, late_wait) = (flow.wait(), flow.late_wait());
+                    for (figure, wait) in [("wait", wait), ("late_wait", late_wait)] {
+                        let labels = [&pool.service, &priority, kind, figure];
+                        let millis = i64::try_from(wait.as_millis()).unwrap_or(i64::MAX);
+                        gauges.with_label_values(&labels).set(millis);
+                    }
+                    log::info!(
+                        code = 376, epoch = self.epoch, service = pool.service.as_str(), priority = level.priority,
+                        kind = kind, ahead = flow.ahead, rate = flow.rate, late = flow.late, late_rate = flow.late_rate,
+                        wait_ms = millis(wait), late_wait_ms = millis(late_wait), free = pool.free.first();
+                        "forecast for new jobs; work in 1/1000 core-seconds, rates a second, free in 1/1000 cores"
+                    );
+                }
+            }
+        }
     }
 
     /// Logs the organisations whose limits delay the most work.
--- a/crates/cell/src/owner/messages.rs
+++ b/crates/cell/src/owner/messages.rs
@@ -21,9 +21,9 @@
 
 use crate::AcceptedJob;
 use crate::Change;
-use crate::DelegatedCall;
 use crate::HelperPoll;
 use crate::JobView;
+use crate::PollReply;
 use crate::UsedWorker;
 
 /// Capacity of the queue of messages to the owner. Links, callers and helpers together send
@@ -37,8 +37,9 @@
     QueryStatus(JobId, Option<Requester>, oneshot::Sender<JobView>),
     /// Asks how many jobs of a queue wait.
     QueryLength(String, oneshot::Sender<usize>),
-    /// A helper delivers the result of its last advice call and asks for the next one.
-    Poll(HelperPoll, oneshot::Sender<Option<DelegatedCall>>),
+    /// A helper delivers the result of its last advice call, and asks for the next one and for the
+    /// forecast.
+    Poll(HelperPoll, oneshot::Sender<PollReply>),
     /// Rows of jobs, and the monotonic time up to which all accepted jobs have now been read.
     JobRows(Change, Duration),
     /// A job was accepted; sent by the process that accepted it.
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -13,6 +13,7 @@
 mod link;
 mod liveness;
 mod load;
+mod marks;
 mod messages;
 mod overload;
 mod pool;
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -32,6 +32,7 @@
 use super::fencing::FencingTable;
 use super::follow_workers;
 use super::freshness::Freshness;
+use super::marks::Marks;
 use super::max_reply_delay;
 use super::overload::Overload;
 use super::takeover::READ_RETRY_PAUSE;
@@ -87,6 +88,7 @@
     pub(super) helpers: Helpers,
     pub(super) liveness: LivenessCheck,
     pub(super) retention: Retention,
+    pub(super) marks: Marks,
     /// Workers with a row in the table of used workers.
     pub(super) used_workers: HashSet<String>,
     /// Jobs whose progress row cannot be decoded; they are not run. When they were treated as
@@ -171,6 +173,7 @@
             helpers: Helpers::default(),
             liveness: LivenessCheck::default(),
             retention: Retention::default(),
+            marks: Marks::default(),
             used_workers: HashSet::new(),
             unreadable_jobs: inherited.unreadable_jobs,
             freshness,
@@ -387,6 +390,7 @@
         self.move_links();
         self.check_liveness(now);
         self.remove_expired_jobs(now);
+        self.remove_marks(now);
         self.start_save(now);
     }
 
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -8,12 +8,14 @@
 use hyper::Method;
 use hyper::StatusCode;
 use job::Epoch;
+use job::Forecast;
 use job::JobId;
 use job::JobSpec;
 use job::JobStatus;
 use job::Requester;
 use job::StepKey;
 use job::WorkerId;
+use platform::Version;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::oneshot;
@@ -45,7 +47,7 @@
 const POLL_SLACK: Duration = Duration::from_millis(500);
 
 /// An advice call that the owner delegates to a helper.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct DelegatedCall {
     /// Step that needs workers.
     pub step: StepKey,
@@ -77,6 +79,53 @@
     pub node: String,
     /// Result of the previous advice call, if there was one.
     pub result: Option<AdviceResult>,
+    /// The helper reads a [`PollReply`]. Helpers of earlier versions read the call alone.
+    #[serde(default)]
+    pub forecast: bool,
+}
+
+/// The owner's reply to a helper's poll. An owner of an earlier version replies with the call alone.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "AnyReply")]
+pub struct PollReply {
+    /// Advice call to make; `None` if there is none.
+    pub call: Option<DelegatedCall>,
+    /// Forecast of the pool; `None` if the host has a recent one, or if there is none.
+    pub forecast: Option<Forecast>,
+    /// Time for which the owner held the poll.
+    pub held: Duration,
+}
+
+/// A reply of any version. The earlier form is tried first, since its fields are required.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum AnyReply {
+    Earlier(Option<DelegatedCall>),
+    Current {
+        call: Option<DelegatedCall>,
+        forecast: Option<Forecast>,
+        held: Duration,
+    },
+}
+
+impl From<AnyReply> for PollReply {
+    fn from(reply: AnyReply) -> PollReply {
+        match reply {
+            AnyReply::Earlier(call) => PollReply {
+                call,
+                ..PollReply::default()
+            },
+            AnyReply::Current {
+                call,
+                forecast,
+                held,
+            } => PollReply {
+                call,
+                forecast,
+                held,
+            },
+        }
+    }
 }
 
 /// A job whose row was just committed.
@@ -90,6 +139,13 @@
     /// caller needed no key, or the job is accepted already.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub key: Option<KeyDigest>,
+    /// A version of the store from before the arrival of the request; 0 if none is known. The job may
+    /// replace marks of rejections up to this version.
+    #[serde(default)]
+    pub known: Version,
+    /// Identifies the marks that this request has written, which the job may replace, too; 0 for none.
+    #[serde(default)]
+    pub attempt: u64,
 }
 
 /// The owner's reply to a question about a job.
@@ -255,11 +311,11 @@
         }
     }
 
-    /// Polls for an advice call and delivers the result of the previous one.
+    /// Polls for an advice call and a forecast, and delivers the result of the previous call.
     ///
     /// # Errors
     /// See [`OwnerError`]; the result of the previous call may be lost.
-    pub async fn poll(&self, request: HelperPoll) -> Result<Option<DelegatedCall>, OwnerError> {
+    pub async fn poll(&self, request: HelperPoll) -> Result<PollReply, OwnerError> {
         let body = request.clone();
         let make_message = |reply| OwnerMessage::Poll(request, reply);
         let timeout = POLL_WAIT + POLL_SLACK;
@@ -370,6 +426,18 @@
         self.context.config_age() <= usable && holder.is_some_and(|holder| holder.name == *name)
     }
 
+    /// Passes a helper's poll to the owner. A helper of an earlier version gets the call alone.
+    async fn relay_poll(&self, request: HelperPoll) -> HttpResponse {
+        let current = request.forecast;
+        let make_message = |reply| OwnerMessage::Poll(request, reply);
+        let timeout = POLL_WAIT + POLL_SLACK;
+        match self.owner_handle.send_request(make_message, timeout).await {
+            Some(reply) if current => web::json(StatusCode::OK, &reply),
+            Some(reply) => web::json(StatusCode::OK, &reply.call),
+            None => not_owner(),
+        }
+    }
+
     /// Sends a message to the owner in this process, and responds with its reply; with status 409
     /// if there is no owner here or it does not reply in time.
     async fn relay<T: Serialize>(
@@ -379,11 +447,15 @@
     ) -> HttpResponse {
         match self.owner_handle.send_request(make_message, timeout).await {
             Some(value) => web::json(StatusCode::OK, &value),
-            None => web::error(StatusCode::CONFLICT, "not the owner of the pool"),
+            None => not_owner(),
         }
     }
 }
 
+fn not_owner() -> HttpResponse {
+    web::error(StatusCode::CONFLICT, "not the owner of the pool")
+}
+
 impl Handler for PeerHandler {
     async fn handle(&self, incoming: HttpRequest) -> HttpResponse {
         let requester = requester_of(&incoming);
@@ -412,10 +484,7 @@
         }
         if incoming.path == "/help" {
             return match serde_json::from_slice::<HelperPoll>(&incoming.body) {
-                Ok(request) => {
-                    let make_message = |reply| OwnerMessage::Poll(request, reply);
-                    self.relay(make_message, POLL_WAIT + POLL_SLACK).await
-                }
+                Ok(request) => self.relay_poll(request).await,
                 Err(error) => web::error(StatusCode::BAD_REQUEST, &error.to_string()),
             };
         }
--- a/crates/cell/src/process.rs
+++ b/crates/cell/src/process.rs
@@ -182,6 +182,9 @@
     loop {
         match follower.next(CONFIG_WAIT).await {
             Ok(Change::Snapshot(rows) | Change::Delta(rows)) => {
+                if let Some(version) = follower.version() {
+                    context.versions.record(context.now(), version);
+                }
                 let mut all_decoded = true;
                 for decoded in rows.iter().filter_map(decode_config) {
                     match decoded {
--- a/crates/cell/src/rows.rs
+++ b/crates/cell/src/rows.rs
@@ -270,6 +270,22 @@
     })
 }
 
+/// Beginning of the rows of a job that was rejected. It is not that of a row of a job in any version.
+const REJECTION_MARK: &[u8] = b"\xffrejected";
+
+/// Returns the value of the rows of a job that was rejected: a write of the job that was sent before, and
+/// is carried out late, finds a row and fails. `attempt` identifies the request.
+#[must_use]
+pub fn rejection_mark(attempt: u64) -> Vec<u8> {
+    [REJECTION_MARK, &attempt.to_be_bytes()].concat()
+}
+
+/// Returns whether the value of a row marks a job as rejected.
+#[must_use]
+pub fn is_rejection_mark(value: &[u8]) -> bool {
+    value.starts_with(REJECTION_MARK)
+}
+
 /// A job's row as written by earlier versions, without the organisation.
 #[derive(Deserialize)]
 struct LegacyJobSpec {
--- a/crates/cell/src/stored.rs
+++ b/crates/cell/src/stored.rs
@@ -15,6 +15,7 @@
 use crate::decode_job_row;
 use crate::decode_progress;
 use crate::hex;
+use crate::is_rejection_mark;
 use crate::job_rows;
 use crate::progress_row;
 
@@ -96,7 +97,8 @@
         let store = &self.context.store;
         for name in &job_rows(id) {
             let row = store.read_row(name, STORE_TIMEOUT).await;
-            if let Some(row) = row.context(ReadSnafu)? {
+            let row = row.context(ReadSnafu)?;
+            if let Some(row) = row.filter(|row| !is_rejection_mark(&row.value)) {
                 let spec = log_undecodable(id, &row, decode_job_row(&row.value))?;
                 return Ok(viewer.requester().may_see(&spec));
             }
@@ -115,8 +117,8 @@
         let mut read_error = None;
         for name in &job_rows(id) {
             let row = match store.read_row(name, STORE_TIMEOUT).await {
-                Ok(Some(row)) => row,
-                Ok(None) => continue,
+                Ok(Some(row)) if !is_rejection_mark(&row.value) => row,
+                Ok(_) => continue,
                 Err(error) => {
                     read_error.get_or_insert(error);
                     continue;
--- a/crates/cell/src/submit.rs
+++ b/crates/cell/src/submit.rs
@@ -1,4 +1,4 @@
-//! Submission of jobs: accepted by this process, or by the owner of the pool if the store refuses
+//! Submission of jobs: rejected if they would be done too late, otherwise accepted by this process, or by the owner of the pool if the store refuses
 //! this host.
 
 use hyper::StatusCode;
@@ -24,6 +24,7 @@
 use crate::callers::service_unavailable;
 use crate::hex;
 use crate::peers::Forwarded;
+use crate::rejection::new_attempt;
 use crate::retry::RefusalScope;
 
 impl CallerHandler {
@@ -51,8 +52,19 @@
             spec.organisation = Some(organisation.clone());
         }
         let key = request_key(&request.headers).ok();
-        let job = AcceptedJob { id, spec, key };
+        let job = AcceptedJob {
+            id,
+            spec,
+            key,
+            known: self.context.versions.before_request(self.context.now()),
+            attempt: new_attempt(),
+        };
         let deadline = self.context.now() + caller_timeout(queue).mul_f64(ATTEMPT_SHARE);
+        if self.context.settings.has(Mechanism::Admission)
+            && let Some(rejected) = self.reject(&job).await
+        {
+            return rejected;
+        }
         let mut acceptance = self.acceptor.accept(&job, deadline).await;
         let forwards = self.context.settings.has(Mechanism::ForwardToOwner);
         let mut scope = RefusalScope::Cell;
--- a/crates/cell/tests/docs.rs
+++ b/crates/cell/tests/docs.rs
@@ -66,6 +66,10 @@
         counter.with_label_values(&["x"]).inc();
     }
     metrics.pool.with_label_values(&["x"]).set(1);
+    metrics
+        .forecast
+        .with_label_values(&["x", "0", "x", "x"])
+        .set(1);
     metrics.job.with_label_values(&["x"]).observe(1.0);
 
     let text = metrics.text();
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -42,6 +42,7 @@
 
 use limits::organisations::Organisations;
 use limits::peak_pools::PeakPools;
+use order::forecast::Forecaster;
 use placement::advice::AdviceQueue;
 use placement::headroom::Headrooms;
 use placement::reservations::Reservations;
@@ -53,6 +54,7 @@
 use times::run_times::RunTimes;
 
 pub use limits::organisations::DelayedOrganisation;
+pub(crate) use order::forecast::Estimates;
 pub use placement::advice::AdviceRequest;
 pub use placement::advice::FreeHelpers;
 pub use policy::Policy;
@@ -208,6 +210,8 @@
     peak_pools: PeakPools,
     /// Organisations, and what each of them has running.
     organisations: Organisations,
+    /// Forecast for new jobs.
+    forecaster: Forecaster,
 }
 
 /// Time after a take-over within which another process may still send a new job to the former
@@ -231,6 +235,7 @@
             started_at: now,
             peak_pools: PeakPools::default(),
             organisations: Organisations::default(),
+            forecaster: Forecaster::default(),
             policy,
             now,
             wall_origin,
@@ -331,6 +336,9 @@
         job.ended_at = self.now;
         let ended = job.outcome.is_some();
         self.jobs.insert(id, job);
+        if !old {
+            self.record_arrival(id);
+        }
         if let Some(progress) = progress {
             self.restore_suspects(id, progress);
             self.restore_placements(id, progress);
--- a/crates/job/src/planner/order/rank.rs
+++ b/crates/job/src/planner/order/rank.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::LATE_FACTOR;
 use crate::Mechanism;
 use crate::StepKey;
 use crate::planner::Planner;
@@ -28,9 +29,6 @@
     due: Duration,
 }
 
-/// A late result has value for callers up to this multiple of the objective.
-const LATE_FACTOR: u32 = 3;
-
 /// Share of the estimated run time of the remaining steps that must fit before the end of the
 /// objective for a step to count as in time: estimates are wrong by up to a factor of two.
 const WORK_SHARE: f64 = 0.5;
--- a/crates/job/src/planner/placement/place.rs
+++ b/crates/job/src/planner/placement/place.rs
@@ -81,7 +81,7 @@
         self.pool_cpu = self.usable_cpu();
         self.update_headrooms();
         self.place_trials(&ranked, &mut reservations);
-        for (rank, key) in ranked {
+        for &(rank, key) in &ranked {
             let Some(spec) = self.step_spec(key) else {
                 continue;
             };
@@ -102,6 +102,7 @@
             }
         }
         self.reservations = reservations;
+        self.update_forecast(&ranked);
     }
 
     /// Returns the specification of a step; `None` if its job or the step does not exist.
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -10,6 +10,7 @@
 
 use cell::CellProcess;
 use cell::CellSettings;
+use job::Mechanism;
 use serde_json::Value;
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -83,6 +84,8 @@
     link: Option<(Arc<LimitedLink>, f64)>,
     /// Number of cores of hosts that differ from the default.
     cores: HashMap<usize, f64>,
+    /// Optional mechanisms that are enabled.
+    on: Vec<Mechanism>,
     /// Processes of the cell; none for a process that is not running.
     members: Vec<Option<Member>>,
     /// Stops the fakes when it is dropped.
@@ -170,6 +173,7 @@
             keep_s,
             link,
             cores: HashMap::new(),
+            on: Vec::new(),
             members: Vec::new(),
             serving,
         };
@@ -402,12 +406,18 @@
         self.cores.insert(index, cores);
     }
 
+    /// Enables optional mechanisms, from the next start of each process.
+    pub fn enable(&mut self, on: &[Mechanism]) {
+        self.on = on.to_vec();
+    }
+
     fn settings(&self, index: usize) -> CellSettings {
         let text = self
             .host(index)
             .settings(self.stores[index], Some(self.services));
         let mut settings = CellSettings::parse(&text).expect("settings");
         settings.bounds.keep_s = self.keep_s;
+        settings.on.clone_from(&self.on);
         settings.cores = self.cores.get(&index).copied().unwrap_or(settings.cores);
         if let Some((_, mbps)) = self.link {
             settings.link_mbps = mbps;
