--- a/crates/job/src/planner/order/forecast.rs
+++ b/crates/job/src/planner/order/forecast.rs
@@ -34,13 +34,10 @@
 /// jobs that it delays have objectives of a second and more.
 const ARRIVAL_SECONDS: f64 = 4.0;
 
-/// Smallest share of the pool that is assumed to be left to work of a priority by more urgent jobs
-/// that arrive meanwhile, even if it has none of it now: a burst ends before most of that work is of no
-/// value.
-const MIN_SHARE: u64 = 8;
-
-/// The same for late jobs, for which the value of the result ends sooner after the burst.
-const MIN_LATE_SHARE: u64 = 32;
+/// Time, in seconds, for which jobs are assumed to go on arriving as they have: many callers at once, and
+/// an organisation that sends many times its usual, last for tens of seconds. After it, what waits has the
+/// whole pool.
+const HORIZON: u64 = 30;
 
 /// Share of the usable processors that is assumed to be at work, at least: a new owner has just begun
 /// to start tasks.
@@ -261,13 +258,14 @@
         let (busy, all) = (use_of.busy, running(0));
         let left = all.saturating_sub(arriving(priority));
         let late_left = all.saturating_sub(arriving(u32::MAX));
+        let late = sum(false, u32::MAX).saturating_add(sum(true, priority));
         Flow {
             ahead: sum(false, priority),
-            rate: left.max(running(priority)).max(busy / MIN_SHARE),
-            late: sum(false, u32::MAX).saturating_add(sum(true, priority)),
+            rate: left.max(running(priority)),
+            late,
             late_rate: late_left
                 .max(use_of.late[usize::from(gang)])
-                .max(busy / MIN_LATE_SHARE),
+                .max(rate_beyond(late, busy)),
         }
     }
 
@@ -304,6 +302,12 @@
     }
 }
 
+/// Returns the rate of work that waits for [`HORIZON`] and then has the whole pool.
+fn rate_beyond(work: u64, busy: u64) -> u64 {
+    let time = HORIZON + work / busy.max(1);
+    work.div_ceil(time)
+}
+
 /// What the workers of a service do, in thousandths of a core.
 #[derive(Debug, Default)]
 struct PoolUse {
--- a/crates/job/tests/admission.rs
+++ b/crates/job/tests/admission.rs
@@ -150,10 +150,8 @@
                     outcomes.gangs.1 += usize::from(job.steps[0].gang);
                 }
                 Admission::Accept => {
-                    if let Some(level) = forecast.and_then(|forecast| level_of(forecast)) {
-                        outcomes
-                            .expected
-                            .insert(next, level.flow(demand.gang).wait() + demand.critical_path);
+                    if let Some(level) = forecast.and_then(level_of) {
+                        outcomes.expected.insert(next, expected(level, &demand));
                     }
                     outcomes.gangs.0 += usize::from(job.steps[0].gang);
                     planner.add_job(next, job, None, false);
@@ -187,6 +185,16 @@
     outcomes
 }
 
+/// Returns the time in which a job is expected to be done: in time, or late.
+fn expected(level: &Level, demand: &Demand) -> Duration {
+    let flow = level.flow(demand.gang);
+    let in_time = flow.wait() + demand.critical_path;
+    if in_time <= demand.objective {
+        return in_time;
+    }
+    flow.late_wait().max(flow.wait()) + demand.critical_path
+}
+
 fn level_of(forecast: &Forecast) -> Option<&Level> {
     forecast.pools.first()?.levels.first()
 }
