--- a/crates/cell/src/context.rs
+++ b/crates/cell/src/context.rs
@@ -21,6 +21,8 @@
 use crate::CellMetrics;
 use crate::CellSettings;
 use crate::Follower;
+use crate::ForecastCache;
+use crate::KnownVersions;
 use crate::OwnershipView;
 use crate::StopPhase;
 
@@ -50,6 +52,10 @@
     pub ownership: watch::Receiver<OwnershipView>,
     /// Counters, gauges and latency histograms.
     pub metrics: Arc<CellMetrics>,
+    /// Newest forecast of the pool.
+    pub forecast: ForecastCache,
+    /// Versions of the store that the process has seen.
+    pub versions: KnownVersions,
     /// How far the stop of the process is.
     pub stop: watch::Receiver<StopPhase>,
     /// Epoch of an owner whose process may have ended, because it closed a connection during a
@@ -80,6 +86,8 @@
             config,
             ownership,
             metrics: Arc::default(),
+            forecast: ForecastCache::default(),
+            versions: KnownVersions::default(),
             stop,
             suspected_owner: Arc::default(),
             config_confirmed: Arc::default(),
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -14,6 +14,7 @@
 mod link;
 mod liveness;
 mod load;
+mod marks;
 mod messages;
 mod overload;
 mod pool;
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -43,6 +43,7 @@
 use limits::bands::Bands;
 use limits::organisations::Organisations;
 use limits::peak_pools::PeakPools;
+use order::forecast::Forecaster;
 use placement::advice::AdviceQueue;
 use placement::headroom::Headrooms;
 use placement::reservations::Reservations;
@@ -57,6 +58,7 @@
 
 pub use limits::bands::OrganisationShare;
 pub use limits::organisations::DelayedOrganisation;
+pub(crate) use order::forecast::Estimates;
 pub use placement::advice::AdviceRequest;
 pub use placement::advice::FreeHelpers;
 pub use policy::Policy;
@@ -222,6 +224,8 @@
     restored_speeds: RestoredSpeeds,
     /// Order of the waiting steps by the shares of organisations.
     bands: Bands,
+    /// Forecast for new jobs.
+    forecaster: Forecaster,
 }
 
 /// Time after a take-over within which another process may still send a new job to the former
@@ -247,6 +251,7 @@
             organisations: Organisations::default(),
             restored_speeds: RestoredSpeeds::default(),
             bands: Bands::default(),
+            forecaster: Forecaster::default(),
             policy,
             now,
             wall_origin,
@@ -349,6 +354,9 @@
         job.ended_at = self.now;
         let ended = job.outcome.is_some();
         self.jobs.insert(id, job);
+        if !old {
+            self.record_arrival(id);
+        }
         if let Some(progress) = progress {
             self.restore_suspects(id, progress);
             self.restore_placements(id, progress);
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -424,6 +424,11 @@
         self.cores.insert(index, cores);
     }
 
+    /// Enables optional mechanisms, from the next start of each process.
+    pub fn enable(&mut self, on: &[Mechanism]) {
+        self.on = on.to_vec();
+    }
+
     fn settings(&self, index: usize) -> CellSettings {
         let text = self
             .host(index)
