--- a/crates/cell/tests/learnt.rs
+++ b/crates/cell/tests/learnt.rs
@@ -114,7 +114,7 @@
         worker: cell.workers[index].id.clone(),
         incarnation: Some(cell.workers[index].incarnation - age),
         log_factor: 40,
-        weight: 10,
+        weight: 7,
     };
     let speeds = vec![speed(1, 1), speed(0, 0)];
     let usage = Vec::new();
