--- a/review/standin/runner.py
+++ b/review/standin/runner.py
@@ -27,9 +27,9 @@
     finally:
         await deployment.close()
     word = {BROKEN: "rule broken", HELD: "rule held", NOT_RUN: "not run"}[code]
-    lines = [*lines, *breaks[:20], f"breaks: {len(breaks)}; verdict: {word}; exit code {code}"]
-    deployment.write_record(folder / "record.txt", lines)
-    print("\n".join(lines[-6:]))
+    verdict = f"breaks: {len(breaks)}; verdict: {word}; exit code {code}"
+    deployment.write_record(folder / "record.txt", [*lines, *breaks[:20], verdict])
+    print("\n".join([*lines, *breaks[:3], verdict]))
     return code
 
 
