--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -204,6 +204,18 @@
                 found.discard(machine)
         return sorted(found)
 
+    def free_cpu(self, task_cpu):
+        """Free processors of each live worker, in thousandths, if each of its tasks needs `task_cpu`."""
+        live = {worker: machine for machine, (worker, _) in self.workers.items()}
+        tasks = {machine: set() for machine in live.values()}
+        for event in self.events():
+            machine = live.get(event["worker"])
+            if machine and event["event"] == "start":
+                tasks[machine].add(event["task"])
+            elif machine and event["event"] == "end":
+                tasks[machine].discard(event["task"])
+        return {machine: CAPACITY["cpu"] - task_cpu * len(found) for machine, found in tasks.items()}
+
     async def request(self, method, path, body=None, timeout=3.0):
         """Sends a caller's request to a node; after no answer, to the next one. Returns the answer."""
         names = random.sample(sorted(self.nodes), len(self.nodes))
--- a/review/standin/runner.py
+++ b/review/standin/runner.py
@@ -22,13 +22,14 @@
     try:
         breaks, lines = await asyncio.wait_for(play(deployment, trouble), TIME_LIMIT_S)
         code = BROKEN if breaks else HELD
-    except Exception as error:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
         lines = [f"the case could not run: {error!r}"]
     finally:
         await deployment.close()
     word = {BROKEN: "rule broken", HELD: "rule held", NOT_RUN: "not run"}[code]
     verdict = f"breaks: {len(breaks)}; verdict: {word}; exit code {code}"
     deployment.write_record(folder / "record.txt", [*lines, *breaks[:20], verdict])
+    deployment.folder.cleanup()
     print("\n".join([*lines, *breaks[:3], verdict]))
     return code
 
