Log and measure how old the registrations behind a start are

Cause: the logs could not tell an owner that does not know that a worker drains from one whose start is long on its way, nor from one that knew and passed over it. 350 did not say how old the registrations were, 342 not when the read began, and nothing told how long a read waited for the owner.

Change: read_ms on 350 and 342; code 389 once a second with the largest age when a start was sent and when a worker answered one, and the longest wait of a read in the owner's queue; the histogram clovermount_start_age_seconds. No decision reads them.

--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -67,6 +67,8 @@
     pub accept: Histogram,
     /// Time from acceptance to the first start of a job's tasks.
     pub first_start: Histogram,
+    /// Age of the registrations behind a start when its worker answered.
+    pub start_age: Histogram,
     /// Time until a job's end was recorded, by outcome. It starts when the owner first receives
     /// the job or its row; for jobs taken over from a former owner, at their acceptance.
     pub job: HistogramVec,
@@ -148,6 +150,10 @@
                 "first_start",
                 "From acceptance until a worker was known to run a job's first task",
             ),
+            start_age: latency(
+                "start_age",
+                "Age of the registrations behind a start when its worker answered",
+            ),
             save: latency("save", "Transactions of the owner"),
             job: register(&registry, job.expect("valid name")),
             registry,
--- a/crates/cell/src/owner/commands.rs
+++ b/crates/cell/src/owner/commands.rs
@@ -16,6 +16,7 @@
 use super::start_call::StartCall;
 use crate::OwnerMessage;
 use crate::WorkerEvent;
+use crate::callers::millis;
 use crate::metrics::count;
 use crate::metrics::observe;
 
@@ -94,9 +95,11 @@
         };
         start.lease_expiry = lease_end;
         start.token = link.fencing.begin_start();
+        let age = self.registrations_age();
+        self.start_ages.record_sent(age);
         log::info!(
             code = 350, task:% = start.task, run = start.run, worker = link.id.as_str(),
-            epoch = self.epoch, resumes = !start.checkpoint.is_empty(),
+            epoch = self.epoch, read_ms = millis(age), resumes = !start.checkpoint.is_empty(),
             factor_percent = self.planner.factor_percent(worker);
             "run start sent"
         );
@@ -111,6 +114,8 @@
             fencing: link.fencing.clone(),
             latency: self.latency.clone(),
             start_window: self.start_window.clone(),
+            ages: self.start_ages.clone(),
+            registrations_read: self.registrations_read,
             sender: self.sender.clone(),
         };
         tokio::spawn(call.run());
--- a/crates/cell/src/owner/handlers.rs
+++ b/crates/cell/src/owner/handlers.rs
@@ -19,6 +19,7 @@
 use crate::RegistrationChange;
 use crate::UsedWorker;
 use crate::WorkerEvent;
+use crate::callers::millis;
 use crate::decode_job_row;
 use crate::is_rejection_mark;
 use crate::job_id_of;
@@ -73,10 +74,13 @@
     }
 
     pub(super) fn handle_registrations(&mut self, change: RegistrationChange) {
+        let now = self.context.now();
+        self.start_ages
+            .record_queued(now.saturating_sub(change.read_ended));
+        self.registrations_read = self.registrations_read.max(change.read_started);
         for info in change.updated {
             self.handle_registration(info);
         }
-        self.registrations_read = self.registrations_read.max(change.read_started);
         for id in change.deleted {
             log::info!(
                 code = 341, worker = id.as_str();
@@ -90,8 +94,11 @@
     fn handle_registration(&mut self, info: WorkerInfo) {
         let (id, incarnation, address) = (info.id.clone(), info.incarnation, info.address);
         if info.draining {
+            let key = self.planner.worker_key(&id);
             log::info!(
-                code = 342, worker = id.as_str();
+                code = 342, worker = id.as_str(), life = incarnation,
+                read_ms = millis(self.registrations_age()),
+                running = key.map_or(0, |key| self.planner.booked_runs(key));
                 "worker has registered as draining; it gets no new tasks"
             );
         }
--- a/crates/cell/src/owner/load.rs
+++ b/crates/cell/src/owner/load.rs
@@ -35,6 +35,7 @@
         );
         self.log_speeds();
         self.log_traffic();
+        self.log_ages();
         self.log_limits();
         self.log_shares();
         self.log_forecast();
@@ -131,6 +132,17 @@
         );
     }
 
+    /// Logs how old the registrations behind the starts were.
+    fn log_ages(&self) {
+        let largest = self.start_ages.take();
+        log::info!(
+            code = 389, epoch = self.epoch, read_ms = millis(self.registrations_age()),
+            sent_ms = millis(largest.sent), answered_ms = millis(largest.answered),
+            queued_ms = millis(largest.queued);
+            "age of the worker registrations now, and the largest since the last line with this code: when a start was sent, when one was answered; wait of a read for the owner"
+        );
+    }
+
     /// Logs each lost run with the cause of the loss.
     pub(super) fn log_losses(&mut self) {
         for lost in self.planner.take_losses() {
--- a/crates/cell/src/owner/messages.rs
+++ b/crates/cell/src/owner/messages.rs
@@ -70,6 +70,8 @@
     pub deleted: Vec<String>,
     /// When the newest read started that returned all changes made before it.
     pub read_started: Duration,
+    /// When the last read ended.
+    pub read_ended: Duration,
 }
 
 /// An event from the link to a worker.
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -26,6 +26,7 @@
 mod reply_wait;
 mod retention;
 mod saver;
+mod start_age;
 mod start_call;
 mod start_window;
 mod supervise;
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -35,6 +35,7 @@
 use super::marks::Marks;
 use super::max_reply_delay;
 use super::overload::Overload;
+use super::start_age::StartAges;
 use super::takeover::READ_RETRY_PAUSE;
 use super::takeover::follow_jobs;
 use super::takeover::take_over;
@@ -114,6 +115,8 @@
     pub(super) load_logged: Duration,
     /// When the newest successful read of the registrations started.
     pub(super) registrations_read: Duration,
+    /// Ages of the registrations behind the starts.
+    pub(super) start_ages: Arc<StartAges>,
     /// Another process owns the pool: a worker has refused a command of this epoch, or the
     /// guard row was written by a newer owner.
     pub(super) has_successor: bool,
@@ -187,6 +190,7 @@
             tasks: JoinSet::new(),
             load_logged: Duration::ZERO,
             registrations_read: context.now(),
+            start_ages: Arc::new(StartAges::new(context.metrics.start_age.clone())),
             has_successor: false,
             context,
         };
@@ -365,7 +369,7 @@
         self.publish_owned_until(now);
         self.publish_reply_delay();
         self.planner.advance(now);
-        self.check_registration_age(now);
+        self.check_registration_age();
         self.check_limits_age();
         let recovering = self.planner.recovering();
         if self.owned() && !self.saver.holds_starts(now) {
@@ -395,10 +399,16 @@
         self.start_save(now);
     }
 
+    /// Time since the start of the newest read of the registrations that was handled.
+    pub(super) fn registrations_age(&self) -> Duration {
+        let now = self.context.now();
+        now.saturating_sub(self.registrations_read)
+    }
+
     /// While the registrations cannot be read, tasks are only started within the capacity to
     /// which a worker may have shrunk.
-    fn check_registration_age(&mut self, now: Duration) {
-        let age = now.saturating_sub(self.registrations_read);
+    fn check_registration_age(&mut self) {
+        let age = self.registrations_age();
         let stale = age > STALE_AGE;
         if self.planner.set_registrations_stale(stale) {
             log::warn!(
--- a/crates/cell/src/owner/registrations.rs
+++ b/crates/cell/src/owner/registrations.rs
@@ -139,6 +139,7 @@
                 // Also sent without changes: the owner derives the age of its registrations
                 // from it.
                 update.read_started = context.current_at(&follower);
+                update.read_ended = context.now();
                 if sender
                     .send(OwnerMessage::Registrations(update))
                     .await
--- a/crates/cell/src/owner/start_call.rs
+++ b/crates/cell/src/owner/start_call.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use job::StartReply;
 use job::WorkerId;
@@ -13,6 +14,7 @@
 use super::ReplyLatency;
 use super::StartWindow;
 use super::fencing::WorkerFencing;
+use super::start_age::StartAges;
 use crate::Context;
 use crate::OwnerMessage;
 use crate::WorkerEvent;
@@ -29,6 +31,9 @@
     pub(super) fencing: Arc<WorkerFencing>,
     pub(super) latency: Arc<ReplyLatency>,
     pub(super) start_window: StartWindow,
+    pub(super) ages: Arc<StartAges>,
+    /// When the read of the registrations began on which the start is based.
+    pub(super) registrations_read: Duration,
     pub(super) sender: mpsc::Sender<OwnerMessage>,
 }
 
@@ -54,7 +59,10 @@
             call.await
         };
         if let CommandReply::Done(_) = answer {
-            self.latency.record(self.context.now().saturating_sub(sent));
+            let now = self.context.now();
+            self.latency.record(now.saturating_sub(sent));
+            self.ages
+                .record_answered(now.saturating_sub(self.registrations_read));
         } else {
             self.log_unconfirmed(&format!("{answer:?}"));
         }
--- a/crates/job/src/planner/state/roster.rs
+++ b/crates/job/src/planner/state/roster.rs
@@ -332,6 +332,12 @@
         self.workers.get(key).map_or(0, |worker| worker.last_end)
     }
 
+    /// Returns the number of runs that are booked on the worker.
+    #[must_use]
+    pub fn booked_runs(&self, key: WorkerKey) -> usize {
+        self.workers.get(key).map_or(0, |worker| worker.runs.len())
+    }
+
     /// Returns whether a run is booked on the worker.
     #[must_use]
     pub fn has_booked(&self, key: WorkerKey, task: TaskKey, run: RunId) -> bool {
