--- a/crates/daemon/tests/soak/checker.rs
+++ b/crates/daemon/tests/soak/checker.rs
@@ -130,7 +130,8 @@
             }
             WorkerEvent::Discarded(..)
             | WorkerEvent::Acknowledged(..)
-            | WorkerEvent::Overbooked(..) => {}
+            | WorkerEvent::Overbooked(..)
+            | WorkerEvent::StartedDraining(..) => {}
         }
     }
     violations
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -303,6 +303,16 @@
             .write("servers", &self.workers[index].id, &resized);
     }
 
+    /// Registers a worker as draining.
+    pub fn drain(&self, index: usize) {
+        let worker = self.supervisors[index].current();
+        let mut draining = worker.registration_row(self.addresses[index]);
+        draining["state"] = json!("draining");
+        draining["remaining_ms"] = json!(10_000);
+        self.store.write("servers", &worker.id, &draining);
+        worker.drain();
+    }
+
     /// Removes a worker's registration.
     pub fn unregister(&self, index: usize) {
         self.store.remove("servers", &self.workers[index].id);
--- a/crates/site/src/loopback.rs
+++ b/crates/site/src/loopback.rs
@@ -83,7 +83,10 @@
             },
             "peers": {"first_port": PEER_PORT}, "cores": 1.0, "store": store,
             "advice": services, "machines": services,
-            "bounds": {"lease_ms": 6000, "keep_s": 120.0, "grace_s": 6.0},
+            "bounds": {
+                "lease_ms": 6000, "keep_s": 120.0, "grace_s": 6.0,
+                "drain_ms": crate::DRAIN_BOUND.as_millis(),
+            },
         });
         settings.to_string()
     }
--- a/crates/site/src/run_log.rs
+++ b/crates/site/src/run_log.rs
@@ -6,12 +6,17 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 use std::time::Instant;
 
 /// Maximum number of attempts of a task in the test configuration. Only attempts whose failure the
 /// owner has acknowledged count.
 pub const ATTEMPTS: usize = 2;
 
+/// Time after which no task may start on a worker any more once it has registered as draining. The
+/// settings of all processes state it.
+pub const DRAIN_BOUND: Duration = Duration::from_secs(2);
+
 /// An event on a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WorkerEvent {
@@ -29,6 +34,9 @@
     /// A task was started although all cores of the worker were in use: worker, task. Follows the
     /// `Started` of this run.
     Overbooked(String, String),
+    /// A run was started on a worker that had been draining for longer than [`DRAIN_BOUND`]: worker,
+    /// task, run, and the time since the worker drains. Follows the `Started` of this run.
+    StartedDraining(String, String, u64, Duration),
 }
 
 /// A run of a task, with its start and its end.
@@ -127,7 +135,8 @@
 
     /// Returns the violations of a cell's guarantees: a task that runs twice at the same time,
     /// a task that starts again after it was done or after [`ATTEMPTS`] acknowledged failures,
-    /// or a worker on which more tasks run than it has cores.
+    /// a worker on which more tasks run than it has cores, or a task that starts on a worker which
+    /// has been draining for too long.
     #[must_use]
     pub fn violations(&self) -> Vec<String> {
         let mut failures: HashMap<String, HashSet<u64>> = HashMap::new();
@@ -170,6 +179,11 @@
                         failures.entry(task.clone()).or_default().insert(*run);
                     }
                 }
+                WorkerEvent::StartedDraining(worker, task, run, after) => {
+                    violations.push(format!(
+                        "{task} run {run} started on {worker}, which has been draining for {after:?}, limit {DRAIN_BOUND:?}"
+                    ));
+                }
                 WorkerEvent::Overbooked(worker, task) => {
                     violations.push(format!(
                         "{task} was started on {worker}, where all cores were in use"
--- a/crates/site/src/store.rs
+++ b/crates/site/src/store.rs
@@ -299,9 +299,12 @@
         if after < rows.dropped_upto {
             return Some(web::error(StatusCode::GONE, "forgotten"));
         }
-        let changes = rows.changes.iter();
-        let found: Vec<(u64, Value)> = changes
-            .filter(|(version, name, _)| *version > after && name.0 == table)
+        let seen = rows
+            .changes
+            .partition_point(|(version, _, _)| *version <= after);
+        let found: Vec<(u64, Value)> = rows.changes[seen..]
+            .iter()
+            .filter(|(_, name, _)| name.0 == table)
             .take(FEED_ROWS)
             .map(|(version, name, value)| (*version, row_json(name, value.as_ref(), *version)))
             .collect();
--- a/crates/site/src/worker.rs
+++ b/crates/site/src/worker.rs
@@ -16,6 +16,7 @@
 use web::HttpRequest;
 use web::HttpResponse;
 
+use crate::DRAIN_BOUND;
 use crate::DelayPlan;
 use crate::RunLog;
 use crate::WorkerEvent;
@@ -85,7 +86,11 @@
     silent: bool,
     dead: bool,
     crashed: bool,
+    /// When the store accepted the registration that says that the worker drains.
+    draining_since: Option<Instant>,
     capacity: Cores,
+    /// Longest time for which a start was still valid when it arrived.
+    longest_validity: Duration,
     /// Number of the next start commands that are carried out but get no reply.
     unanswered_starts: usize,
     /// Commands with this fencing token or a higher one are dropped.
@@ -181,6 +186,11 @@
         }
     }
 
+    /// Records that the store has accepted the registration that says that the worker drains.
+    pub fn drain(&self) {
+        self.lock().draining_since.get_or_insert_with(Instant::now);
+    }
+
     /// Whether a task has crashed the worker.
     #[must_use]
     pub fn crashed(&self) -> bool {
@@ -256,6 +266,13 @@
         self.lock().end_count
     }
 
+    /// Returns the longest time for which a start was still valid when it arrived: after that time
+    /// the worker would have refused it.
+    #[must_use]
+    pub fn longest_validity(&self) -> Duration {
+        self.lock().longest_validity
+    }
+
     /// Returns the number of unanswered start commands that are not carried out yet.
     #[must_use]
     pub fn delayed_starts(&self) -> usize {
@@ -350,9 +367,14 @@
         let task = body["task"].as_str().unwrap_or_default().to_owned();
         let run = body["run"].as_u64().unwrap_or(0);
         let lease_expiry = body["deadline_ms"].as_u64().unwrap_or(0);
-        if lease_expiry <= self.clock() {
+        let Some(validity) = lease_expiry
+            .checked_sub(self.clock())
+            .filter(|left| *left > 0)
+        else {
             return self.refuse("late");
-        }
+        };
+        let validity = Duration::from_millis(validity);
+        state.longest_validity = state.longest_validity.max(validity);
         state.lease_expiry = state.lease_expiry.max(lease_expiry);
         if state
             .latest_ended
@@ -373,6 +395,15 @@
             state.running.insert(task.clone(), started);
             self.log
                 .push(WorkerEvent::Started(self.id.clone(), task.clone(), run));
+            let draining = state.draining_since.map(|since| since.elapsed());
+            if let Some(after) = draining.filter(|after| *after > DRAIN_BOUND) {
+                self.log.push(WorkerEvent::StartedDraining(
+                    self.id.clone(),
+                    task.clone(),
+                    run,
+                    after,
+                ));
+            }
             if state.running.len() > state.capacity.allowed() {
                 self.log
                     .push(WorkerEvent::Overbooked(self.id.clone(), task));
