Start no task on registrations that are too old when the start arrives

What callers saw: tasks on workers that had long registered as draining, which end with the worker. Cause: nothing bounded the age of the registrations behind a start, from the begin of the read to the arrival at the worker. On a small host the reads take seconds while all of them succeed, and starts went on; a start that waited on its way was valid for the whole lease, 4.5 s.

Change, one rule for all ways to a start: - A start has a deadline: begin of the newest read of the registrations plus drain_ms (new in the settings), less 0.1 s. A registration that this read lacked was stored after its begin, so a start in time breaks no bound. - The owner starts nothing that would arrive later, by the usual time of answers (390). Trials heed the budget of starts, too. - A start whose turn comes too late is not sent; the deadline goes along as the lease of the start, by a lower bound of the worker's clock (2 % slow), so the worker refuses one that arrives later. Neither pauses the worker. - No deadline while the store serves nobody, as no worker can register then. Timeouts alone don't prove that: on a slow host they come without an outage.

--- a/crates/cell/src/advice_helper.rs
+++ b/crates/cell/src/advice_helper.rs
@@ -32,12 +32,14 @@
     let advice = AdviceClient::new(context.client.clone(), server);
     let mut result = None;
     loop {
+        let sent = context.now();
+        let answered_at = Some(context.store_answered_at()).filter(|at| !at.is_zero());
         let request = HelperPoll {
             node: context.settings.node.clone(),
             result: result.take(),
             forecast: true,
+            store_age: answered_at.map(|at| sent.saturating_sub(at)),
         };
-        let sent = context.now();
         let Ok(reply) = owner.poll(request).await else {
             tokio::time::sleep(NO_OWNER_PAUSE).await;
             continue;
--- a/crates/cell/src/context.rs
+++ b/crates/cell/src/context.rs
@@ -63,6 +63,9 @@
     suspected_owner: Arc<AtomicU64>,
     /// Start of the newest successful read of the configuration, in milliseconds since `origin`.
     config_confirmed: Arc<AtomicU64>,
+    /// Arrival of the newest reply of the store with rows of the operator, in milliseconds since
+    /// `origin`; 0 for none.
+    store_answered: Arc<AtomicU64>,
     /// Origin of the process's monotonic clock.
     origin: Instant,
 }
@@ -91,6 +94,7 @@
             stop,
             suspected_owner: Arc::default(),
             config_confirmed: Arc::default(),
+            store_answered: Arc::default(),
             origin: Instant::now(),
         }
     }
@@ -143,6 +147,19 @@
         self.now().saturating_sub(read_started)
     }
 
+    /// Records that a reply of the store with rows of the operator has arrived. Workers register in
+    /// the same part of the store.
+    pub fn record_store_reply(&self) {
+        let now = u64::try_from(self.now().as_millis()).unwrap_or(u64::MAX);
+        self.store_answered.store(now, Ordering::Relaxed);
+    }
+
+    /// Returns when the newest reply of the store with rows of the operator arrived; zero if none has.
+    #[must_use]
+    pub fn store_answered_at(&self) -> Duration {
+        Duration::from_millis(self.store_answered.load(Ordering::Relaxed))
+    }
+
     /// Whether the store currently does not answer this process.
     #[must_use]
     pub fn store_unreachable(&self) -> bool {
--- a/crates/cell/src/follower.rs
+++ b/crates/cell/src/follower.rs
@@ -78,6 +78,9 @@
     last_full: Option<(Instant, Duration)>,
     /// When the newest read started that returned all changes made before it.
     current_at: Option<Instant>,
+    /// Changed rows that were read and not returned yet: a call that is cancelled between two pages
+    /// must not lose those of the first.
+    pending: Vec<Row>,
 }
 
 impl Follower {
@@ -96,6 +99,7 @@
             rereads: true,
             last_full: None,
             current_at: None,
+            pending: Vec::new(),
         }
     }
 
@@ -119,7 +123,8 @@
 
     /// Waits up to `wait` for a change. The first call reads the whole table, as does the one
     /// after the store has dropped its history. A call that gets no reply from the feed reads the
-    /// whole table, too, unless that took long a short time ago.
+    /// whole table, too, unless that took long a short time ago. A call may be cancelled; the next one
+    /// returns the rows that it had read.
     ///
     /// # Errors
     /// Fails if the store cannot be read; the next call continues from the same version.
@@ -140,24 +145,26 @@
                 self.after = Some(rows.version.max(after));
                 let first_page = Instant::now();
                 let mut full = rows.rows.len() >= FULL_PAGE;
-                let mut rows = rows.rows;
+                // The store sends a reply without rows only once the wait is over.
+                let waited = rows.rows.is_empty() && started.elapsed() >= wait;
+                self.pending.extend(rows.rows);
                 for _ in 1..MAX_PAGES {
                     if !full || first_page.elapsed() >= MAX_PAGE_TIME {
                         break;
                     }
-                    match self.read_next_page(&mut rows).await {
+                    match self.read_next_page().await {
                         Ok(more) => full = more,
                         Err(_) => break,
                     }
                 }
                 if !full {
-                    self.current_at = Some(started);
+                    self.current_at = Some(if waited { started + wait } else { started });
                 } else if self.full_read_is_faster(delay + first_page.elapsed())
                     && let Ok(table) = self.reread().await
                 {
                     return Ok(table);
                 }
-                Ok(Change::Delta(rows))
+                Ok(Change::Delta(std::mem::take(&mut self.pending)))
             }
             Err(StoreError::HistoryTruncated) => {
                 log::info!(
@@ -246,9 +253,9 @@
         read
     }
 
-    /// Appends the next page of the feed to `rows`, and returns whether that page was full, too.
-    /// After an error, the next call to `next` reads the page.
-    async fn read_next_page(&mut self, rows: &mut Vec<Row>) -> Result<bool, StoreError> {
+    /// Reads the next page of the feed, and returns whether that page was full, too. After an error,
+    /// the next call to `next` reads the page.
+    async fn read_next_page(&mut self) -> Result<bool, StoreError> {
         let after = self.after.unwrap_or_default();
         let page = self
             .store
@@ -256,7 +263,7 @@
             .await?;
         self.after = Some(page.version.max(after));
         let full = page.rows.len() >= FULL_PAGE;
-        rows.extend(page.rows);
+        self.pending.extend(page.rows);
         Ok(full)
     }
 
@@ -272,6 +279,7 @@
         let rows = read?;
         self.after = Some(rows.version);
         self.current_at = Some(started);
+        self.pending.clear();
         Ok(Change::Snapshot(rows.rows))
     }
 }
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -37,7 +37,7 @@
     pub states: IntCounterVec,
     /// Cancel requests by HTTP status.
     pub cancels: IntCounterVec,
-    /// Workers' replies to start commands: `started`, `refused`, `ticket`, `unknown`.
+    /// Workers' replies to start commands: `started`, `refused`, `expired`, `ticket`, `unknown`.
     pub starts: IntCounterVec,
     /// Ended runs, by how they ended.
     pub ends: IntCounterVec,
--- a/crates/cell/src/owner/commands.rs
+++ b/crates/cell/src/owner/commands.rs
@@ -93,7 +93,11 @@
             self.planner.start_reply(worker, task, run, reply);
             return;
         };
-        start.lease_expiry = lease_end;
+        let deadline = self.start_deadline();
+        // A worker refuses a start whose lease has expired, and a start never shortens its lease.
+        start.lease_expiry = link
+            .refusal_time(deadline)
+            .map_or(lease_end, |refused_from| refused_from.min(lease_end));
         start.token = link.fencing.begin_start();
         let age = self.registrations_age();
         self.start_ages.record_sent(age);
@@ -114,6 +118,7 @@
             fencing: link.fencing.clone(),
             latency: self.latency.clone(),
             start_window: self.start_window.clone(),
+            deadline,
             ages: self.start_ages.clone(),
             registrations_read: self.registrations_read,
             sender: self.sender.clone(),
--- a/crates/cell/src/owner/helpers.rs
+++ b/crates/cell/src/owner/helpers.rs
@@ -118,6 +118,11 @@
     /// the next call. The reply is sent by [`Pool::assign_calls`].
     pub(super) fn handle_poll(&mut self, request: HelperPoll, reply: oneshot::Sender<PollReply>) {
         let now = self.context.now();
+        if let Some(age) = request.store_age
+            && request.node != self.context.settings.node
+        {
+            self.store_contact.record(now, age);
+        }
         let known = self.helpers.by_node.get(&request.node);
         let helper = Helper {
             last_poll: now,
--- a/crates/cell/src/owner/link.rs
+++ b/crates/cell/src/owner/link.rs
@@ -12,7 +12,9 @@
 use tokio::task::JoinHandle;
 
 use super::ReplyLatency;
+use super::StartDeadline;
 use super::clock_estimate::ClockEstimate;
+use super::clock_estimate::ClockFloor;
 use super::fencing::WorkerFencing;
 use super::renewal_task::RenewalTask;
 use crate::Context;
@@ -47,6 +49,8 @@
     pub(super) fencing: Arc<WorkerFencing>,
     /// Estimate of the worker's clock; `None` until its first report.
     clock: Option<ClockEstimate>,
+    /// Lower bound of the worker's clock; `None` until its first report.
+    clock_floor: Option<ClockFloor>,
     /// Time at which the newest call that the worker accepted was sent.
     last_accepted: Option<Duration>,
     /// Number of the newest end that is saved in the store.
@@ -79,6 +83,7 @@
             id: info.id.clone(),
             fencing,
             clock: None,
+            clock_floor: None,
             last_accepted: None,
             saved_end,
             task: tokio::spawn(renewal_task.run()),
@@ -86,7 +91,9 @@
     }
 
     pub(crate) fn set_clock(&mut self, reading: Duration, read_at: Duration) {
-        self.clock = Some(ClockEstimate { reading, read_at });
+        let clock = ClockEstimate { reading, read_at };
+        self.clock = Some(clock);
+        self.clock_floor = Some(ClockFloor::after(self.clock_floor, clock));
     }
 
     /// Number of the newest end that is saved in the store, up to which ends may be
@@ -111,6 +118,14 @@
         self.clock.map(|clock| clock.worker_time(now) + lease)
     }
 
+    /// Time on the worker's clock from which on the worker refuses a start with this deadline.
+    pub(crate) fn refusal_time(&self, deadline: StartDeadline) -> Option<Duration> {
+        match deadline {
+            StartDeadline::At(deadline) => Some(self.clock_floor?.worker_time(deadline)),
+            StartDeadline::Unlimited => None,
+        }
+    }
+
     /// Records that ends up to `number` are saved in the store.
     pub(crate) fn set_saved_end(&self, number: u64) {
         self.saved_end.send_if_modified(|saved_end| {
--- a/crates/cell/src/owner/overload.rs
+++ b/crates/cell/src/owner/overload.rs
@@ -14,7 +14,7 @@
 /// overloaded.
 const OVERLOAD_DELAY: Duration = Duration::from_secs(1);
 
-/// Since when the owner's link has been full, and whether the last log line said that the
+/// Since when the owner's link has been full, or its knowledge too old to start tasks, and whether the last log line said that the
 /// owner is overloaded.
 #[derive(Debug, Default)]
 pub(super) struct Overload {
@@ -26,8 +26,8 @@
     /// Determines whether the owner keeps up, for its renewals.
     pub(super) fn check_overload(&mut self, now: Duration) {
         let mean_latency = self.latency.mean_latency();
-        let full_since =
-            (mean_latency > FULL_LATENCY).then(|| self.overload.full_since.unwrap_or(now));
+        let behind = mean_latency > FULL_LATENCY || self.starts_held;
+        let full_since = behind.then(|| self.overload.full_since.unwrap_or(now));
         self.overload.full_since = full_since;
         let overloaded = full_since.is_some_and(|full_since| now > full_since + OVERLOAD_DELAY);
         self.saver.set_overloaded(overloaded);
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -28,7 +28,9 @@
 use super::ReplyLatency;
 use super::Retention;
 use super::Saver;
+use super::StartDeadline;
 use super::StartWindow;
+use super::StoreContact;
 use super::fencing::FencingTable;
 use super::follow_workers;
 use super::freshness::Freshness;
@@ -115,6 +117,10 @@
     pub(super) load_logged: Duration,
     /// When the newest successful read of the registrations started.
     pub(super) registrations_read: Duration,
+    /// What the other processes have said about the store.
+    pub(super) store_contact: StoreContact,
+    /// No task starts: the registrations are too old for a start to reach its worker in time.
+    pub(super) starts_held: bool,
     /// Ages of the registrations behind the starts.
     pub(super) start_ages: Arc<StartAges>,
     /// Another process owns the pool: a worker has refused a command of this epoch, or the
@@ -190,6 +196,8 @@
             tasks: JoinSet::new(),
             load_logged: Duration::ZERO,
             registrations_read: context.now(),
+            store_contact: StoreContact::default(),
+            starts_held: false,
             start_ages: Arc::new(StartAges::new(context.metrics.start_age.clone())),
             has_successor: false,
             context,
@@ -321,6 +329,9 @@
                 _ = ownership.changed() => {}
                 () = self.context.stopped() => return true,
             }
+            let run_at = self.context.now();
+            let lag = run_at.saturating_sub(wake.max(now));
+            self.store_contact.record_lag(run_at, lag);
             if self.has_successor || ownership_lost(&self.context, self.epoch) {
                 log::warn!(
                     code = 332, epoch = self.epoch;
@@ -373,7 +384,12 @@
         self.check_limits_age();
         let recovering = self.planner.recovering();
         if self.owned() && !self.saver.holds_starts(now) {
-            self.planner.set_start_budget(self.start_window.available());
+            let budget = if self.starts_admitted(now) {
+                self.start_window.available()
+            } else {
+                0
+            };
+            self.planner.set_start_budget(budget);
             self.planner.plan();
         } else {
             self.planner.process_timeouts();
@@ -405,6 +421,32 @@
         now.saturating_sub(self.registrations_read)
     }
 
+    /// Until when a start may reach its worker.
+    pub(super) fn start_deadline(&self) -> StartDeadline {
+        let may_serve = self.store_contact.may_serve(
+            self.context.now(),
+            self.context.store_answered_at(),
+            self.context.store_unreachable(),
+        );
+        let bound = self.context.settings.drain_bound();
+        StartDeadline::new(self.registrations_read, bound, may_serve)
+    }
+
+    /// Whether a start that is sent now is expected to reach its worker in time.
+    fn starts_admitted(&mut self, now: Duration) -> bool {
+        let delivery = self.latency.mean_latency();
+        let admitted = self.start_deadline().admits(now, delivery);
+        if admitted == self.starts_held {
+            self.starts_held = !admitted;
+            log::warn!(
+                code = 390, epoch = self.epoch, held = !admitted, read_ms = millis(self.registrations_age()),
+                answer_ms = millis(delivery);
+                "worker registrations became too old to start tasks on, or current again; while held, nothing starts"
+            );
+        }
+        admitted
+    }
+
     /// While the registrations cannot be read, tasks are only started within the capacity to
     /// which a worker may have shrunk.
     fn check_registration_age(&mut self) {
--- a/crates/cell/src/owner/registrations.rs
+++ b/crates/cell/src/owner/registrations.rs
@@ -7,6 +7,7 @@
 use job::Config;
 use job::WorkerInfo;
 use platform::Row;
+use platform::StoreError;
 use platform::WORKER_TABLE;
 use platform::decode_worker;
 use tokio::sync::mpsc;
@@ -125,7 +126,8 @@
     let mut settled_at = context.now();
     let mut unavailable = false;
     loop {
-        match follower.next(Duration::ZERO).await {
+        let read = follower.next(Duration::ZERO);
+        match context.abandon_on_recovery(read).await {
             Ok(change) => {
                 if std::mem::take(&mut unavailable) {
                     settled_at = context.now() + RECOVERY_TIME;
@@ -148,6 +150,11 @@
                     return;
                 }
             }
+            // The store answers again, and may never answer the read that was sent before.
+            Err(StoreError::Abandoned) => {
+                unavailable = true;
+                continue;
+            }
             Err(error) => {
                 if !unavailable {
                     log::warn!(
--- a/crates/cell/src/owner/start_call.rs
+++ b/crates/cell/src/owner/start_call.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 
 use super::ReplyLatency;
+use super::StartDeadline;
 use super::StartWindow;
 use super::fencing::WorkerFencing;
 use super::start_age::StartAges;
@@ -31,6 +32,8 @@
     pub(super) fencing: Arc<WorkerFencing>,
     pub(super) latency: Arc<ReplyLatency>,
     pub(super) start_window: StartWindow,
+    /// Until when the start may reach its worker.
+    pub(super) deadline: StartDeadline,
     pub(super) ages: Arc<StartAges>,
     /// When the read of the registrations began on which the start is based.
     pub(super) registrations_read: Duration,
@@ -41,6 +44,10 @@
     /// Sends the start and notifies the owner of the reply, also of a late one.
     pub(super) async fn run(self) {
         let sent = self.context.now();
+        if !self.deadline.admits(sent, Duration::ZERO) {
+            self.withdraw().await;
+            return;
+        }
         let call_timeout = self.latency.call_timeout();
         let call = self
             .context
@@ -79,6 +86,15 @@
         self.fencing.end_start();
     }
 
+    /// Gives up a start that has waited too long for its turn to be sent.
+    async fn withdraw(&self) {
+        self.log_unconfirmed("not sent: the registrations became too old");
+        self.start_window.record_settled();
+        self.fencing.end_start();
+        self.notify_owner(self.start_answered(StartReply::Expired))
+            .await;
+    }
+
     /// Raises the token of later commands, so that a worker which carries out one of them
     /// refuses this start if it arrives afterwards.
     fn raise_token(&self) {
@@ -118,9 +134,9 @@
             CommandReply::Fenced => return WorkerEvent::Fenced,
             CommandReply::Replaced => return WorkerEvent::Ended,
             CommandReply::Ticket => StartReply::InvalidTicket,
+            CommandReply::Late => StartReply::Expired,
             CommandReply::Unknown(_) | CommandReply::Garbled(_) => StartReply::Unknown,
             CommandReply::Old
-            | CommandReply::Late
             | CommandReply::Full
             | CommandReply::Refused(..)
             | CommandReply::Unreachable(_) => StartReply::Refused,
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -82,6 +82,10 @@
     /// The helper reads a [`PollReply`]. Helpers of earlier versions read the call alone.
     #[serde(default)]
     pub forecast: bool,
+    /// Time since the store last answered the helper's host; `None` if it never has, or if the helper
+    /// is of an earlier version.
+    #[serde(default)]
+    pub store_age: Option<Duration>,
 }
 
 /// The owner's reply to a helper's poll. An owner of an earlier version replies with the call alone.
--- a/crates/cell/src/process.rs
+++ b/crates/cell/src/process.rs
@@ -182,6 +182,7 @@
     loop {
         match follower.next(CONFIG_WAIT).await {
             Ok(Change::Snapshot(rows) | Change::Delta(rows)) => {
+                context.record_store_reply();
                 if let Some(version) = follower.version() {
                     context.versions.record(context.now(), version);
                 }
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -44,6 +44,10 @@
     pub keep_s: f64,
     /// Time between the stop signal and the kill, in seconds.
     pub grace_s: f64,
+    /// Time after which a worker that has registered as draining may get no more tasks, in
+    /// milliseconds.
+    #[serde(default = "default_drain_ms")]
+    pub drain_ms: u64,
     /// Time within which a new configuration must take effect, in milliseconds.
     #[serde(default = "default_config_ms")]
     pub config_ms: u64,
@@ -101,6 +105,11 @@
 /// a worker that crashed without notice soon start again.
 const LEASE_SHARE: f64 = 0.75;
 
+/// Default time after which a draining worker may get no more tasks, in milliseconds.
+fn default_drain_ms() -> u64 {
+    2000
+}
+
 /// Default time within which a new configuration must take effect, in milliseconds.
 fn default_config_ms() -> u64 {
     2000
@@ -181,6 +190,12 @@
         Duration::try_from_secs_f64(self.bounds.grace_s).unwrap_or_default()
     }
 
+    /// Returns the time after which a worker that has registered as draining may get no more tasks.
+    #[must_use]
+    pub fn drain_bound(&self) -> Duration {
+        Duration::from_millis(self.bounds.drain_ms)
+    }
+
     /// Returns the ages up to which the configuration may be relied on.
     #[must_use]
     pub fn config_ages(&self) -> ConfigAges {
--- a/crates/cell/tests/feed.rs
+++ b/crates/cell/tests/feed.rs
@@ -41,6 +41,28 @@
     assert_eq!(rows.len(), 1200);
 }
 
+/// Guards against losing the rows of the first page when a read is cancelled during the second, as
+/// happens when the store answers again after an outage.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancelled_read_loses_no_rows() {
+    let (fake_store, mut follower, _stop) = open(false, Duration::ZERO).await;
+    for nth in 0..600 {
+        fake_store.write_row(TABLE, "", &format!("w{nth:04}"), b"{}");
+    }
+    let page_time = Duration::from_millis(200);
+    fake_store.set_faults(StoreFaults {
+        slow_feed: Some((TABLE, page_time)),
+        ..StoreFaults::default()
+    });
+    let cancelled = tokio::time::timeout(page_time * 3 / 2, follower.next(Duration::ZERO)).await;
+
+    let change = follower.next(Duration::ZERO).await.expect("changes");
+
+    assert!(cancelled.is_err(), "the second page was read in time");
+    let (Change::Snapshot(rows) | Change::Delta(rows)) = change;
+    assert_eq!(rows.len(), 600);
+}
+
 /// Starts a store, and a follower that has read the empty table in a page that took `first_read`.
 async fn open(
     all_parts: bool,
--- a/crates/job/src/planner/crashes/trial.rs
+++ b/crates/job/src/planner/crashes/trial.rs
@@ -94,7 +94,7 @@
             if !self.limit_admits(task.step) {
                 continue;
             }
-            if self.start_on_idle(rank, task, reservations) {
+            if self.start_budget > 0 && self.start_on_idle(rank, task, reservations) {
                 remaining -= 1;
             } else {
                 unplaced.push((rank, task.step));
--- a/crates/job/src/planner/reports/report.rs
+++ b/crates/job/src/planner/reports/report.rs
@@ -32,6 +32,9 @@
     Started,
     /// The worker refused the start; the run will never start there.
     Refused,
+    /// The start was not valid any more when it was to be sent, or when it arrived; the run will
+    /// never start there. Another start on the worker may be in time.
+    Expired,
     /// The worker refused the start because the ticket is no longer valid.
     #[strum(to_string = "ticket")]
     InvalidTicket,
@@ -85,6 +88,10 @@
                 self.release_run(key, task, run);
                 self.start_refused(task, key, run);
             }
+            StartReply::Expired => {
+                self.release_run(key, task, run);
+                self.start_refused(task, key, run);
+            }
             StartReply::InvalidTicket => {
                 self.release_run(key, task, run);
                 self.revoke_ticket(task.step, key);
--- a/crates/job/tests/start_budget.rs
+++ b/crates/job/tests/start_budget.rs
@@ -7,6 +7,9 @@
 
 mod support;
 
+use std::time::Duration;
+
+use job::StartReply;
 use support::add_claimed;
 use support::plan_at;
 use support::planner;
@@ -51,3 +54,20 @@
 
     assert_eq!((none, all), (0, 10));
 }
+
+/// Guards against a pause of a sound worker whose start had become too old on its way: the next one
+/// may be in time.
+#[test]
+fn a_worker_gets_the_next_start_after_one_that_came_too_late() {
+    let mut planner = planner(1);
+    add_claimed(&mut planner, "w1");
+    planner.add_job(7, spec(vec![step(1)]), None, false);
+    let first = plan_at(&mut planner, 1);
+    let (task, run, worker) = first[0];
+
+    planner.advance(Duration::from_millis(2));
+    planner.start_reply(worker, task, run, StartReply::Expired);
+    let second = plan_at(&mut planner, 3).len();
+
+    assert_eq!((first.len(), second), (1, 1));
+}
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -21,6 +21,7 @@
 use web::Limits;
 
 use crate::ATTEMPTS;
+use crate::DRAIN_BOUND;
 use crate::FakeAdvice;
 use crate::FakeStore;
 use crate::FakeWorker;
@@ -84,6 +85,8 @@
     link: Option<(Arc<LimitedLink>, f64)>,
     /// Number of cores of hosts that differ from the default.
     cores: HashMap<usize, f64>,
+    /// Time after which a draining worker may get no more tasks.
+    drain_bound: Duration,
     /// Optional mechanisms that are enabled.
     on: Vec<Mechanism>,
     /// Processes of the cell; none for a process that is not running.
@@ -179,6 +182,7 @@
             keep_s,
             link,
             cores: HashMap::new(),
+            drain_bound: DRAIN_BOUND,
             on: Vec::new(),
             members: Vec::new(),
             serving,
@@ -306,11 +310,9 @@
     /// Registers a worker as draining.
     pub fn drain(&self, index: usize) {
         let worker = self.supervisors[index].current();
-        let mut draining = worker.registration_row(self.addresses[index]);
-        draining["state"] = json!("draining");
-        draining["remaining_ms"] = json!(10_000);
-        self.store.write("servers", &worker.id, &draining);
         worker.drain();
+        let draining = worker.registration_row(self.addresses[index]);
+        self.store.write("servers", &worker.id, &draining);
     }
 
     /// Removes a worker's registration.
@@ -439,6 +441,12 @@
         self.on = on.to_vec();
     }
 
+    /// Sets the time after which a draining worker may get no more tasks, from the next start of each
+    /// process.
+    pub fn set_drain_bound(&mut self, bound: Duration) {
+        self.drain_bound = bound;
+    }
+
     fn settings(&self, index: usize) -> CellSettings {
         let text = self
             .host(index)
@@ -446,6 +454,7 @@
         let mut settings = CellSettings::parse(&text).expect("settings");
         settings.bounds.keep_s = self.keep_s;
         settings.on.clone_from(&self.on);
+        settings.bounds.drain_ms = u64::try_from(self.drain_bound.as_millis()).unwrap_or(u64::MAX);
         settings.cores = self.cores.get(&index).copied().unwrap_or(settings.cores);
         if let Some((_, mbps)) = self.link {
             settings.link_mbps = mbps;
--- a/crates/site/src/fleet.rs
+++ b/crates/site/src/fleet.rs
@@ -2,8 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use serde_json::json;
@@ -19,31 +17,18 @@
 /// Time between two heartbeats of a worker.
 const HEARTBEAT: Duration = Duration::from_millis(1500);
 
-/// Time that a draining worker states as the minimum until it leaves.
-const REMAINING: Duration = Duration::from_secs(8);
-
 /// A worker of the fleet.
 struct Member {
     worker: Arc<FakeWorker>,
     address: SocketAddr,
-    draining: AtomicBool,
 }
 
 impl Member {
-    /// Writes the registration with the number `seq` of the heartbeat. It takes effect when the
-    /// store has it, so the worker drains from then on.
+    /// Writes the registration with the number `seq` of the heartbeat.
     fn register(&self, store: &FakeStore, seq: u64) {
         let mut row = self.worker.registration_row(self.address);
         row["seq"] = json!(seq);
-        let draining = self.draining.load(Ordering::Relaxed);
-        if draining {
-            row["state"] = json!("draining");
-            row["remaining_ms"] = json!(REMAINING.as_millis());
-        }
         store.write("servers", &self.worker.id, &row);
-        if draining {
-            self.worker.drain();
-        }
     }
 }
 
@@ -72,11 +57,7 @@
             if let Some(link) = link {
                 address = link.listen(address, stop.clone()).await;
             }
-            let member = Arc::new(Member {
-                worker,
-                address,
-                draining: AtomicBool::new(false),
-            });
+            let member = Arc::new(Member { worker, address });
             let delay = HEARTBEAT.mul_f64(share(index, count));
             tokio::spawn(beat(member.clone(), store.clone(), delay, stop.clone()));
             members.push(member);
@@ -102,7 +83,7 @@
     /// Registers a worker as draining at once.
     pub fn drain(&self, index: usize) {
         let member = &self.members[index];
-        member.draining.store(true, Ordering::Relaxed);
+        member.worker.drain();
         member.register(&self.store, 0);
     }
 
--- a/crates/site/src/registration.rs
+++ b/crates/site/src/registration.rs
@@ -7,6 +7,9 @@
 
 use crate::FakeWorker;
 
+/// Minimum time until it leaves that a draining worker states, in milliseconds.
+const REMAINING_MS: u64 = 8000;
+
 /// Returns the registration of a worker with four cores (`cpu` is in thousandths of a core) at
 /// `address`, whose incarnation started at `incarnation` in Unix milliseconds.
 #[must_use]
@@ -20,10 +23,15 @@
 }
 
 impl FakeWorker {
-    /// Returns the registration of this worker at `address`, with four cores.
+    /// Returns the registration of this worker at `address`, with four cores, and as draining if it
+    /// drains.
     #[must_use]
     pub fn registration_row(&self, address: SocketAddr) -> Value {
         let mut registration_row = registration(address, self.incarnation);
+        if self.draining() {
+            registration_row["state"] = json!("draining");
+            registration_row["remaining_ms"] = json!(REMAINING_MS);
+        }
         if self.omits_incarnation() {
             registration_row["born"] = Value::Null;
         }
--- a/crates/site/src/run_log.rs
+++ b/crates/site/src/run_log.rs
@@ -17,6 +17,12 @@
 /// settings of all processes state it.
 pub const DRAIN_BOUND: Duration = Duration::from_secs(2);
 
+/// Kind of end of a run whose worker went down without notice.
+pub(crate) const GONE: &str = "gone";
+
+/// Kind of end of a run whose worker went down after it had begun to drain.
+pub(crate) const LEFT: &str = "left";
+
 /// An event on a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WorkerEvent {
@@ -24,7 +30,7 @@
     /// higher number.
     Started(String, String, u64),
     /// A run ended: worker, task, run, kind of end (`done`, `failed` or `stopped`; `lapsed` if
-    /// the worker's lease expired, `gone` if the worker went down).
+    /// the worker's lease expired, [`GONE`] or [`LEFT`] if the worker went down).
     Ended(String, String, u64, String),
     /// The worker's lease expired, or the worker went down, before the owner acknowledged the end
     /// of this run. The end is void, and the task may run again: task, run.
@@ -58,7 +64,17 @@
     /// Whether the run ended because its worker went down.
     #[must_use]
     pub fn lost(&self) -> bool {
-        self.end.as_ref().is_some_and(|(_, how)| how == "gone")
+        self.ended_as(GONE) || self.left()
+    }
+
+    /// Whether the run ended because its worker went down after it had begun to drain.
+    #[must_use]
+    pub fn left(&self) -> bool {
+        self.ended_as(LEFT)
+    }
+
+    fn ended_as(&self, kind: &str) -> bool {
+        self.end.as_ref().is_some_and(|(_, how)| how == kind)
     }
 }
 
@@ -139,11 +155,16 @@
     /// has been draining for too long.
     #[must_use]
     pub fn violations(&self) -> Vec<String> {
+        self.violations_except(|_| false)
+    }
+
+    /// The same, without late starts on draining workers at times for which `excused` returns true.
+    pub fn violations_except(&self, excused: impl Fn(Instant) -> bool) -> Vec<String> {
         let mut failures: HashMap<String, HashSet<u64>> = HashMap::new();
         let mut running: HashMap<String, String> = HashMap::new();
         let mut done: HashMap<String, u64> = HashMap::new();
         let mut violations = Vec::new();
-        for (_, event) in self.lock().iter() {
+        for (at, event) in self.lock().iter() {
             match event {
                 WorkerEvent::Started(worker, task, run) => {
                     if let Some(other) = running.insert(task.clone(), worker.clone()) {
@@ -179,6 +200,7 @@
                         failures.entry(task.clone()).or_default().insert(*run);
                     }
                 }
+                WorkerEvent::StartedDraining(..) if excused(*at) => {}
                 WorkerEvent::StartedDraining(worker, task, run, after) => {
                     violations.push(format!(
                         "{task} run {run} started on {worker}, which has been draining for {after:?}, limit {DRAIN_BOUND:?}"
--- a/crates/site/src/worker.rs
+++ b/crates/site/src/worker.rs
@@ -18,6 +18,8 @@
 
 use crate::DRAIN_BOUND;
 use crate::DelayPlan;
+use crate::GONE;
+use crate::LEFT;
 use crate::RunLog;
 use crate::WorkerEvent;
 use crate::cores::Cores;
@@ -86,7 +88,7 @@
     silent: bool,
     dead: bool,
     crashed: bool,
-    /// When the store accepted the registration that says that the worker drains.
+    /// When the worker began to drain.
     draining_since: Option<Instant>,
     capacity: Cores,
     /// Longest time for which a start was still valid when it arrived.
@@ -180,17 +182,26 @@
         // Ends that the worker still lists will never be acknowledged.
         self.discard_ends(state);
         for (task, run) in std::mem::take(&mut state.running) {
-            let how = "gone".to_owned();
+            let how = if state.draining_since.is_some() {
+                LEFT
+            } else {
+                GONE
+            };
+            let how = how.to_owned();
             self.log
                 .push(WorkerEvent::Ended(self.id.clone(), task, run.number, how));
         }
     }
 
-    /// Records that the store has accepted the registration that says that the worker drains.
+    /// Lets the worker drain: its next registration says so, and is to be written at once.
     pub fn drain(&self) {
         self.lock().draining_since.get_or_insert_with(Instant::now);
     }
 
+    pub(crate) fn draining(&self) -> bool {
+        self.lock().draining_since.is_some()
+    }
+
     /// Whether a task has crashed the worker.
     #[must_use]
     pub fn crashed(&self) -> bool {
