Act on no configuration that is too old while the store answers

The same class as starts on draining workers: a host that is too slow to read a configuration within config_ms went on with the former one for stretch_ms more, 5 to 6 s, though the stretch is for an unstable store. Callers with a removed key were served, and work of an organisation started beyond a lowered limit.

Change: keys and limits count for config_ms after the begin of the read that confirmed them, and for stretch_ms more only while the store does not answer this host.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -131,7 +131,7 @@
     ) -> Result<Viewer<'a>, Box<HttpResponse>> {
         let key = request_key(&request.headers);
         let age = self.context.config_age();
-        match access::decide(config, queue, key, age, self.context.settings.config_ages()) {
+        match access::decide(config, queue, key, age, self.context.config_ages()) {
             Access::Granted(viewer) => Ok(viewer),
             Access::Denied(denial) => Err(Box::new(self.unauthorized(queue, denial))),
             Access::Undecided => {
--- a/crates/cell/src/context.rs
+++ b/crates/cell/src/context.rs
@@ -25,6 +25,7 @@
 use crate::KnownVersions;
 use crate::OwnershipView;
 use crate::StopPhase;
+use crate::access::ConfigAges;
 
 /// Connect timeout to peers, the store and the advice service; within a region a connect takes
 /// milliseconds.
@@ -147,6 +148,21 @@
         self.now().saturating_sub(read_started)
     }
 
+    /// Returns the ages up to which the configuration may be relied on. A newer one takes longer to
+    /// come into force only while the store does not answer: a host that is too slow to read it in
+    /// time must not act on the old one.
+    #[must_use]
+    pub fn config_ages(&self) -> ConfigAges {
+        let ages = self.settings.config_ages();
+        if self.store_unreachable() {
+            return ages;
+        }
+        ConfigAges {
+            usable: ages.current,
+            ..ages
+        }
+    }
+
     /// Records that a reply of the store with rows of the operator has arrived. Workers register in
     /// the same part of the store.
     pub fn record_store_reply(&self) {
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -465,7 +465,7 @@
     /// its work does not start.
     fn check_limits_age(&mut self) {
         let age = self.context.config_age();
-        let outdated = age > self.context.settings.config_ages().usable;
+        let outdated = age > self.context.config_ages().usable;
         if self.planner.set_limits_outdated(outdated) {
             log::warn!(
                 code = 388, epoch = self.epoch, outdated = outdated, age_ms = millis(age);
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -426,7 +426,7 @@
         };
         let config = self.context.config.borrow();
         let holder = config.as_ref().and_then(|config| config.key_holder(key));
-        let usable = self.context.settings.config_ages().usable;
+        let usable = self.context.config_ages().usable;
         self.context.config_age() <= usable && holder.is_some_and(|holder| holder.name == *name)
     }
 
