Lose no run while its worker has further ends to list

What callers saw: tasks ran twice. Cause: a worker lists 500 ended runs at a time. While the store is down none is acknowledged, so from the 501st on a run is neither listed as running nor as ended; the owner took it for lost and started its task again. A successor took such a worker for claimed, too.

Change: the adapter marks a report with the largest number of ends. Until a report without the mark arrives, runs that are not listed stay booked, and a worker is not claimed. The stand-in lists 500 ends at a time as well.

--- a/crates/job/src/planner/reports/report.rs
+++ b/crates/job/src/planner/reports/report.rs
@@ -145,7 +145,8 @@
         worker.last_report = self.now;
         let first_report = !worker.claimed;
         if first_report {
-            worker.claimed = true;
+            // Until all ends are listed, it is not known what a former owner has started.
+            worker.claimed = !report.more_ends;
             if worker.info.incarnation.is_some() {
                 // Commands meant for a former incarnation may have given it a longer lease.
                 worker.lease_expiry = worker.lease_expiry.max(longest_expiry);
@@ -158,10 +159,12 @@
         for running in &report.running {
             self.apply_running(key, running);
         }
-        if first_report {
-            self.resolve_reported(key);
+        if !report.more_ends {
+            if first_report {
+                self.resolve_reported(key);
+            }
+            self.drop_unlisted(key, sent, report);
         }
-        self.drop_unlisted(key, sent, report);
         if self.policy.switches.enabled(Mechanism::StallMoves) {
             self.stop_stalled(key, report);
         }
--- a/crates/job/src/worker.rs
+++ b/crates/job/src/worker.rs
@@ -97,6 +97,9 @@
     pub running: Vec<ActiveRun>,
     /// Ended runs, oldest first.
     pub ended: Vec<EndedRun>,
+    /// The worker may have further ended runs, which it lists once these are acknowledged. Until
+    /// then, a run that is not listed may have ended.
+    pub more_ends: bool,
 }
 
 /// A worker that may run a step, with the ticket that proves it.
--- a/crates/job/tests/event_sim/mod.rs
+++ b/crates/job/tests/event_sim/mod.rs
@@ -343,6 +343,7 @@
                 .filter(|end| end.number > worker.acked)
                 .cloned()
                 .collect(),
+            more_ends: false,
         };
         self.planner.apply_report(key, self.now, &worker_report);
         // The planner requests another report if this one came from an incarnation that it does
--- a/crates/job/tests/support/mod.rs
+++ b/crates/job/tests/support/mod.rs
@@ -184,6 +184,7 @@
         clock: Duration::ZERO,
         running,
         ended,
+        more_ends: false,
     }
 }
 
--- a/crates/site/src/worker.rs
+++ b/crates/site/src/worker.rs
@@ -30,6 +30,9 @@
 /// Time between two checks for ended runs while a lease renewal waits for one.
 pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Number of ended runs that a worker lists at a time, the oldest first.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// Time until the owner has received a reported end, in tests in which no report is lost.
 const REPORT_TIME: Duration = Duration::from_millis(100);
 
@@ -457,6 +460,7 @@
         let ended: Vec<Value> = state
             .ended
             .iter_mut()
+            .take(MAX_LISTED_ENDS)
             .map(|end| {
                 end.listed.get_or_insert_with(Instant::now);
                 json!([end.number, end.task, end.run, end.how, ""])
