Start on a platform that states no drain bound

A platform that leaves drain_ms empty in the settings kept every process from starting: an empty number was an error. It now means the default of 2 s, as an empty overshoot means none.

--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -45,9 +45,9 @@
     /// Time between the stop signal and the kill, in seconds.
     pub grace_s: f64,
     /// Time after which a worker that has registered as draining may get no more tasks, in
-    /// milliseconds.
-    #[serde(default = "default_drain_ms")]
-    pub drain_ms: u64,
+    /// milliseconds; [`DEFAULT_DRAIN_MS`] if the platform states none.
+    #[serde(default)]
+    pub drain_ms: Option<u64>,
     /// Time within which a new configuration must take effect, in milliseconds.
     #[serde(default = "default_config_ms")]
     pub config_ms: u64,
@@ -106,9 +106,7 @@
 const LEASE_SHARE: f64 = 0.75;
 
 /// Default time after which a draining worker may get no more tasks, in milliseconds.
-fn default_drain_ms() -> u64 {
-    2000
-}
+const DEFAULT_DRAIN_MS: u64 = 2000;
 
 /// Default time within which a new configuration must take effect, in milliseconds.
 fn default_config_ms() -> u64 {
@@ -193,7 +191,7 @@
     /// Returns the time after which a worker that has registered as draining may get no more tasks.
     #[must_use]
     pub fn drain_bound(&self) -> Duration {
-        Duration::from_millis(self.bounds.drain_ms)
+        Duration::from_millis(self.bounds.drain_ms.unwrap_or(DEFAULT_DRAIN_MS))
     }
 
     /// Returns the ages up to which the configuration may be relied on.
--- a/crates/cell/tests/context.rs
+++ b/crates/cell/tests/context.rs
@@ -40,7 +40,7 @@
         bounds: Bounds {
             lease_ms: 6000,
             keep_s: 120.0,
-            drain_ms: 2000,
+            drain_ms: None,
             grace_s: 6.0,
             config_ms: 2000,
             stretch_ms: 5000,
--- a/crates/cell/tests/docs.rs
+++ b/crates/cell/tests/docs.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeSet;
 use std::path::Path;
+use std::time::Duration;
 
 use cell::CellMetrics;
 use cell::CellSettings;
@@ -103,6 +104,17 @@
     assert_eq!(settings.peer_address().port(), 7720);
 }
 
+/// Guards against a process that does not start on a platform that does not state how long a draining
+/// worker may get tasks.
+#[test]
+fn a_bound_that_the_platform_does_not_state_has_a_default() {
+    let text = template::filled().replace("drain_ms: 1", "drain_ms: ");
+
+    let settings = CellSettings::parse(&text).expect("template");
+
+    assert_eq!(settings.drain_bound(), Duration::from_secs(2));
+}
+
 #[test]
 fn an_invalid_setting_is_reported_with_its_line() {
     let wrong = "node: n\nzone: z\nip: nowhere\n";
--- a/crates/site/src/cell.rs
+++ b/crates/site/src/cell.rs
@@ -454,7 +454,7 @@
         let mut settings = CellSettings::parse(&text).expect("settings");
         settings.bounds.keep_s = self.keep_s;
         settings.on.clone_from(&self.on);
-        settings.bounds.drain_ms = u64::try_from(self.drain_bound.as_millis()).unwrap_or(u64::MAX);
+        settings.bounds.drain_ms = u64::try_from(self.drain_bound.as_millis()).ok();
         settings.cores = self.cores.get(&index).copied().unwrap_or(settings.cores);
         if let Some((_, mbps)) = self.link {
             settings.link_mbps = mbps;
