--- a/crates/cell/src/owner/helpers.rs
+++ b/crates/cell/src/owner/helpers.rs
@@ -23,7 +23,7 @@
 /// second, two of 32 helpers are too few.
 const QUICK_DIVISOR: usize = 4;
 
-/// Fewest helpers that are reserved for quick calls, if there are that many.
+/// Fewest helpers that are reserved for quick calls, if there are twice as many.
 const MIN_QUICK: usize = 2;
 
 /// A gang may have several calls at a time if more than one in this many helpers is idle.
@@ -96,13 +96,21 @@
     idle: VecDeque<IdleHelper>,
 }
 
+/// Number of helpers that are reserved for quick calls. If few hosts are left, the other calls get at
+/// least half of them.
+#[must_use]
+pub fn quick_helpers(helpers: usize) -> usize {
+    let reserved = (helpers / QUICK_DIVISOR).max(MIN_QUICK);
+    reserved.min(helpers / 2)
+}
+
 impl Helpers {
     /// How many helpers are free: few if all but those reserved for quick calls are making slow
     /// ones.
     fn available(&self) -> FreeHelpers {
         let slow = self.by_node.values().filter(|helper| helper.slow).count();
-        let quick = (self.by_node.len() / QUICK_DIVISOR).max(MIN_QUICK);
-        let max_slow = self.by_node.len().saturating_sub(quick).max(1);
+        let helpers = self.by_node.len();
+        let max_slow = helpers.saturating_sub(quick_helpers(helpers)).max(1);
         if slow >= max_slow {
             FreeHelpers::Few
         } else if self.idle.len() * IDLE_DIVISOR > self.by_node.len() {
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -35,6 +35,7 @@
 mod takeover;
 mod worker_rows;
 
+pub use helpers::quick_helpers;
 pub use messages::*;
 pub use renewal_interval::calls_per_second;
 pub use renewal_interval::max_reply_delay;
