Clear lasting tasks of crashes once they have worked for long

What callers saw: a task that lasts stood still for good after it had lost two workers, however long after each other. Crashes counted against it for ever; from the second on it waited for an idle worker, and where tasks last none is idle.

Change: the crash of a worker under a lasting task that has been at work for 6 s clears the earlier ones; this crash counts as the first. A task that crashes its worker sooner is tried alone and given up as before.

Open: two losses within 6 s of work each still lead to a trial that needs an idle worker.

--- a/crates/job/src/planner/crashes/crash_count.rs
+++ b/crates/job/src/planner/crashes/crash_count.rs
@@ -32,6 +32,10 @@
 /// the remaining time is a margin.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(1500);
 
+/// Time at work after which a task that lasts is cleared of earlier crashes. Tasks that crash their
+/// workers do so soon after their start.
+const SOUND_RUN_TIME: Duration = Duration::from_secs(6);
+
 impl Planner {
     /// Takes the findings on suspects since the last call.
     pub fn take_findings(&mut self) -> Vec<Suspect> {
@@ -79,6 +83,9 @@
         let common_cause = recent.count() >= MASS_CRASH_WORKERS;
         let mut any_suspect = false;
         for (task, placed) in runs {
+            if self.worked_long(*task, placed) {
+                self.forget_crashes(*task);
+            }
             // A start without a reply may never have reached the crashed incarnation.
             let certain = placed.phase == RunPhase::Running && !common_cause;
             any_suspect |= self.record_crash(*task, placed.run, certain, alone);
@@ -88,6 +95,27 @@
         }
     }
 
+    /// Whether a run of a task that lasts has been at work for [`SOUND_RUN_TIME`].
+    fn worked_long(&self, task: TaskKey, placed: &PlacedRun) -> bool {
+        let lasts = self
+            .step_spec(task.step)
+            .is_some_and(|spec| spec.long_running);
+        lasts
+            && placed.phase == RunPhase::Running
+            && placed.phase_since + SOUND_RUN_TIME <= self.now
+    }
+
+    /// Clears a task of all crashes so far.
+    fn forget_crashes(&mut self, task: TaskKey) {
+        if let Some(suspicion) = self.suspicion_of(task) {
+            suspicion.crashes.clear();
+            suspicion.uncertain.clear();
+            suspicion.unrecorded_start = false;
+            suspicion.alone_crash = None;
+            self.dirty_jobs.insert(task.step.job);
+        }
+    }
+
     /// Counts a crash against a task; returns whether the task needs a trial. `alone` is set if
     /// no other run was on the worker.
     pub(crate) fn record_crash(
