Serve no queue on a configuration that is too old while the store answers

The same class: a host that reads no configuration, though the store answers it, served a queue for as long as it liked after the operator had removed it, since only keys had an age. And the age of limits did not count the way of a start.

Change: beyond config_ms a request for a queue gets 503 (424), but not while the store does not answer this host. Limits count the usual time of answers.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -112,6 +112,7 @@
         request: &HttpRequest,
     ) -> Result<Admitted<'a>, Box<HttpResponse>> {
         let queue = find_queue(config, request).ok_or_else(|| Box::new(self.not_found()))?;
+        self.check_queue_age(config, queue)?;
         let viewer = self.authorize(config, queue, request)?;
         let rest = &request.path[queue.prefix.len()..];
         let job = if rest.is_empty() {
@@ -123,6 +124,23 @@
         Ok(Admitted { queue, job, viewer })
     }
 
+    /// Refuses a request if a newer configuration may have removed its queue for too long. While the
+    /// store does not answer, no such configuration has to be in force.
+    fn check_queue_age(&self, config: &Config, queue: &Queue) -> Result<(), Box<HttpResponse>> {
+        let age = self.context.config_age();
+        if self.context.store_unreachable() || age <= self.context.config_ages().current {
+            return Ok(());
+        }
+        log::warn!(
+            code = 424, queue = queue.name.as_str(), age_ms = millis(age), version = config.version;
+            "configuration too old to serve a queue; the caller gets 503"
+        );
+        Err(Box::new(refusal(
+            "the configuration of this host is too old to serve the queue",
+            RefusalScope::Host,
+        )))
+    }
+
     fn authorize<'a>(
         &self,
         config: &'a Config,
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -464,7 +464,8 @@
     /// While the configuration cannot be read, a lower limit of an organisation may be in force, so
     /// its work does not start.
     fn check_limits_age(&mut self) {
-        let age = self.context.config_age();
+        // A start takes effect when it reaches its worker.
+        let age = self.context.config_age() + self.latency.mean_latency();
         let outdated = age > self.context.config_ages().usable;
         if self.planner.set_limits_outdated(outdated) {
             log::warn!(
--- a/crates/cell/tests/old_configuration.rs
+++ b/crates/cell/tests/old_configuration.rs
@@ -8,6 +8,7 @@
 use site::Caller;
 use site::StoreFaults;
 use site::TestCell;
+use site::config;
 use site::job;
 use site::organisations_config;
 
@@ -86,3 +87,23 @@
     assert!(before > 0, "no task has started");
     assert_eq!(after, before);
 }
+
+/// Guards against a queue that is served for seconds after the operator has removed it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_removed_queue_is_not_served_by_a_host_that_reads_no_configuration() {
+    let cell = TestCell::open(1, 1).await;
+    cell.store.write("op", "config", &config(2));
+    tokio::time::sleep(CONFIG_TIME).await;
+    let mut without = config(1);
+    without["version"] = 3.into();
+    change(&cell, &without).await;
+
+    tokio::time::sleep(CONFIG_TIME).await;
+    let path = "/added/00000000000000c3";
+    let (status, body) = Caller::new()
+        .send(Method::POST, cell.server(0), path, &job(1, "20"))
+        .await;
+
+    cell.close().await;
+    assert_eq!(status, 503, "{body}");
+}
