--- a/crates/cell/tests/draining.rs
+++ b/crates/cell/tests/draining.rs
@@ -147,3 +147,41 @@
     assert!(after > before, "no task has started for a second");
     cell.close().await;
 }
+
+/// Guards against an owner that holds starts for good although a much larger host could take the pool.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_holds_starts_counts_as_overloaded() {
+    let cell = open().await;
+    cell.store
+        .set_faults(slow_reads(Duration::from_millis(2500)));
+
+    tokio::time::sleep(FAULT_TIME).await;
+
+    let row = cell
+        .store
+        .raw(cell::OWNERSHIP_TABLE, cell::OWNER_PART, "owner");
+    let ownership = cell::decode_ownership(&row.expect("a row")).expect("ownership");
+    cell.close().await;
+    assert!(ownership.overloaded);
+}
+
+/// Guards against seconds without a start after an outage, in which the owner waits for a read that it
+/// sent before and that is never answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn starts_resume_soon_after_a_silent_outage() {
+    let cell = open().await;
+    let caller = Caller::new();
+    caller.submit(&cell.servers(), PATH, &job(400, "300")).await;
+    cell.store_proxies[0].set_cut(true);
+    tokio::time::sleep(FAULT_TIME).await;
+    cell.store_proxies[0].set_cut(false);
+    // By then the owner has noticed it. A read that it sent before would time out later.
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let before = cell.log.starts("");
+
+    tokio::time::sleep(Duration::from_millis(700)).await;
+
+    let after = cell.log.starts("");
+    cell.close().await;
+    assert!(after > before, "no task has started for 0.7 s");
+}
--- a/crates/job/tests/start_budget.rs
+++ b/crates/job/tests/start_budget.rs
@@ -9,11 +9,14 @@
 
 use std::time::Duration;
 
+use job::Planner;
 use job::StartReply;
+use job::WorkerKey;
 use support::add_claimed;
 use support::plan_at;
 use support::planner;
 use support::spec;
+use support::starts;
 use support::step;
 
 /// Guards against more starts than the link can carry.
@@ -71,3 +74,43 @@
 
     assert_eq!((first.len(), second), (1, 1));
 }
+
+/// Guards against a trial that starts although the owner may start nothing.
+#[test]
+fn a_trial_waits_for_the_budget() {
+    let mut planner = planner(1);
+    let mut workers = ["w1", "w2", "w3", "w4"]
+        .map(|name| add_claimed(&mut planner, name))
+        .to_vec();
+    planner.add_job(7, spec(vec![step(1)]), None, false);
+    let mut now = Duration::ZERO;
+    let mut started = |planner: &mut Planner, workers: &[WorkerKey]| {
+        let mut started = Vec::new();
+        for _ in 0..30 {
+            now += Duration::from_millis(100);
+            planner.advance(now);
+            for worker in workers {
+                planner.extend_lease(*worker);
+            }
+            planner.plan();
+            started.extend(starts(planner));
+            let batch = planner.take_batch(10);
+            planner.batch_saved(&batch);
+        }
+        started
+    };
+    for _ in 0..2 {
+        let (task, run, worker) = started(&mut planner, &workers)[0];
+        planner.start_reply(worker, task, run, StartReply::Started);
+        planner.worker_ended(worker);
+        workers.retain(|key| *key != worker);
+    }
+
+    planner.set_start_budget(0);
+    let held = started(&mut planner, &workers).len();
+    planner.set_start_budget(1);
+    let trial = started(&mut planner, &workers).len();
+
+    assert_eq!(planner.suspect_count(), 1);
+    assert_eq!((held, trial), (0, 1));
+}
