Serve requests right after an outage of the store

Cause: the age that is allowed fell back as soon as the store answered.

Change: the longer age counts for 3 s after an outage, too, and the read of the configuration is given up when the store answers again.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -124,11 +124,11 @@
         Ok(Admitted { queue, job, viewer })
     }
 
-    /// Refuses a request if a newer configuration may have removed its queue for too long. While the
-    /// store does not answer, no such configuration has to be in force.
+    /// Refuses a request if a newer configuration may have removed its queue for too long. In an outage
+    /// of the store and shortly after, no such configuration has to be in force.
     fn check_queue_age(&self, config: &Config, queue: &Queue) -> Result<(), Box<HttpResponse>> {
         let age = self.context.config_age();
-        if self.context.store_unreachable() || age <= self.context.config_ages().current {
+        if self.context.store_unsettled() || age <= self.context.config_ages().current {
             return Ok(());
         }
         log::warn!(
--- a/crates/cell/src/context.rs
+++ b/crates/cell/src/context.rs
@@ -34,6 +34,9 @@
 /// Connect timeout to a worker. It is longer because the owner's link may be full.
 const WORKER_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time after an outage of the store until a process counts as in touch with it again.
+const SETTLING_TIME: Duration = Duration::from_secs(3);
+
 /// State and connections that all tasks of a process share.
 #[derive(Clone, Debug)]
 pub struct Context {
@@ -67,6 +70,8 @@
     /// Arrival of the newest reply of the store with rows of the operator, in milliseconds since
     /// `origin`; 0 for none.
     store_answered: Arc<AtomicU64>,
+    /// End of the newest outage of the store, in milliseconds since `origin`; 0 for none.
+    store_recovered: Arc<AtomicU64>,
     /// Origin of the process's monotonic clock.
     origin: Instant,
 }
@@ -96,6 +101,7 @@
             suspected_owner: Arc::default(),
             config_confirmed: Arc::default(),
             store_answered: Arc::default(),
+            store_recovered: Arc::default(),
             origin: Instant::now(),
         }
     }
@@ -154,7 +160,7 @@
     #[must_use]
     pub fn config_ages(&self) -> ConfigAges {
         let ages = self.settings.config_ages();
-        if self.store_unreachable() {
+        if self.store_unsettled() {
             return ages;
         }
         ConfigAges {
@@ -176,6 +182,21 @@
         Duration::from_millis(self.store_answered.load(Ordering::Relaxed))
     }
 
+    /// Records that the store answers this process again.
+    pub fn record_recovery(&self) {
+        let now = u64::try_from(self.now().as_millis()).unwrap_or(u64::MAX);
+        self.store_recovered.store(now, Ordering::Relaxed);
+    }
+
+    /// Whether the store does not answer this process, or did not until a short time ago, in which this
+    /// process may not have read everything yet.
+    #[must_use]
+    pub fn store_unsettled(&self) -> bool {
+        let recovered = self.store_recovered.load(Ordering::Relaxed);
+        let settled_at = Duration::from_millis(recovered) + SETTLING_TIME;
+        self.store_unreachable() || recovered > 0 && self.now() < settled_at
+    }
+
     /// Whether the store currently does not answer this process.
     #[must_use]
     pub fn store_unreachable(&self) -> bool {
--- a/crates/cell/src/ownership.rs
+++ b/crates/cell/src/ownership.rs
@@ -158,6 +158,9 @@
         self.view.send_if_modified(|view| {
             let recovered = view.unreachable_since.take().is_some();
             let first = !std::mem::replace(&mut view.loaded, true);
+            if recovered {
+                self.context.record_recovery();
+            }
             if recovered || first {
                 self.renewed_at = now;
                 log::info!(
--- a/crates/cell/src/process.rs
+++ b/crates/cell/src/process.rs
@@ -8,6 +8,7 @@
 use hyper::StatusCode;
 use job::Config;
 use platform::OPERATOR_TABLE;
+use platform::StoreError;
 use platform::decode_config;
 use snafu::ResultExt;
 use tokio::net::TcpListener;
@@ -180,7 +181,8 @@
 async fn follow_config(context: Context, config: watch::Sender<Option<Arc<Config>>>) {
     let mut follower = Follower::new(&context.store, OPERATOR_TABLE, false);
     loop {
-        match follower.next(CONFIG_WAIT).await {
+        let read = follower.next(CONFIG_WAIT);
+        match context.abandon_on_recovery(read).await {
             Ok(Change::Snapshot(rows) | Change::Delta(rows)) => {
                 context.record_store_reply();
                 if let Some(version) = follower.version() {
@@ -207,6 +209,8 @@
                     context.confirm_config(context.current_at(&follower));
                 }
             }
+            // The store answers again, and may never answer the read that was sent before.
+            Err(StoreError::Abandoned) => {}
             Err(_) => tokio::time::sleep(CONFIG_RETRY_PAUSE).await,
         }
     }
--- a/crates/cell/tests/old_configuration.rs
+++ b/crates/cell/tests/old_configuration.rs
@@ -107,3 +107,23 @@
     cell.close().await;
     assert_eq!(status, 503, "{body}");
 }
+
+/// Guards against refusals after an outage of the store, until the configuration has been read again.
+#[tokio::test(flavor = "multi_thread")]
+async fn queues_are_served_as_soon_as_the_store_answers_again() {
+    let cell = TestCell::open(1, 1).await;
+    cell.wait_owner(|_| true).await;
+    cell.store_proxies[0].set_cut(true);
+    tokio::time::sleep(2 * CONFIG_TIME).await;
+    cell.store_proxies[0].set_cut(false);
+    let caller = Caller::new();
+    let submit = async {
+        let path = "/plain/00000000000000c4";
+        caller.submit(&cell.servers(), path, &job(1, "20")).await;
+    };
+
+    let accepted = tokio::time::timeout(Duration::from_millis(600), submit).await;
+
+    cell.close().await;
+    assert!(accepted.is_ok(), "no job was accepted for 0.6 s");
+}
