review/5: tasks that last stay down while all workers are paused

Rule: LOST, its last sentence, for tasks that last. Disruption: tasks that last fail at any time (PROTOCOL.md, long_running), each 5 to 60 s after its start; nothing else is disturbed.

--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -7,6 +7,7 @@
 mod cell;
 mod http;
 mod json;
+mod lasting;
 mod occurrences;
 mod record;
 mod site;
@@ -34,6 +35,7 @@
     record.line(format!("case {case}, trouble {trouble}"));
     let verdict = match case.as_str() {
         "occurrences" => occurrences::run(trouble, record.clone()),
+        "lasting" => lasting::run(trouble, record.clone()),
         _ => Err(format!("no case {case}")),
     };
     let (line, code) = match verdict {
--- a/review/stand-ins-2/src/worker.rs
+++ b/review/stand-ins-2/src/worker.rs
@@ -1,6 +1,9 @@
 //! Stand-in of a worker, as PROTOCOL.md describes it: leases, fencing tokens, runs and their ends.
 
 use std::collections::BTreeMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -55,6 +58,8 @@
 struct Running {
     run: u64,
     ends_at: Duration,
+    /// The run ends `failed`.
+    fails: bool,
     stops_at: Option<Duration>,
     /// Position in the history.
     at: usize,
@@ -68,6 +73,30 @@
     at: usize,
 }
 
+/// What a run does, as the text of its job says: `ms=TIME` (ends `done` after that time),
+/// `lasts` (runs until it is stopped) or `fails=FROM-TO` (ends `failed` after a time in
+/// milliseconds in this range, which differs from run to run).
+struct Work {
+    time: Duration,
+    fails: bool,
+}
+
+impl Work {
+    fn parse(spec: &str, task: &str, run: u64) -> Work {
+        let millis = |text: &str| text.parse().map_or(Duration::ZERO, Duration::from_millis);
+        if let Some(range) = spec.strip_prefix("fails=") {
+            let (from, to) = range.split_once('-').unwrap_or((range, range));
+            let (from, to) = (millis(from), millis(to));
+            let mut hasher = DefaultHasher::new();
+            (task, run).hash(&mut hasher);
+            let share = (hasher.finish() % 1000) as f64 / 1000.0;
+            return Work { time: from + (to - from).mul_f64(share), fails: true };
+        }
+        let time = spec.strip_prefix("ms=").map_or(Duration::from_hours(1), millis);
+        Work { time, fails: false }
+    }
+}
+
 #[derive(Default)]
 struct State {
     token: u64,
@@ -181,6 +210,7 @@
                 let how = match running.stops_at {
                     _ if lapsed => "lapsed",
                     Some(stops_at) if stops_at <= now => "stopped",
+                    _ if running.ends_at <= now && running.fails => "failed",
                     _ if running.ends_at <= now => "done",
                     _ => return None,
                 };
@@ -264,8 +294,7 @@
             return self.rejection("old");
         }
         state.highest.insert(task.clone(), run);
-        let spec = body.text("spec");
-        let work = spec.split_once("ms=").and_then(|(_, work)| work.parse().ok()).unwrap_or(500);
+        let work = Work::parse(&body.text("spec"), &task, run);
         let at = state.history.len();
         state.history.push(RunHistory {
             task: task.clone(),
@@ -275,8 +304,9 @@
             ended: None,
             noted: None,
         });
-        let ends_at = now + Duration::from_millis(work);
-        state.running.insert(task.clone(), Running { run, ends_at, stops_at: None, at });
+        let ends_at = now + work.time;
+        let running = Running { run, ends_at, fails: work.fails, stops_at: None, at };
+        state.running.insert(task.clone(), running);
         self.record.line(format!("{}: run {task} {run} started", self.id));
         self.reply(200, &[])
     }
