--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -12,6 +12,7 @@
 mod record;
 mod site;
 mod store;
+mod trial;
 mod twice;
 mod worker;
 
@@ -36,6 +37,7 @@
     let verdict = match case.as_str() {
         "occurrences" => occurrences::run(trouble, record.clone()),
         "lasting" => lasting::run(trouble, record.clone()),
+        "trial" => trial::run(trouble, record.clone()),
         _ => Err(format!("no case {case}")),
     };
     let (line, code) = match verdict {
--- a/review/stand-ins-2/src/site.rs
+++ b/review/stand-ins-2/src/site.rs
@@ -122,6 +122,12 @@
         })
     }
 
+    /// The worker with the most runs.
+    pub fn busiest(&self) -> Option<&Worker> {
+        let up = self.workers.iter().filter(|worker| worker.is_up());
+        up.max_by_key(|worker| worker.running())
+    }
+
     /// The runs of each task on all workers, in the order of their starts.
     pub fn runs(&self) -> BTreeMap<String, Vec<RunHistory>> {
         let mut runs: BTreeMap<String, Vec<RunHistory>> = BTreeMap::new();
--- a/review/stand-ins-2/src/worker.rs
+++ b/review/stand-ins-2/src/worker.rs
@@ -57,7 +57,10 @@
 
 struct Running {
     run: u64,
+    started: Duration,
     ends_at: Duration,
+    /// The run is that of a task that lasts.
+    lasts: bool,
     /// The run ends `failed`.
     fails: bool,
     stops_at: Option<Duration>,
@@ -73,12 +76,25 @@
     at: usize,
 }
 
+impl Running {
+    /// Progress at `now`; 100 for a task that lasts.
+    fn percent(&self, now: Duration) -> u64 {
+        if self.lasts {
+            return 100;
+        }
+        let (worked, work) = (now.saturating_sub(self.started), self.ends_at - self.started);
+        let percent = worked.as_millis() * 100 / work.as_millis().max(1);
+        u64::try_from(percent).unwrap_or(100).min(99)
+    }
+}
+
 /// What a run does, as the text of its job says: `ms=TIME` (ends `done` after that time),
-/// `lasts` (runs until it is stopped) or `fails=FROM-TO` (ends `failed` after a time in
-/// milliseconds in this range, which differs from run to run).
+/// `lasts` (a task that lasts) or `fails=FROM-TO` (a task that lasts and ends `failed` after a time
+/// in milliseconds in this range, which differs from run to run).
 struct Work {
     time: Duration,
     fails: bool,
+    lasts: bool,
 }
 
 impl Work {
@@ -90,10 +106,12 @@
             let mut hasher = DefaultHasher::new();
             (task, run).hash(&mut hasher);
             let share = (hasher.finish() % 1000) as f64 / 1000.0;
-            return Work { time: from + (to - from).mul_f64(share), fails: true };
+            let time = from + (to - from).mul_f64(share);
+            return Work { time, fails: true, lasts: true };
         }
-        let time = spec.strip_prefix("ms=").map_or(Duration::from_hours(1), millis);
-        Work { time, fails: false }
+        let time = spec.strip_prefix("ms=").map(millis);
+        let lasts = time.is_none();
+        Work { time: time.unwrap_or(Duration::from_hours(1)), fails: false, lasts }
     }
 }
 
@@ -153,6 +171,7 @@
             let mut seq = 0;
             while beating.is_up() {
                 seq += 1;
+                // A crash during the write is followed by the removal of the row.
                 store.write("servers", &beating.id, &beating.registration(seq));
                 thread::sleep(HEARTBEAT);
             }
@@ -165,6 +184,30 @@
         self.up.load(Ordering::Relaxed)
     }
 
+    /// Crashes the worker for good: all that runs on it ends, and nothing answers any more. Its
+    /// registration is removed after three heartbeats of silence.
+    pub fn crash(&self, store: &Store) {
+        self.up.store(false, Ordering::Relaxed);
+        let now = self.record.now();
+        let mut state = self.lock();
+        let State { running, history, .. } = &mut *state;
+        for running in std::mem::take(running).into_values() {
+            history[running.at].ended = Some((now, "lost"));
+        }
+        drop(state);
+        self.record.line(format!("{}: crashed", self.id));
+        let (store, id) = (store.clone(), self.id.clone());
+        thread::spawn(move || {
+            thread::sleep(HEARTBEAT * 3);
+            store.remove("servers", &id);
+        });
+    }
+
+    /// Number of runs at this moment.
+    pub fn running(&self) -> usize {
+        self.lock().running.len()
+    }
+
     /// The runs so far.
     pub fn history(&self) -> Vec<RunHistory> {
         self.lock().history.clone()
@@ -235,7 +278,16 @@
         self.record.line(format!("{}: run {task} {run} ended {how}, number {number}", self.id));
     }
 
+    /// Answers a call, unless the worker crashes before that.
     fn answer(&self, request: &Request) -> Reply {
+        let reply = self.handle(request);
+        while !self.is_up() {
+            thread::sleep(HEARTBEAT);
+        }
+        reply
+    }
+
+    fn handle(&self, request: &Request) -> Reply {
         let target = request.header("Target-Instance");
         if !target.is_empty() && target != self.id {
             return (421, "{}".to_owned());
@@ -279,6 +331,9 @@
         let (task, run) = (body.text("task"), body.number("run").unwrap_or(0));
         let now = self.record.now();
         let mut state = self.lock();
+        if !self.is_up() {
+            return self.reply(503, &[]);
+        }
         if !Worker::accept_token(&mut state, body) {
             return self.rejection("fence");
         }
@@ -305,7 +360,8 @@
             noted: None,
         });
         let ends_at = now + work.time;
-        let running = Running { run, ends_at, fails: work.fails, stops_at: None, at };
+        let Work { fails, lasts, .. } = work;
+        let running = Running { run, started: now, ends_at, lasts, fails, stops_at: None, at };
         state.running.insert(task.clone(), running);
         self.record.line(format!("{}: run {task} {run} started", self.id));
         self.reply(200, &[])
@@ -355,8 +411,7 @@
             state = self.state.1.wait_timeout(state, left).expect("no holder panics").0;
         }
         let running = state.running.iter().map(|(task, running)| {
-            let left = running.ends_at.saturating_sub(self.record.now()).as_millis();
-            let percent = 99_u64.saturating_sub(u64::try_from(left / 100).unwrap_or(99));
+            let percent = running.percent(self.record.now());
             Json::List(vec![text(task), number(running.run), text(""), number(percent)])
         });
         let running = Json::List(running.collect());
