--- a/review/stand-ins-2/src/cell.rs
+++ b/review/stand-ins-2/src/cell.rs
@@ -40,12 +40,17 @@
     let ports = [METRICS_PORT, CALLERS_PORT, READY_PORT, PEER_PORT];
     let seed = std::process::id();
     for step in 0..10_000 {
-        let [_, _, second, third] = seed.wrapping_add(step).wrapping_mul(2_654_435_761).to_be_bytes();
+        let [_, _, second, third] = seed
+            .wrapping_add(step)
+            .wrapping_mul(2_654_435_761)
+            .to_be_bytes();
         let first = Ipv4Addr::new(127, 1 + second % 250, third, 1);
         let all_free = (0..count).all(|at| {
             let [a, b, c, d] = first.octets();
             let ip = Ipv4Addr::new(a, b, c, d + at);
-            ports.iter().all(|port| TcpListener::bind((ip, *port)).is_ok())
+            ports
+                .iter()
+                .all(|port| TcpListener::bind((ip, *port)).is_ok())
         });
         if all_free {
             return first;
@@ -118,7 +123,9 @@
         let log = self.folder.join(format!("{}.log", self.name));
         let log = fs::File::options().create(true).append(true).open(log)?;
         let kept = ["PATH", "HOME", "LANG"];
-        let kept = kept.iter().filter_map(|name| Some((*name, std::env::var(name).ok()?)));
+        let kept = kept
+            .iter()
+            .filter_map(|name| Some((*name, std::env::var(name).ok()?)));
         let child = Command::new("target/release/clovermountd")
             .arg("--cell")
             .env_clear()
@@ -143,23 +150,6 @@
         }
     }
 
-    /// Starts the process again if it has ended by itself; returns whether it had.
-    pub fn restart_if_ended(&mut self) -> std::io::Result<bool> {
-        let Some(child) = &mut self.child else { return Ok(false) };
-        let Some(status) = child.try_wait()? else { return Ok(false) };
-        self.record.line(format!("platform: {} has ended by itself: {status}", self.name));
-        self.start()?;
-        Ok(true)
-    }
-
-    /// Resident memory of the process in MB; `None` if it is not running.
-    pub fn memory_mb(&self) -> Option<u64> {
-        let id = self.child.as_ref()?.id();
-        let statm = fs::read_to_string(format!("/proc/{id}/statm")).ok()?;
-        let pages: u64 = statm.split(' ').nth(1)?.parse().ok()?;
-        Some(pages * 4096 / 1_000_000)
-    }
-
     /// Whether the process says that it is ready.
     pub fn ready(&self) -> bool {
         let address = SocketAddr::new(self.ip, READY_PORT);
@@ -170,27 +160,42 @@
     /// Whether the process gives the orders to the workers, by its metrics.
     pub fn leads(&self) -> bool {
         let address = SocketAddr::new(self.ip, METRICS_PORT);
-        let Ok((_, metrics)) = http::call(address, ("GET", "platform", "/metrics"), "", CHECK_TIMEOUT)
+        let Ok((_, metrics)) =
+            http::call(address, ("GET", "platform", "/metrics"), "", CHECK_TIMEOUT)
         else {
             return false;
         };
-        let lines = metrics.lines().filter(|line| line.starts_with("clovermount_epoch "));
+        let lines = metrics
+            .lines()
+            .filter(|line| line.starts_with("clovermount_epoch "));
         let mut values = lines.filter_map(|line| line.split(' ').nth(1)?.parse::<f64>().ok());
         values.any(|epoch| epoch > 0.0)
     }
 
     /// Sends a call of a client and records it.
-    pub fn call(&self, method: &str, path: &str, body: &str, timeout: Duration) -> Option<(u16, Json)> {
+    pub fn call(
+        &self,
+        method: &str,
+        path: &str,
+        body: &str,
+        timeout: Duration,
+    ) -> Option<(u16, Json)> {
         let address = SocketAddr::new(self.ip, CALLERS_PORT);
         let shown: String = body.chars().take(160).collect();
         let reply = http::call(address, (method, "desk.example", path), body, timeout);
         match reply {
             Ok((status, reply)) => {
-                self.record.line(format!("client: {method} {path} {shown} at {} -> {status} {reply}", self.name));
+                self.record.line(format!(
+                    "client: {method} {path} {shown} at {} -> {status} {reply}",
+                    self.name
+                ));
                 Some((status, Json::parse(&reply).unwrap_or(Json::Null)))
             }
             Err(error) => {
-                self.record.line(format!("client: {method} {path} {shown} at {} -> {error}", self.name));
+                self.record.line(format!(
+                    "client: {method} {path} {shown} at {} -> {error}",
+                    self.name
+                ));
                 None
             }
         }
--- a/review/stand-ins-2/src/http.rs
+++ b/review/stand-ins-2/src/http.rs
@@ -28,13 +28,19 @@
 impl Request {
     /// Returns a header; empty if there is none.
     pub fn header(&self, name: &str) -> &str {
-        let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map_or("", |(_, value)| value)
     }
 
     /// Returns a decoded query parameter; empty if there is none.
     pub fn parameter(&self, name: &str) -> String {
-        let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
+        let pairs = self
+            .query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='));
         let found = pairs.into_iter().find(|(key, _)| *key == name);
         found.map_or_else(String::new, |(_, value)| decode(value))
     }
@@ -48,7 +54,9 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let hex = text.get(at + 1..at + 3).and_then(|hex| u8::from_str_radix(hex, 16).ok());
+        let hex = text
+            .get(at + 1..at + 3)
+            .and_then(|hex| u8::from_str_radix(hex, 16).ok());
         if let (b'%', Some(byte)) = (bytes[at], hex) {
             out.push(byte);
             at += 3;
@@ -86,7 +94,9 @@
 }
 
 fn read_body(reader: &mut impl Read, headers: &[(String, String)]) -> Result<String> {
-    let length = headers.iter().find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+    let length = headers
+        .iter()
+        .find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
     let length = length.map_or(Ok(0), |(_, value)| value.parse::<usize>());
     let mut body = vec![0; length.map_err(|_| malformed())?];
     reader.read_exact(&mut body)?;
@@ -119,7 +129,13 @@
         let target = words.next().unwrap_or_default();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let (path, query) = (path.to_owned(), query.to_owned());
-        let request = Request { method, path, query, headers, body };
+        let request = Request {
+            method,
+            path,
+            query,
+            headers,
+            body,
+        };
         let (status, body) = handle(&request);
         let head = format!(
             "HTTP/1.1 {status} x\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
@@ -139,7 +155,9 @@
     let end = Instant::now() + timeout;
     let stream = TcpStream::connect_timeout(&address, timeout)?;
     stream.set_nodelay(true)?;
-    let left = end.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+    let left = end
+        .saturating_duration_since(Instant::now())
+        .max(Duration::from_millis(1));
     stream.set_read_timeout(Some(left))?;
     let request = format!(
         "{method} {path} HTTP/1.1\r\nhost: {host}\r\ncontent-type: application/json\r\n\
@@ -150,10 +168,18 @@
     (&stream).write_all(request.as_bytes())?;
     let mut reader = BufReader::new(stream);
     let (first, headers) = read_head(&mut reader)?;
-    let status = first.split(' ').nth(1).and_then(|status| status.parse().ok());
-    let chunked = headers.iter().any(|(name, _)| name.eq_ignore_ascii_case("transfer-encoding"));
+    let status = first
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
+    let chunked = headers
+        .iter()
+        .any(|(name, _)| name.eq_ignore_ascii_case("transfer-encoding"));
     if chunked {
         return Err(malformed());
     }
-    Ok((status.ok_or_else(malformed)?, read_body(&mut reader, &headers)?))
+    Ok((
+        status.ok_or_else(malformed)?,
+        read_body(&mut reader, &headers)?,
+    ))
 }
--- a/review/stand-ins-2/src/json.rs
+++ b/review/stand-ins-2/src/json.rs
@@ -16,7 +16,10 @@
 impl Json {
     /// Parses a whole text.
     pub fn parse(text: &str) -> Option<Json> {
-        let mut parser = Parser { bytes: text.as_bytes(), at: 0 };
+        let mut parser = Parser {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = parser.value()?;
         parser.space();
         (parser.at == parser.bytes.len()).then_some(value)
@@ -24,8 +27,13 @@
 
     /// Returns a field of an object; `Null` if there is none.
     pub fn field(&self, name: &str) -> &Json {
-        let Json::Object(fields) = self else { return &Json::Null };
-        fields.iter().find(|(key, _)| key == name).map_or(&Json::Null, |(_, value)| value)
+        let Json::Object(fields) = self else {
+            return &Json::Null;
+        };
+        fields
+            .iter()
+            .find(|(key, _)| key == name)
+            .map_or(&Json::Null, |(_, value)| value)
     }
 
     /// Returns the text of a field; empty if there is none.
@@ -55,7 +63,12 @@
 
 /// Builds an object from its fields.
 pub fn object(fields: &[(&str, Json)]) -> Json {
-    Json::Object(fields.iter().map(|(name, value)| ((*name).to_owned(), value.clone())).collect())
+    Json::Object(
+        fields
+            .iter()
+            .map(|(name, value)| ((*name).to_owned(), value.clone()))
+            .collect(),
+    )
 }
 
 /// Builds a text value.
--- a/review/stand-ins-2/src/lasting.rs
+++ b/review/stand-ins-2/src/lasting.rs
@@ -24,7 +24,11 @@
 
 /// Runs the case; returns the tasks that break LOST.
 pub fn run(trouble: bool, record: Record) -> Result<Vec<String>, String> {
-    let size = Size { processes: 4, workers: 4, capacity: (16_000, 65_536) };
+    let size = Size {
+        processes: 4,
+        workers: 4,
+        capacity: (16_000, 65_536),
+    };
     let site = Site::start(&size, record)?;
     let spec = if trouble { FAILS } else { "lasts" };
     let body = format!(
@@ -33,7 +37,10 @@
     );
     for job in 0..JOBS {
         let path = format!("{PREFIX}{:016x}", 0x5c0e_7a21_d94b_0000 + job);
-        if site.call("POST", &path, &body, 4).is_none_or(|(status, _)| status != 200) {
+        if site
+            .call("POST", &path, &body, 4)
+            .is_none_or(|(status, _)| status != 200)
+        {
             return Err("a job was not accepted".to_owned());
         }
     }
@@ -44,7 +51,9 @@
     for (task, runs) in &runs {
         let starts = runs.iter().skip(1).map(|run| run.started).chain([now]);
         for (run, next) in runs.iter().zip(starts) {
-            let Some((ended, how)) = run.ended else { continue };
+            let Some((ended, how)) = run.ended else {
+                continue;
+            };
             let idle = next.saturating_sub(ended);
             if idle > BOUND {
                 broken.push(format!(
@@ -57,6 +66,7 @@
         }
     }
     let total: usize = runs.values().map(Vec::len).sum();
-    site.record.line(format!("judged: {} tasks ran, {total} runs", runs.len()));
+    site.record
+        .line(format!("judged: {} tasks ran, {total} runs", runs.len()));
     Ok(broken)
 }
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -46,7 +46,10 @@
             for line in &broken {
                 record.line(format!("broken: {line}"));
             }
-            (format!("broken, {} times; first: {}", broken.len(), broken[0]), 1)
+            (
+                format!("broken, {} times; first: {}", broken.len(), broken[0]),
+                1,
+            )
         }
         Err(reason) => (format!("could not run: {reason}"), 2),
     };
--- a/review/stand-ins-2/src/occurrences.rs
+++ b/review/stand-ins-2/src/occurrences.rs
@@ -26,9 +26,15 @@
 
 /// Runs the case; returns the starts that break TWICE.
 pub fn run(trouble: bool, record: Record) -> Result<Vec<String>, String> {
-    let size = Size { processes: 4, workers: 6, capacity: (16_000, 65_536) };
+    let size = Size {
+        processes: 4,
+        workers: 6,
+        capacity: (16_000, 65_536),
+    };
     let mut site = Site::start(&size, record)?;
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|error| error.to_string())?;
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_err(|error| error.to_string())?;
     let first = site.record.now() + Duration::from_secs(1);
     let body = format!(
         "{{\"spec\":\"ms={}\",\"steps\":[{{\"count\":1,\"cpu\":1000,\"mem_mb\":256,\
--- a/review/stand-ins-2/src/record.rs
+++ b/review/stand-ins-2/src/record.rs
@@ -20,7 +20,10 @@
     /// Creates the file. Fails if the folder cannot be written.
     pub fn create(path: &Path) -> std::io::Result<Record> {
         let file = Arc::new(Mutex::new(File::create(path)?));
-        Ok(Record { origin: Instant::now(), file })
+        Ok(Record {
+            origin: Instant::now(),
+            file,
+        })
     }
 
     /// Time since the start of the run.
--- a/review/stand-ins-2/src/site.rs
+++ b/review/stand-ins-2/src/site.rs
@@ -74,7 +74,13 @@
         http::serve(machines, move |_| (200, list_machines(&listed)));
         let services = (address, machines_address);
         let cell = start_cell(size.processes, services, &folder, &record).map_err(failed)?;
-        let site = Site { record, store, workers, cell, folder };
+        let site = Site {
+            record,
+            store,
+            workers,
+            cell,
+            folder,
+        };
         let end = site.record.now() + READY_TIME;
         while !(site.cell.iter().all(Process::ready) && site.leader().is_some()) {
             if site.record.now() > end {
@@ -101,11 +107,20 @@
 
     /// Sends a client's call to the processes in turn, until one replies otherwise than with 502,
     /// 503 or 504, at most `attempts` times.
-    pub fn call(&self, method: &str, path: &str, body: &str, attempts: usize) -> Option<(u16, Json)> {
+    pub fn call(
+        &self,
+        method: &str,
+        path: &str,
+        body: &str,
+        attempts: usize,
+    ) -> Option<(u16, Json)> {
         let mut last = None;
         for process in self.cell.iter().cycle().take(attempts) {
             last = process.call(method, path, body, CALL_TIME);
-            if last.as_ref().is_some_and(|(status, _)| ![502, 503, 504].contains(status)) {
+            if last
+                .as_ref()
+                .is_some_and(|(status, _)| ![502, 503, 504].contains(status))
+            {
                 break;
             }
             thread::sleep(Duration::from_millis(300));
@@ -163,7 +178,10 @@
         ("stretch", Json::Number(2.2)),
         ("slo_ms", number(1000)),
     ]);
-    let service = object(&[("name", text(SERVICE)), ("rejects_overload", Json::Bool(false))]);
+    let service = object(&[
+        ("name", text(SERVICE)),
+        ("rejects_overload", Json::Bool(false)),
+    ]);
     object(&[
         ("version", number(3)),
         ("routes", Json::List(vec![route])),
@@ -183,7 +201,11 @@
             ("id", text(&worker.id)),
         ])
     });
-    object(&[("machines", Json::List(machines.collect())), ("next_token", text(""))]).to_string()
+    object(&[
+        ("machines", Json::List(machines.collect())),
+        ("next_token", text("")),
+    ])
+    .to_string()
 }
 
 /// Creates the record in the folder of a case.
--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -45,8 +45,6 @@
     /// Version, row and new value of each change; no value if the row was removed.
     changes: Vec<(u64, Name, Option<String>)>,
     version: u64,
-    /// Number of transactions that were refused because they exceed a limit of the pages.
-    oversized: usize,
 }
 
 /// The store; clones share the rows.
@@ -62,7 +60,11 @@
     pub fn start(ip: std::net::IpAddr, record: &Record) -> std::io::Result<(Store, SocketAddr)> {
         let listener = TcpListener::bind((ip, 0))?;
         let address = listener.local_addr()?;
-        let store = Store { rows: Arc::default(), origin: Instant::now(), record: record.clone() };
+        let store = Store {
+            rows: Arc::default(),
+            origin: Instant::now(),
+            record: record.clone(),
+        };
         let served = store.clone();
         http::serve(listener, move |request| served.answer(request));
         Ok((store, address))
@@ -87,11 +89,6 @@
         self.rows.1.notify_all();
     }
 
-    /// Number of transactions that were refused because they exceed a limit of the pages.
-    pub fn oversized(&self) -> usize {
-        self.lock().oversized
-    }
-
     fn answer(&self, request: &Request) -> Reply {
         thread::sleep(CALL_TIME);
         match (request.method.as_str(), request.path.as_str()) {
@@ -109,20 +106,28 @@
     }
 
     fn transact(&self, body: &str) -> Reply {
-        let Some(call) = Json::parse(body) else { return (400, String::new()) };
+        let Some(call) = Json::parse(body) else {
+            return (400, String::new());
+        };
         if let Some(reason) = exceeded_limit(body, &call) {
-            self.lock().oversized += 1;
-            self.record.line(format!("store: transaction refused with 400: {reason}"));
+            self.record
+                .line(format!("store: transaction refused with 400: {reason}"));
             return (400, object(&[("reason", text(&reason))]).to_string());
         }
         let mut rows = self.lock();
         for expected in call.list("precondition") {
-            let found = rows.live.get(&name_of(expected)).map_or(0, |(_, version)| *version);
+            let found = rows
+                .live
+                .get(&name_of(expected))
+                .map_or(0, |(_, version)| *version);
             if found != expected.number("ver").unwrap_or(0) {
                 return (412, "{\"rows\":[]}".to_owned());
             }
         }
-        let puts = call.list("puts").iter().map(|put| (name_of(put), Some(put.text("value"))));
+        let puts = call
+            .list("puts")
+            .iter()
+            .map(|put| (name_of(put), Some(put.text("value"))));
         let removed = call.list("remove").iter().map(|row| (name_of(row), None));
         rows.apply(puts.chain(removed).collect());
         let version = rows.version;
@@ -132,13 +137,20 @@
     }
 
     fn read(&self, request: &Request) -> Reply {
-        let limit = request.parameter("limit").parse().unwrap_or(MAX_ROWS).min(MAX_ROWS);
+        let limit = request
+            .parameter("limit")
+            .parse()
+            .unwrap_or(MAX_ROWS)
+            .min(MAX_ROWS);
         let (table, part) = (request.parameter("table"), request.parameter("part"));
         let (from, to) = (request.parameter("from"), request.parameter("to"));
         let rows = self.lock();
-        let mut found = rows.live.range((table.clone(), part.clone(), from)..).filter(|(name, _)| {
-            name.0 == table && name.1 == part && (to.is_empty() || name.2 < to)
-        });
+        let mut found = rows
+            .live
+            .range((table.clone(), part.clone(), from)..)
+            .filter(|(name, _)| {
+                name.0 == table && name.1 == part && (to.is_empty() || name.2 < to)
+            });
         let mut page = Vec::new();
         let mut bytes = 0;
         let mut more = false;
@@ -151,7 +163,12 @@
             page.push(row_json(name, Some(value), *version));
         }
         let [version, now] = self.stamp(rows.version);
-        let fields = [("rows", Json::List(page)), ("has_more", Json::Bool(more)), version, now];
+        let fields = [
+            ("rows", Json::List(page)),
+            ("has_more", Json::Bool(more)),
+            version,
+            now,
+        ];
         (200, object(&fields).to_string())
     }
 
@@ -160,10 +177,17 @@
         let rows = self.lock();
         let names = rows.live.keys().filter(|name| name.0 == table);
         let parts: BTreeSet<&String> = names.map(|name| &name.1).collect();
-        let parts = parts.into_iter().filter(|part| after.is_empty() || **part > after);
+        let parts = parts
+            .into_iter()
+            .filter(|part| after.is_empty() || **part > after);
         let parts = Json::List(parts.map(|part| text(part)).collect());
         let [version, now] = self.stamp(rows.version);
-        let fields = [("parts", parts), ("has_more", Json::Bool(false)), version, now];
+        let fields = [
+            ("parts", parts),
+            ("has_more", Json::Bool(false)),
+            version,
+            now,
+        ];
         (200, object(&fields).to_string())
     }
 
@@ -174,22 +198,31 @@
         let end = Instant::now() + Duration::from_millis(wait);
         let mut rows = self.lock();
         loop {
-            let first = rows.changes.partition_point(|(version, _, _)| *version <= after);
-            let changes = rows.changes[first..].iter().filter(|(_, name, _)| name.0 == table);
+            let first = rows
+                .changes
+                .partition_point(|(version, _, _)| *version <= after);
+            let changes = rows.changes[first..]
+                .iter()
+                .filter(|(_, name, _)| name.0 == table);
             let found: Vec<_> = changes.take(MAX_ROWS).collect();
             let left = end.saturating_duration_since(Instant::now());
             if !found.is_empty() || left.is_zero() {
                 let full = found.len() == MAX_ROWS;
                 let last = found.last().map_or(rows.version, |change| change.0);
                 let version = if full { last } else { rows.version };
-                let page = found.iter().map(|(version, name, value)| {
-                    row_json(name, value.as_ref(), *version)
-                });
+                let page = found
+                    .iter()
+                    .map(|(version, name, value)| row_json(name, value.as_ref(), *version));
                 let page = Json::List(page.collect());
                 let [version, now] = self.stamp(version);
                 return (200, object(&[("rows", page), version, now]).to_string());
             }
-            rows = self.rows.1.wait_timeout(rows, left).expect("no holder panics").0;
+            rows = self
+                .rows
+                .1
+                .wait_timeout(rows, left)
+                .expect("no holder panics")
+                .0;
         }
     }
 }
@@ -217,7 +250,10 @@
     if body.len() > MAX_CALL_BYTES {
         return Some(format!("{} bytes, allowed: {MAX_CALL_BYTES}", body.len()));
     }
-    if entries.iter().any(|entry| entry.text("part") != entries[0].text("part")) {
+    if entries
+        .iter()
+        .any(|entry| entry.text("part") != entries[0].text("part"))
+    {
         return Some("rows of several parts".to_owned());
     }
     call.list("puts").iter().find_map(|put| {
@@ -251,12 +287,18 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
-        let group = chunk.iter().fold(0_u32, |group, byte| group << 8 | u32::from(*byte));
+        let group = chunk
+            .iter()
+            .fold(0_u32, |group, byte| group << 8 | u32::from(*byte));
         let group = group << (8 * (3 - chunk.len()));
         for at in 0..4 {
             let digit = (group >> (18 - 6 * at)) & 63;
             let padding = at > chunk.len();
-            out.push(if padding { '=' } else { char::from(DIGITS[digit as usize]) });
+            out.push(if padding {
+                '='
+            } else {
+                char::from(DIGITS[digit as usize])
+            });
         }
     }
     out
--- a/review/stand-ins-2/src/trial.rs
+++ b/review/stand-ins-2/src/trial.rs
@@ -35,7 +35,11 @@
 
 /// Runs the case; returns the jobs that break LOST.
 pub fn run(trouble: bool, record: Record) -> Result<Vec<String>, String> {
-    let size = Size { processes: 4, workers: WORKERS, capacity: (CPU, 65_536) };
+    let size = Size {
+        processes: 4,
+        workers: WORKERS,
+        capacity: (CPU, 65_536),
+    };
     let site = Site::start(&size, record)?;
     let lasting = format!(
         "{{\"spec\":\"lasts\",\"steps\":[{{\"count\":{LASTING_TASKS},\"cpu\":{LASTING_CPU},\
@@ -49,7 +53,9 @@
         "{{\"spec\":\"ms={time}\",\"steps\":[{{\"count\":1,\"cpu\":{JOB_CPU},\"mem_mb\":512,\
          \"estimate_ms\":{time}}}]}}"
     );
-    let ids: Vec<String> = (0..JOBS).map(|job| format!("{:016x}", 0x5c0e_7a21_0000_0000_u64 + job as u64)).collect();
+    let ids: Vec<String> = (0..JOBS)
+        .map(|job| format!("{:016x}", 0x5c0e_7a21_0000_0000_u64 + job as u64))
+        .collect();
     for id in &ids {
         submit(&site, id, &body)?;
     }
@@ -67,7 +73,9 @@
 fn submit(site: &Site, id: &str, body: &str) -> Result<(), String> {
     let answer = site.call("POST", &format!("{PREFIX}{id}"), body, 4);
     let accepted = answer.is_some_and(|(status, _)| status == 200);
-    accepted.then_some(()).ok_or_else(|| format!("job {id} was not accepted"))
+    accepted
+        .then_some(())
+        .ok_or_else(|| format!("job {id} was not accepted"))
 }
 
 /// Returns the jobs that have had nothing running for [`IDLE`], though they are not complete.
@@ -77,22 +85,36 @@
     let active = runs.values().flatten().filter(|run| run.ended.is_none());
     let (mut in_use, mut left) = (0, 0);
     for run in active {
-        in_use += if run.task.starts_with("5c0e7a21d94bffff") { LASTING_CPU } else { JOB_CPU };
+        in_use += if run.task.starts_with("5c0e7a21d94bffff") {
+            LASTING_CPU
+        } else {
+            JOB_CPU
+        };
     }
     for worker in site.workers.iter().filter(|worker| worker.is_up()) {
         left += CPU;
-        site.record.line(format!("judged: {} has {} runs", worker.id, worker.running()));
+        site.record.line(format!(
+            "judged: {} has {} runs",
+            worker.id,
+            worker.running()
+        ));
     }
-    site.record.line(format!("judged: {in_use} of {left} thousandths of a core are in use"));
+    site.record.line(format!(
+        "judged: {in_use} of {left} thousandths of a core are in use"
+    ));
     if in_use * 2 >= left {
         return Err("half of the capacity is in use".to_owned());
     }
     let mut broken = Vec::new();
     for id in ids {
         let state = site.state(id);
-        let of_job = runs.get(&format!("{id}.0.0.0")).map_or(&[][..], Vec::as_slice);
+        let of_job = runs
+            .get(&format!("{id}.0.0.0"))
+            .map_or(&[][..], Vec::as_slice);
         let Some(last) = of_job.last() else { continue };
-        let idle = last.ended.map_or(Duration::ZERO, |(ended, _)| now.saturating_sub(ended));
+        let idle = last
+            .ended
+            .map_or(Duration::ZERO, |(ended, _)| now.saturating_sub(ended));
         let open = state == "pending" || state == "active";
         if open && idle > IDLE {
             broken.push(format!(
--- a/review/stand-ins-2/src/twice.rs
+++ b/review/stand-ins-2/src/twice.rs
@@ -33,7 +33,10 @@
         return Some(format!("{starts}: the first one still runs"));
     };
     if later.started < ended {
-        return Some(format!("{starts}: the first one ended at {:.3}", ended.as_secs_f64()));
+        return Some(format!(
+            "{starts}: the first one ended at {:.3}",
+            ended.as_secs_f64()
+        ));
     }
     let noted = earlier.noted.filter(|noted| *noted < Duration::MAX)?;
     (how == "done").then(|| {
--- a/review/stand-ins-2/src/worker.rs
+++ b/review/stand-ins-2/src/worker.rs
@@ -82,7 +82,10 @@
         if self.lasts {
             return 100;
         }
-        let (worked, work) = (now.saturating_sub(self.started), self.ends_at - self.started);
+        let (worked, work) = (
+            now.saturating_sub(self.started),
+            self.ends_at - self.started,
+        );
         let percent = worked.as_millis() * 100 / work.as_millis().max(1);
         u64::try_from(percent).unwrap_or(100).min(99)
     }
@@ -107,11 +110,19 @@
             (task, run).hash(&mut hasher);
             let share = (hasher.finish() % 1000) as f64 / 1000.0;
             let time = from + (to - from).mul_f64(share);
-            return Work { time, fails: true, lasts: true };
+            return Work {
+                time,
+                fails: true,
+                lasts: true,
+            };
         }
         let time = spec.strip_prefix("ms=").map(millis);
         let lasts = time.is_none();
-        Work { time: time.unwrap_or(Duration::from_hours(1)), fails: false, lasts }
+        Work {
+            time: time.unwrap_or(Duration::from_hours(1)),
+            fails: false,
+            lasts,
+        }
     }
 }
 
@@ -190,7 +201,9 @@
         self.up.store(false, Ordering::Relaxed);
         let now = self.record.now();
         let mut state = self.lock();
-        let State { running, history, .. } = &mut *state;
+        let State {
+            running, history, ..
+        } = &mut *state;
         for running in std::mem::take(running).into_values() {
             history[running.at].ended = Some((now, "lost"));
         }
@@ -219,7 +232,11 @@
 
     fn registration(&self, seq: u64) -> Json {
         let (cpu, memory) = self.capacity;
-        let capacity = [("cpu", number(cpu)), ("mem_mb", number(memory)), ("gpu", number(0))];
+        let capacity = [
+            ("cpu", number(cpu)),
+            ("mem_mb", number(memory)),
+            ("gpu", number(0)),
+        ];
         object(&[
             ("service", text(&self.service)),
             ("address", text(&self.address.to_string())),
@@ -270,12 +287,23 @@
     }
 
     fn end(&self, state: &mut State, task: &str, how: &'static str) {
-        let Some(Running { run, at, .. }) = state.running.remove(task) else { return };
+        let Some(Running { run, at, .. }) = state.running.remove(task) else {
+            return;
+        };
         state.last_end += 1;
         let number = state.last_end;
         state.history[at].ended = Some((self.record.now(), how));
-        state.ends.push(End { number, task: task.to_owned(), run, how, at });
-        self.record.line(format!("{}: run {task} {run} ended {how}, number {number}", self.id));
+        state.ends.push(End {
+            number,
+            task: task.to_owned(),
+            run,
+            how,
+            at,
+        });
+        self.record.line(format!(
+            "{}: run {task} {run} ended {how}, number {number}",
+            self.id
+        ));
     }
 
     /// Answers a call, unless the worker crashes before that.
@@ -292,7 +320,9 @@
         if !target.is_empty() && target != self.id {
             return (421, "{}".to_owned());
         }
-        let Some(body) = Json::parse(&request.body) else { return (400, "{}".to_owned()) };
+        let Some(body) = Json::parse(&request.body) else {
+            return (400, "{}".to_owned());
+        };
         match request.path.as_str() {
             "/-/run-start" => self.start_run(&body),
             "/-/run-stop" => self.stop_run(&body),
@@ -323,7 +353,9 @@
     fn extend(&self, state: &mut State, body: &Json) {
         if let Some(deadline) = body.number("deadline_ms") {
             let longest = self.record.now() + HOLD_MAX;
-            state.deadline = state.deadline.max(Duration::from_millis(deadline).min(longest));
+            state.deadline = state
+                .deadline
+                .max(Duration::from_millis(deadline).min(longest));
         }
     }
 
@@ -341,7 +373,11 @@
             return self.rejection("late");
         }
         self.extend(&mut state, body);
-        if state.running.get(&task).is_some_and(|running| running.run == run) {
+        if state
+            .running
+            .get(&task)
+            .is_some_and(|running| running.run == run)
+        {
             return self.reply(200, &[]);
         }
         let highest = state.highest.get(&task).copied().unwrap_or(0);
@@ -361,9 +397,18 @@
         });
         let ends_at = now + work.time;
         let Work { fails, lasts, .. } = work;
-        let running = Running { run, started: now, ends_at, lasts, fails, stops_at: None, at };
+        let running = Running {
+            run,
+            started: now,
+            ends_at,
+            lasts,
+            fails,
+            stops_at: None,
+            at,
+        };
         state.running.insert(task.clone(), running);
-        self.record.line(format!("{}: run {task} {run} started", self.id));
+        self.record
+            .line(format!("{}: run {task} {run} started", self.id));
         self.reply(200, &[])
     }
 
@@ -408,16 +453,38 @@
             if left.is_zero() {
                 break;
             }
-            state = self.state.1.wait_timeout(state, left).expect("no holder panics").0;
+            state = self
+                .state
+                .1
+                .wait_timeout(state, left)
+                .expect("no holder panics")
+                .0;
         }
         let running = state.running.iter().map(|(task, running)| {
             let percent = running.percent(self.record.now());
-            Json::List(vec![text(task), number(running.run), text(""), number(percent)])
+            Json::List(vec![
+                text(task),
+                number(running.run),
+                text(""),
+                number(percent),
+            ])
         });
         let running = Json::List(running.collect());
         let ends = state.ends.iter().take(MAX_ENDS).map(|end| {
-            let End { number: count, task, run, how, .. } = end;
-            Json::List(vec![number(*count), text(task), number(*run), text(how), text("")])
+            let End {
+                number: count,
+                task,
+                run,
+                how,
+                ..
+            } = end;
+            Json::List(vec![
+                number(*count),
+                text(task),
+                number(*run),
+                text(how),
+                text(""),
+            ])
         });
         let ends = Json::List(ends.collect());
         self.reply(200, &[("running", running), ("ended_runs", ends)])
