--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -5,6 +5,7 @@
 //! With `TROUBLE=0` in the environment the disruption is left out.
 
 mod cell;
+mod gang;
 mod http;
 mod json;
 mod lasting;
@@ -37,6 +38,7 @@
     let verdict = match case.as_str() {
         "occurrences" => occurrences::run(trouble, record.clone()),
         "lasting" => lasting::run(trouble, record.clone()),
+        "gang" => gang::run(trouble, record.clone()),
         "trial" => trial::run(trouble, record.clone()),
         _ => Err(format!("no case {case}")),
     };
--- a/review/stand-ins-2/src/site.rs
+++ b/review/stand-ins-2/src/site.rs
@@ -128,6 +128,14 @@
         last
     }
 
+    /// Submits a job; fails unless it is accepted.
+    pub fn submit(&self, id: &str, body: &str) -> Result<(), String> {
+        let answer = self.call("POST", &format!("{PREFIX}{id}"), body, self.cell.len());
+        let accepted = answer.is_some_and(|(status, _)| status == 200);
+        let refused = || format!("job {id} was not accepted");
+        accepted.then_some(()).ok_or_else(refused)
+    }
+
     /// State of a job as a client sees it; empty without an answer.
     pub fn state(&self, id: &str) -> String {
         let answer = self.call("GET", &format!("{PREFIX}{id}"), "", 2 * self.cell.len());
--- a/review/stand-ins-2/src/trial.rs
+++ b/review/stand-ins-2/src/trial.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use crate::record::Record;
-use crate::site::PREFIX;
 use crate::site::Site;
 use crate::site::Size;
 
@@ -46,7 +45,7 @@
          \"mem_mb\":512,\"estimate_ms\":60000,\"long_running\":true,\
          \"anti_affinity\":{MOST_ON_A_WORKER}}}]}}"
     );
-    submit(&site, "5c0e7a21d94bffff", &lasting)?;
+    site.submit("5c0e7a21d94bffff", &lasting)?;
     thread::sleep(Duration::from_secs(2));
     let time = JOB_TIME.as_millis();
     let body = format!(
@@ -57,7 +56,7 @@
         .map(|job| format!("{:016x}", 0x5c0e_7a21_0000_0000_u64 + job as u64))
         .collect();
     for id in &ids {
-        submit(&site, id, &body)?;
+        site.submit(id, &body)?;
     }
     let submitted = site.record.now();
     for crash in CRASHES {
@@ -70,14 +69,6 @@
     judge(&site, &ids)
 }
 
-fn submit(site: &Site, id: &str, body: &str) -> Result<(), String> {
-    let answer = site.call("POST", &format!("{PREFIX}{id}"), body, 4);
-    let accepted = answer.is_some_and(|(status, _)| status == 200);
-    accepted
-        .then_some(())
-        .ok_or_else(|| format!("job {id} was not accepted"))
-}
-
 /// Returns the jobs that have had nothing running for [`IDLE`], though they are not complete.
 fn judge(site: &Site, ids: &[String]) -> Result<Vec<String>, String> {
     let now = site.record.now();
