--- a/review/stand-ins-2/src/lasting.rs
+++ b/review/stand-ins-2/src/lasting.rs
@@ -27,6 +27,7 @@
     let size = Size {
         processes: 4,
         workers: 4,
+        pools: 1,
         capacity: (16_000, 65_536),
     };
     let site = Site::start(&size, record)?;
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -10,6 +10,7 @@
 mod json;
 mod lasting;
 mod occurrences;
+mod pools;
 mod record;
 mod site;
 mod store;
@@ -39,6 +40,7 @@
         "occurrences" => occurrences::run(trouble, record.clone()),
         "lasting" => lasting::run(trouble, record.clone()),
         "gang" => gang::run(trouble, record.clone()),
+        "pools" => pools::run(trouble, record.clone()),
         "trial" => trial::run(trouble, record.clone()),
         _ => Err(format!("no case {case}")),
     };
--- a/review/stand-ins-2/src/occurrences.rs
+++ b/review/stand-ins-2/src/occurrences.rs
@@ -29,6 +29,7 @@
     let size = Size {
         processes: 4,
         workers: 6,
+        pools: 1,
         capacity: (16_000, 65_536),
     };
     let mut site = Site::start(&size, record)?;
--- a/review/stand-ins-2/src/site.rs
+++ b/review/stand-ins-2/src/site.rs
@@ -21,10 +21,12 @@
 use crate::worker::RunHistory;
 use crate::worker::Worker;
 
-/// Path of the queue.
+/// Paths of the queues. The tasks of each queue run in a pool of its own.
 pub const PREFIX: &str = "/desk/";
+pub const SECOND_PREFIX: &str = "/lookup/";
 
-const SERVICE: &str = "stores-desk";
+/// Services, which are pools of workers, in the order of their queues' paths.
+const SERVICES: [&str; 2] = ["stores-desk", "stores-lookup"];
 const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 
 /// Time for all processes to become ready.
@@ -40,6 +42,8 @@
 pub struct Size {
     pub processes: u8,
     pub workers: usize,
+    /// Number of pools over which the workers are spread evenly, 1 or 2.
+    pub pools: usize,
     /// Capacity of each worker, in thousandths of a core and MB.
     pub capacity: (u64, u64),
 }
@@ -61,11 +65,11 @@
         let folder = std::env::temp_dir().join(format!("clovermount-case-{}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(failed)?;
         let (store, address) = Store::start(LOOPBACK, &record).map_err(failed)?;
-        store.write("op", "config", &config());
+        store.write("op", "config", &config(size.pools));
         let mut workers = Vec::new();
         for at in 0..size.workers {
             let id = format!("i-{:010x}", 0x96_ae0a_6f00_u64 + at as u64 * 257);
-            let named = (id.as_str(), SERVICE, LOOPBACK);
+            let named = (id.as_str(), SERVICES[at % size.pools], LOOPBACK);
             workers.push(Worker::start(named, size.capacity, &store, &record).map_err(failed)?);
         }
         let machines = TcpListener::bind((LOOPBACK, 0)).map_err(failed)?;
@@ -130,7 +134,12 @@
 
     /// Submits a job; fails unless it is accepted.
     pub fn submit(&self, id: &str, body: &str) -> Result<(), String> {
-        let answer = self.call("POST", &format!("{PREFIX}{id}"), body, self.cell.len());
+        self.submit_to(PREFIX, id, body)
+    }
+
+    /// Submits a job to the queue with this path; fails unless it is accepted.
+    pub fn submit_to(&self, prefix: &str, id: &str, body: &str) -> Result<(), String> {
+        let answer = self.call("POST", &format!("{prefix}{id}"), body, self.cell.len());
         let accepted = answer.is_some_and(|(status, _)| status == 200);
         let refused = || format!("job {id} was not accepted");
         accepted.then_some(()).ok_or_else(refused)
@@ -138,7 +147,12 @@
 
     /// State of a job as a client sees it; empty without an answer.
     pub fn state(&self, id: &str) -> String {
-        let answer = self.call("GET", &format!("{PREFIX}{id}"), "", 2 * self.cell.len());
+        self.state_in(PREFIX, id)
+    }
+
+    /// State of a job of the queue with this path.
+    pub fn state_in(&self, prefix: &str, id: &str) -> String {
+        let answer = self.call("GET", &format!("{prefix}{id}"), "", 2 * self.cell.len());
         answer.map_or_else(String::new, |(status, reply)| match status {
             200 => reply.text("state"),
             status => status.to_string(),
@@ -174,26 +188,30 @@
     }
 }
 
-fn config() -> Json {
-    let route = object(&[
-        ("name", text("bin-check")),
-        ("host", text("desk.example")),
-        ("prefix", text(PREFIX)),
-        ("service", text(SERVICE)),
-        ("timeout_ms", number(3000)),
-        ("priority", number(0)),
-        ("max_attempts", number(4)),
-        ("stretch", Json::Number(2.2)),
-        ("slo_ms", number(1000)),
-    ]);
-    let service = object(&[
-        ("name", text(SERVICE)),
-        ("rejects_overload", Json::Bool(false)),
-    ]);
+fn config(pools: usize) -> Json {
+    let route = |(service, prefix): (&&str, &str)| {
+        object(&[
+            ("name", text(&format!("queue-of-{service}"))),
+            ("host", text("desk.example")),
+            ("prefix", text(prefix)),
+            ("service", text(service)),
+            ("timeout_ms", number(3000)),
+            ("priority", number(0)),
+            ("max_attempts", number(4)),
+            ("stretch", Json::Number(2.2)),
+            ("slo_ms", number(1000)),
+        ])
+    };
+    let service = |name: &&str| {
+        let guards = ("rejects_overload", Json::Bool(false));
+        object(&[("name", text(name)), guards])
+    };
+    let used = &SERVICES[..pools];
+    let routes = used.iter().zip([PREFIX, SECOND_PREFIX]).map(route);
     object(&[
         ("version", number(3)),
-        ("routes", Json::List(vec![route])),
-        ("services", Json::List(vec![service])),
+        ("routes", Json::List(routes.collect())),
+        ("services", Json::List(used.iter().map(service).collect())),
         ("limits", object(&[])),
     ])
 }
@@ -203,7 +221,7 @@
         let state = if worker.is_up() { "up" } else { "down" };
         object(&[
             ("machine", text(&format!("m-{at}"))),
-            ("pool", text(SERVICE)),
+            ("pool", text(&worker.service)),
             ("state", text(state)),
             ("zone", text("hall")),
             ("id", text(&worker.id)),
--- a/review/stand-ins-2/src/trial.rs
+++ b/review/stand-ins-2/src/trial.rs
@@ -37,6 +37,7 @@
     let size = Size {
         processes: 4,
         workers: WORKERS,
+        pools: 1,
         capacity: (CPU, 65_536),
     };
     let site = Site::start(&size, record)?;
--- a/review/stand-ins-2/src/worker.rs
+++ b/review/stand-ins-2/src/worker.rs
@@ -143,7 +143,7 @@
 pub struct Worker {
     pub id: String,
     pub address: SocketAddr,
-    service: String,
+    pub service: String,
     capacity: (u64, u64),
     state: Arc<(Mutex<State>, Condvar)>,
     up: Arc<AtomicBool>,
