--- a/review/stand-ins-2/src/cell.rs
+++ b/review/stand-ins-2/src/cell.rs
@@ -181,19 +181,18 @@
         timeout: Duration,
     ) -> Option<(u16, Json)> {
         let address = SocketAddr::new(self.ip, CALLERS_PORT);
-        let shown: String = body.chars().take(160).collect();
         let reply = http::call(address, (method, "desk.example", path), body, timeout);
         match reply {
             Ok((status, reply)) => {
                 self.record.line(format!(
-                    "client: {method} {path} {shown} at {} -> {status} {reply}",
+                    "client: {method} {path} {body} at {} -> {status} {reply}",
                     self.name
                 ));
                 Some((status, Json::parse(&reply).unwrap_or(Json::Null)))
             }
             Err(error) => {
                 self.record.line(format!(
-                    "client: {method} {path} {shown} at {} -> {error}",
+                    "client: {method} {path} {body} at {} -> {error}",
                     self.name
                 ));
                 None
--- a/review/stand-ins-2/src/lasting.rs
+++ b/review/stand-ins-2/src/lasting.rs
@@ -13,10 +13,10 @@
 const TASKS: u64 = 16;
 
 /// Time from a start until the task fails, in milliseconds.
-const FAILS: &str = "fails=5000-60000";
+const FAILS: &str = "fails=15000-90000";
 
 /// How long the pool is observed.
-const OBSERVED: Duration = Duration::from_secs(80);
+const OBSERVED: Duration = Duration::from_secs(100);
 
 /// LOST holds for each task that lasts from 6 s after its last run, if it has nothing running for
 /// 3 s.
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -10,7 +10,6 @@
 mod json;
 mod lasting;
 mod occurrences;
-mod pools;
 mod record;
 mod site;
 mod store;
@@ -39,8 +38,8 @@
     let verdict = match case.as_str() {
         "occurrences" => occurrences::run(trouble, record.clone()),
         "lasting" => lasting::run(trouble, record.clone()),
-        "gang" => gang::run(trouble, record.clone()),
-        "pools" => pools::run(trouble, record.clone()),
+        "gang" => gang::run(1, trouble, record.clone()),
+        "pools" => gang::run(2, trouble, record.clone()),
         "trial" => trial::run(trouble, record.clone()),
         _ => Err(format!("no case {case}")),
     };
--- a/review/stand-ins-2/src/site.rs
+++ b/review/stand-ins-2/src/site.rs
@@ -22,11 +22,11 @@
 use crate::worker::Worker;
 
 /// Paths of the queues. The tasks of each queue run in a pool of its own.
-pub const PREFIX: &str = "/desk/";
-pub const SECOND_PREFIX: &str = "/lookup/";
+pub const PREFIXES: [&str; 2] = ["/desk/", "/lookup/"];
+pub const PREFIX: &str = PREFIXES[0];
 
 /// Services, which are pools of workers, in the order of their queues' paths.
-const SERVICES: [&str; 2] = ["stores-desk", "stores-lookup"];
+pub const SERVICES: [&str; 2] = ["stores-desk", "stores-lookup"];
 const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 
 /// Time for all processes to become ready.
@@ -165,6 +165,28 @@
         up.max_by_key(|worker| worker.running())
     }
 
+    /// Records what runs on each worker that is up, and returns the share of a service's capacity in
+    /// use, and the largest room on one of its workers. `cpu` returns what a task needs.
+    pub fn use_of(&self, service: &str, cpu: impl Fn(&str) -> u64) -> (f64, u64) {
+        let (mut used, mut total, mut room) = (0, 0, 0);
+        for worker in self.workers.iter().filter(|worker| worker.is_up()) {
+            let history = worker.history();
+            let running = history.iter().filter(|run| run.ended.is_none());
+            let busy: u64 = running.map(|run| cpu(&run.task)).sum();
+            let (id, all) = (&worker.id, worker.capacity.0);
+            self.record.line(format!(
+                "judged: {id} of {} uses {busy} of {all} thousandths of a core",
+                worker.service
+            ));
+            if worker.service == service {
+                used += busy;
+                total += all;
+                room = room.max(all.saturating_sub(busy));
+            }
+        }
+        (used as f64 / total.max(1) as f64, room)
+    }
+
     /// The runs of each task on all workers, in the order of their starts.
     pub fn runs(&self) -> BTreeMap<String, Vec<RunHistory>> {
         let mut runs: BTreeMap<String, Vec<RunHistory>> = BTreeMap::new();
@@ -207,7 +229,7 @@
         object(&[("name", text(name)), guards])
     };
     let used = &SERVICES[..pools];
-    let routes = used.iter().zip([PREFIX, SECOND_PREFIX]).map(route);
+    let routes = used.iter().zip(PREFIXES).map(route);
     object(&[
         ("version", number(3)),
         ("routes", Json::List(routes.collect())),
--- a/review/stand-ins-2/src/trial.rs
+++ b/review/stand-ins-2/src/trial.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::record::Record;
+use crate::site::SERVICES;
 use crate::site::Site;
 use crate::site::Size;
 
@@ -16,10 +17,11 @@
 const LASTING_CPU: u64 = 500;
 const MOST_ON_A_WORKER: u64 = 3;
 
-/// The other jobs, of one task each.
+/// The other jobs, of one task each, with the mean `cpu` and the longest `work_ms` of the kinds of
+/// request in the site file.
 const JOBS: usize = 24;
-const JOB_CPU: u64 = 1000;
-const JOB_TIME: Duration = Duration::from_secs(15);
+const JOB_CPU: u64 = 980;
+const JOB_TIME: Duration = Duration::from_secs(12);
 
 /// When the workers crash, after the last submit.
 const CRASHES: [Duration; 2] = [Duration::from_secs(4), Duration::from_secs(9)];
@@ -32,6 +34,8 @@
 /// Time for a job after that, so that a task which started late could still end.
 const SLACK: Duration = Duration::from_secs(10);
 
+const LASTING_JOB: &str = "5c0e7a21d94bffff";
+
 /// Runs the case; returns the jobs that break LOST.
 pub fn run(trouble: bool, record: Record) -> Result<Vec<String>, String> {
     let size = Size {
@@ -46,7 +50,7 @@
          \"mem_mb\":512,\"estimate_ms\":60000,\"long_running\":true,\
          \"anti_affinity\":{MOST_ON_A_WORKER}}}]}}"
     );
-    site.submit("5c0e7a21d94bffff", &lasting)?;
+    site.submit(LASTING_JOB, &lasting)?;
     thread::sleep(Duration::from_secs(2));
     let time = JOB_TIME.as_millis();
     let body = format!(
@@ -74,28 +78,19 @@
 fn judge(site: &Site, ids: &[String]) -> Result<Vec<String>, String> {
     let now = site.record.now();
     let runs = site.runs();
-    let active = runs.values().flatten().filter(|run| run.ended.is_none());
-    let (mut in_use, mut left) = (0, 0);
-    for run in active {
-        in_use += if run.task.starts_with("5c0e7a21d94bffff") {
+    let cpu = |task: &str| {
+        if task.starts_with(LASTING_JOB) {
             LASTING_CPU
         } else {
             JOB_CPU
-        };
-    }
-    for worker in site.workers.iter().filter(|worker| worker.is_up()) {
-        left += CPU;
-        site.record.line(format!(
-            "judged: {} has {} runs",
-            worker.id,
-            worker.running()
-        ));
-    }
+        }
+    };
+    let (share, room) = site.use_of(SERVICES[0], cpu);
     site.record.line(format!(
-        "judged: {in_use} of {left} thousandths of a core are in use"
+        "judged: share in use {share:.2}, largest room {room}"
     ));
-    if in_use * 2 >= left {
-        return Err("half of the capacity is in use".to_owned());
+    if share >= 0.5 || room < 2 * JOB_CPU {
+        return Err("the service has no room, or half of it is in use".to_owned());
     }
     let mut broken = Vec::new();
     for id in ids {
--- a/review/stand-ins-2/src/worker.rs
+++ b/review/stand-ins-2/src/worker.rs
@@ -91,9 +91,9 @@
     }
 }
 
-/// What a run does, as the text of its job says: `ms=TIME` (ends `done` after that time),
-/// `lasts` (a task that lasts) or `fails=FROM-TO` (a task that lasts and ends `failed` after a time
-/// in milliseconds in this range, which differs from run to run).
+/// What a run does, as the text of its job says: `ms=FROM-TO` (ends `done` after a time in this
+/// range, which differs from run to run; one figure is enough), `lasts` (a task that lasts) or
+/// `fails=FROM-TO` (a task that lasts, and ends `failed` after such a time). Times in milliseconds.
 struct Work {
     time: Duration,
     fails: bool,
@@ -103,25 +103,16 @@
 impl Work {
     fn parse(spec: &str, task: &str, run: u64) -> Work {
         let millis = |text: &str| text.parse().map_or(Duration::ZERO, Duration::from_millis);
-        if let Some(range) = spec.strip_prefix("fails=") {
-            let (from, to) = range.split_once('-').unwrap_or((range, range));
-            let (from, to) = (millis(from), millis(to));
-            let mut hasher = DefaultHasher::new();
-            (task, run).hash(&mut hasher);
-            let share = (hasher.finish() % 1000) as f64 / 1000.0;
-            let time = from + (to - from).mul_f64(share);
-            return Work {
-                time,
-                fails: true,
-                lasts: true,
-            };
-        }
-        let time = spec.strip_prefix("ms=").map(millis);
-        let lasts = time.is_none();
+        let (kind, range) = spec.split_once('=').unwrap_or((spec, "3600000"));
+        let (from, to) = range.split_once('-').unwrap_or((range, range));
+        let (from, to) = (millis(from), millis(to));
+        let mut hasher = DefaultHasher::new();
+        (task, run).hash(&mut hasher);
+        let share = (hasher.finish() % 1000) as f64 / 1000.0;
         Work {
-            time: time.unwrap_or(Duration::from_hours(1)),
-            fails: false,
-            lasts,
+            time: from + to.saturating_sub(from).mul_f64(share),
+            fails: kind == "fails",
+            lasts: kind != "ms",
         }
     }
 }
@@ -144,7 +135,7 @@
     pub id: String,
     pub address: SocketAddr,
     pub service: String,
-    capacity: (u64, u64),
+    pub capacity: (u64, u64),
     state: Arc<(Mutex<State>, Condvar)>,
     up: Arc<AtomicBool>,
     record: Record,
@@ -342,6 +333,13 @@
         self.reply(409, &[("reason", text(reason))])
     }
 
+    fn reject_start(&self, task: &str, run: u64, reason: &str) -> Reply {
+        let id = &self.id;
+        self.record
+            .line(format!("{id}: start of {task} {run} rejected: {reason}"));
+        self.rejection(reason)
+    }
+
     /// Accepts the fencing token of a call; false if it is too low.
     fn accept_token(state: &mut State, body: &Json) -> bool {
         let token = body.number("fencing_token").unwrap_or(0);
@@ -367,10 +365,10 @@
             return self.reply(503, &[]);
         }
         if !Worker::accept_token(&mut state, body) {
-            return self.rejection("fence");
+            return self.reject_start(&task, run, "fence");
         }
         if Duration::from_millis(body.number("deadline_ms").unwrap_or(0)) <= now {
-            return self.rejection("late");
+            return self.reject_start(&task, run, "late");
         }
         self.extend(&mut state, body);
         if state
@@ -382,7 +380,7 @@
         }
         let highest = state.highest.get(&task).copied().unwrap_or(0);
         if run <= highest || state.running.contains_key(&task) {
-            return self.rejection("old");
+            return self.reject_start(&task, run, "old");
         }
         state.highest.insert(task.clone(), run);
         let work = Work::parse(&body.text("spec"), &task, run);
@@ -419,6 +417,8 @@
         if !Worker::accept_token(&mut state, body) {
             return self.rejection("fence");
         }
+        self.record
+            .line(format!("{}: stop of {task} {run} accepted", self.id));
         let highest = state.highest.entry(task.clone()).or_default();
         *highest = run.max(*highest);
         if let Some(running) = state.running.get_mut(&task)
