job: Keep what is reported of rounds that are not open

Callers saw tasks of repeated jobs run again after they were done: a successor opens one due round of a job in each planning pass, and the first reports of the workers arrive before that. `run_ended` found no step for the end and dropped it, while its number was counted as handled and acknowledged once the next batch was saved. When the round was opened later, the task started again. Failed ends were lost in the same way, so a task started more often than its queue allows. A round that was opened for a reported run had its other tasks never made pending.

Rounds now exist from the first report on that names them (`add_round`), and are open, so that their tasks may start, from the time on at which they are due by this owner's clock (`opened_rounds`). An end is counted in either state. A pass opens all due rounds, up to 64 of each job, so the tasks of a reported round wait for no other rounds. Where this owner's clock is behind that of the former one, a reported round still waits for its time.

tests/early_reports.rs, before the change: 5 of its 6 tests fail, for instance rounds [0, 1, 2] start in place of [1] and [0, 0, 1, 1, 2] in place of none. The sixth, `a_reported_round_that_is_not_due_waits_for_its_time`, fails without the condition in `mark_pending`.

--- a/crates/job/src/planner/placement/gang.rs
+++ b/crates/job/src/planner/placement/gang.rs
@@ -36,7 +36,7 @@
             state.phase = Phase::Waiting;
             state.last_closed = state.last_closed.max(end.run);
         }
-        self.pending_steps.insert(key);
+        self.mark_pending(key);
         self.break_gang(key, end.run);
     }
 
--- a/crates/job/src/planner/recovery/adopt.rs
+++ b/crates/job/src/planner/recovery/adopt.rs
@@ -52,7 +52,7 @@
         let trial = job.needs_trial(task);
         if job.outcome.is_none() {
             // The former owner may have opened rounds that this planner has not.
-            job.open_rounds_through(task.step.round);
+            job.add_round(task.step.round);
             let step = job.step_mut(task.step);
             let state = step.and_then(|(_, step)| step.tasks.get_mut(task.index as usize));
             if let Some(state) = state {
--- a/crates/job/src/planner/reports/report.rs
+++ b/crates/job/src/planner/reports/report.rs
@@ -350,7 +350,7 @@
         if !gang && !checkpoint.is_empty() {
             checkpoint.clone_into(&mut state.checkpoint);
         }
-        self.pending_steps.insert(task.step);
+        self.mark_pending(task.step);
         if gang {
             self.break_gang(task.step, run);
         }
@@ -374,6 +374,8 @@
         if job.outcome.is_some() {
             return;
         }
+        // The former owner may have opened rounds that this planner has not.
+        job.add_round(task.step.round);
         self.run_observed(task, end.run, Observation::of_end(end));
         self.clear_run(task, end.run);
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
@@ -426,7 +428,7 @@
         }
         state.phase = Phase::Waiting;
         state.last_closed = state.last_closed.max(end.run);
-        self.pending_steps.insert(task.step);
+        self.mark_pending(task.step);
     }
 
     /// Marks a task that is not in a gang as done.
--- a/crates/job/src/planner/state/job_state.rs
+++ b/crates/job/src/planner/state/job_state.rs
@@ -25,6 +25,9 @@
 use crate::planner::times::factor::StepTimes;
 use crate::planner::times::run_times::RunTimes;
 
+/// Maximum number of rounds of a job that one planning pass opens.
+const MAX_OPENED: u32 = 64;
+
 /// Phase of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -206,9 +209,9 @@
     pub maybe_started: bool,
     /// A worker has reported a run of the job, to this owner or to a former one.
     pub started: bool,
-    /// Steps of each open round, by round.
+    /// Steps by round: of each open round, and of each later one of which a run is known.
     pub rounds: BTreeMap<u32, Vec<StepState>>,
-    /// Number of rounds that were opened so far.
+    /// Number of rounds that are open, so that their tasks may start. They are the first ones.
     pub opened_rounds: u32,
     /// Result of the job, once it has ended.
     pub outcome: Option<Outcome>,
@@ -245,26 +248,44 @@
         job
     }
 
+    /// Adds the steps of a round of which a run is known, without opening the round: by this
+    /// owner's clock it may not be due. Does nothing if the job has ended or has no such round.
+    pub(crate) fn add_round(&mut self, round: u32) {
+        if self.outcome.is_some() || round >= self.spec.rounds() {
+            return;
+        }
+        let steps = self.spec.steps.iter();
+        let round = self.rounds.entry(round);
+        round.or_insert_with(|| steps.map(StepState::new).collect());
+    }
+
     /// Opens the next round.
-    pub(crate) fn open_round(&mut self) {
-        let steps = self.spec.steps.iter().map(StepState::new).collect();
-        self.rounds.insert(self.opened_rounds, steps);
+    fn open_round(&mut self) {
+        self.add_round(self.opened_rounds);
         self.opened_rounds += 1;
     }
 
-    /// Opens all rounds up to `round`, but none beyond the job's last one.
-    pub(crate) fn open_rounds_through(&mut self, round: u32) {
-        while self.opened_rounds <= round && self.opened_rounds < self.spec.rounds() {
+    /// Opens the rounds that are due at the time `wall` since 1970, but no more than
+    /// [`MAX_OPENED`]; returns whether there are any.
+    fn open_due_rounds(&mut self, wall: Duration) -> bool {
+        let Some(schedule) = self.spec.schedule else {
+            return false;
+        };
+        let before = self.opened_rounds;
+        let end = schedule.rounds.min(before.saturating_add(MAX_OPENED));
+        while self.outcome.is_none()
+            && self.opened_rounds < end
+            && schedule.due(self.opened_rounds) <= wall
+        {
             self.open_round();
         }
+        self.opened_rounds > before
     }
 
     /// Restores the progress that a former owner saved.
     pub(crate) fn restore(&mut self, progress: &Progress) {
-        self.outcome = progress.outcome;
-        self.saved_outcome = progress.outcome;
         for (&(round, step), saved) in &progress.steps {
-            self.open_rounds_through(round);
+            self.add_round(round);
             let steps = self.rounds.get_mut(&round);
             if let Some(state) = steps.and_then(|steps| steps.get_mut(step as usize)) {
                 state.restore(saved);
@@ -273,7 +294,7 @@
         }
         for (&(round, step, index), record) in &progress.crashes {
             // The crash record may be all that was saved of the round.
-            self.open_rounds_through(round);
+            self.add_round(round);
             let steps = self.rounds.get_mut(&round);
             let state = steps.and_then(|steps| steps.get_mut(step as usize));
             let task = state.and_then(|state| state.tasks.get_mut(index as usize));
@@ -281,6 +302,8 @@
                 task.suspicion = Some(Box::new(Suspicion::restored(record)));
             }
         }
+        self.outcome = progress.outcome;
+        self.saved_outcome = progress.outcome;
         if self.outcome.is_some() {
             self.drop_details();
         }
@@ -377,10 +400,10 @@
         })
     }
 
-    /// Returns whether all rounds were opened and all their tasks are done.
+    /// Returns whether all tasks of all rounds are done.
     pub(crate) fn complete(&self) -> bool {
-        let all_opened = self.opened_rounds >= self.spec.rounds();
-        all_opened && self.rounds.values().flatten().all(StepState::complete)
+        let all_rounds = self.rounds.len() >= self.spec.rounds() as usize;
+        all_rounds && self.rounds.values().flatten().all(StepState::complete)
     }
 }
 
@@ -395,7 +418,7 @@
             self.finish_job(id, Outcome::Completed);
             return;
         }
-        for (&round, steps) in &job.rounds {
+        for (&round, steps) in job.rounds.range(..job.opened_rounds) {
             for (number, (spec, state)) in (0..).zip(job.spec.steps.iter().zip(steps)) {
                 let preceding_done =
                     |&after: &u32| steps.get(after as usize).is_none_or(StepState::complete);
@@ -412,23 +435,22 @@
         }
     }
 
-    /// Opens the next round of each repeated job for which it is due.
-    pub(crate) fn open_rounds(&mut self) {
-        let now = self.wall_origin + self.now;
-        let mut due = Vec::new();
-        for (&id, job) in &self.jobs {
-            let Some(schedule) = job.spec.schedule else {
-                continue;
-            };
-            let next = schedule.first + schedule.interval * job.opened_rounds;
-            if job.outcome.is_none() && job.opened_rounds < schedule.rounds && next <= now {
-                due.push(id);
-            }
+    /// Lets the waiting tasks of a step start, once its round is open.
+    pub(crate) fn mark_pending(&mut self, key: StepKey) {
+        let job = self.jobs.get(&key.job);
+        if job.is_some_and(|job| key.round < job.opened_rounds) {
+            self.pending_steps.insert(key);
         }
-        for id in due {
-            if let Some(job) = self.jobs.get_mut(&id) {
-                job.open_round();
-            }
+    }
+
+    /// Opens the rounds of repeated jobs that are due.
+    pub(crate) fn open_rounds(&mut self) {
+        let wall = self.wall_origin + self.now;
+        let jobs = self.jobs.iter_mut();
+        let opened: Vec<JobId> = jobs
+            .filter_map(|(&id, job)| job.open_due_rounds(wall).then_some(id))
+            .collect();
+        for id in opened {
             self.open_steps(id);
         }
     }
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -171,6 +171,15 @@
     pub interval: Duration,
 }
 
+impl Schedule {
+    /// Returns the time at which a round is due, since 1970; the first round has number 0.
+    #[must_use]
+    pub fn due(&self, round: u32) -> Duration {
+        let delay = self.interval.saturating_mul(round);
+        self.first.saturating_add(delay)
+    }
+}
+
 /// An accepted job in the form in which it is stored.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
--- /dev/null
+++ b/crates/job/tests/early_reports.rs
@@ -0,0 +1,203 @@
+//! What a report names before the planner has it: rounds that are not open yet, and jobs that were
+//! not read yet.
+
+mod support;
+
+use std::time::Duration;
+
+use job::Batch;
+use job::JobId;
+use job::JobSpec;
+use job::Outcome;
+use job::Planner;
+use job::Policy;
+use job::RunEnd;
+use job::Schedule;
+use job::StepKey;
+use job::TaskKey;
+use job::WorkerKey;
+use support::add;
+use support::add_claimed;
+use support::ended;
+use support::plan_at;
+use support::running;
+use support::spec;
+use support::step;
+use support::worker_report;
+
+const JOB: JobId = 7;
+
+/// Time of the wall clock at which the successor takes over; 2.5 intervals after the first round.
+const TAKE_OVER: Duration = Duration::from_millis(2_500);
+
+/// Creates a job of `rounds` rounds, one each second from second 0 of the wall clock on.
+fn repeated(rounds: u32) -> JobSpec {
+    let schedule = Schedule {
+        rounds,
+        first: Duration::ZERO,
+        interval: Duration::from_secs(1),
+    };
+    JobSpec {
+        schedule: Some(schedule),
+        ..spec(vec![step(1)])
+    }
+}
+
+/// Creates the planner of a successor whose wall clock shows `wall` at time 0.
+fn successor(wall: Duration) -> Planner {
+    Planner::new(Policy::default(), 2, Duration::ZERO, wall)
+}
+
+/// Returns the only task of a round.
+fn task_of(round: u32) -> TaskKey {
+    let step = StepKey {
+        job: JOB,
+        round,
+        step: 0,
+    };
+    TaskKey { step, index: 0 }
+}
+
+/// Reports ends to a planner at 1 ms.
+fn report_ends(planner: &mut Planner, key: WorkerKey, ends: Vec<job::EndedRun>) {
+    planner.advance(Duration::from_millis(1));
+    planner.apply_report(key, Duration::from_millis(1), &worker_report(vec![], ends));
+}
+
+/// Plans twelve times, 100 ms apart from `from` milliseconds on; returns the rounds that start.
+fn rounds_started(planner: &mut Planner, from: u64) -> Vec<u32> {
+    let passes = (0..12).flat_map(|pass| plan_at(planner, from + pass * 100));
+    passes.map(|(task, ..)| task.step.round).collect()
+}
+
+/// Saves all unsaved progress, and returns the batch.
+fn save(planner: &mut Planner) -> Batch {
+    let batch = planner.take_batch(10);
+    planner.batch_saved(&batch);
+    batch
+}
+
+/// Returns the number up to which a batch acknowledges a worker's ends.
+fn acknowledged(batch: &Batch, key: WorkerKey) -> u64 {
+    let found = batch.ends.iter().find(|(worker, _)| *worker == key);
+    found.expect("a complete batch").1
+}
+
+/// Guards against a task that runs again although the successor was told that it is done, before
+/// it had opened the task's round.
+#[test]
+fn a_done_task_of_a_round_that_is_not_open_does_not_start_again() {
+    let mut planner = successor(TAKE_OVER);
+    planner.add_job(JOB, repeated(3), None, true);
+    let key = add(&mut planner, "w1");
+
+    let ends = vec![
+        ended(1, task_of(0), 1, RunEnd::Done),
+        ended(2, task_of(2), 1, RunEnd::Done),
+    ];
+    report_ends(&mut planner, key, ends);
+
+    assert_eq!(rounds_started(&mut planner, 10), [1]);
+    let batch = save(&mut planner);
+    let (_, progress) = &batch.jobs[0];
+    assert_eq!(progress.steps[&(2, 0)].done, [0]);
+    assert_eq!(acknowledged(&batch, key), 2);
+}
+
+/// The same for a gang, of which one member's end counts for all.
+#[test]
+fn a_done_gang_of_a_round_that_is_not_open_does_not_start_again() {
+    let mut planner = successor(TAKE_OVER);
+    let mut job = repeated(3);
+    job.steps[0].gang = true;
+    job.steps[0].count = 2;
+    planner.add_job(JOB, job, None, true);
+    let key = add(&mut planner, "w1");
+    add_claimed(&mut planner, "w2");
+
+    report_ends(
+        &mut planner,
+        key,
+        vec![ended(1, task_of(2), 1, RunEnd::Done)],
+    );
+
+    assert_eq!(rounds_started(&mut planner, 10), [0, 0, 1, 1]);
+}
+
+/// Guards against a task that starts more often than its queue allows, since a failed run of a
+/// round that was not open was not counted.
+#[test]
+fn a_failed_run_of_a_round_that_is_not_open_is_counted() {
+    let mut planner = successor(TAKE_OVER);
+    planner.add_job(JOB, repeated(3), None, true);
+    let key = add(&mut planner, "w1");
+
+    let ends = vec![
+        ended(1, task_of(2), 1, RunEnd::Failed),
+        ended(2, task_of(2), 2, RunEnd::Failed),
+    ];
+    report_ends(&mut planner, key, ends);
+
+    assert_eq!(save(&mut planner).jobs[0].1.outcome, Some(Outcome::Failed));
+}
+
+/// Guards against a done task that runs again where the successor's clock is behind, so that the
+/// round is not due yet. Later rounds still wait for their time.
+#[test]
+fn a_done_task_of_a_round_that_is_not_due_does_not_start_again() {
+    let mut planner = successor(Duration::from_millis(500));
+    planner.add_job(JOB, repeated(3), None, true);
+    let key = add(&mut planner, "w1");
+
+    report_ends(
+        &mut planner,
+        key,
+        vec![ended(1, task_of(1), 1, RunEnd::Done)],
+    );
+
+    assert_eq!(rounds_started(&mut planner, 10), [0]);
+    assert_eq!(rounds_started(&mut planner, 1_200), [2]);
+}
+
+/// Guards against a start before its time: the former owner's clock was ahead, and a run of a round
+/// that is not due yet has failed.
+#[test]
+fn a_reported_round_that_is_not_due_waits_for_its_time() {
+    let mut planner = successor(Duration::from_millis(500));
+    let mut job = repeated(2);
+    job.steps[0].count = 2;
+    planner.add_job(JOB, job, None, true);
+    let key = add(&mut planner, "w1");
+
+    report_ends(
+        &mut planner,
+        key,
+        vec![ended(1, task_of(1), 1, RunEnd::Failed)],
+    );
+
+    let early: Vec<u32> = (1..5)
+        .flat_map(|pass| plan_at(&mut planner, pass * 100))
+        .map(|(task, ..)| task.step.round)
+        .collect();
+    assert_eq!(early, [0, 0]);
+    assert_eq!(rounds_started(&mut planner, 500), [1, 1]);
+}
+
+/// Guards against tasks that never start, since their round was opened for a run that a worker
+/// reported.
+#[test]
+fn the_other_tasks_of_a_reported_round_start() {
+    let mut planner = successor(TAKE_OVER);
+    let mut job = repeated(3);
+    job.steps[0].count = 2;
+    planner.add_job(JOB, job, None, true);
+    let key = add(&mut planner, "w1");
+    add_claimed(&mut planner, "w2");
+
+    let report = worker_report(vec![running(task_of(2), 1)], vec![]);
+    planner.apply_report(key, Duration::ZERO, &report);
+    let mut started = rounds_started(&mut planner, 1);
+
+    started.sort_unstable();
+    assert_eq!(started, [0, 0, 1, 1, 2]);
+}
