job: Count reported runs of a job read later in each round

A worker may report a run before its job was read; the run is stopped, and when the job is read its task counts as active until the run has ended. That held only for rounds that were open, and none is when a repeated job is read. So the task started on another worker beside the run that was being stopped.

tests/early_reports.rs, a_run_of_a_job_read_later_is_counted_in_each_round: before, rounds [0, 1, 2] start in place of [0, 1]; after, it passes.

--- a/crates/job/src/planner/recovery/adopt.rs
+++ b/crates/job/src/planner/recovery/adopt.rs
@@ -123,6 +123,7 @@
             return;
         };
         for &(task, key, run) in &found {
+            job.add_round(task.step.round);
             let step = job.step_mut(task.step);
             let state = step.and_then(|(_, step)| step.tasks.get_mut(task.index as usize));
             if let Some(state) = state.filter(|state| state.phase == Phase::Waiting) {
--- a/crates/job/tests/early_reports.rs
+++ b/crates/job/tests/early_reports.rs
@@ -201,3 +201,19 @@
     started.sort_unstable();
     assert_eq!(started, [0, 0, 1, 1, 2]);
 }
+
+/// Guards against a second run beside one that a worker reported before its job was read, in a
+/// round that is not open when the job is read.
+#[test]
+fn a_run_of_a_job_read_later_is_counted_in_each_round() {
+    let mut planner = successor(TAKE_OVER);
+    let key = add(&mut planner, "w1");
+    add_claimed(&mut planner, "w2");
+    let report = worker_report(vec![running(task_of(2), 1)], vec![]);
+    planner.apply_report(key, Duration::ZERO, &report);
+    planner.add_job(JOB, repeated(3), None, false);
+
+    let started = rounds_started(&mut planner, 10);
+
+    assert_eq!(started, [0, 1], "the run of round 2 has not ended");
+}
