job: Count a crash under a saved placement in each round

A successor counts the crash of a worker that it has never heard of against the tasks that the former owner had placed there. It did not if the task's round was not open, so a repeated job with a task that crashes its workers had a start more under each owner; and the placement was missing from the progress it saved, so that the next owner did not know of it either.

tests/early_reports.rs, a_crash_under_a_saved_placement_counts_in_each_round: before, the saved progress has no crash record; after, it has.

--- a/crates/job/src/planner/state/job_state.rs
+++ b/crates/job/src/planner/state/job_state.rs
@@ -302,6 +302,9 @@
                 task.suspicion = Some(Box::new(Suspicion::restored(record)));
             }
         }
+        for &(round, ..) in progress.placements.keys() {
+            self.add_round(round);
+        }
         self.outcome = progress.outcome;
         self.saved_outcome = progress.outcome;
         if self.outcome.is_some() {
--- a/crates/job/tests/early_reports.rs
+++ b/crates/job/tests/early_reports.rs
@@ -9,8 +9,10 @@
 use job::JobId;
 use job::JobSpec;
 use job::Outcome;
+use job::Placement;
 use job::Planner;
 use job::Policy;
+use job::Progress;
 use job::RunEnd;
 use job::Schedule;
 use job::StepKey;
@@ -23,6 +25,7 @@
 use support::running;
 use support::spec;
 use support::step;
+use support::worker;
 use support::worker_report;
 
 const JOB: JobId = 7;
@@ -217,3 +220,25 @@
 
     assert_eq!(started, [0, 1], "the run of round 2 has not ended");
 }
+
+/// Guards against a crash that is not counted: the worker of the former owner ends before its
+/// first report, and the saved placement names a round that was not open.
+#[test]
+fn a_crash_under_a_saved_placement_counts_in_each_round() {
+    let mut planner = successor(TAKE_OVER);
+    let key = planner.restore_worker(worker("w1")).expect("a new worker");
+    let placement = Placement {
+        run: 1,
+        worker: "w1".to_owned(),
+        incarnation: None,
+    };
+    let mut progress = Progress::default();
+    progress.placements.insert((2, 0, 0), placement);
+    planner.add_job(JOB, repeated(3), Some(&progress), true);
+
+    planner.worker_ended(key);
+
+    let batch = save(&mut planner);
+    let (_, progress) = &batch.jobs[0];
+    assert!(progress.crashes.contains_key(&(2, 0, 0)));
+}
