job: Count failed runs that are reported after recovery

If a worker of the former owner sends its first report only after the recovery, its runs count as lost, and of their ends only those that are done were counted. Failed ones were acknowledged and forgotten, so the task started more often than its queue allows. A failed run has failed whenever it is reported.

--- a/crates/job/src/planner/reports/report.rs
+++ b/crates/job/src/planner/reports/report.rs
@@ -242,8 +242,8 @@
         }
         // If the worker's first report may have come after its lease expired, an end of a run of
         // the former owner does not count, since the task may have started elsewhere. The end of
-        // a run that is done always counts.
-        let counts = trusted || end.how == RunEnd::Done;
+        // a run that is done or has failed always counts.
+        let counts = trusted || matches!(end.how, RunEnd::Done | RunEnd::Failed);
         if !was_booked && end.run <= self.run_base && !counts {
             self.run_observed(end.task, end.run, Observation::of_end(end));
             return;
--- a/crates/job/tests/early_reports.rs
+++ b/crates/job/tests/early_reports.rs
@@ -14,6 +14,7 @@
 use job::Policy;
 use job::Progress;
 use job::RunEnd;
+use job::RunId;
 use job::Schedule;
 use job::StepKey;
 use job::TaskKey;
@@ -22,6 +23,7 @@
 use support::add_claimed;
 use support::ended;
 use support::plan_at;
+use support::planner;
 use support::running;
 use support::spec;
 use support::step;
@@ -242,3 +244,25 @@
     let (_, progress) = &batch.jobs[0];
     assert!(progress.crashes.contains_key(&(2, 0, 0)));
 }
+
+/// Guards against one start too many of a task that fails: the worker of the former owner reports
+/// only after the recovery has ended, when its runs count as lost.
+#[test]
+fn a_failed_run_that_is_reported_after_recovery_is_counted() {
+    let outcome_after = |runs: &[RunId]| {
+        let mut planner = planner(2);
+        planner.add_job(JOB, spec(vec![step(1)]), None, true);
+        let key = planner.restore_worker(worker("w1")).expect("a new worker");
+        planner.register_worker(worker("w1"));
+        plan_at(&mut planner, 200_000);
+        assert!(!planner.recovering());
+        let ends = (1..).zip(runs);
+        let ends = ends.map(|(number, &run)| ended(number, task_of(0), run, RunEnd::Failed));
+        let report = worker_report(vec![], ends.collect());
+        planner.apply_report(key, Duration::from_secs(200), &report);
+        save(&mut planner).jobs[0].1.outcome
+    };
+
+    assert_eq!(outcome_after(&[1]), None);
+    assert_eq!(outcome_after(&[1, 2]), Some(Outcome::Failed));
+}
