job: Hold back jobs that are read late after a take-over

A former owner that is cut off may be told of jobs after its successor has read all job rows, and start them on workers that have not heard of the successor. So jobs that the successor adds within 2 s wait until all workers have reported. But the window was one of the time at which the job was added: if the successor cannot read the feed for some seconds, it read such a job after the window and started its tasks beside the former owner's runs.

The window is now one of the time up to which all jobs were read (`record_jobs_read`): only jobs that appear after a read that began behind the window were certainly accepted after it.

Found by the simulation of the planner, which now has repeated jobs with rounds that overlap, owners whose clocks are behind, and jobs that a successor reads late (event_sim/repeated.rs). Owners of the simulation now read the feed before each job is submitted, as they do in a cell; the bounds of the other tests are unchanged.

--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -206,6 +206,8 @@
     releasing: bool,
     /// Runs lost since the last [`Planner::take_losses`].
     lost_runs: Vec<LostRun>,
+    /// All jobs accepted before this time have been added.
+    jobs_read: Duration,
     /// Reported ends of runs whose jobs have not been added yet.
     unmatched_ends: UnmatchedEnds,
     /// Ends dropped since the last [`Planner::take_unknown_ends`].
@@ -284,6 +286,7 @@
             releasing: false,
             lost_runs: Vec::new(),
             suspects: Suspects::default(),
+            jobs_read: now,
             unmatched_ends: UnmatchedEnds::default(),
             unknown_ends: Vec::new(),
         }
@@ -338,7 +341,8 @@
         } else {
             Duration::ZERO
         };
-        let early = self.recovering && self.now < self.started_at + LATE_SUBMIT_WINDOW;
+        // The job may have been accepted within the window however late it is read.
+        let early = self.recovering && self.jobs_read < self.started_at + LATE_SUBMIT_WINDOW;
         let canceled = spec.canceled;
         let accepted_at = self.now.saturating_sub(age.min(self.policy.max_age));
         let organisation = spec.organisation.as_ref();
--- a/crates/job/src/planner/reports/unmatched.rs
+++ b/crates/job/src/planner/reports/unmatched.rs
@@ -90,6 +90,7 @@
     /// Records that all jobs accepted before `started` have been added, unless they were removed
     /// since. Kept ends that were reported before that are of removed jobs, and are dropped.
     pub fn record_jobs_read(&mut self, started: Duration) {
+        self.jobs_read = self.jobs_read.max(started);
         let removed = self.unmatched_ends.take_before(started);
         self.unknown_ends.extend(removed);
     }
--- a/crates/job/tests/early_reports.rs
+++ b/crates/job/tests/early_reports.rs
@@ -363,3 +363,23 @@
     let started = plan_at(&mut planner, 10);
     assert_eq!(started.len(), 1);
 }
+
+/// Guards against a second run of a task that the former owner started after the successor had read
+/// the jobs: the store was down for seconds, so the job's row is read late.
+#[test]
+fn a_job_that_is_read_late_waits_for_all_workers() {
+    const NOW: Duration = Duration::from_secs(4);
+    let mut planner = planner(2);
+    let key = add(&mut planner, "w1");
+    planner.restore_worker(worker("w2"));
+    planner.advance(NOW);
+    planner.apply_report(key, NOW, &worker_report(vec![], vec![]));
+
+    planner.add_job(JOB, spec(vec![step(1)]), None, false);
+    planner.record_jobs_read(NOW);
+    planner.add_job(JOB + 1, spec(vec![step(1)]), None, false);
+    let started = plan_at(&mut planner, 4_010);
+
+    let started: Vec<JobId> = started.iter().map(|(task, ..)| task.step.job).collect();
+    assert_eq!(started, [JOB + 1], "only the job accepted later may start");
+}
--- a/crates/job/tests/event_sim/checks.rs
+++ b/crates/job/tests/event_sim/checks.rs
@@ -4,11 +4,11 @@
 
 use job::Resources;
 use job::RunEnd;
+use job::StepKey;
 use job::TaskKey;
 
 use super::EventSim;
 use super::SentCommand;
-use crate::support;
 
 impl EventSim {
     /// Checks the invariants for a start, whichever owner has sent it.
@@ -23,6 +23,7 @@
             !self.acked_done.contains_key(&task),
             "{task} was started after a stored successful end"
         );
+        self.check_due(task);
         self.check_limit(sent, task);
         let spec = &self.jobs[&task.step.job];
         let failures = self.acked_failures.get(&task).map_or(0, BTreeSet::len);
@@ -46,7 +47,11 @@
         for &before in &self.jobs[&task.step.job].steps[task.step.step as usize].after {
             let spec = &self.jobs[&task.step.job].steps[before as usize];
             for index in 0..spec.count {
-                let key = support::task(task.step.job, before, index);
+                let step = StepKey {
+                    step: before,
+                    ..task.step
+                };
+                let key = TaskKey { step, index };
                 assert!(
                     self.ever_done(key),
                     "{task} was started before {key} was done"
--- a/crates/job/tests/event_sim/mod.rs
+++ b/crates/job/tests/event_sim/mod.rs
@@ -7,6 +7,7 @@
 mod delivery;
 mod former_owner;
 mod organisations;
+mod repeated;
 mod same_ids;
 mod status;
 mod worker;
@@ -39,6 +40,7 @@
 use crashes::Faults;
 use former_owner::FormerOwner;
 use organisations::Organisations;
+use repeated::Repeated;
 use status::StartedJobs;
 use worker::Worker;
 
@@ -105,6 +107,8 @@
     done: HashSet<TaskKey>,
     /// Organisations of the jobs; `None` if no job belongs to one.
     organisations: Option<Organisations>,
+    /// Jobs that were not read yet; `None` if no job is repeated.
+    repeated: Option<Repeated>,
     /// State of crashes and restarts; `None` if there are none.
     faults: Option<Faults>,
     /// Parameters of the planners.
@@ -139,6 +143,7 @@
             started: StartedJobs::new(),
             done: HashSet::new(),
             organisations: None,
+            repeated: None,
             faults: None,
             policy: Policy::default(),
             starts: 0,
@@ -157,11 +162,13 @@
         for worker in &mut self.workers {
             worker.in_contact = false;
         }
-        self.planner = Planner::new(self.policy, self.epoch, self.now, Duration::ZERO);
+        self.planner = Planner::new(self.policy, self.epoch, self.now, self.owner_origin());
         self.configure();
-        for (&id, spec) in &self.jobs {
-            let progress = self.stored.get(&id);
-            self.planner.add_job(id, spec.clone(), progress, true);
+        for (id, spec) in self.jobs.clone() {
+            if !self.reads_late(id) {
+                let progress = self.stored.get(&id);
+                self.planner.add_job(id, spec, progress, true);
+            }
         }
         let authority = RenewalAuthority::new(self.now, names());
         let authority = std::mem::replace(&mut self.authority, authority);
@@ -223,6 +230,7 @@
             }
             0 => self.submit(event.pick),
             1..=3 => self.renew_lease(machine),
+            5 if event.pick >= 200 && self.repeated.is_some() => self.read_jobs(),
             4 | 5 => self.plan(event.pick),
             6 => self.end_run(machine, event.pick, RunEnd::Done),
             7 => self.end_run(machine, event.pick, RunEnd::Failed),
@@ -247,6 +255,7 @@
     /// Advances the time, ends stopping runs, and ends all runs on workers whose lease has expired.
     fn advance(&mut self, by: Duration) {
         self.now += by;
+        self.read_due_jobs();
         for worker in &mut self.workers {
             let stopped = worker.stopping.iter();
             let stopped = stopped.filter(|(_, (_, since))| *since + STOP_TIME <= self.now);
@@ -266,6 +275,7 @@
     }
 
     fn submit(&mut self, pick: u8) {
+        self.follow_jobs();
         let id = self.jobs.len() as JobId + 1;
         let mut first = support::step(u32::from(pick % 5) + 1);
         first.gang = pick.is_multiple_of(7);
@@ -281,6 +291,7 @@
         // Different priorities and deadlines let gangs preempt less urgent jobs.
         spec.queue.priority = u32::from(pick % 3);
         spec.queue.slack = Duration::from_secs(u64::from(pick % 16));
+        self.schedule(&mut spec, pick);
         self.assign_organisation(id, &mut spec);
         self.jobs.insert(id, spec.clone());
         self.planner.add_job(id, spec, None, false);
--- a/crates/job/tests/event_sim/status.rs
+++ b/crates/job/tests/event_sim/status.rs
@@ -55,7 +55,7 @@
     pub(super) fn check_statuses(&self) {
         let mut waiting = 0;
         for (id, spec) in &self.jobs {
-            if self.started.contains(id) {
+            if self.started.contains(id) || !self.has_read(*id) {
                 continue;
             }
             assert_ne!(
--- a/crates/job/tests/invariants.rs
+++ b/crates/job/tests/invariants.rs
@@ -349,3 +349,70 @@
 
     assert!(starts > 1000, "{starts} starts");
 }
+
+/// Usual events of the simulations with repeated jobs: most submit jobs, renew leases, plan, and end
+/// runs; owners change often.
+const REPEATED_EVENTS: [(u8, u8); 31] = [
+    (0, 10),  // submit a job of one task and three rounds
+    (0, 33),  // submit a job of two steps and two rounds
+    (0, 7),   // submit a gang and a second step, four rounds
+    (1, 0),   // renew the lease on machine 0
+    (1, 1),   // on machine 1
+    (1, 2),   // on machine 2
+    (4, 1),   // plan and send commands; some get no reply
+    (4, 2),   // plan and send commands
+    (4, 4),   // plan and send commands
+    (4, 7),   // plan and send commands
+    (6, 0),   // a run on machine 0 succeeds
+    (6, 1),   // on machine 1
+    (6, 2),   // on machine 2
+    (7, 1),   // a run on machine 1 fails
+    (8, 0),   // begin to write progress
+    (9, 1),   // the write succeeds
+    (10, 5),  // 0.1 s pass
+    (10, 10), // 0.2 s pass
+    (1, 3),   // renew the lease on machine 0
+    (1, 4),   // on machine 1
+    (1, 5),   // on machine 2
+    (4, 1),   // plan and send commands
+    (4, 2),   // plan and send commands
+    (6, 3),   // a run on machine 0 succeeds
+    (6, 4),   // on machine 1
+    (6, 5),   // on machine 2
+    (5, 200), // read the jobs that the owner has not read
+    (12, 4),  // replace the owner
+    (12, 64), // replace the owner, and cut its successor off from machines 1 and 2
+    (15, 1),  // machine 1 answers again
+    (15, 5),  // machine 2 answers again
+];
+
+/// Checks the same invariants with repeated jobs whose rounds overlap, where workers report runs and
+/// ends before the successor has opened their rounds or read their jobs, and where some owners'
+/// clocks are behind. No task starts before its round is due.
+#[test]
+fn invariants_hold_where_reports_come_before_rounds_and_jobs() {
+    let mut state: u64 = 0x1f83_d9ab_fb41_bd6b;
+    let mut starts = 0;
+
+    for _ in 0..120 {
+        let mut sim = EventSim::new().with_repeated_jobs();
+        drive(&mut state, 800, &REPEATED_EVENTS, 20, |event| {
+            sim.step(event);
+        });
+        starts += sim.starts;
+    }
+
+    assert!(starts > 2000, "{starts} starts");
+}
+
+#[test]
+fn invariants_hold_for_any_order_of_early_reports() {
+    bolero::check!()
+        .with_type::<Vec<(u8, u8)>>()
+        .for_each(|events| {
+            let mut sim = EventSim::new().with_repeated_jobs();
+            for &(kind, pick) in events {
+                sim.step(Event { kind, pick });
+            }
+        });
+}
