cell: Keep the progress of a job whose row is read later

A successor that could not decode a job's row at take-over ignored the row and with it the job's stored progress. When the row was written anew in a form that it could decode, for instance by a process of a newer version, it added the job as one that had never started, and its done tasks ran again.

The progress of such jobs is now kept until their row can be decoded, and the job then counts as one that the former owner may have started.

cell/tests/unreadable.rs, a_job_that_becomes_readable_does_not_run_again: before, 2 starts in place of 1; after, it passes.

--- a/crates/cell/src/owner/handlers.rs
+++ b/crates/cell/src/owner/handlers.rs
@@ -52,13 +52,18 @@
             (Ok(id), Ok(_)) if self.unreadable_jobs.contains(&id) => {}
             (Ok(id), Ok(_)) if self.retention.predates_removal(id, row.version) => {}
             (Ok(id), Ok(spec)) => {
+                let kept = self.unread_progress.remove(&id);
+                let old = inherited.is_some() || kept.is_some();
                 let progress = inherited.and_then(|inherited| inherited.get(&id));
                 self.planner
-                    .add_job(id, spec, progress, inherited.is_some());
+                    .add_job(id, spec, progress.or(kept.as_ref()), old);
             }
             (id, Err(error)) => {
                 if let Ok(id) = id {
                     self.planner.add_unreadable_job(id);
+                    let progress = inherited.map(|inherited| inherited.get(&id));
+                    let kept = progress.map(|progress| (id, progress.cloned().unwrap_or_default()));
+                    self.unread_progress.extend(kept);
                 }
                 count(&self.context.metrics.unreadable, JOB_TABLE);
                 log::error!(
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -11,6 +11,7 @@
 use job::Epoch;
 use job::JobId;
 use job::Planner;
+use job::Progress;
 use job::RenewalAuthority;
 use job::WorkerInfo;
 use job::WorkerKey;
@@ -97,6 +98,8 @@
     /// Jobs whose progress row cannot be decoded; they are not run. When they were treated as
     /// jobs that had never started, completed ones ran again.
     pub(super) unreadable_jobs: HashSet<JobId>,
+    /// Progress of the jobs whose rows could not be decoded at take-over, in case they are later.
+    pub(super) unread_progress: HashMap<JobId, Progress>,
     pub(super) freshness: Freshness,
     pub(super) overload: Overload,
     pub(super) queue_counts: QueueCounts,
@@ -185,6 +188,7 @@
             marks: Marks::default(),
             used_workers: HashSet::new(),
             unreadable_jobs: inherited.unreadable_jobs,
+            unread_progress: HashMap::new(),
             freshness,
             overload: Overload::default(),
             queue_counts: QueueCounts::default(),
--- a/crates/cell/tests/unreadable.rs
+++ b/crates/cell/tests/unreadable.rs
@@ -41,6 +41,35 @@
     cell.close().await;
 }
 
+/// Guards against running a completed job again: the successor could not decode the job's row at
+/// first, and had forgotten the job's progress when the row was written anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_that_becomes_readable_does_not_run_again() {
+    let mut cell = TestCell::open(1, 1).await;
+    let caller = Caller::new();
+    let path = "/plain/00000000000000a5";
+    caller.submit(&cell.servers(), path, &job(1, "20")).await;
+    caller.wait_state(&cell.servers(), path, "completed").await;
+    cell.kill(0).await;
+    let row = cell::job_row(0xa5);
+    let stored = cell.store.raw(&row.table, &row.part, &row.key);
+    overwrite(&cell, &row);
+    cell.start(0).await;
+    let other = "/plain/00000000000000a6";
+    caller.submit(&cell.servers(), other, &job(1, "20")).await;
+    caller.wait_state(&cell.servers(), other, "completed").await;
+
+    let stored = stored.expect("the job's row");
+    cell.store
+        .write_row(&row.table, &row.part, &row.key, &stored);
+    // The feed delivers the job's row to the owner.
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    caller.wait_state(&cell.servers(), path, "completed").await;
+
+    assert_eq!(cell.log.starts("00000000000000a5"), 1);
+    cell.close().await;
+}
+
 /// Guards against running a completed job again and showing it as pending. The successor cannot
 /// decode the row of the job's progress, and treated the job as one that had never started.
 #[tokio::test(flavor = "multi_thread")]
