soak: Repeated jobs whose rounds overlap

The checker also reports a round that starts more than 0.25 s before it is due, and a repeated job that is completed while a task of it is not done.

--- a/crates/daemon/tests/soak/checker.rs
+++ b/crates/daemon/tests/soak/checker.rs
@@ -1,18 +1,21 @@
 //! Checks the guarantees of the scheduler against what callers and workers have observed.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use hyper::Method;
 use serde_json::Value;
 use site::Caller;
+use site::RunSpan;
 use site::WorkerEvent;
 
 use crate::crash_limit::may_fail_after_crashes;
 use crate::testbed::Testbed;
 use crate::traffic::Job;
 use crate::traffic::Outcome;
+use crate::traffic::Repeats;
 
 /// Timeout from the end of all faults until each job has a final state.
 const FINAL_STATE_TIMEOUT: Duration = Duration::from_mins(1);
@@ -33,6 +36,9 @@
 /// one core.
 const MAX_CORES: usize = 4;
 
+/// How long before its round is due a task may start.
+const EARLY_BOUND: Duration = Duration::from_millis(250);
+
 /// Waits until the jobs have ended, checks all jobs and runs, and returns a description of each
 /// violation.
 pub async fn find_violations(testbed: &Testbed, jobs: &[Job]) -> Vec<String> {
@@ -62,6 +68,13 @@
                 job.id, job.outcome
             ));
         }
+        if let Some(repeats) = &job.repeats {
+            let spans = testbed.log.spans(&job.id);
+            violations.extend(early_rounds(&spans, repeats));
+            if shown == "completed" {
+                violations.extend(missing_ends(&spans, job, repeats.rounds));
+            }
+        }
     }
     for job in jobs.iter().filter(|job| job.outcome == Outcome::Refused) {
         if testbed.log.starts(&job.id) > 0 {
@@ -91,6 +104,40 @@
     violations
 }
 
+/// Reports each run of a repeated job that started more than [`EARLY_BOUND`] before its round was
+/// due.
+fn early_rounds(spans: &[RunSpan], repeats: &Repeats) -> Vec<String> {
+    let early = spans.iter().filter(|span| {
+        let due = repeats.first + repeats.interval * round_of(&span.task);
+        span.begin + EARLY_BOUND < due
+    });
+    early
+        .map(|span| format!("{}: started before its round was due", span.task))
+        .collect()
+}
+
+/// Returns the round in the name of a task: job, round, step and index, separated by dots.
+fn round_of(task: &str) -> u32 {
+    let round = task.split('.').nth(1).and_then(|round| round.parse().ok());
+    round.expect("a round in the task's name")
+}
+
+/// Reports a completed job of which fewer tasks have ended successfully than it has.
+fn missing_ends(spans: &[RunSpan], job: &Job, rounds: u32) -> Option<String> {
+    let done = spans
+        .iter()
+        .filter(|span| span.end.as_ref().is_some_and(|(_, how)| how == "done"));
+    let tasks: HashSet<&str> = done.map(|span| span.task.as_str()).collect();
+    let expected = (rounds * job.tasks) as usize;
+    (tasks.len() != expected).then(|| {
+        format!(
+            "job {}: completed with {} of {expected} tasks done",
+            job.id,
+            tasks.len()
+        )
+    })
+}
+
 /// Polls the servers one after the other until one shows a final state of the job, and returns
 /// the state.
 async fn wait_final(caller: &Caller, servers: &[SocketAddr], path: &str) -> Value {
--- a/crates/daemon/tests/soak/plan.rs
+++ b/crates/daemon/tests/soak/plan.rs
@@ -74,7 +74,15 @@
 
 /// Whether workers drain.
 pub fn has_drains(seed: u64) -> bool {
-    seed >= FIRST_DRAIN_SEED
+    (FIRST_DRAIN_SEED..FIRST_REPEAT_SEED).contains(&seed)
+}
+
+/// First seed with repeated jobs whose rounds overlap.
+const FIRST_REPEAT_SEED: u64 = 200_000;
+
+/// Whether some jobs are repeated.
+pub fn has_repeats(seed: u64) -> bool {
+    seed >= FIRST_REPEAT_SEED
 }
 
 /// A fault, its end, or another action on the cell. The first number is the index of a process
--- a/crates/daemon/tests/soak/traffic.rs
+++ b/crates/daemon/tests/soak/traffic.rs
@@ -3,6 +3,8 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
 
 use hyper::Method;
 use rand::RngExt;
@@ -16,6 +18,7 @@
 use tokio::task::JoinSet;
 
 use crate::plan::has_crashes;
+use crate::plan::has_repeats;
 
 /// Interval between two jobs.
 const JOB_INTERVAL: Duration = Duration::from_millis(90);
@@ -30,6 +33,41 @@
 /// crashes each worker.
 const CRASH_RATIO: u32 = 40;
 
+/// In a seed with repeated jobs, on average one in this number of the jobs that neither fail nor
+/// crash workers is repeated.
+const REPEAT_RATIO: u32 = 12;
+
+/// Rounds of a repeated job.
+#[derive(Clone, Copy, Debug)]
+pub struct Repeats {
+    /// Number of rounds.
+    pub rounds: u32,
+    /// When the first round is due.
+    pub first: Instant,
+    /// Time between two rounds.
+    pub interval: Duration,
+}
+
+impl Repeats {
+    /// Draws rounds that overlap: a task runs for up to 0.9 s.
+    fn draw(rng: &mut StdRng) -> Repeats {
+        Repeats {
+            rounds: rng.random_range(3..9),
+            first: Instant::now() + Duration::from_millis(rng.random_range(0..300)),
+            interval: Duration::from_millis(rng.random_range(100..400)),
+        }
+    }
+
+    /// Adds the rounds to the body of a job.
+    fn describe(&self, body: &mut Value) {
+        let wall = SystemTime::now() + self.first.saturating_duration_since(Instant::now());
+        let wall = wall.duration_since(SystemTime::UNIX_EPOCH);
+        body["repeat_count"] = json!(self.rounds);
+        body["start_at_ms"] = json!(wall.expect("a time after 1970").as_millis());
+        body["interval_ms"] = json!(self.interval.as_millis());
+    }
+}
+
 /// The outcome of submitting and cancelling a job, as its caller saw it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -55,6 +93,10 @@
     pub fails: bool,
     /// Whether the first task of its first step crashes each worker that runs it.
     pub crashes: bool,
+    /// Rounds of the job; `None` if it runs once.
+    pub repeats: Option<Repeats>,
+    /// Number of tasks in each round.
+    pub tasks: u32,
     /// Outcome of the caller's calls to submit and cancel the job.
     pub outcome: Outcome,
 }
@@ -93,7 +135,7 @@
     let mut number = 0;
     while !*stopped.borrow() {
         number += 1;
-        let call_plan = CallPlan::new(&mut rng, &servers, has_crashes(seed));
+        let call_plan = CallPlan::new(&mut rng, &servers, seed);
         callers.spawn(call_plan.submit(caller.clone(), (seed << 32) + number));
         tokio::time::sleep(JOB_INTERVAL).await;
     }
@@ -105,6 +147,8 @@
     body: Value,
     fails: bool,
     crashes: bool,
+    repeats: Option<Repeats>,
+    tasks: u32,
     /// Time from the acceptance of the job to its cancellation; `None` if it is not cancelled.
     cancel: Option<Duration>,
     /// All servers, in the order in which the caller tries them.
@@ -112,9 +156,9 @@
 }
 
 impl CallPlan {
-    fn new(rng: &mut StdRng, servers: &[SocketAddr], has_crashes: bool) -> CallPlan {
+    fn new(rng: &mut StdRng, servers: &[SocketAddr], seed: u64) -> CallPlan {
         let fails = rng.random_range(0..20) == 0;
-        let crashes = has_crashes && !fails && rng.random_range(0..CRASH_RATIO) == 0;
+        let crashes = has_crashes(seed) && !fails && rng.random_range(0..CRASH_RATIO) == 0;
         let spec = if fails {
             "fail".to_owned()
         } else if crashes {
@@ -128,21 +172,32 @@
         };
         let step =
             |count: u32| json!({"count": count, "cpu": 1000, "mem_mb": 100, "estimate_ms": 300});
-        let mut steps = vec![step(rng.random_range(1..4))];
+        let mut tasks = rng.random_range(1..4);
+        let mut steps = vec![step(tasks)];
         if rng.random_range(0..4) == 0 {
+            tasks += 1;
             let mut second = step(1);
             second["after"] = json!([0]);
             steps.push(second);
         }
         let cancel = rng.random_range(0..10) == 0;
         let cancel = cancel.then(|| Duration::from_millis(rng.random_range(0..600)));
+        let may_repeat = has_repeats(seed) && !fails && !crashes;
+        let repeats = may_repeat && rng.random_range(0..REPEAT_RATIO) == 0;
+        let repeats = repeats.then(|| Repeats::draw(rng));
+        let mut body = json!({"spec": spec, "steps": steps});
+        if let Some(repeats) = repeats {
+            repeats.describe(&mut body);
+        }
         let mut servers = servers.to_vec();
         let first = rng.random_range(0..servers.len());
         servers.rotate_left(first);
         CallPlan {
-            body: json!({"spec": spec, "steps": steps}),
+            body,
             fails,
             crashes,
+            repeats,
+            tasks,
             cancel,
             servers,
         }
@@ -174,6 +229,8 @@
             path,
             fails: self.fails,
             crashes: self.crashes,
+            repeats: self.repeats,
+            tasks: self.tasks,
             outcome,
         }
     }
