job: Reserve workers for a gang only where it may run

Callers of one service waited as long as a gang of another one did, beside idle workers of their own: `reserve_resources` reserved the workers with the most free resources of the whole pool, also those of other services and those without the label that the gang requires.

The reservation now asks `may_run`, as placement and preemption do.

tests/idle_resources.rs, both tests: before, nothing starts in place of job 3; after, they pass.

--- a/crates/job/src/planner/placement/reservations.rs
+++ b/crates/job/src/planner/placement/reservations.rs
@@ -12,6 +12,7 @@
 use crate::planner::Planner;
 use crate::planner::WorkerKey;
 use crate::planner::order::rank::Rank;
+use crate::planner::placement::place::may_run;
 
 /// Share of the pool's processors. Once at least this much is reserved, no further gang gets a
 /// reservation; the first gang may reserve more.
@@ -151,7 +152,10 @@
         let need = spec.booked();
         // Expired tickets count, too: they are renewed once there are enough resources.
         let allowed = self.allowed_workers(job, step, Duration::ZERO);
-        let allowed = allowed.into_iter().filter(|(_, state)| self.usable(state));
+        let service = &job.spec.queue.service;
+        let allowed = allowed
+            .into_iter()
+            .filter(|(_, state)| self.usable(state) && may_run(state, service, spec));
         let mut allowed: Vec<(WorkerKey, Resources, u64)> = allowed
             .map(|(worker, state)| {
                 let all = state.info.capacity.fit_count(&need);
--- /dev/null
+++ b/crates/job/tests/idle_resources.rs
@@ -0,0 +1,99 @@
+//! Resources that a waiting job cannot use go to others.
+
+mod support;
+
+use std::time::Duration;
+
+use job::JobSpec;
+use job::Planner;
+use job::StepSpec;
+use job::WorkerInfo;
+use support::add_claimed;
+use support::deferrable;
+use support::plan_at;
+use support::planner;
+use support::resources;
+use support::spec;
+use support::step;
+use support::worker;
+use support::worker_report;
+
+/// Job whose tasks occupy workers for long.
+const LONG: u64 = 1;
+
+/// Job of a gang that does not fit beside them.
+const GANG: u64 = 2;
+
+/// Job of one small task.
+const SMALL: u64 = 3;
+
+/// Creates a job of a step whose tasks need a whole worker each.
+fn whole_workers(count: u32) -> JobSpec {
+    let step = StepSpec {
+        need: resources(4000, 1000),
+        ..step(count)
+    };
+    spec(vec![step])
+}
+
+/// Creates a job of a gang whose members need a whole worker each.
+fn gang(count: u32) -> JobSpec {
+    let mut job = whole_workers(count);
+    job.steps[0].gang = true;
+    job
+}
+
+/// Registers a worker that has no runs and has reported so.
+fn claim(planner: &mut Planner, info: WorkerInfo) {
+    let key = planner.register_worker(info).expect("a new worker");
+    planner.apply_report(key, Duration::ZERO, &worker_report(vec![], vec![]));
+}
+
+/// Plans at 10 ms, and returns the jobs that start.
+fn started_jobs(planner: &mut Planner) -> Vec<u64> {
+    let started = plan_at(planner, 10);
+    started.iter().map(|(task, ..)| task.step.job).collect()
+}
+
+/// Guards against idle workers of one service that are reserved for a gang of another, which may
+/// never start there.
+#[test]
+fn a_gang_reserves_no_worker_of_another_service() {
+    let mut planner = planner(1);
+    let mut other = worker("b1");
+    other.service = "bulk".to_owned();
+    claim(&mut planner, other);
+    add_claimed(&mut planner, "w1");
+    let bulk = |mut job: JobSpec| {
+        job.queue.service = "bulk".to_owned();
+        job
+    };
+    planner.add_job(LONG, bulk(whole_workers(1)), None, false);
+    plan_at(&mut planner, 1);
+
+    planner.add_job(GANG, bulk(gang(1)), None, false);
+    planner.add_job(SMALL, deferrable(step(1)), None, false);
+
+    assert_eq!(started_jobs(&mut planner), [SMALL]);
+}
+
+/// The same for workers without the label that the gang requires.
+#[test]
+fn a_gang_reserves_no_worker_without_its_label() {
+    let mut planner = planner(1);
+    let mut labelled = worker("b1");
+    labelled.labels.push("wide".to_owned());
+    claim(&mut planner, labelled);
+    add_claimed(&mut planner, "w1");
+    let wide = |mut job: JobSpec| {
+        job.steps[0].label = "wide".to_owned();
+        job
+    };
+    planner.add_job(LONG, wide(whole_workers(1)), None, false);
+    plan_at(&mut planner, 1);
+
+    planner.add_job(GANG, wide(gang(1)), None, false);
+    planner.add_job(SMALL, deferrable(step(1)), None, false);
+
+    assert_eq!(started_jobs(&mut planner), [SMALL]);
+}
