job: Reserve nothing for a gang that does not fit beside tasks that last

Jobs behind a gang never started, with most of the pool free: the gang did not fit beside tasks that last until they are cancelled, but `reserve_resources` counted the whole capacity of each worker as what will be free. So all that was free stayed reserved for good.

A worker now knows what its lasting runs have booked, and a gang gets a reservation only if it fits into the rest. It is tried in each pass as before, so it starts once there is room. Pools without lasting tasks are served as before.

tests/idle_resources.rs, a_gang_reserves_nothing_beside_tasks_that_last: before, nothing starts in place of job 3; after, it passes.

--- a/crates/job/src/planner/placement/place.rs
+++ b/crates/job/src/planner/placement/place.rs
@@ -374,6 +374,7 @@
             late_expiry: self.late_run_expiry(candidate.key),
             checkpoint: String::new(),
             from_start: checkpoint.is_empty(),
+            long_running: spec.long_running,
             trial,
         };
         self.book_run(candidate.key, task, placed);
--- a/crates/job/src/planner/placement/reservations.rs
+++ b/crates/job/src/planner/placement/reservations.rs
@@ -158,14 +158,14 @@
             .filter(|(_, state)| self.usable(state) && may_run(state, service, spec));
         let mut allowed: Vec<(WorkerKey, Resources, u64)> = allowed
             .map(|(worker, state)| {
-                let all = state.info.capacity.fit_count(&need);
+                let all = state.free_later().fit_count(&need);
                 (worker, reservations.remaining(worker, state.free()), all)
             })
             .collect();
         let total: u64 = allowed.iter().map(|(.., all)| all).sum();
         if total < u64::from(spec.count) {
-            // The gang would not fit even if the allowed workers were empty, so a reservation
-            // would not help.
+            // The gang would not fit even if all runs had ended that end by themselves, so a
+            // reservation would not help.
             return;
         }
         let need_speed = self.speed_need(key).map(|speed| {
--- a/crates/job/src/planner/recovery/adopt.rs
+++ b/crates/job/src/planner/recovery/adopt.rs
@@ -43,11 +43,9 @@
         let organisation = job.organisation;
         let priority = job.spec.queue.priority;
         // Runs of an ended job keep their resources booked until they have stopped.
-        let (booked, filler_cpu) = job
-            .spec
-            .steps
-            .get(task.step.step as usize)
-            .map_or_else(Default::default, StepSpec::booked_and_filler);
+        let spec = job.spec.steps.get(task.step.step as usize);
+        let (booked, filler_cpu) = spec.map_or_else(Default::default, StepSpec::booked_and_filler);
+        let long_running = job.outcome.is_none() && spec.is_some_and(|spec| spec.long_running);
         let mut adopted = false;
         let trial = job.needs_trial(task);
         if job.outcome.is_none() {
@@ -78,6 +76,7 @@
             late_expiry: Duration::ZERO,
             checkpoint: running.checkpoint.clone(),
             from_start: false,
+            long_running,
             trial,
         };
         self.book_run(key, task, placed);
@@ -104,6 +103,7 @@
             late_expiry: Duration::ZERO,
             checkpoint: String::new(),
             from_start: false,
+            long_running: false,
             trial: false,
         };
         self.book_run(key, running.task, placed);
--- a/crates/job/src/planner/state/roster.rs
+++ b/crates/job/src/planner/state/roster.rs
@@ -72,6 +72,8 @@
     pub checkpoint: String,
     /// This planner started the run without a checkpoint, so its duration can be learnt.
     pub from_start: bool,
+    /// The run lasts until its job is cancelled.
+    pub long_running: bool,
     /// The run is in its trial: no other run may start on the worker.
     pub trial: bool,
 }
@@ -104,6 +106,8 @@
     pub fill_limit: Resources,
     /// Sum of the resources booked by its runs.
     pub total_booked: Resources,
+    /// Sum of the resources booked by its runs that last until their jobs are cancelled.
+    pub long_booked: Resources,
     /// Sum of the processors of its fillers, in thousandths of a core.
     pub total_filler: u64,
     /// Number of runs of unknown size. While there are any, the worker gets no work.
@@ -152,6 +156,7 @@
             info,
             reregistration: None,
             total_booked: Resources::default(),
+            long_booked: Resources::default(),
             total_filler: 0,
             unknown_sizes: 0,
             trials: 0,
@@ -190,6 +195,12 @@
         self.fill_limit.minus(&self.total_booked)
     }
 
+    /// Returns the resources that are free once all runs have ended, except for those that last until
+    /// their jobs are cancelled.
+    pub(crate) fn free_later(&self) -> Resources {
+        self.info.capacity.minus(&self.long_booked)
+    }
+
     /// Books a run with its resources. A run is a trial only while it is alone.
     pub(crate) fn book(&mut self, task: TaskKey, mut placed: PlacedRun) {
         if !self.runs.is_empty() {
@@ -197,6 +208,9 @@
             self.end_trials();
         }
         self.total_booked = self.total_booked.plus(&placed.booked);
+        if placed.long_running {
+            self.long_booked = self.long_booked.plus(&placed.booked);
+        }
         self.total_filler += placed.filler_cpu;
         self.unknown_sizes += u32::from(placed.unknown_size);
         self.trials += u32::from(placed.trial);
@@ -218,6 +232,9 @@
         }
         let placed = self.runs.remove(&task)?;
         self.total_booked = self.total_booked.minus(&placed.booked);
+        if placed.long_running {
+            self.long_booked = self.long_booked.minus(&placed.booked);
+        }
         self.total_filler -= placed.filler_cpu;
         self.unknown_sizes -= u32::from(placed.unknown_size);
         self.trials -= u32::from(placed.trial);
--- a/crates/job/tests/idle_resources.rs
+++ b/crates/job/tests/idle_resources.rs
@@ -97,3 +97,30 @@
 
     assert_eq!(started_jobs(&mut planner), [SMALL]);
 }
+
+/// Creates a job of tasks that last, one on each worker, which need half a worker.
+fn lasting(count: u32) -> JobSpec {
+    let step = StepSpec {
+        need: resources(2000, 1000),
+        long_running: true,
+        worker_limit: 1,
+        ..step(count)
+    };
+    spec(vec![step])
+}
+
+/// Guards against resources that are reserved without end for a gang that does not fit beside tasks
+/// that last.
+#[test]
+fn a_gang_reserves_nothing_beside_tasks_that_last() {
+    let mut planner = planner(1);
+    add_claimed(&mut planner, "w1");
+    add_claimed(&mut planner, "w2");
+    planner.add_job(LONG, lasting(2), None, false);
+    plan_at(&mut planner, 1);
+
+    planner.add_job(GANG, gang(2), None, false);
+    planner.add_job(SMALL, deferrable(step(1)), None, false);
+
+    assert_eq!(started_jobs(&mut planner), [SMALL]);
+}
