job: Tests of new jobs after a take-over say what was read

Two tests add a job 2.1 and 3 s after a take-over and expect it to start beside a silent worker, since no former owner can have started it.

--- a/crates/job/tests/limits.rs
+++ b/crates/job/tests/limits.rs
@@ -210,6 +210,7 @@
     planner.register_worker(worker("w2"));
     planner.apply_report(claimed, Duration::ZERO, &WorkerReport::default());
     planner.advance(Duration::from_secs(3));
+    planner.record_jobs_read(Duration::from_secs(3));
     planner.add_job(JOB, spec_of("stores", limit, vec![step(4)]), None, false);
     (planner, silent)
 }
--- a/crates/job/tests/takeover.rs
+++ b/crates/job/tests/takeover.rs
@@ -49,6 +49,7 @@
     planner.add_job(JOB, spec(vec![step(1)]), None, true);
     // By this time, no process sends jobs to the former owner any more.
     planner.advance(Duration::from_millis(2100));
+    planner.record_jobs_read(Duration::from_millis(2100));
     planner.add_job(JOB + 1, spec(vec![step(1)]), None, false);
     let early = plan_at(&mut planner, 2110);
     planner.advance(Duration::from_secs(5));
