job: Take a long time at work for a sign of a sound worker

Tasks that last and fail now and then paused all workers of a service at the same time, for seconds each time: every end as failed of another job counted towards `failure_limit`, only an end as done reset the count, and tasks that last never end so.

A failed run of a lasting task that was at work for 6 s now resets the count, as one that is done does. Workers that fail what they start are still found by failures soon after the start, of lasting tasks, too.

--- a/crates/job/src/planner/crashes/crash_count.rs
+++ b/crates/job/src/planner/crashes/crash_count.rs
@@ -32,8 +32,9 @@
 /// the remaining time is a margin.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(1500);
 
-/// Time at work after which a task that lasts is cleared of earlier crashes. Tasks that crash their
-/// workers do so soon after their start.
+/// Time at work after which a task that lasts is cleared of earlier crashes, and its worker of earlier
+/// failures. Tasks that crash their workers, and workers that fail all tasks, do so soon after the
+/// start.
 const SOUND_RUN_TIME: Duration = Duration::from_secs(6);
 
 impl Planner {
@@ -96,7 +97,7 @@
     }
 
     /// Whether a run of a task that lasts has been at work for [`SOUND_RUN_TIME`].
-    fn worked_long(&self, task: TaskKey, placed: &PlacedRun) -> bool {
+    pub(crate) fn worked_long(&self, task: TaskKey, placed: &PlacedRun) -> bool {
         let lasts = self
             .step_spec(task.step)
             .is_some_and(|spec| spec.long_running);
--- a/crates/job/src/planner/reports/report.rs
+++ b/crates/job/src/planner/reports/report.rs
@@ -216,11 +216,15 @@
         }
         worker.last_end = end.number;
         let placed = self.release_run(key, end.task, end.run);
+        let worked_long = placed
+            .as_ref()
+            .is_some_and(|placed| self.worked_long(end.task, placed));
         let worker = &mut self.workers[key];
         let was_booked = placed.is_some();
         let job = end.task.step.job;
         match end.how {
-            RunEnd::Done => {
+            // A task that lasts never ends as done; its time at work shows that the worker is sound.
+            RunEnd::Done | RunEnd::Failed if worked_long || end.how == RunEnd::Done => {
                 worker.failure_streak = 0;
                 worker.failed_job = None;
             }
--- a/crates/job/tests/idle_resources.rs
+++ b/crates/job/tests/idle_resources.rs
@@ -4,15 +4,22 @@
 
 use std::time::Duration;
 
+use job::EndedRun;
 use job::JobSpec;
 use job::Planner;
+use job::RunEnd;
+use job::RunId;
 use job::StepSpec;
+use job::TaskKey;
 use job::WorkerInfo;
+use job::WorkerKey;
 use support::add_claimed;
 use support::deferrable;
+use support::ended;
 use support::plan_at;
 use support::planner;
 use support::resources;
+use support::running;
 use support::spec;
 use support::step;
 use support::worker;
@@ -124,3 +131,34 @@
 
     assert_eq!(started_jobs(&mut planner), [SMALL]);
 }
+
+/// Guards against a worker that is paused although it is sound: tasks that last never end as done, and
+/// each of them that fails after a long time at work counted as a failure of the worker.
+#[test]
+fn failures_of_tasks_that_have_worked_long_pause_no_worker() {
+    let mut planner = planner(1);
+    let key = add_claimed(&mut planner, "w1");
+    for job in 0..4 {
+        let mut job_spec = lasting(1);
+        job_spec.steps[0].need = resources(500, 1000);
+        planner.add_job(LONG + job, job_spec, None, false);
+    }
+    let started = plan_at(&mut planner, 1);
+    assert_eq!(started.len(), 4);
+    let report = |runs: &[(TaskKey, RunId, WorkerKey)], ends: Vec<EndedRun>| {
+        let runs = runs.iter().map(|&(task, run, _)| running(task, run));
+        worker_report(runs.collect(), ends)
+    };
+    let at = |seconds: u64| Duration::from_secs(seconds);
+    for second in 1..8 {
+        planner.advance(at(second));
+        planner.extend_lease(key);
+        planner.apply_report(key, at(second), &report(&started, vec![]));
+    }
+
+    let ends = (1..).zip(&started);
+    let ends = ends.map(|(number, &(task, run, _))| ended(number, task, run, RunEnd::Failed));
+    planner.apply_report(key, at(7), &report(&[], ends.collect()));
+
+    assert_eq!(plan_at(&mut planner, 7_010).len(), 4);
+}
