job: Start trials beside tasks that last where no worker becomes idle

A task whose workers crashed twice never started again: its trial waited for a worker without any run, and where each worker has a task that lasts until it is cancelled, none becomes idle. The free resources of the worker that was reserved for the trial stood unused as well.

If each worker that may run the task has lasting runs, those whose runs all last count as idle for the trial. Where a worker can become idle, the trial waits for it, and no worker with lasting runs is reserved for it.

--- a/crates/job/src/planner/crashes/trial.rs
+++ b/crates/job/src/planner/crashes/trial.rs
@@ -148,6 +148,20 @@
         suspicion.map_or(Duration::ZERO, |suspicion| suspicion.not_before)
     }
 
+    /// Returns whether a worker that may run a step can become idle. Without one, trials of the step
+    /// start beside runs that last until their jobs are cancelled; the number of crashes bounds them.
+    fn may_become_idle(&self, key: StepKey, spec: &StepSpec) -> bool {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return false;
+        };
+        let service = &job.spec.queue.service;
+        let mut workers = self.workers.values().filter(|state| {
+            let present = state.claimed && !state.unregistered && !state.info.draining;
+            present && may_run(state, service, spec)
+        });
+        workers.any(|state| !state.has_long_runs() && state.free_later().can_fit(&spec.booked()))
+    }
+
     /// Starts a trial if there is an idle worker for it; returns whether there is. Unless the intent
     /// to start it there is saved, the intent is recorded, and the worker kept for the trial.
     fn start_on_idle(
@@ -160,6 +174,11 @@
             return false;
         };
         let mut candidates = self.candidates(task.step, &spec, reservations);
+        if !self.may_become_idle(task.step, &spec) {
+            for candidate in &mut candidates {
+                candidate.idle = self.workers[candidate.key].only_long_runs();
+            }
+        }
         sort_for_trials(&mut candidates);
         let named = self.intended_worker(task);
         let mut idle = candidates.iter_mut().filter(|candidate| candidate.idle);
@@ -214,10 +233,12 @@
             return 0;
         };
         let service = &job.spec.queue.service;
+        let may_become_idle = self.may_become_idle(key, spec);
         // Workers with expired tickets count, too: the tickets are renewed later.
         let eligible = self.allowed_workers(job, step, Duration::ZERO);
         let eligible = eligible.into_iter().filter(|(worker, state)| {
-            let fits = state.info.capacity.can_fit(&spec.booked());
+            let fits = state.free_later().can_fit(&spec.booked());
+            let fits = fits && !(may_become_idle && state.has_long_runs());
             let reserved = reservations.is_reserved(*worker);
             self.usable(state) && may_run(state, service, spec) && fits && !reserved
         });
--- a/crates/job/src/planner/state/roster.rs
+++ b/crates/job/src/planner/state/roster.rs
@@ -195,6 +195,16 @@
         self.fill_limit.minus(&self.total_booked)
     }
 
+    /// Returns whether a run lasts until its job is cancelled, so that the worker never becomes idle.
+    pub(crate) fn has_long_runs(&self) -> bool {
+        self.runs.values().any(|placed| placed.long_running)
+    }
+
+    /// Returns whether all runs last until their jobs are cancelled.
+    pub(crate) fn only_long_runs(&self) -> bool {
+        self.runs.values().all(|placed| placed.long_running)
+    }
+
     /// Returns the resources that are free once all runs have ended, except for those that last until
     /// their jobs are cancelled.
     pub(crate) fn free_later(&self) -> Resources {
--- a/crates/job/tests/lasting_tasks.rs
+++ b/crates/job/tests/lasting_tasks.rs
@@ -100,3 +100,18 @@
         assert!(pool.runs.contains_key(&task), "the task stands still");
     }
 }
+
+/// Guards against a task that stands still for good after it has soon lost two workers: its trial waited
+/// for an idle worker.
+#[test]
+fn a_trial_starts_beside_tasks_that_last() {
+    let mut pool = Pool::open();
+    let task = task(JOB, 0, 0);
+
+    for _ in 0..2 {
+        pool.lose_worker_of(task);
+        pool.work(Duration::from_secs(4));
+    }
+
+    assert!(pool.runs.contains_key(&task), "the task stands still");
+}
--- a/crates/job/tests/trials.rs
+++ b/crates/job/tests/trials.rs
@@ -290,3 +290,31 @@
 
     assert_eq!(tried, [1, 1, 1, 2, 1]);
 }
+
+/// Creates a pool in which each worker runs a task that lasts, and one job of a task of twenty seconds.
+fn beside_lasting_tasks() -> CrashSim {
+    let mut sim = CrashSim::new(6);
+    let mut lasting = support::step(6);
+    lasting.long_running = true;
+    lasting.worker_limit = 1;
+    lasting.estimate = Duration::from_mins(10);
+    sim.submit(1, support::spec(vec![lasting]));
+    sim.run(Duration::from_secs(8));
+    sim.submit_tasks(2, 1, 20_000);
+    sim
+}
+
+/// Guards against more starts than are allowed of a task that crashes its workers, where each worker
+/// runs a task that lasts. The other tasks do not fail.
+#[test]
+fn a_task_that_crashes_workers_fails_beside_tasks_that_last() {
+    let crasher = task(2, 0, 0);
+    let mut sim = beside_lasting_tasks();
+    sim.crashers.insert(crasher, CRASH_DELAY);
+
+    sim.run(Duration::from_mins(2));
+
+    assert_eq!(sim.status(2), Some(JobStatus::Failed));
+    assert!(sim.start_count(crasher) <= MAX_STARTS);
+    assert_ne!(sim.status(1), Some(JobStatus::Failed));
+}
