job: Show a job as started by a late end in each round

An end that does not count, since its run was lost at the end of the recovery, still shows that its job has started. In a round that was not open it showed nothing, so the job went back from active to pending.

tests/early_reports.rs, a_job_with_an_end_reported_too_late_has_started_in_each_round: before, pending; after, active.

--- a/crates/job/src/planner/recovery/batch.rs
+++ b/crates/job/src/planner/recovery/batch.rs
@@ -24,7 +24,8 @@
     /// Progress of each job.
     pub jobs: Vec<(JobId, Progress)>,
     /// For each worker, the number of the newest end that may be acknowledged once the batch is
-    /// saved. Ends of jobs that were not read yet may not. Empty unless the batch is complete, see `ends_complete`.
+    /// saved: those before its first end of a job that was not read yet. Empty unless the batch is
+    /// complete, see `ends_complete`.
     pub ends: Vec<(WorkerKey, u64)>,
     /// The batch leaves out no job with unsaved ends, an unsaved outcome or unsaved crash records.
     pub ends_complete: bool,
--- a/crates/job/src/planner/reports/report.rs
+++ b/crates/job/src/planner/reports/report.rs
@@ -249,6 +249,9 @@
         // a run that is done or has failed always counts.
         let counts = trusted || matches!(end.how, RunEnd::Done | RunEnd::Failed);
         if !was_booked && end.run <= self.run_base && !counts {
+            if let Some(job) = self.jobs.get_mut(&job) {
+                job.add_round(end.task.step.round);
+            }
             self.run_observed(end.task, end.run, Observation::of_end(end));
             return;
         }
--- a/crates/job/tests/early_reports.rs
+++ b/crates/job/tests/early_reports.rs
@@ -8,6 +8,7 @@
 use job::Batch;
 use job::JobId;
 use job::JobSpec;
+use job::JobStatus;
 use job::Outcome;
 use job::Placement;
 use job::Planner;
@@ -383,3 +384,24 @@
     let started: Vec<JobId> = started.iter().map(|(task, ..)| task.step.job).collect();
     assert_eq!(started, [JOB + 1], "only the job accepted later may start");
 }
+
+/// Guards against a status that goes back from active to pending: all that is reported of a repeated
+/// job is the end of a run in a round that is not open, after the recovery has ended.
+#[test]
+fn a_job_with_an_end_reported_too_late_has_started_in_each_round() {
+    let mut planner = successor(Duration::ZERO);
+    let mut job = repeated(30);
+    job.schedule.as_mut().expect("a schedule").first = Duration::from_mins(1);
+    planner.add_job(JOB, job, None, true);
+    let key = add(&mut planner, "w1");
+    plan_at(&mut planner, 9_000);
+    let ends = vec![ended(1, task_of(2), 1, RunEnd::Expired)];
+
+    planner.apply_report(
+        key,
+        Duration::from_millis(9_010),
+        &worker_report(vec![], ends),
+    );
+
+    assert_eq!(planner.job_status(JOB), Some(JobStatus::Active));
+}
