--- a/crates/job/src/planner/state/roster.rs
+++ b/crates/job/src/planner/state/roster.rs
@@ -46,6 +46,7 @@
 
 /// A run that has resources booked on a worker.
 #[derive(Debug)]
+#[allow(clippy::struct_excessive_bools)] // independent facts
 pub(crate) struct PlacedRun {
     pub run: RunId,
     pub booked: Resources,
