crowds: Tests of clients that hold on to memory and descriptors

Callers saw a process end: it ran out of memory while many clients sent large bodies, most of them stopping short of the end.

The tests start real processes on loopback hosts with 64 MB and 400 descriptors (in the tests' own settings; the process does not know these settings yet) and let 12 to 500 clients hold parts of requests, send bodies over the limit, send jobs that grow when they are decoded, or leave replies unread; at each listener, at all of them, and during a stop, a take-over, a burst and a slow store. They check that the process lives, that resident memory with what was received and not read stays within the host, that the descriptors do, and that an ordinary caller is answered beside the crowd and after it. No times, no shares.

The largest request in calm is served.

--- /dev/null
+++ b/crates/daemon/tests/crowds/main.rs
@@ -0,0 +1,324 @@
+//! Crowds of clients that hold on to memory and descriptors of a process. The tests check that the
+//! process lives, that its memory and its descriptors stay within those of its host, and that an
+//! ordinary caller gets an answer.
+
+mod crowd;
+mod host;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crowd::Conduct;
+use crowd::Crowd;
+use crowd::LARGEST_BODY;
+use crowd::chunked_request;
+use crowd::job_of_many_steps;
+use crowd::padded_job;
+use crowd::send_raw;
+use host::Cell;
+use host::Host;
+use host::serve_ordinary;
+use hyper::Method;
+use nix::sys::signal::Signal;
+use site::Caller;
+use site::StoreFaults;
+use tokio::sync::Mutex;
+
+/// Locked by each test, since the memory of a process is to be measured apart from other load.
+static CELL_LOCK: Mutex<()> = Mutex::const_new(());
+
+/// Members of a crowd whose bodies together are larger than the memory of a host.
+const BODIES: usize = 400;
+
+/// Members of a crowd with more connections than a host has descriptors.
+const CONNECTIONS: usize = 500;
+
+/// Members of a crowd that sends chunks of one byte, each of which takes far more than a byte to keep.
+const SMALL_CHUNKS: usize = 24;
+
+/// Members of a crowd that sends jobs, each of which takes far more memory than its body.
+const MANY_STEPS: usize = 12;
+
+/// Prefix of the path of a queue.
+const QUEUE: &str = "/plain/";
+
+/// Seed of the pauses of a crowd's members.
+const SEED: u64 = 68;
+
+/// Lets a crowd gather at the callers' address of one process, and checks what must hold.
+async fn withstand(conduct: Conduct, size: usize) {
+    let _lock = CELL_LOCK.lock().await;
+    let mut cell = Cell::open(1).await;
+    let crowd = Crowd::gather(cell.hosts[0].callers(), QUEUE, conduct, size, SEED);
+    crowd.settle().await;
+
+    cell.serve_ordinary(1).await;
+    crowd.close().await;
+    cell.serve_ordinary(2).await;
+
+    cell.hosts[0].assert_bounds();
+    cell.close().await;
+}
+
+// Guards against bodies of legal size, each sent at once up to its last byte, that together exceed the
+// memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_bodies_sent_whole() {
+    withstand(Conduct::Whole, BODIES).await;
+}
+
+// Guards against the same bodies sent piece by piece.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_bodies_sent_piece_by_piece() {
+    withstand(Conduct::Pieces, BODIES).await;
+}
+
+// Guards against chunked bodies of legal size in one chunk each.
+#[tokio::test(flavor = "multi_thread")]
+async fn chunked_bodies_in_large_chunks() {
+    withstand(Conduct::LargeChunk, BODIES).await;
+}
+
+// Guards against chunked bodies whose pieces take more memory than their bytes.
+#[tokio::test(flavor = "multi_thread")]
+async fn chunked_bodies_in_small_chunks() {
+    withstand(Conduct::SmallChunks, SMALL_CHUNKS).await;
+}
+
+// Guards against bodies that are announced to be far over the limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_announced_over_the_limit() {
+    withstand(Conduct::ExcessiveAnnounced, BODIES).await;
+}
+
+// Guards against chunked bodies far over the limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn chunked_bodies_over_the_limit() {
+    withstand(Conduct::ExcessiveChunked, BODIES).await;
+}
+
+// Guards against whole bodies that are kept while a slow store answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_bodies_while_the_store_is_slow() {
+    let _lock = CELL_LOCK.lock().await;
+    let mut cell = Cell::open(1).await;
+    cell.store.set_faults(StoreFaults {
+        delay: Duration::from_millis(1200),
+        ..StoreFaults::default()
+    });
+    let server = cell.hosts[0].callers();
+    let crowd = Crowd::gather(server, QUEUE, Conduct::PaddedJob, BODIES, SEED);
+    crowd.settle().await;
+    crowd.close().await;
+    cell.store.set_faults(StoreFaults::default());
+
+    cell.serve_ordinary(1).await;
+
+    cell.hosts[0].assert_bounds();
+    cell.close().await;
+}
+
+// Guards against jobs that take far more memory than their bodies once they are decoded.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_of_many_steps() {
+    withstand(Conduct::ManySteps, MANY_STEPS).await;
+}
+
+// Guards against heads without an end that take all descriptors.
+#[tokio::test(flavor = "multi_thread")]
+async fn heads_without_an_end() {
+    withstand(Conduct::Head, CONNECTIONS).await;
+}
+
+// Guards against silent connections that take all descriptors.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_send_nothing() {
+    withstand(Conduct::Silent, CONNECTIONS).await;
+}
+
+// Guards against clients that send requests and do not read the replies.
+#[tokio::test(flavor = "multi_thread")]
+async fn replies_that_are_not_read() {
+    withstand(Conduct::Unread, CONNECTIONS).await;
+}
+
+/// Lets a crowd with large bodies gather at another address than that for callers.
+async fn withstand_at(address: fn(&Host) -> SocketAddr, path: &'static str) {
+    let _lock = CELL_LOCK.lock().await;
+    let mut cell = Cell::open(2).await;
+    let server = address(&cell.hosts[0]);
+    let crowd = Crowd::gather(server, path, Conduct::Whole, BODIES, SEED);
+    crowd.settle().await;
+
+    cell.serve_ordinary(1).await;
+    let ready = cell.hosts[0].ready();
+    Caller::new().wait_status(ready, "/-/readyz", 200).await;
+    crowd.close().await;
+    cell.serve_ordinary(2).await;
+
+    cell.hosts[0].assert_bounds();
+    cell.hosts[1].assert_bounds();
+    cell.close().await;
+}
+
+// Guards against large bodies at the address for the other processes.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_bodies_at_the_address_for_peers() {
+    withstand_at(Host::peers, "/accept").await;
+}
+
+// Guards against large bodies at the address for readiness checks.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_bodies_at_the_address_for_readiness() {
+    withstand_at(Host::ready, "/-/readyz").await;
+}
+
+// Guards against large bodies at the address of the metrics.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_bodies_at_the_address_of_the_metrics() {
+    withstand_at(Host::metrics, "/metrics").await;
+}
+
+// Guards against listeners that each keep their bound while their sum exceeds the host.
+#[tokio::test(flavor = "multi_thread")]
+async fn crowds_at_all_addresses_at_once() {
+    let _lock = CELL_LOCK.lock().await;
+    let mut cell = Cell::open(1).await;
+    let host = &cell.hosts[0];
+    let gather = |server, path, conduct| Crowd::gather(server, path, conduct, 150, SEED);
+    let crowds = [
+        gather(host.callers(), QUEUE, Conduct::Whole),
+        gather(host.callers(), QUEUE, Conduct::Head),
+        gather(host.peers(), "/accept", Conduct::Pieces),
+        gather(host.peers(), "/accept", Conduct::Head),
+        gather(host.ready(), "/-/readyz", Conduct::LargeChunk),
+        gather(host.metrics(), "/metrics", Conduct::Unread),
+    ];
+    for crowd in &crowds {
+        crowd.settle().await;
+    }
+
+    cell.serve_ordinary(1).await;
+    for crowd in crowds {
+        crowd.close().await;
+    }
+    cell.serve_ordinary(2).await;
+
+    cell.hosts[0].assert_bounds();
+    cell.close().await;
+}
+
+// Guards against a crowd that keeps a process from stopping by itself, or its callers from an answer
+// meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_beside_a_crowd() {
+    let _lock = CELL_LOCK.lock().await;
+    let mut cell = Cell::open(2).await;
+    let server = cell.hosts[0].callers();
+    let crowd = Crowd::gather(server, QUEUE, Conduct::Whole, BODIES, SEED);
+    crowd.settle().await;
+
+    cell.hosts[0].signal(Signal::SIGTERM);
+    let (status, _) = Caller::new()
+        .send(Method::GET, server, "/plain/00000000000000ff", &().into())
+        .await;
+    let code = cell.hosts[0].wait_exit().await;
+    serve_ordinary(&[cell.hosts[1].callers()], 1).await;
+    crowd.close().await;
+
+    assert_ne!(status, 0, "a stopping process answers ordinary callers");
+    assert_eq!(code, Some(0));
+    cell.hosts[0].assert_peak();
+    cell.hosts[1].assert_bounds();
+    cell.close().await;
+}
+
+// Guards against a crowd that keeps a process from taking the pool over.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_take_over_beside_a_crowd() {
+    let _lock = CELL_LOCK.lock().await;
+    let mut cell = Cell::open(2).await;
+    let servers: Vec<_> = cell.hosts.iter().map(Host::callers).collect();
+    let crowds: Vec<Crowd> = servers
+        .iter()
+        .map(|&server| Crowd::gather(server, QUEUE, Conduct::Pieces, BODIES, SEED))
+        .collect();
+    for crowd in &crowds {
+        crowd.settle().await;
+    }
+    let owner = cell.owner();
+    let other = 1 - owner;
+
+    cell.hosts[owner].signal(Signal::SIGKILL);
+    serve_ordinary(&[servers[other]], 1).await;
+    for crowd in crowds {
+        crowd.close().await;
+    }
+
+    cell.hosts[other].assert_bounds();
+    cell.close().await;
+}
+
+// Guards against a crowd that is let in, or ordinary callers that are not, when many of them come at
+// once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_burst_of_ordinary_callers_beside_a_crowd() {
+    let _lock = CELL_LOCK.lock().await;
+    let mut cell = Cell::open(1).await;
+    let server = cell.hosts[0].callers();
+    let crowd = Crowd::gather(server, QUEUE, Conduct::Pieces, BODIES, SEED);
+    let burst: Vec<_> = (0..200)
+        .map(|number| {
+            tokio::spawn(async move {
+                let path = format!("/plain/{:016x}", 0x00b0_0000 + number);
+                let job = site::job(1, "10");
+                Caller::new().send(Method::POST, server, &path, &job).await
+            })
+        })
+        .collect();
+    for call in burst {
+        call.await.expect("a call returns");
+    }
+    crowd.settle().await;
+
+    cell.serve_ordinary(1).await;
+    crowd.close().await;
+
+    cell.hosts[0].assert_bounds();
+    cell.close().await;
+}
+
+// Guards against limits that refuse the largest request that the configuration allows.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_largest_request_is_served_in_calm() {
+    let _lock = CELL_LOCK.lock().await;
+    let mut cell = Cell::open(1).await;
+    let server = cell.hosts[0].callers();
+    let body = padded_job(LARGEST_BODY);
+
+    let mut statuses = Vec::new();
+    for (number, chunk) in [(1, 1), (2, 1000), (3, LARGEST_BODY)] {
+        let path = format!("{QUEUE}{number:016x}");
+        statuses.push(send_raw(server, &chunked_request(&path, &body, chunk)).await);
+    }
+
+    assert_eq!(statuses, [200, 200, 200]);
+    cell.hosts[0].assert_bounds();
+    cell.close().await;
+}
+
+// Guards against a job that the store cannot keep, and that its caller therefore submits in vain.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_larger_than_a_row_is_rejected_at_once() {
+    let _lock = CELL_LOCK.lock().await;
+    let mut cell = Cell::open(1).await;
+    let server = cell.hosts[0].callers();
+    let body = job_of_many_steps(LARGEST_BODY);
+
+    let path = format!("{QUEUE}{:016x}", 1);
+    let status = send_raw(server, &chunked_request(&path, &body, 9000)).await;
+
+    assert_eq!(status, 413);
+    cell.hosts[0].assert_bounds();
+    cell.close().await;
+}
