platform, cell: Reject jobs whose row the store does not take

Callers could send a job of 262,144 bytes with 87,000 empty steps. The process decoded all of them (some 15 MB a job), encoded a row of 1.4 MB and sent it to a store that takes rows of 65,536 bytes: the job could never be accepted, and its caller learnt nothing until its timeout.

A job whose row is larger than `row_bytes`, which the settings now hold, is rejected with 413 before anything is written. A limit on the body alone was weighed: it would refuse padded jobs that fit a row.

--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -80,6 +80,10 @@
     pub link_mbps: f64,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Maximum size of a row in the store, in bytes; [`DEFAULT_ROW_BYTES`] if the platform states
+    /// none.
+    #[serde(default)]
+    pub row_bytes: Option<usize>,
     /// Address of the advice service, which decides which workers may run a step; empty if there
     /// is none.
     #[serde(default)]
@@ -108,6 +112,9 @@
 /// Default time after which a draining worker may get no more tasks, in milliseconds.
 const DEFAULT_DRAIN_MS: u64 = 2000;
 
+/// Default maximum size of a row in the store, in bytes.
+const DEFAULT_ROW_BYTES: usize = 65_536;
+
 /// Default time within which a new configuration must take effect, in milliseconds.
 fn default_config_ms() -> u64 {
     2000
@@ -194,6 +201,12 @@
         Duration::from_millis(self.bounds.drain_ms.unwrap_or(DEFAULT_DRAIN_MS))
     }
 
+    /// Returns the maximum size of a row in the store, in bytes.
+    #[must_use]
+    pub fn row_limit(&self) -> usize {
+        self.row_bytes.unwrap_or(DEFAULT_ROW_BYTES)
+    }
+
     /// Returns the ages up to which the configuration may be relied on.
     #[must_use]
     pub fn config_ages(&self) -> ConfigAges {
--- a/crates/cell/src/submit.rs
+++ b/crates/cell/src/submit.rs
@@ -5,8 +5,10 @@
 use job::Config;
 use job::ExcessiveStep;
 use job::JobId;
+use job::JobSpec;
 use job::Mechanism;
 use job::Organisation;
+use platform::JobError;
 use platform::decode_job;
 use platform::request_key;
 use web::HttpRequest;
@@ -22,6 +24,7 @@
 use crate::callers::outcome_unknown;
 use crate::callers::refusal;
 use crate::callers::service_unavailable;
+use crate::encode_row;
 use crate::hex;
 use crate::peers::Forwarded;
 use crate::rejection::new_attempt;
@@ -43,7 +46,7 @@
         let Admitted { queue, viewer, .. } = *admitted;
         let mut spec = match decode_job(&request.body, queue, self.context.wall_time()) {
             Ok(spec) => spec,
-            Err(error) => return web::error(StatusCode::BAD_REQUEST, &error.to_string()),
+            Err(error) => return malformed(&error),
         };
         if let Some(organisation) = viewer.organisation() {
             if let Some(excessive) = organisation.excessive_step(&spec) {
@@ -51,6 +54,9 @@
             }
             spec.organisation = Some(organisation.clone());
         }
+        if let Some(response) = self.over_row(&spec) {
+            return response;
+        }
         let key = request_key(&request.headers).ok();
         let job = AcceptedJob {
             id,
@@ -108,6 +114,16 @@
         web::error(StatusCode::UNPROCESSABLE_ENTITY, &reason)
     }
 
+    /// Rejects a job whose row the store does not take.
+    fn over_row(&self, spec: &JobSpec) -> Option<HttpResponse> {
+        let found = encode_row(spec).len();
+        let allowed = self.context.settings.row_limit();
+        (found > allowed).then(|| {
+            let reason = format!("job: found {found} bytes in a row, allowed: at most {allowed}");
+            web::error(StatusCode::PAYLOAD_TOO_LARGE, &reason)
+        })
+    }
+
     /// Notifies the owner without delaying the caller. If the message is lost, the owner reads
     /// the job from the change feed.
     fn notify_owner(&self, mut job: AcceptedJob) {
@@ -124,3 +140,13 @@
         });
     }
 }
+
+/// Response to a job that cannot be decoded or is not allowed.
+fn malformed(error: &JobError) -> HttpResponse {
+    let status = if error.too_large() {
+        StatusCode::PAYLOAD_TOO_LARGE
+    } else {
+        StatusCode::BAD_REQUEST
+    };
+    web::error(status, &error.to_string())
+}
