web: Join ended connections before accepting new ones

The accept loop chose at random between a new connection and the join of one that had ended.

The loop now joins first.

--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -92,9 +92,11 @@
     let mut connection_tasks = tokio::task::JoinSet::new();
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            Some(_) = connection_tasks.join_next() => continue,
+            biased;
             () = wait_for_stop(&mut stop) => break,
+            // A task that has ended takes memory until it is joined.
+            Some(_) = connection_tasks.join_next() => continue,
+            accepted = listener.accept() => accepted,
         };
         let Ok((stream, _)) = accepted else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
