cell: Log only the begin of a caller's path and host

A request that matches no queue is logged with its path and its host, each of up to 16 KB.

Lines now have the first 120 bytes of each. A bound on the bytes of the waiting lines was weighed; the library counts lines.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -276,7 +276,7 @@
 /// Reply of a stopping host to a request that it has not finished.
 fn unfinished(request: &HttpRequest) -> HttpResponse {
     log::warn!(
-        code = 423, method = request.method.as_str(), path = request.path.as_str();
+        code = 423, method = request.method.as_str(), path = excerpt(&request.path);
         "request not finished within the grace period of the stop; the caller gets 503 or 504"
     );
     let reason = "this host is stopping";
@@ -291,7 +291,7 @@
     let queue = config.route(&request.host, &request.path);
     if queue.is_none() {
         log::info!(
-            code = 411, host = request.host.as_str(), path = request.path.as_str(),
+            code = 411, host = excerpt(&request.host), path = excerpt(&request.path),
             version = config.version;
             "request matches no queue; the caller gets 404, or 503 if the configuration is outdated"
         );
@@ -343,6 +343,15 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Maximum length of a text of a caller in a log line, in bytes.
+const EXCERPT_BYTES: usize = 120;
+
+/// Returns the begin of a text that a caller sent. The lines that wait for a slow log output are
+/// counted, and a head may have thousands of bytes.
+fn excerpt(text: &str) -> &str {
+    &text[..text.floor_char_boundary(EXCERPT_BYTES)]
+}
+
 /// Formats a job's id the way callers write it: 16 hexadecimal digits.
 #[must_use]
 pub fn hex(id: JobId) -> String {
--- a/crates/daemon/tests/crowds/crowd.rs
+++ b/crates/daemon/tests/crowds/crowd.rs
@@ -33,6 +33,9 @@
 /// Number of requests that a member sends without reading a reply.
 const PIPELINED: usize = 2_000;
 
+/// Number of requests of a member with heads of almost the largest size.
+const LONG_PATHS: usize = 300;
+
 /// Longest time that a test waits until the members have sent all that the process takes.
 const SEND_LIMIT: Duration = Duration::from_secs(20);
 
@@ -67,6 +70,8 @@
     ManySteps,
     /// Many requests on one connection, whose replies are not read.
     Unread,
+    /// The same, with heads of almost the largest size.
+    LongPaths,
 }
 
 impl Conduct {
@@ -120,6 +125,11 @@
                 let request = format!("GET {path} HTTP/1.1\r\nhost: desk.example\r\n\r\n");
                 vec![request.repeat(PIPELINED).into_bytes()]
             }
+            Conduct::LongPaths => {
+                let rest = "x".repeat(LARGEST_HEAD - 200);
+                let request = format!("GET {path}{rest} HTTP/1.1\r\nhost: desk.example\r\n\r\n");
+                vec![request.into_bytes(); LONG_PATHS]
+            }
         }
     }
 }
@@ -274,7 +284,7 @@
 
     /// Waits until the process closes the connection. A member that does not read waits for good.
     async fn wait_closed(&self, stream: &mut TcpStream) {
-        if self.conduct == Conduct::Unread {
+        if matches!(self.conduct, Conduct::Unread | Conduct::LongPaths) {
             std::future::pending::<()>().await;
         }
         let mut reply = [0; 1024];
--- a/crates/daemon/tests/crowds/host.rs
+++ b/crates/daemon/tests/crowds/host.rs
@@ -59,6 +59,15 @@
     pub descriptors: usize,
 }
 
+/// What becomes of the log of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Logs {
+    /// It is written to a file.
+    Written,
+    /// Nobody reads it.
+    Blocked,
+}
+
 /// A host with a running process.
 pub struct Host {
     address: LoopbackHost,
@@ -69,7 +78,13 @@
 }
 
 impl Host {
-    fn start(address: LoopbackHost, settings: &Value, folder: &TempDir, name: &str) -> Host {
+    fn start(
+        address: LoopbackHost,
+        settings: &Value,
+        folder: &TempDir,
+        name: &str,
+        logs: Logs,
+    ) -> Host {
         let path = folder.path().join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("settings");
         let log_path = folder.path().join(format!("{name}.log"));
@@ -79,7 +94,10 @@
             .env("CLOVERMOUNT_BOOT", &path)
             .stdin(Stdio::null())
             .stderr(log.try_clone().expect("log file"))
-            .stdout(log)
+            .stdout(match logs {
+                Logs::Written => Stdio::from(log),
+                Logs::Blocked => Stdio::piped(),
+            })
             .kill_on_drop(true)
             .spawn()
             .expect("the process starts");
@@ -181,6 +199,11 @@
 impl Cell {
     /// Starts `processes` processes and waits until they are ready and have an owner.
     pub async fn open(processes: usize) -> Cell {
+        Cell::open_with(processes, Logs::Written).await
+    }
+
+    /// The same with another use of the logs.
+    pub async fn open_with(processes: usize, logs: Logs) -> Cell {
         let (serving, stop) = watch::channel(false);
         let store = FakeStore::new();
         let mut configuration = config(1);
@@ -199,7 +222,7 @@
             let mut settings: Value = serde_json::from_str(&text).expect("JSON");
             settings["memory_mb"] = json!(MEMORY_MB);
             settings["descriptors"] = json!(DESCRIPTORS);
-            Host::start(address, &settings, &folder, &format!("entry-{index}"))
+            Host::start(address, &settings, &folder, &format!("entry-{index}"), logs)
         });
         let cell = Cell {
             hosts: hosts.collect(),
--- a/crates/daemon/tests/crowds/main.rs
+++ b/crates/daemon/tests/crowds/main.rs
@@ -17,6 +17,7 @@
 use crowd::send_raw;
 use host::Cell;
 use host::Host;
+use host::Logs;
 use host::serve_ordinary;
 use hyper::Method;
 use nix::sys::signal::Signal;
@@ -39,6 +40,9 @@
 /// Members of a crowd that sends jobs, each of which takes far more memory than its body.
 const MANY_STEPS: usize = 12;
 
+/// Members of a crowd whose heads together are larger than the memory of a host.
+const LONG_PATHS: usize = 24;
+
 /// Prefix of the path of a queue.
 const QUEUE: &str = "/plain/";
 
@@ -142,6 +146,23 @@
     withstand(Conduct::Unread, CONNECTIONS).await;
 }
 
+// Guards against log lines as long as the heads of requests, which are kept while the log output is
+// slow.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_paths_while_nobody_reads_the_log() {
+    let _lock = CELL_LOCK.lock().await;
+    let mut cell = Cell::open_with(1, Logs::Blocked).await;
+    let server = cell.hosts[0].callers();
+    let crowd = Crowd::gather(server, "/nowhere/", Conduct::LongPaths, LONG_PATHS, SEED);
+    crowd.settle().await;
+
+    cell.serve_ordinary(1).await;
+    crowd.close().await;
+
+    cell.hosts[0].assert_bounds();
+    cell.close().await;
+}
+
 /// Lets a crowd with large bodies gather at another address than that for callers.
 async fn withstand_at(address: fn(&Host) -> SocketAddr, path: &'static str) {
     let _lock = CELL_LOCK.lock().await;
