web, cell: Bound the memory of request bodies

Each listener now has a part of the host's memory for bodies (`memory_mb`: a sixth for callers, a sixteenth for the other processes). The ledger decides without I/O: a body reserves memory before it grows, in segments of one size; when the part is used up, the largest body that has not arrived whole yields (503, come back at once: another host may have room), of two of a size the older one; a quarter is left to small bodies, and a body larger than all others is refused. An announced size over the limit of the configuration gets 413 before the body is read, and a body that does not arrive within 30 s gets 408. Memory is given back with the reply, and on every other end of a connection.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -21,6 +21,7 @@
 use web::Handler;
 use web::HttpRequest;
 use web::HttpResponse;
+use web::Refusal;
 
 use crate::Acceptor;
 use crate::Context;
@@ -264,6 +265,20 @@
         Some(self.mark(*rejection))
     }
 
+    fn body_limit(&self, _: &HttpRequest) -> Option<usize> {
+        let config = self.context.config.borrow();
+        config.as_ref().map(|config| config.body_bytes)
+    }
+
+    /// The limits are those of this host; another one may have room.
+    fn refuse(&self, reason: &str) -> HttpResponse {
+        refusal(reason, RefusalScope::Host)
+    }
+
+    fn record(&self, refusal: Refusal) {
+        self.context.metrics.record_refusal("callers", refusal);
+    }
+
     async fn handle(&self, request: HttpRequest) -> HttpResponse {
         let response = tokio::select! {
             response = self.respond(&request) => response,
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -17,6 +17,7 @@
 use web::Handler;
 use web::HttpRequest;
 use web::HttpResponse;
+use web::Refusal;
 
 /// Upper bounds of the latency buckets, in seconds: from one reply of the store to the longest
 /// jobs.
@@ -33,6 +34,9 @@
     /// Requests that were not authorized, by reason: `missing`, `repeated`, `malformed`, `unknown`,
     /// `undecided`.
     pub denied: IntCounterVec,
+    /// Requests refused and connections closed because of the limits of a listener, by listener and
+    /// reason: `memory`, `size`, `late`, `broken`.
+    pub limited: IntCounterVec,
     /// Status replies to callers, by source: `owner`, `store`, `none`, `unreadable`.
     pub states: IntCounterVec,
     /// Cancel requests by HTTP status.
@@ -115,6 +119,11 @@
             ),
             &["outcome"],
         );
+        let limited = Opts::new(
+            "clovermount_limited_total",
+            "Requests refused and connections closed because of limits",
+        );
+        let limited = IntCounterVec::new(limited, &["listener", "reason"]).expect("valid name");
         let latency = |name, help| {
             let metric = Histogram::with_opts(histogram(name, help)).expect("valid name");
             register(&registry, metric)
@@ -122,6 +131,7 @@
         CellMetrics {
             submits: counters(&registry, "submits", "Submissions by result", "result"),
             denied: counters(&registry, "denied", "Requests not authorized", "reason"),
+            limited: register(&registry, limited),
             states: counters(&registry, "states", "States shown by source", "source"),
             cancels: counters(&registry, "cancels", "Cancels by status", "status"),
             starts: counters(&registry, "starts", "Answers to starts", "result"),
@@ -162,6 +172,20 @@
 }
 
 impl CellMetrics {
+    /// Counts and logs a request that was refused, or a connection that was closed, because of the
+    /// limits of a listener. The counter shows how often; the log shows the first of each reason.
+    pub(crate) fn record_refusal(&self, listener: &'static str, refusal: Refusal) {
+        let reason: &'static str = refusal.into();
+        let counter = self.limited.with_label_values(&[listener, reason]);
+        if counter.get() == 0 {
+            log::warn!(
+                code = 425, listener = listener, reason = reason;
+                "limit of a listener reached; further cases are only counted"
+            );
+        }
+        counter.inc();
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     #[must_use]
     pub fn text(&self) -> String {
@@ -200,6 +224,10 @@
 }
 
 impl Handler for MetricsHandler {
+    fn record(&self, refusal: Refusal) {
+        self.metrics.record_refusal("metrics", refusal);
+    }
+
     async fn handle(&self, _: HttpRequest) -> HttpResponse {
         web::text(StatusCode::OK, self.metrics.text())
     }
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -25,6 +25,7 @@
 use web::Handler;
 use web::HttpRequest;
 use web::HttpResponse;
+use web::Refusal;
 
 use crate::Acceptance;
 use crate::Acceptor;
@@ -461,6 +462,10 @@
 }
 
 impl Handler for PeerHandler {
+    fn record(&self, refusal: Refusal) {
+        self.context.metrics.record_refusal("peers", refusal);
+    }
+
     async fn handle(&self, incoming: HttpRequest) -> HttpResponse {
         let requester = requester_of(&incoming);
         if let Some(id) = incoming.path.strip_prefix("/state/") {
--- a/crates/cell/src/process.rs
+++ b/crates/cell/src/process.rs
@@ -18,7 +18,7 @@
 use web::Handler;
 use web::HttpRequest;
 use web::HttpResponse;
-use web::Limits;
+use web::Refusal;
 
 use crate::CallerHandler;
 use crate::CellError;
@@ -26,6 +26,7 @@
 use crate::Change;
 use crate::Context;
 use crate::Follower;
+use crate::ListenerLimits;
 use crate::MetricsHandler;
 use crate::OwnerClient;
 use crate::OwnerElection;
@@ -79,21 +80,26 @@
         let context = Context::new(settings, config, ownership, stop_rx);
         let owner_handle = OwnerHandle::new(owner_slot_rx);
         let client = OwnerClient::new(context.clone(), owner_handle.clone());
-        let listen = &context.settings.listen;
-        let callers = bind(listen.callers).await?;
-        let ready = bind(listen.ready).await?;
-        let metrics = bind(listen.metrics).await?;
+        let addresses = &context.settings.listen;
+        let limits = ListenerLimits::new(&context.settings);
+        let callers = bind(addresses.callers).await?;
+        let ready = bind(addresses.ready).await?;
+        let metrics = bind(addresses.metrics).await?;
         let peers = bind(context.settings.peer_address()).await?;
         let mut servers = JoinSet::new();
-        let limits = Limits::default();
         let handler = CallerHandler::new(context.clone(), client.clone());
-        servers.spawn(web::serve(callers, handler, limits, close_rx.clone()));
+        servers.spawn(web::serve(
+            callers,
+            handler,
+            limits.callers,
+            close_rx.clone(),
+        ));
         let handler = ReadyHandler::new(context.clone());
-        servers.spawn(web::serve(ready, handler, limits, close_rx.clone()));
+        servers.spawn(web::serve(ready, handler, limits.small, close_rx.clone()));
         let handler = PeerHandler::new(owner_handle, context.clone());
-        servers.spawn(web::serve(peers, handler, limits, close_rx.clone()));
+        servers.spawn(web::serve(peers, handler, limits.peers, close_rx.clone()));
         let handler = MetricsHandler::new(context.metrics.clone());
-        servers.spawn(web::serve(metrics, handler, limits, close_rx));
+        servers.spawn(web::serve(metrics, handler, limits.small, close_rx));
         let mut tasks = JoinSet::new();
         tasks.spawn(follow_config(context.clone(), config_tx));
         tasks.spawn(OwnerElection::new(context.clone(), ownership_tx).run());
@@ -255,6 +261,10 @@
 }
 
 impl Handler for ReadyHandler {
+    fn record(&self, refusal: Refusal) {
+        self.context.metrics.record_refusal("ready", refusal);
+    }
+
     async fn handle(&self, _: HttpRequest) -> HttpResponse {
         if self.ready() {
             web::text(StatusCode::OK, "ready")
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -78,6 +78,9 @@
     /// Bandwidth of the host's link, in megabits per second.
     #[serde(default = "default_link")]
     pub link_mbps: f64,
+    /// Memory of the host, in megabytes; [`DEFAULT_MEMORY_MB`] if the platform states none.
+    #[serde(default)]
+    pub memory_mb: Option<usize>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Maximum size of a row in the store, in bytes; [`DEFAULT_ROW_BYTES`] if the platform states
@@ -112,6 +115,12 @@
 /// Default time after which a draining worker may get no more tasks, in milliseconds.
 const DEFAULT_DRAIN_MS: u64 = 2000;
 
+/// Default memory of a host, in megabytes.
+const DEFAULT_MEMORY_MB: usize = 256;
+
+/// Bytes of a megabyte.
+const MEGABYTE: usize = 1_000_000;
+
 /// Default maximum size of a row in the store, in bytes.
 const DEFAULT_ROW_BYTES: usize = 65_536;
 
@@ -201,6 +210,13 @@
         Duration::from_millis(self.bounds.drain_ms.unwrap_or(DEFAULT_DRAIN_MS))
     }
 
+    /// Returns the memory of the host, in bytes.
+    #[must_use]
+    pub fn memory(&self) -> usize {
+        let megabytes = self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
+        megabytes.saturating_mul(MEGABYTE)
+    }
+
     /// Returns the maximum size of a row in the store, in bytes.
     #[must_use]
     pub fn row_limit(&self) -> usize {
--- a/crates/cell/tests/admission.rs
+++ b/crates/cell/tests/admission.rs
@@ -93,6 +93,7 @@
         cores: 1.0,
         link_mbps: 1000.0,
         store: address,
+        memory_mb: None,
         row_bytes: None,
         advice: String::new(),
         machines: String::new(),
--- a/crates/cell/tests/context.rs
+++ b/crates/cell/tests/context.rs
@@ -35,6 +35,7 @@
         cores: 1.0,
         link_mbps: 1000.0,
         store: address,
+        memory_mb: None,
         row_bytes: None,
         advice: String::new(),
         machines: String::new(),
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -241,6 +241,7 @@
         head_bytes: settings.http.head_bytes,
         idle: Duration::from_millis(settings.http.idle_millis),
         connections: settings.http.connections,
+        ..web::Limits::default()
     }
 }
 
--- /dev/null
+++ b/crates/web/src/gate.rs
@@ -0,0 +1,149 @@
+//! Connections of a listener: waits for what the ledger decides, and tells connections to yield.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use slotmap::SecondaryMap;
+use tokio::sync::Notify;
+
+use crate::Limits;
+use crate::ledger::ConnectionKey;
+use crate::ledger::Decision;
+use crate::ledger::Ledger;
+
+/// Longest time until a decision is made anew: a new connection may have settled by then.
+const DECISION_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Tells a connection to yield.
+#[derive(Debug, Default)]
+struct Signals {
+    /// To give up the body that is arriving.
+    body: Notify,
+}
+
+#[derive(Debug)]
+struct State {
+    ledger: Ledger,
+    signals: SecondaryMap<ConnectionKey, Arc<Signals>>,
+}
+
+impl State {
+    fn tell(&self, key: ConnectionKey) {
+        if let Some(signals) = self.signals.get(key) {
+            signals.body.notify_one();
+        }
+    }
+}
+
+/// The connections of a listener.
+#[derive(Debug)]
+pub(crate) struct Gate {
+    state: Mutex<State>,
+    /// Notified when a connection may have yielded.
+    changed: Notify,
+}
+
+impl Gate {
+    pub(crate) fn new(limits: Limits) -> Arc<Gate> {
+        let state = State {
+            ledger: Ledger::new(limits),
+            signals: SecondaryMap::new(),
+        };
+        Arc::new(Gate {
+            state: Mutex::new(state),
+            changed: Notify::new(),
+        })
+    }
+
+    /// Adds a new connection.
+    pub(crate) fn enter(self: &Arc<Gate>) -> Place {
+        let mut state = self.lock();
+        let key = state.ledger.open(Instant::now());
+        let signals: Arc<Signals> = Arc::default();
+        state.signals.insert(key, signals.clone());
+        Place {
+            gate: self.clone(),
+            key,
+            signals,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Place of an open connection among those of its listener.
+#[derive(Debug)]
+pub(crate) struct Place {
+    gate: Arc<Gate>,
+    key: ConnectionKey,
+    signals: Arc<Signals>,
+}
+
+impl Place {
+    /// Waits for a signal to yield. One that came too late, when the next request had begun, is
+    /// ignored.
+    async fn told(&self, signal: &Notify) {
+        loop {
+            signal.notified().await;
+            if self.gate.lock().ledger.is_yielding(self.key) {
+                return;
+            }
+        }
+    }
+
+    /// Records that the body of a request is arriving.
+    pub(crate) fn receive(&self) {
+        self.gate.lock().ledger.receive(self.key, Instant::now());
+    }
+
+    /// Waits until the body that is arriving may take `bytes` more; returns false if it has to be
+    /// given up.
+    pub(crate) async fn reserve(&self, bytes: usize) -> bool {
+        loop {
+            let changed = self.gate.changed.notified();
+            {
+                let mut state = self.gate.lock();
+                match state.ledger.reserve(self.key, bytes) {
+                    Decision::Granted => return true,
+                    Decision::Refused => return false,
+                    Decision::Wait(Some(key)) => state.tell(key),
+                    Decision::Wait(None) => {}
+                }
+            }
+            let _ = tokio::time::timeout(DECISION_INTERVAL, changed).await;
+        }
+    }
+
+    /// Waits until the body that is arriving has to be given up for another one.
+    pub(crate) async fn displaced(&self) {
+        self.told(&self.signals.body).await;
+    }
+
+    /// Records that a request has arrived whole and is being handled.
+    pub(crate) fn handle(&self) {
+        self.gate.lock().ledger.handle(self.key, Instant::now());
+    }
+
+    /// Records that the reply to a request is ready, and that its body is no longer held.
+    pub(crate) fn finish(&self) {
+        self.gate.lock().ledger.finish(self.key, Instant::now());
+        self.gate.changed.notify_waiters();
+    }
+}
+
+// Runs on every way out of a connection's task, a panic of the handler and an abort included.
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut state = self.gate.lock();
+        state.ledger.close(self.key);
+        state.signals.remove(self.key);
+        drop(state);
+        self.gate.changed.notify_waiters();
+    }
+}
--- a/crates/web/src/limits.rs
+++ b/crates/web/src/limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-/// Limits per request, per connection and for all connections together.
+/// Limits per request, per connection and for all connections of a listener together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// Maximum size of a request body, in bytes.
@@ -13,8 +13,13 @@
     /// Timeout for receiving the head of the next request on a connection; when it
     /// expires, the connection is closed.
     pub idle: Duration,
+    /// Time for a client to send the body of a request.
+    pub receive: Duration,
     /// Maximum number of open connections; further ones are closed at once.
     pub connections: usize,
+    /// Memory for the bodies of all requests together, in bytes. When it is used up,
+    /// the largest body that has not arrived whole yields.
+    pub memory: usize,
 }
 
 impl Default for Limits {
@@ -23,7 +28,28 @@
             body_bytes: 1024 * 1024,
             head_bytes: 16 * 1024,
             idle: Duration::from_mins(1),
+            receive: Duration::from_secs(30),
             connections: 4096,
+            memory: 64 * 1024 * 1024,
+        }
+    }
+}
+
+/// Part of the memory that only small bodies may use, as its reciprocal.
+const SMALL_SHARE: usize = 4;
+
+/// Size up to which a body is small, as part of the largest one allowed, as its
+/// reciprocal.
+const SMALL_SIZE: usize = 16;
+
+impl Limits {
+    /// Memory that may be in use after a body has grown to `size`. Large bodies leave a
+    /// part of it to small ones.
+    pub(crate) fn memory_for(&self, size: usize) -> usize {
+        if size > self.body_bytes / SMALL_SIZE {
+            self.memory - self.memory / SMALL_SHARE
+        } else {
+            self.memory
         }
     }
 }
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -1,5 +1,5 @@
-//! HTTP/1 server with one async task per connection, a limit on open connections
-//! and a graceful stop.
+//! HTTP/1 server with one async task per connection, limits on what clients occupy and a
+//! graceful stop.
 
 use std::convert::Infallible;
 use std::future::Future;
@@ -7,15 +7,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
+use hyper::header::CONNECTION;
 use hyper::header::HOST;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -28,8 +30,12 @@
 
 use crate::HttpResponse;
 use crate::Limits;
+use crate::Refusal;
+use crate::body;
 use crate::decode;
 use crate::error;
+use crate::gate::Gate;
+use crate::gate::Place;
 
 /// Delay after a failed accept, for example because of too many open files, so
 /// that the accept loop does not spin.
@@ -76,6 +82,24 @@
         None
     }
 
+    /// Maximum size of the body of `head`, in bytes, if it is smaller than that of the listener.
+    fn body_limit(&self, head: &HttpRequest) -> Option<usize> {
+        let _ = head;
+        None
+    }
+
+    /// Returns the response to a request that is not handled for lack of room, and never will be.
+    fn refuse(&self, reason: &str) -> HttpResponse {
+        let mut response = error(StatusCode::SERVICE_UNAVAILABLE, reason);
+        response.headers_mut().insert(RETRY_AFTER, 1.into());
+        response
+    }
+
+    /// Called when a request is refused, or a connection closed, because of the listener's limits.
+    fn record(&self, refusal: Refusal) {
+        let _ = refusal;
+    }
+
     /// Handles one request and returns the response.
     fn handle(&self, http_request: HttpRequest) -> impl Future<Output = HttpResponse> + Send;
 }
@@ -88,6 +112,7 @@
     limits: Limits,
     mut stop: watch::Receiver<bool>,
 ) {
+    let gate = Gate::new(limits);
     let permits = Arc::new(Semaphore::new(limits.connections));
     let mut connection_tasks = tokio::task::JoinSet::new();
     loop {
@@ -111,8 +136,9 @@
         };
         let handler = handler.clone();
         let stop = stop.clone();
+        let place = gate.enter();
         connection_tasks.spawn(async move {
-            serve_connection(stream, handler, limits, stop).await;
+            serve_connection(stream, handler, limits, place, stop).await;
             drop(permit);
         });
     }
@@ -129,12 +155,17 @@
     stream: TcpStream,
     handler: Arc<H>,
     limits: Limits,
+    place: Place,
     mut stop: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
     let service = service_fn(|request: Request<Incoming>| {
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(answer(request, &*handler, limits).await) }
+        let exchange = Exchange {
+            handler: handler.as_ref(),
+            limits,
+            place: &place,
+        };
+        async move { Ok::<_, Infallible>(exchange.answer(request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -154,27 +185,77 @@
     }
 }
 
-async fn answer<H: Handler>(
-    request: Request<Incoming>,
-    handler: &H,
+/// One request on a connection and the response to it.
+struct Exchange<'a, H> {
+    handler: &'a H,
     limits: Limits,
-) -> HttpResponse {
-    let (head, body) = request.into_parts();
-    let mut http_request = without_body(head);
-    if let Some(rejection) = handler.screen(&http_request) {
-        return rejection;
+    place: &'a Place,
+}
+
+impl<H: Handler> Exchange<'_, H> {
+    async fn answer(self, request: Request<Incoming>) -> HttpResponse {
+        let response = match self.respond(request).await {
+            Ok(response) => response,
+            Err(rejection) => *rejection,
+        };
+        self.place.finish();
+        response
     }
-    http_request.body = if let Ok(body) = Limited::new(body, limits.body_bytes).collect().await {
-        body.to_bytes()
-    } else {
-        // The body is longer than allowed, or the connection ended before its end.
-        let reason = format!(
-            "body: allowed: at most {} bytes, sent whole",
-            limits.body_bytes
-        );
-        return error(StatusCode::PAYLOAD_TOO_LARGE, &reason);
-    };
-    handler.handle(http_request).await
+
+    /// Receives a request whole and handles it in its turn; returns the response to a rejected one as
+    /// an error.
+    async fn respond(&self, request: Request<Incoming>) -> Result<HttpResponse, Box<HttpResponse>> {
+        let (head, body) = request.into_parts();
+        let mut http_request = without_body(head);
+        if let Some(rejection) = self.handler.screen(&http_request) {
+            return Err(Box::new(rejection));
+        }
+        if !body.is_end_stream() {
+            let limit = self.handler.body_limit(&http_request);
+            let allowed = limit.map_or(self.limits.body_bytes, |limit| {
+                limit.min(self.limits.body_bytes)
+            });
+            let received = self.receive(body, allowed).await;
+            http_request.body = received.map_err(|refusal| self.refuse(refusal, allowed))?;
+        }
+        self.place.handle();
+        Ok(self.handler.handle(http_request).await)
+    }
+
+    async fn receive(&self, body: Incoming, allowed: usize) -> Result<Bytes, Refusal> {
+        self.place.receive();
+        tokio::select! {
+            received = body::receive(body, allowed, self.place) => received,
+            () = self.place.displaced() => Err(Refusal::Memory),
+            () = tokio::time::sleep(self.limits.receive) => Err(Refusal::Late),
+        }
+    }
+
+    /// Returns the response to a refused request. Its connection is closed, since the rest of the body
+    /// is not read.
+    fn refuse(&self, refusal: Refusal, allowed: usize) -> Box<HttpResponse> {
+        self.handler.record(refusal);
+        let mut response = match refusal {
+            Refusal::Size => {
+                let reason = format!("body: allowed: at most {allowed} bytes");
+                error(StatusCode::PAYLOAD_TOO_LARGE, &reason)
+            }
+            Refusal::Late => {
+                let reason = format!("body: allowed: sent within {:?}", self.limits.receive);
+                error(StatusCode::REQUEST_TIMEOUT, &reason)
+            }
+            Refusal::Broken => error(StatusCode::BAD_REQUEST, "body: allowed: sent whole"),
+            Refusal::Memory => self.handler.refuse("no memory for the body of the request"),
+        };
+        close_after(&mut response);
+        Box::new(response)
+    }
+}
+
+/// Lets the connection be closed after a response.
+fn close_after(response: &mut HttpResponse) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
 }
 
 fn without_body(head: Parts) -> HttpRequest {
--- /dev/null
+++ b/crates/web/tests/limits.rs
@@ -0,0 +1,143 @@
+//! A server and its limits, over loopback.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use web::Handler;
+use web::HttpRequest;
+use web::HttpResponse;
+use web::Limits;
+
+/// Answers with the length of the body; panics if the path asks for it.
+struct Length;
+
+impl Handler for Length {
+    fn body_limit(&self, head: &HttpRequest) -> Option<usize> {
+        (head.path == "/short").then_some(10)
+    }
+
+    async fn handle(&self, request: HttpRequest) -> HttpResponse {
+        assert_ne!(request.path, "/panic", "a fault of the handler");
+        web::text(StatusCode::OK, request.body.len().to_string())
+    }
+}
+
+/// Starts a server, which stops when the sender is dropped.
+fn open(limits: Limits) -> (SocketAddr, watch::Sender<bool>) {
+    let (stop, stopped) = watch::channel(false);
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("listen");
+    listener.set_nonblocking(true).expect("set");
+    let listener = TcpListener::from_std(listener).expect("listener");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(web::serve(listener, Arc::new(Length), limits, stopped));
+    (address, stop)
+}
+
+fn limits() -> Limits {
+    Limits {
+        body_bytes: 1000,
+        memory: 2000,
+        connections: 4,
+        ..Limits::default()
+    }
+}
+
+fn post(path: &str, announced: usize, sent: usize) -> String {
+    let body = "x".repeat(sent);
+    format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {announced}\r\n\r\n{body}")
+}
+
+/// Sends a request on a new connection; returns the reply, empty if the connection is closed without.
+async fn exchange(server: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(server).await.expect("connect");
+    stream.write_all(request.as_bytes()).await.expect("write");
+    read(&mut stream).await
+}
+
+async fn read(stream: &mut TcpStream) -> String {
+    let mut buffer = [0; 4096];
+    let read = stream.read(&mut buffer).await.unwrap_or_default();
+    String::from_utf8_lossy(&buffer[..read]).into_owned()
+}
+
+#[tokio::test]
+async fn bodies_up_to_the_limit_arrive_whole() {
+    let (server, _stop) = open(limits());
+
+    let reply = exchange(server, &post("/", 1000, 1000)).await;
+
+    assert!(reply.ends_with("1000"), "{reply}");
+}
+
+// Guards against a body that is read although its announced size is not allowed.
+#[tokio::test]
+async fn bodies_announced_over_the_limit_are_refused_before_they_arrive() {
+    let (server, _stop) = open(limits());
+
+    let listener = exchange(server, &post("/", 1001, 0)).await;
+    let handler = exchange(server, &post("/short", 11, 0)).await;
+
+    assert!(listener.starts_with("HTTP/1.1 413"), "{listener}");
+    assert!(handler.starts_with("HTTP/1.1 413"), "{handler}");
+}
+
+// Guards against a body that is waited for without end.
+#[tokio::test]
+async fn a_body_that_does_not_arrive_in_time_is_refused() {
+    let receive = Duration::from_millis(50);
+    let (server, _stop) = open(Limits {
+        receive,
+        ..limits()
+    });
+
+    let reply = exchange(server, &post("/", 100, 99)).await;
+
+    assert!(reply.starts_with("HTTP/1.1 408"), "{reply}");
+}
+
+// Guards against a client that sends no request, or only a part of its head, for good.
+#[tokio::test]
+async fn a_connection_without_a_whole_head_is_closed() {
+    let idle = Duration::from_millis(50);
+    let (server, _stop) = open(Limits { idle, ..limits() });
+
+    let reply = exchange(server, "GET / HTTP/1.1\r\nhost: ").await;
+
+    assert_eq!(reply, "");
+}
+
+// Guards against memory or places that are not given back when a handler panics.
+#[tokio::test]
+async fn places_and_memory_outlive_panics() {
+    let (server, _stop) = open(limits());
+
+    for _ in 0..20 {
+        exchange(server, &post("/panic", 1000, 1000)).await;
+    }
+    let reply = exchange(server, &post("/", 1000, 1000)).await;
+
+    assert!(reply.ends_with("1000"), "{reply}");
+}
+
+// Guards against memory or places that are not given back when a client resets its connection.
+#[tokio::test]
+async fn places_and_memory_outlive_clients_that_leave() {
+    let (server, _stop) = open(limits());
+
+    for _ in 0..20 {
+        let mut stream = TcpStream::connect(server).await.expect("connect");
+        let request = post("/", 1000, 999);
+        stream.write_all(request.as_bytes()).await.expect("write");
+        stream.set_zero_linger().expect("linger");
+    }
+    let reply = exchange(server, &post("/", 1000, 1000)).await;
+
+    assert!(reply.ends_with("1000"), "{reply}");
+}
