web, cell: Bound the connections of clients by what the host has

The system kept megabytes of received bytes for each connection besides.

The listeners now share what `memory_mb` and `descriptors` state: at most a quarter of the descriptors each for callers and for processes, less if 64 KiB a connection exceed a sixth or an eighth of the memory, and 24 each for the readiness checks and the metrics, whose bodies are limited to 4 KiB. Half of the descriptors are left for the store, the workers and the other processes. When all places are taken, a new connection waits, and the one that has been without a request for the longest time closes for it; one that was opened less than 500 ms ago, or whose request is being handled, does not. A connection whose client does not read a reply closes after the time for idle ones.

Weighed: closing new connections (the crowd keeps its places); one pool for all listeners (a crowd at one port takes the places of all); counting by address (callers arrive through the balancer); shorter timeouts (a crowd comes back faster than they expire).

--- a/crates/cell/src/listeners.rs
+++ b/crates/cell/src/listeners.rs
@@ -1,7 +1,9 @@
-//! Limits of a process's listeners, which share the memory of its host.
+//! Limits of a process's listeners, which share the memory and the descriptors of its host.
 //!
-//! Load that this answers: many clients that send as much as they can to any of the listeners. Each
-//! listener has a part of its own, so that a crowd at one takes nothing from the others.
+//! Load that this answers: many clients that occupy as much as they can at any of the listeners. Each
+//! listener has a part of its own, so that a crowd at one takes nothing from the others; half of the
+//! descriptors and more than a third of the memory are left to the work of the process and to its
+//! connections to the store, the workers and the other processes.
 
 use std::time::Duration;
 
@@ -9,11 +11,18 @@
 
 use crate::CellSettings;
 
+/// Most memory that a connection takes besides the body of its request, in bytes: buffers of the HTTP
+/// library for a head and a reply, received bytes that were not read, and the state of its task.
+const CONNECTION_BYTES: usize = 64 * 1024;
+
 /// Maximum size of a request body at addresses where none is expected, in bytes.
 const SMALL_BODY_BYTES: usize = 4096;
 
-/// Memory for such bodies, in bytes.
-const SMALL_MEMORY_BYTES: usize = 128 * 1024;
+/// Maximum number of connections of the readiness checks and of the metrics, each.
+const SMALL_CONNECTIONS: usize = 24;
+
+/// Smallest number of connections of a listener for callers or for processes.
+const MIN_CONNECTIONS: usize = 16;
 
 /// Time for a client to send the body of a request where none is expected.
 const SMALL_RECEIVE: Duration = Duration::from_secs(3);
@@ -34,22 +43,30 @@
     #[must_use]
     pub fn new(settings: &CellSettings) -> ListenerLimits {
         let memory = settings.memory();
+        let descriptors = settings.descriptor_limit();
         let defaults = Limits::default();
+        let connections = |part: usize| {
+            let held = part / CONNECTION_BYTES;
+            held.min(descriptors / 4).max(MIN_CONNECTIONS)
+        };
         // Two bodies of the largest size fit on the smallest host.
         let bodies = |part: usize| part.max(2 * defaults.body_bytes);
         ListenerLimits {
             callers: Limits {
+                connections: connections(memory / 6),
                 memory: bodies(memory / 6),
                 ..defaults
             },
             peers: Limits {
+                connections: connections(memory / 8),
                 memory: bodies(memory / 16),
                 ..defaults
             },
             small: Limits {
                 body_bytes: SMALL_BODY_BYTES,
                 receive: SMALL_RECEIVE,
-                memory: SMALL_MEMORY_BYTES,
+                connections: SMALL_CONNECTIONS,
+                memory: SMALL_CONNECTIONS * SMALL_BODY_BYTES,
                 ..defaults
             },
         }
--- a/crates/cell/src/process.rs
+++ b/crates/cell/src/process.rs
@@ -18,6 +18,7 @@
 use web::Handler;
 use web::HttpRequest;
 use web::HttpResponse;
+use web::Limits;
 use web::Refusal;
 
 use crate::CallerHandler;
@@ -71,6 +72,7 @@
     ///
     /// # Errors
     /// Fails if the process cannot listen on one of its addresses.
+    #[allow(clippy::unused_async)] // needs a runtime
     pub async fn open(settings: CellSettings) -> Result<CellProcess, CellError> {
         let (config_tx, config) = watch::channel(None);
         let (ownership_tx, ownership) = watch::channel(OwnershipView::default());
@@ -82,10 +84,10 @@
         let client = OwnerClient::new(context.clone(), owner_handle.clone());
         let addresses = &context.settings.listen;
         let limits = ListenerLimits::new(&context.settings);
-        let callers = bind(addresses.callers).await?;
-        let ready = bind(addresses.ready).await?;
-        let metrics = bind(addresses.metrics).await?;
-        let peers = bind(context.settings.peer_address()).await?;
+        let callers = listen(addresses.callers, &limits.callers)?;
+        let ready = listen(addresses.ready, &limits.small)?;
+        let metrics = listen(addresses.metrics, &limits.small)?;
+        let peers = listen(context.settings.peer_address(), &limits.peers)?;
         let mut servers = JoinSet::new();
         let handler = CallerHandler::new(context.clone(), client.clone());
         servers.spawn(web::serve(
@@ -157,10 +159,8 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, CellError> {
-    TcpListener::bind(address)
-        .await
-        .context(ListenSnafu { address })
+fn listen(address: SocketAddr, limits: &Limits) -> Result<TcpListener, CellError> {
+    web::listen(address, limits).context(ListenSnafu { address })
 }
 
 /// Reads the settings file again and logs a change. The change itself takes effect at the next
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -81,6 +81,10 @@
     /// Memory of the host, in megabytes; [`DEFAULT_MEMORY_MB`] if the platform states none.
     #[serde(default)]
     pub memory_mb: Option<usize>,
+    /// Descriptors that the process may have open; [`DEFAULT_DESCRIPTORS`] if the platform states
+    /// none.
+    #[serde(default)]
+    pub descriptors: Option<usize>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Maximum size of a row in the store, in bytes; [`DEFAULT_ROW_BYTES`] if the platform states
@@ -121,6 +125,9 @@
 /// Bytes of a megabyte.
 const MEGABYTE: usize = 1_000_000;
 
+/// Default number of descriptors that a process may have open.
+const DEFAULT_DESCRIPTORS: usize = 4096;
+
 /// Default maximum size of a row in the store, in bytes.
 const DEFAULT_ROW_BYTES: usize = 65_536;
 
@@ -217,6 +224,12 @@
         megabytes.saturating_mul(MEGABYTE)
     }
 
+    /// Returns the number of descriptors that the process may have open.
+    #[must_use]
+    pub fn descriptor_limit(&self) -> usize {
+        self.descriptors.unwrap_or(DEFAULT_DESCRIPTORS)
+    }
+
     /// Returns the maximum size of a row in the store, in bytes.
     #[must_use]
     pub fn row_limit(&self) -> usize {
--- a/crates/cell/tests/admission.rs
+++ b/crates/cell/tests/admission.rs
@@ -94,6 +94,7 @@
         link_mbps: 1000.0,
         store: address,
         memory_mb: None,
+        descriptors: None,
         row_bytes: None,
         advice: String::new(),
         machines: String::new(),
--- a/crates/cell/tests/context.rs
+++ b/crates/cell/tests/context.rs
@@ -36,6 +36,7 @@
         link_mbps: 1000.0,
         store: address,
         memory_mb: None,
+        descriptors: None,
         row_bytes: None,
         advice: String::new(),
         machines: String::new(),
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -45,7 +45,6 @@
 use store::HttpObjectStore;
 use store::HttpTable;
 use store::Table;
-use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -141,8 +140,8 @@
         context.cell = join_cell(&context).await?;
         let context = Arc::new(context);
         let listen = settings.http.listen;
-        let listener = TcpListener::bind(listen).await;
-        let listener = listener.map_err(|source| DaemonError::Listen {
+        let limits = http_limits(settings);
+        let listener = web::listen(listen, &limits).map_err(|source| DaemonError::Listen {
             address: listen,
             source,
         })?;
@@ -187,12 +186,7 @@
                 context.objects.clone(),
                 context.timeline.clone(),
             )),
-            http: tokio::spawn(web::serve(
-                listener,
-                Arc::new(api),
-                http_limits(settings),
-                http_stopped,
-            )),
+            http: tokio::spawn(web::serve(listener, Arc::new(api), limits, http_stopped)),
         };
         let event = Event::new(Kind::ProcessStarted);
         context
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -20,6 +20,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Refusal {
+    /// The connection was closed for a new one.
+    Place,
     /// The body yielded, since the memory for bodies is used up.
     Memory,
     /// The body is larger than allowed.
--- a/crates/web/src/gate.rs
+++ b/crates/web/src/gate.rs
@@ -18,9 +18,14 @@
 /// Longest time until a decision is made anew: a new connection may have settled by then.
 const DECISION_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Interval at which a connection with a request in progress is looked at again.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Tells a connection to yield.
 #[derive(Debug, Default)]
 struct Signals {
+    /// To close, while no request is in progress.
+    close: Notify,
     /// To give up the body that is arriving.
     body: Notify,
 }
@@ -33,8 +38,13 @@
 
 impl State {
     fn tell(&self, key: ConnectionKey) {
-        if let Some(signals) = self.signals.get(key) {
+        let Some(signals) = self.signals.get(key) else {
+            return;
+        };
+        if self.ledger.is_receiving(key) {
             signals.body.notify_one();
+        } else {
+            signals.close.notify_one();
         }
     }
 }
@@ -59,10 +69,29 @@
         })
     }
 
-    /// Adds a new connection.
-    pub(crate) fn enter(self: &Arc<Gate>) -> Place {
-        let mut state = self.lock();
-        let key = state.ledger.open(Instant::now());
+    /// Waits for a place for a new connection and takes it. Calls `on_wait` if another connection is
+    /// told to close for it.
+    pub(crate) async fn enter(self: &Arc<Gate>, on_wait: impl Fn()) -> Place {
+        loop {
+            let changed = self.changed.notified();
+            {
+                let mut state = self.lock();
+                let now = Instant::now();
+                match state.ledger.make_place(now) {
+                    Decision::Granted => return self.open(&mut state, now),
+                    Decision::Wait(Some(key)) => {
+                        state.tell(key);
+                        on_wait();
+                    }
+                    Decision::Wait(None) | Decision::Refused => {}
+                }
+            }
+            let _ = tokio::time::timeout(DECISION_INTERVAL, changed).await;
+        }
+    }
+
+    fn open(self: &Arc<Gate>, state: &mut State, now: Instant) -> Place {
+        let key = state.ledger.open(now);
         let signals: Arc<Signals> = Arc::default();
         state.signals.insert(key, signals.clone());
         Place {
@@ -86,6 +115,15 @@
 }
 
 impl Place {
+    /// Waits until the connection has to close, because another one needs its place or its client has
+    /// been inactive for too long.
+    pub(crate) async fn closed(&self) {
+        tokio::select! {
+            () = self.told(&self.signals.close) => {}
+            () = self.expired() => {}
+        }
+    }
+
     /// Waits for a signal to yield. One that came too late, when the next request had begun, is
     /// ignored.
     async fn told(&self, signal: &Notify) {
@@ -97,6 +135,19 @@
         }
     }
 
+    async fn expired(&self) {
+        loop {
+            let expiry = self.gate.lock().ledger.expiry(self.key);
+            let now = Instant::now();
+            match expiry {
+                Some(expiry) if expiry <= now => return,
+                Some(expiry) => tokio::time::sleep(expiry - now).await,
+                // A request is in progress; the connection waits again for at least as long.
+                None => tokio::time::sleep(EXPIRY_INTERVAL).await,
+            }
+        }
+    }
+
     /// Records that the body of a request is arriving.
     pub(crate) fn receive(&self) {
         self.gate.lock().ledger.receive(self.key, Instant::now());
--- a/crates/web/src/ledger.rs
+++ b/crates/web/src/ledger.rs
@@ -1,9 +1,11 @@
-//! Decides which connections of a listener may hold memory, and which one yields.
+//! Decides which connections of a listener may hold memory and a descriptor, and which one yields.
 //!
-//! Load that this answers: many clients that send large requests up to shortly before their end
-//! and keep their connections open. An ordinary request is small, so what yields is the largest body.
+//! Load that this answers: many clients that send large requests up to shortly before their end, or
+//! nothing, and keep their connections open. An ordinary request arrives within moments and is small,
+//! so what yields is the largest body, or the connection that has waited for the longest time.
 
 use std::cmp::Reverse;
+use std::time::Duration;
 use std::time::Instant;
 
 use slotmap::SlotMap;
@@ -16,6 +18,9 @@
     pub struct ConnectionKey;
 }
 
+/// Time in which a new connection yields to no other: its request may be on the way.
+pub const SETTLING_TIME: Duration = Duration::from_millis(500);
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -39,7 +44,7 @@
     yielding: bool,
 }
 
-/// Decision on memory for a body.
+/// Decision on a place for a new connection, or on memory for a body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
     /// It is available.
@@ -71,6 +76,28 @@
         }
     }
 
+    /// Decides on a place for a new connection.
+    pub fn make_place(&mut self, now: Instant) -> Decision {
+        if self.connections.len() < self.limits.connections {
+            return Decision::Granted;
+        }
+        if self.connections.values().any(|other| other.yielding) {
+            return Decision::Wait(None);
+        }
+        let settled = |other: &Connection| {
+            other.phase != Phase::Handling
+                && now.saturating_duration_since(other.since) >= SETTLING_TIME
+        };
+        let candidates = self.connections.iter_mut();
+        let victim = candidates
+            .filter(|(_, other)| settled(other))
+            .min_by_key(|(_, other)| other.since);
+        Decision::Wait(victim.map(|(key, other)| {
+            other.yielding = true;
+            key
+        }))
+    }
+
     /// Adds a connection.
     pub fn open(&mut self, now: Instant) -> ConnectionKey {
         self.connections.insert(Connection {
@@ -142,6 +169,20 @@
         self.enter(key, Phase::Waiting, now);
     }
 
+    /// Returns when a connection that waits for its client expires; none if it does not wait.
+    #[must_use]
+    pub fn expiry(&self, key: ConnectionKey) -> Option<Instant> {
+        let connection = self.connections.get(key)?;
+        (connection.phase == Phase::Waiting).then(|| connection.since + self.limits.idle)
+    }
+
+    /// Whether the body of a connection's request is arriving.
+    #[must_use]
+    pub fn is_receiving(&self, key: ConnectionKey) -> bool {
+        let connection = self.connections.get(key);
+        connection.is_some_and(|connection| connection.phase == Phase::Receiving)
+    }
+
     /// Whether a connection was told to yield and still can.
     #[must_use]
     pub fn is_yielding(&self, key: ConnectionKey) -> bool {
--- a/crates/web/src/limits.rs
+++ b/crates/web/src/limits.rs
@@ -10,12 +10,13 @@
     /// Maximum size of the request line and headers, in bytes; less than 8192
     /// counts as 8192, the minimum that hyper allows.
     pub head_bytes: usize,
-    /// Timeout for receiving the head of the next request on a connection; when it
-    /// expires, the connection is closed.
+    /// Time for a client to read a reply and to send the head of the next request on
+    /// the connection; when it expires, the connection is closed.
     pub idle: Duration,
     /// Time for a client to send the body of a request.
     pub receive: Duration,
-    /// Maximum number of open connections; further ones are closed at once.
+    /// Maximum number of open connections. When it is reached, the connection that
+    /// has been without a request for the longest time is closed for a new one.
     pub connections: usize,
     /// Memory for the bodies of all requests together, in bytes. When it is used up,
     /// the largest body that has not arrived whole yields.
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -25,7 +25,6 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
 use crate::HttpResponse;
@@ -113,7 +112,6 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let gate = Gate::new(limits);
-    let permits = Arc::new(Semaphore::new(limits.connections));
     let mut connection_tasks = tokio::task::JoinSet::new();
     loop {
         let accepted = tokio::select! {
@@ -127,20 +125,13 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let Ok(permit) = permits.clone().try_acquire_owned() else {
-            log::debug!(
-                "incoming HTTP connection closed: limit of {} open connections reached",
-                limits.connections
-            );
-            continue;
+        let place = tokio::select! {
+            place = gate.enter(|| handler.record(Refusal::Place)) => place,
+            () = wait_for_stop(&mut stop) => break,
         };
         let handler = handler.clone();
         let stop = stop.clone();
-        let place = gate.enter();
-        connection_tasks.spawn(async move {
-            serve_connection(stream, handler, limits, place, stop).await;
-            drop(permit);
-        });
+        connection_tasks.spawn(serve_connection(stream, handler, limits, place, stop));
     }
     drop(listener);
     while connection_tasks.join_next().await.is_some() {}
@@ -169,19 +160,25 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle)
+        .header_read_timeout(None)
         .max_buf_size(limits.head_bytes.max(8192))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = wait_for_stop(&mut stop) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let mut stopping = false;
+    loop {
+        tokio::select! {
+            result = connection.as_mut() => {
+                if let Err(error) = result {
+                    log::debug!("HTTP connection closed after an error: {error}");
+                }
+                return;
+            }
+            () = place.closed() => return,
+            () = wait_for_stop(&mut stop), if !stopping => {
+                connection.as_mut().graceful_shutdown();
+                stopping = true;
+            }
         }
-    };
-    if let Err(error) = result {
-        log::debug!("HTTP connection closed after an error: {error}");
     }
 }
 
@@ -245,7 +242,9 @@
                 error(StatusCode::REQUEST_TIMEOUT, &reason)
             }
             Refusal::Broken => error(StatusCode::BAD_REQUEST, "body: allowed: sent whole"),
-            Refusal::Memory => self.handler.refuse("no memory for the body of the request"),
+            Refusal::Memory | Refusal::Place => {
+                self.handler.refuse("no memory for the body of the request")
+            }
         };
         close_after(&mut response);
         Box::new(response)
--- a/crates/web/tests/ledger.rs
+++ b/crates/web/tests/ledger.rs
@@ -7,6 +7,7 @@
 use web::Decision;
 use web::Ledger;
 use web::Limits;
+use web::SETTLING_TIME;
 
 /// Largest body, in bytes. A body of at most a sixteenth of it is small.
 const BODY: usize = 1600;
@@ -14,6 +15,7 @@
 fn limits() -> Limits {
     Limits {
         body_bytes: BODY,
+        connections: 3,
         memory: 4 * BODY,
         ..Limits::default()
     }
@@ -27,6 +29,57 @@
     key
 }
 
+#[test]
+fn places_are_granted_up_to_the_limit() {
+    let now = Instant::now();
+    let mut ledger = Ledger::new(limits());
+
+    for _ in 0..3 {
+        assert_eq!(ledger.make_place(now), Decision::Granted);
+        ledger.open(now);
+    }
+
+    assert_eq!(ledger.make_place(now), Decision::Wait(None));
+}
+
+// Guards against a crowd of idle connections that keeps new callers out.
+#[test]
+fn the_connection_without_a_request_for_the_longest_time_yields_its_place() {
+    let now = Instant::now();
+    let mut ledger = Ledger::new(limits());
+    let later = now + Duration::from_secs(1);
+    let active = ledger.open(now);
+    let oldest = ledger.open(now + Duration::from_millis(1));
+    ledger.open(later);
+    ledger.finish(active, later);
+
+    let decision = ledger.make_place(later + SETTLING_TIME);
+    let next = ledger.make_place(later + SETTLING_TIME);
+    ledger.close(oldest);
+
+    assert_eq!(decision, Decision::Wait(Some(oldest)));
+    assert_eq!(next, Decision::Wait(None));
+    assert_eq!(ledger.make_place(later), Decision::Granted);
+}
+
+// Guards against a new connection that is closed before its request can have arrived.
+#[test]
+fn new_connections_and_requests_in_progress_keep_their_places() {
+    let now = Instant::now();
+    let mut ledger = Ledger::new(limits());
+    for _ in 0..2 {
+        let key = ledger.open(now);
+        ledger.handle(key, now);
+    }
+    let new = ledger.open(now + SETTLING_TIME);
+
+    let early = ledger.make_place(now + SETTLING_TIME);
+    let late = ledger.make_place(now + 2 * SETTLING_TIME);
+
+    assert_eq!(early, Decision::Wait(None));
+    assert_eq!(late, Decision::Wait(Some(new)));
+}
+
 // Guards against large bodies without an end that keep the memory from others.
 #[test]
 fn the_largest_body_that_is_not_whole_yields_its_memory() {
@@ -97,5 +150,6 @@
     ledger.close(closed);
 
     assert_eq!(ledger.bytes(), 0);
+    assert_eq!(ledger.expiry(answered), Some(now + limits().idle));
     assert_eq!(ledger.reserve(closed, 1), Decision::Refused);
 }
--- a/crates/web/tests/limits.rs
+++ b/crates/web/tests/limits.rs
@@ -7,7 +7,6 @@
 use hyper::StatusCode;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use web::Handler;
@@ -32,9 +31,8 @@
 /// Starts a server, which stops when the sender is dropped.
 fn open(limits: Limits) -> (SocketAddr, watch::Sender<bool>) {
     let (stop, stopped) = watch::channel(false);
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("listen");
-    listener.set_nonblocking(true).expect("set");
-    let listener = TcpListener::from_std(listener).expect("listener");
+    let address = "127.0.0.1:0".parse().expect("address");
+    let listener = web::listen(address, &limits).expect("listen");
     let address = listener.local_addr().expect("address");
     tokio::spawn(web::serve(listener, Arc::new(Length), limits, stopped));
     (address, stop)
@@ -141,3 +139,19 @@
 
     assert!(reply.ends_with("1000"), "{reply}");
 }
+
+// Guards against a client without a request that keeps a new one from its place.
+#[tokio::test]
+async fn a_silent_connection_yields_to_a_new_one() {
+    let (server, _stop) = open(limits());
+    let mut silent = Vec::new();
+    for _ in 0..4 {
+        silent.push(TcpStream::connect(server).await.expect("connect"));
+    }
+
+    let reply = exchange(server, &post("/", 5, 5)).await;
+    let closed = read(&mut silent[0]).await;
+
+    assert!(reply.ends_with('5'), "{reply}");
+    assert_eq!(closed, "");
+}
