web, cell: Handle requests in turn, and let connections yield after a reply

A listener handles a limited number of requests at the same time (for callers an eighth of the descriptors, less if 32 KiB each exceed a tenth of the memory); further ones wait for their turn in the order of their arrival, for a second at most, and then get 503. While a new connection waits for a place, each reply closes its connection. Refusing at once was tried first: the crowd came back faster than ordinary callers got in.

--- a/crates/cell/src/listeners.rs
+++ b/crates/cell/src/listeners.rs
@@ -15,6 +15,10 @@
 /// library for a head and a reply, received bytes that were not read, and the state of its task.
 const CONNECTION_BYTES: usize = 64 * 1024;
 
+/// Most memory that a request in progress takes besides its body, in bytes: the decoded job, its row
+/// and the connections to the store.
+const REQUEST_BYTES: usize = 32 * 1024;
+
 /// Maximum size of a request body at addresses where none is expected, in bytes.
 const SMALL_BODY_BYTES: usize = 4096;
 
@@ -51,10 +55,13 @@
         };
         // Two bodies of the largest size fit on the smallest host.
         let bodies = |part: usize| part.max(2 * defaults.body_bytes);
+        // A submission takes up to three descriptors for calls to the store and the owner.
+        let requests = (memory / 10 / REQUEST_BYTES).min(descriptors / 8);
         ListenerLimits {
             callers: Limits {
                 connections: connections(memory / 6),
                 memory: bodies(memory / 6),
+                requests: requests.max(MIN_CONNECTIONS),
                 ..defaults
             },
             peers: Limits {
--- a/crates/cell/src/metrics.rs
+++ b/crates/cell/src/metrics.rs
@@ -35,7 +35,7 @@
     /// `undecided`.
     pub denied: IntCounterVec,
     /// Requests refused and connections closed because of the limits of a listener, by listener and
-    /// reason: `place`, `memory`, `size`, `late`, `broken`.
+    /// reason: `place`, `memory`, `size`, `late`, `broken`, `requests`.
     pub limited: IntCounterVec,
     /// Status replies to callers, by source: `owner`, `store`, `none`, `unreadable`.
     pub states: IntCounterVec,
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -30,6 +30,8 @@
     Late,
     /// The connection ended before the body did.
     Broken,
+    /// Too many requests are being handled.
+    Requests,
 }
 
 /// Receives a body of at most `allowed` bytes. Its pieces are copied as they arrive: a piece of one
--- a/crates/web/src/gate.rs
+++ b/crates/web/src/gate.rs
@@ -4,11 +4,15 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
 
 use crate::Limits;
 use crate::ledger::ConnectionKey;
@@ -21,6 +25,9 @@
 /// Interval at which a connection with a request in progress is looked at again.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Longest time that a request waits until it is handled.
+const TURN_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Tells a connection to yield.
 #[derive(Debug, Default)]
 struct Signals {
@@ -55,6 +62,10 @@
     state: Mutex<State>,
     /// Notified when a connection may have yielded.
     changed: Notify,
+    /// Whether a new connection waits for a place.
+    crowded: AtomicBool,
+    /// Turns of the requests, in the order in which they arrived whole.
+    turns: Semaphore,
 }
 
 impl Gate {
@@ -66,6 +77,8 @@
         Arc::new(Gate {
             state: Mutex::new(state),
             changed: Notify::new(),
+            crowded: AtomicBool::new(false),
+            turns: Semaphore::new(limits.requests),
         })
     }
 
@@ -77,7 +90,10 @@
             {
                 let mut state = self.lock();
                 let now = Instant::now();
-                match state.ledger.make_place(now) {
+                let decision = state.ledger.make_place(now);
+                let crowded = decision != Decision::Granted;
+                self.crowded.store(crowded, Ordering::Relaxed);
+                match decision {
                     Decision::Granted => return self.open(&mut state, now),
                     Decision::Wait(Some(key)) => {
                         state.tell(key);
@@ -148,6 +164,11 @@
         }
     }
 
+    /// Whether a new connection waits for a place.
+    pub(crate) fn crowded(&self) -> bool {
+        self.gate.crowded.load(Ordering::Relaxed)
+    }
+
     /// Records that the body of a request is arriving.
     pub(crate) fn receive(&self) {
         self.gate.lock().ledger.receive(self.key, Instant::now());
@@ -176,9 +197,13 @@
         self.told(&self.signals.body).await;
     }
 
-    /// Records that a request has arrived whole and is being handled.
-    pub(crate) fn handle(&self) {
+    /// Waits for the turn of a request that has arrived whole, and records that it is being handled;
+    /// none if the wait takes too long. The turn ends when the permit is dropped.
+    pub(crate) async fn handle(&self) -> Option<SemaphorePermit<'_>> {
+        let turn = tokio::time::timeout(TURN_TIMEOUT, self.gate.turns.acquire()).await;
+        let turn = turn.ok()?.ok()?;
         self.gate.lock().ledger.handle(self.key, Instant::now());
+        Some(turn)
     }
 
     /// Records that the reply to a request is ready, and that its body is no longer held.
--- a/crates/web/src/limits.rs
+++ b/crates/web/src/limits.rs
@@ -21,6 +21,9 @@
     /// Memory for the bodies of all requests together, in bytes. When it is used up,
     /// the largest body that has not arrived whole yields.
     pub memory: usize,
+    /// Maximum number of requests that are handled at the same time; further ones wait
+    /// for their turn, at most a second.
+    pub requests: usize,
 }
 
 impl Default for Limits {
@@ -32,6 +35,7 @@
             receive: Duration::from_secs(30),
             connections: 4096,
             memory: 64 * 1024 * 1024,
+            requests: 4096,
         }
     }
 }
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -191,11 +191,15 @@
 
 impl<H: Handler> Exchange<'_, H> {
     async fn answer(self, request: Request<Incoming>) -> HttpResponse {
-        let response = match self.respond(request).await {
+        let mut response = match self.respond(request).await {
             Ok(response) => response,
             Err(rejection) => *rejection,
         };
         self.place.finish();
+        // A connection that always has a next request would never yield its place.
+        if self.place.crowded() {
+            close_after(&mut response);
+        }
         response
     }
 
@@ -215,8 +219,11 @@
             let received = self.receive(body, allowed).await;
             http_request.body = received.map_err(|refusal| self.refuse(refusal, allowed))?;
         }
-        self.place.handle();
-        Ok(self.handler.handle(http_request).await)
+        let turn = self.place.handle().await;
+        let turn = turn.ok_or_else(|| self.refuse(Refusal::Requests, 0))?;
+        let response = self.handler.handle(http_request).await;
+        drop(turn);
+        Ok(response)
     }
 
     async fn receive(&self, body: Incoming, allowed: usize) -> Result<Bytes, Refusal> {
@@ -245,6 +252,7 @@
             Refusal::Memory | Refusal::Place => {
                 self.handler.refuse("no memory for the body of the request")
             }
+            Refusal::Requests => self.handler.refuse("too many requests in progress"),
         };
         close_after(&mut response);
         Box::new(response)
--- a/crates/web/tests/limits.rs
+++ b/crates/web/tests/limits.rs
@@ -155,3 +155,17 @@
     assert!(reply.ends_with('5'), "{reply}");
     assert_eq!(closed, "");
 }
+
+// Guards against a request that waits for others without end.
+#[tokio::test]
+async fn a_request_whose_turn_does_not_come_is_refused() {
+    let (server, _stop) = open(Limits {
+        requests: 0,
+        ..limits()
+    });
+
+    let reply = exchange(server, &post("/", 5, 5)).await;
+
+    assert!(reply.starts_with("HTTP/1.1 503"), "{reply}");
+    assert!(reply.contains("retry-after: 1"), "{reply}");
+}
