daemon: Settings for what clients of the HTTP interface may occupy

`http.memory_bytes` bounds the bodies of all requests together, 48 MiB by default, or two of the largest size if they need more; `http.receive_millis` bounds the time in which a body arrives.

--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -234,7 +234,9 @@
         body_bytes: settings.http.body_bytes,
         head_bytes: settings.http.head_bytes,
         idle: Duration::from_millis(settings.http.idle_millis),
+        receive: Duration::from_millis(settings.http.receive_millis),
         connections: settings.http.connections,
+        memory: settings.http.memory(),
         ..web::Limits::default()
     }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -69,6 +69,13 @@
     /// Idle timeout of a connection, in milliseconds.
     #[serde(default = "default_idle")]
     pub idle_millis: u64,
+    /// Time for a client to send a request body, in milliseconds.
+    #[serde(default = "default_receive")]
+    pub receive_millis: u64,
+    /// Memory for the request bodies of all connections together, in bytes; if it is not set,
+    /// [`DEFAULT_MEMORY_BYTES`], or room for two bodies of the largest size if they need more.
+    #[serde(default)]
+    pub memory_bytes: Option<usize>,
 }
 
 /// Transport between the processes of the cell.
@@ -167,10 +174,31 @@
     60_000
 }
 
+fn default_receive() -> u64 {
+    30_000
+}
+
 fn default_timeout() -> u64 {
     600
 }
 
+/// Default memory for the request bodies of all connections together, in bytes.
+const DEFAULT_MEMORY_BYTES: usize = 48 * 1024 * 1024;
+
+impl HttpSettings {
+    /// Smallest memory for request bodies: large bodies may use three quarters of it.
+    fn least_memory(&self) -> usize {
+        self.body_bytes.saturating_mul(2)
+    }
+
+    /// Returns the memory for the request bodies of all connections together, in bytes.
+    #[must_use]
+    pub fn memory(&self) -> usize {
+        let default = DEFAULT_MEMORY_BYTES.max(self.least_memory());
+        self.memory_bytes.unwrap_or(default)
+    }
+}
+
 impl Settings {
     /// Reads and validates a settings file.
     ///
@@ -228,6 +256,18 @@
                 http.in_flight >= 1,
                 "1 or more",
             ),
+            violation(
+                "memory_bytes",
+                http.memory(),
+                http.memory() >= http.least_memory(),
+                "at least twice body_bytes",
+            ),
+            violation(
+                "receive_millis",
+                http.receive_millis,
+                http.receive_millis >= 1,
+                "1 or more",
+            ),
             violation(
                 "ttl_millis",
                 lease.ttl_millis,
--- a/crates/daemon/tests/service_crowds.rs
+++ b/crates/daemon/tests/service_crowds.rs
@@ -16,7 +16,8 @@
 use host::watch_peak;
 use support::open_cell;
 
-/// Most memory that the process may occupy, in bytes: twice the default of `http.memory_bytes`.
+/// Most memory that the process may occupy, in bytes: its own, what bodies may take by default, and
+/// 64 KiB for each member of the crowd.
 const MEMORY: usize = 128 * 1024 * 1024;
 
 /// Members of the crowd; their bodies are larger than that.
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -70,3 +70,15 @@
 
     assert!(error.contains("64 hexadecimal digits"), "{error}");
 }
+
+#[test]
+fn memory_that_does_not_hold_two_bodies_is_refused() {
+    let text = example().replace("http:\n", "http:\n  memory_bytes: 1000000\n");
+
+    let error = parse_error(&text);
+
+    assert!(
+        error.contains("memory_bytes") && error.contains("at least twice body_bytes"),
+        "{error}"
+    );
+}
--- a/crates/fake/src/cell.rs
+++ b/crates/fake/src/cell.rs
@@ -237,6 +237,8 @@
                 body_bytes: 1024 * 1024,
                 head_bytes: 16 * 1024,
                 idle_millis: 60_000,
+                receive_millis: 30_000,
+                memory_bytes: None,
             },
             peer: PeerSettings {
                 listen,
--- a/crates/web/src/limits.rs
+++ b/crates/web/src/limits.rs
@@ -34,7 +34,7 @@
             idle: Duration::from_mins(1),
             receive: Duration::from_secs(30),
             connections: 4096,
-            memory: 64 * 1024 * 1024,
+            memory: 48 * 1024 * 1024,
             requests: 4096,
         }
     }
