cell: Bound the memory of jobs whose submission is in progress

A step of two characters takes 160 bytes once it is decoded, and its row some copies on its way to the store.

A submission reserves what its job takes, out of a twelfth of the host's memory, until the reply, and until the owner was told. A job for which nothing is left gets 503 at once: nothing of it was written. Weighed: a lower limit on steps, which would refuse jobs that fit a row.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -25,7 +25,9 @@
 
 use crate::Acceptor;
 use crate::Context;
+use crate::JobMemory;
 use crate::JobView;
+use crate::ListenerLimits;
 use crate::OwnerClient;
 use crate::StopPhase;
 use crate::access;
@@ -57,6 +59,7 @@
     pub(crate) context: Context,
     pub(crate) owner: OwnerClient,
     pub(crate) acceptor: Acceptor,
+    pub(crate) memory: JobMemory,
 }
 
 /// An empty JSON body, for replies that consist of their HTTP status alone.
@@ -76,10 +79,12 @@
     #[must_use]
     pub fn new(context: Context, owner: OwnerClient) -> Arc<CallerHandler> {
         let acceptor = Acceptor::new(context.clone());
+        let memory = JobMemory::new(ListenerLimits::new(&context.settings).jobs);
         Arc::new(CallerHandler {
             context,
             owner,
             acceptor,
+            memory,
         })
     }
 
--- a/crates/cell/src/listeners.rs
+++ b/crates/cell/src/listeners.rs
@@ -15,10 +15,13 @@
 /// library for a head and a reply, received bytes that were not read, and the state of its task.
 const CONNECTION_BYTES: usize = 64 * 1024;
 
-/// Most memory that a request in progress takes besides its body, in bytes: the decoded job, its row
-/// and the connections to the store.
+/// Most memory that a request in progress takes besides its body and its job, in bytes: its
+/// connections to the store and the owner.
 const REQUEST_BYTES: usize = 32 * 1024;
 
+/// Smallest memory for jobs whose submission is in progress, in bytes: three of the largest size.
+const MIN_JOB_BYTES: usize = 4 * 1024 * 1024;
+
 /// Maximum size of a request body at addresses where none is expected, in bytes.
 const SMALL_BODY_BYTES: usize = 4096;
 
@@ -40,6 +43,8 @@
     pub peers: Limits,
     /// For the readiness checks, and for the metrics.
     pub small: Limits,
+    /// Memory for jobs whose submission is in progress, in bytes.
+    pub jobs: usize,
 }
 
 impl ListenerLimits {
@@ -56,8 +61,9 @@
         // Two bodies of the largest size fit on the smallest host.
         let bodies = |part: usize| part.max(2 * defaults.body_bytes);
         // A submission takes up to three descriptors for calls to the store and the owner.
-        let requests = (memory / 10 / REQUEST_BYTES).min(descriptors / 8);
+        let requests = (memory / 16 / REQUEST_BYTES).min(descriptors / 8);
         ListenerLimits {
+            jobs: (memory / 12).max(MIN_JOB_BYTES),
             callers: Limits {
                 connections: connections(memory / 6),
                 memory: bodies(memory / 6),
--- a/crates/cell/src/submit.rs
+++ b/crates/cell/src/submit.rs
@@ -11,8 +11,11 @@
 use platform::JobError;
 use platform::decode_job;
 use platform::request_key;
+use tokio::sync::OwnedSemaphorePermit;
+use web::Handler;
 use web::HttpRequest;
 use web::HttpResponse;
+use web::Refusal;
 
 use crate::Acceptance;
 use crate::AcceptedJob;
@@ -54,9 +57,10 @@
             }
             spec.organisation = Some(organisation.clone());
         }
-        if let Some(response) = self.over_row(&spec) {
-            return response;
-        }
+        let room = match self.reserve(&spec) {
+            Ok(room) => room,
+            Err(response) => return *response,
+        };
         let key = request_key(&request.headers).ok();
         let job = AcceptedJob {
             id,
@@ -87,7 +91,7 @@
         }
         match acceptance {
             Acceptance::Accepted { first: true } => {
-                self.notify_owner(job);
+                self.notify_owner(job, room);
                 web::json(StatusCode::OK, &EmptyBody {})
             }
             Acceptance::Accepted { first: false } => web::json(StatusCode::OK, &EmptyBody {}),
@@ -114,19 +118,25 @@
         web::error(StatusCode::UNPROCESSABLE_ENTITY, &reason)
     }
 
-    /// Rejects a job whose row the store does not take.
-    fn over_row(&self, spec: &JobSpec) -> Option<HttpResponse> {
+    /// Reserves the memory of a job. Rejects one whose row the store does not take, and refuses one for
+    /// which no memory is left.
+    fn reserve(&self, spec: &JobSpec) -> Result<OwnedSemaphorePermit, Box<HttpResponse>> {
         let found = encode_row(spec).len();
         let allowed = self.context.settings.row_limit();
-        (found > allowed).then(|| {
+        if found > allowed {
             let reason = format!("job: found {found} bytes in a row, allowed: at most {allowed}");
-            web::error(StatusCode::PAYLOAD_TOO_LARGE, &reason)
+            let response = web::error(StatusCode::PAYLOAD_TOO_LARGE, &reason);
+            return Err(Box::new(response));
+        }
+        self.memory.reserve(spec, found).ok_or_else(|| {
+            self.record(Refusal::Memory);
+            Box::new(self.refuse("no memory for the job on this host"))
         })
     }
 
     /// Notifies the owner without delaying the caller. If the message is lost, the owner reads
     /// the job from the change feed.
-    fn notify_owner(&self, mut job: AcceptedJob) {
+    fn notify_owner(&self, mut job: AcceptedJob, room: OwnedSemaphorePermit) {
         job.key = None;
         let owner = self.owner.clone();
         tokio::spawn(async move {
@@ -137,6 +147,7 @@
                     "owner not notified of an accepted job; it reads the job from the change feed"
                 );
             }
+            drop(room);
         });
     }
 }
--- a/crates/daemon/tests/crowds/crowd.rs
+++ b/crates/daemon/tests/crowds/crowd.rs
@@ -36,6 +36,9 @@
 /// Number of requests of a member with heads of almost the largest size.
 const LONG_PATHS: usize = 300;
 
+/// Size of the body of a job with as many steps as a row of the store takes, in bytes.
+const FULL_ROW_BODY: usize = 11_800;
+
 /// Longest time that a test waits until the members have sent all that the process takes.
 const SEND_LIMIT: Duration = Duration::from_secs(20);
 
@@ -68,6 +71,8 @@
     PaddedJob,
     /// A whole job of the largest size, which consists of as many steps as fit.
     ManySteps,
+    /// A whole job with as many steps as a row of the store takes.
+    FullRow,
     /// Many requests on one connection, whose replies are not read.
     Unread,
     /// The same, with heads of almost the largest size.
@@ -121,6 +126,10 @@
                 let job = job_of_many_steps(LARGEST_BODY);
                 vec![sized(job.len()), job]
             }
+            Conduct::FullRow => {
+                let job = job_of_many_steps(FULL_ROW_BODY);
+                vec![sized(job.len()), job]
+            }
             Conduct::Unread => {
                 let request = format!("GET {path} HTTP/1.1\r\nhost: desk.example\r\n\r\n");
                 vec![request.repeat(PIPELINED).into_bytes()]
--- a/crates/daemon/tests/crowds/main.rs
+++ b/crates/daemon/tests/crowds/main.rs
@@ -128,6 +128,29 @@
     withstand(Conduct::ManySteps, MANY_STEPS).await;
 }
 
+// Guards against small bodies that are decoded to large jobs, which are kept until a slow store
+// answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_of_a_full_row_while_the_store_is_slow() {
+    let _lock = CELL_LOCK.lock().await;
+    let mut cell = Cell::open(1).await;
+    // Longer than the test, so that none of the jobs is accepted.
+    cell.store.set_faults(StoreFaults {
+        delay: Duration::from_mins(5),
+        ..StoreFaults::default()
+    });
+    let server = cell.hosts[0].callers();
+    let crowd = Crowd::gather(server, QUEUE, Conduct::FullRow, BODIES, SEED);
+    crowd.settle().await;
+    crowd.close().await;
+    cell.store.set_faults(StoreFaults::default());
+
+    cell.serve_ordinary(1).await;
+
+    cell.hosts[0].assert_bounds();
+    cell.close().await;
+}
+
 // Guards against heads without an end that take all descriptors.
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_without_an_end() {
