web: Let a whole request that waits for its turn keep its place

A whole body could be told to yield meanwhile, too.

Weighed: to close such a connection with 503, which the wait's end does anyway.

--- a/crates/web/src/gate.rs
+++ b/crates/web/src/gate.rs
@@ -197,13 +197,12 @@
         self.told(&self.signals.body).await;
     }
 
-    /// Waits for the turn of a request that has arrived whole, and records that it is being handled;
-    /// none if the wait takes too long. The turn ends when the permit is dropped.
+    /// Records that a request has arrived whole, so that it no longer yields, and waits for its turn;
+    /// none if that takes too long. The turn ends when the permit is dropped.
     pub(crate) async fn handle(&self) -> Option<SemaphorePermit<'_>> {
-        let turn = tokio::time::timeout(TURN_TIMEOUT, self.gate.turns.acquire()).await;
-        let turn = turn.ok()?.ok()?;
         self.gate.lock().ledger.handle(self.key, Instant::now());
-        Some(turn)
+        let turn = tokio::time::timeout(TURN_TIMEOUT, self.gate.turns.acquire()).await;
+        turn.ok()?.ok()
     }
 
     /// Records that the reply to a request is ready, and that its body is no longer held.
--- a/crates/web/src/ledger.rs
+++ b/crates/web/src/ledger.rs
@@ -29,7 +29,7 @@
     Waiting,
     /// The body of its request is arriving.
     Receiving,
-    /// Its request is being handled.
+    /// Its request has arrived whole; the reply is not ready.
     Handling,
 }
 
@@ -156,7 +156,7 @@
         }
     }
 
-    /// Records that a request has arrived whole and is being handled.
+    /// Records that a request has arrived whole.
     pub fn handle(&mut self, key: ConnectionKey, now: Instant) {
         self.enter(key, Phase::Handling, now);
     }
--- a/crates/web/tests/limits.rs
+++ b/crates/web/tests/limits.rs
@@ -169,3 +169,21 @@
     assert!(reply.starts_with("HTTP/1.1 503"), "{reply}");
     assert!(reply.contains("retry-after: 1"), "{reply}");
 }
+
+// Guards against a whole request that is dropped for a new connection while it waits for its turn.
+#[tokio::test]
+async fn a_whole_request_that_waits_for_its_turn_keeps_its_place() {
+    let (server, _stop) = open(Limits {
+        requests: 0,
+        connections: 1,
+        ..limits()
+    });
+    let mut waiting = TcpStream::connect(server).await.expect("connect");
+    let request = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+    waiting.write_all(request.as_bytes()).await.expect("write");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+
+    let (reply, _) = tokio::join!(read(&mut waiting), exchange(server, request));
+
+    assert!(reply.starts_with("HTTP/1.1 503"), "{reply}");
+}
