cell: As many places for the other processes as for callers

Each process keeps a call open at the owner while it helps with advice, and makes others beside it. An eighth of the memory held 305 connections on a host of 160 MB: an owner of 300 processes would have had places for little more than those open calls, which yield to no other. A sixth holds 406. Found by reading; no run has shown it.

--- a/crates/cell/src/listeners.rs
+++ b/crates/cell/src/listeners.rs
@@ -71,7 +71,7 @@
                 ..defaults
             },
             peers: Limits {
-                connections: connections(memory / 8),
+                connections: connections(memory / 6),
                 memory: bodies(memory / 16),
                 ..defaults
             },
