--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -7,6 +7,12 @@
 mod checker;
 mod contact;
 mod crash_limit;
+#[path = "../crowds/crowd.rs"]
+#[allow(dead_code)]
+mod crowd;
+#[path = "../crowds/host.rs"]
+#[allow(dead_code)]
+mod host;
 mod plan;
 mod testbed;
 mod traffic;
@@ -14,9 +20,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crowd::Conduct;
+use crowd::Crowd;
 use plan::Event;
 use plan::FAULT_TIME;
 use plan::Plan;
+use plan::has_crowds;
 use testbed::Testbed;
 use tokio::sync::Mutex;
 use traffic::Traffic;
@@ -24,8 +33,8 @@
 /// Seeds that CI runs: two without special faults (1, 2), two with tasks that crash workers and
 /// workers that change their capacity (100, 101), two with a thin link (300, 301), two with
 /// workers that restart under their ids (400, 401), two with workers that drain (100000, 100001),
-/// two with repeated jobs whose rounds overlap (200000, 200001), and those that show a fault in the
-/// scheduler or in this test if it comes back:
+/// two with repeated jobs whose rounds overlap (200000, 200001), two with crowds (300000, 300001), and
+/// those that show a fault in the scheduler or in this test if it comes back:
 ///
 /// - 5: a process gets SIGHUP for changed settings before it handles signals, and ends;
 /// - 12, 48, 57: the checker reports that a task runs again after its end. The end was not
@@ -36,9 +45,9 @@
 /// - 642: the checker reports a job as lost although it failed after five crashes of workers that
 ///   ran its task;
 /// - 200029: a worker that is resized after its restart registers late, with four cores.
-const SEEDS: [u64; 20] = [
+const SEEDS: [u64; 22] = [
     1, 2, 5, 12, 48, 57, 100, 101, 197, 300, 301, 400, 401, 444, 642, 100_000, 100_001, 200_000,
-    200_001, 200_029,
+    200_001, 200_029, 300_000, 300_001,
 ];
 
 /// Seed that shows a known fault of the scheduler in some runs. It has a test of its own, which CI
@@ -52,6 +61,9 @@
 /// and no two of them use the same loopback addresses, as seeds 2 and 402 would.
 static SEEDS_LOCK: Mutex<()> = Mutex::const_new(());
 
+/// Members of a crowd, more than a process has places for callers.
+const CROWD: usize = 120;
+
 /// Timeout for all processes to become ready after their start.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -96,12 +108,32 @@
     (number(first)..=number(last)).collect()
 }
 
+/// Lets a crowd gather at each process, if the seed has crowds.
+fn gather_crowds(seed: u64, testbed: &Testbed) -> Vec<Crowd> {
+    if !has_crowds(seed) {
+        return Vec::new();
+    }
+    let conducts = [
+        Conduct::Silent,
+        Conduct::Head,
+        Conduct::Unread,
+        Conduct::LongPaths,
+    ];
+    let first = usize::try_from(seed % 4).expect("below 4");
+    let conducts = conducts.into_iter().cycle().skip(first);
+    let servers = testbed.servers().into_iter().zip(conducts);
+    servers
+        .map(|(server, conduct)| Crowd::gather(server, "/plain/", conduct, CROWD, seed))
+        .collect()
+}
+
 /// Runs one seed. Returns the violations found, at most 20, with the plan of the seed and the
 /// folder of the logs; empty if there are none.
 async fn run_seed(seed: u64) -> Vec<String> {
     let plan = Plan::new(seed);
     let mut testbed = Testbed::open(seed).await;
     testbed.wait_ready(START_TIMEOUT).await;
+    let crowds = gather_crowds(seed, &testbed);
     let traffic = Traffic::begin(seed, testbed.servers());
     let begin = Instant::now();
     for (at, event) in &plan.events {
@@ -110,6 +142,9 @@
     }
     tokio::time::sleep(FAULT_TIME.saturating_sub(begin.elapsed())).await;
     testbed.end_faults().await;
+    for crowd in crowds {
+        crowd.close().await;
+    }
     let jobs = traffic.end().await;
     let mut violations = checker::find_violations(&testbed, &jobs).await;
     violations.append(&mut testbed.faults);
--- a/crates/daemon/tests/soak/plan.rs
+++ b/crates/daemon/tests/soak/plan.rs
@@ -85,6 +85,14 @@
     seed >= FIRST_REPEAT_SEED
 }
 
+/// First seed with crowds of clients that hold on to connections.
+const FIRST_CROWD_SEED: u64 = 300_000;
+
+/// Whether crowds of clients hold on to connections of all processes.
+pub fn has_crowds(seed: u64) -> bool {
+    seed >= FIRST_CROWD_SEED
+}
+
 /// A fault, its end, or another action on the cell. The first number is the index of a process
 /// or worker, except for `Configure`.
 #[derive(Clone, Copy, Debug)]
--- a/crates/daemon/tests/soak/testbed.rs
+++ b/crates/daemon/tests/soak/testbed.rs
@@ -35,9 +35,12 @@
 use tokio::sync::watch;
 
 use crate::contact::Contact;
+use crate::host::DESCRIPTORS;
+use crate::host::MEMORY_MB;
 use crate::plan::Event;
 use crate::plan::HOSTS;
 use crate::plan::WORKERS;
+use crate::plan::has_crowds;
 use crate::plan::has_restarts;
 use crate::plan::has_thin_link;
 
@@ -69,6 +72,14 @@
     settings.to_string()
 }
 
+/// Adapts the settings (JSON) of a process to a seed with crowds.
+fn small_host_settings(text: &str) -> String {
+    let mut settings: Value = serde_json::from_str(text).expect("settings are JSON");
+    settings["memory_mb"] = json!(MEMORY_MB);
+    settings["descriptors"] = json!(DESCRIPTORS);
+    settings.to_string()
+}
+
 /// A host with one process of the cell, which may be killed and started again.
 struct Host {
     addresses: LoopbackHost,
@@ -183,6 +194,9 @@
             if has_thin_link(seed) {
                 text = thin_link_settings(&text, index);
             }
+            if has_crowds(seed) {
+                text = small_host_settings(&text);
+            }
             std::fs::write(&settings, text).expect("settings");
             hosts.push(Host {
                 addresses,
