--- a/crates/cell/src/listeners.rs
+++ b/crates/cell/src/listeners.rs
@@ -1,9 +1,9 @@
 //! Limits of a process's listeners, which share the memory and the descriptors of its host.
 //!
 //! Load that this answers: many clients that occupy as much as they can at any of the listeners. Each
-//! listener has a part of its own, so that a crowd at one takes nothing from the others; half of the
-//! descriptors and more than a third of the memory are left to the work of the process and to its
-//! connections to the store, the workers and the other processes.
+//! listener has a part of its own, so that a crowd at one takes nothing from the others. A quarter of the
+//! memory, and half of the descriptors, are left to the work of the process and to its connections to the
+//! store, the workers and the other processes.
 
 use std::time::Duration;
 
@@ -19,7 +19,7 @@
 /// connections to the store and the owner.
 const REQUEST_BYTES: usize = 32 * 1024;
 
-/// Smallest memory for jobs whose submission is in progress, in bytes: three of the largest size.
+/// Smallest memory for jobs whose submission is in progress, in bytes: two of the largest size.
 const MIN_JOB_BYTES: usize = 4 * 1024 * 1024;
 
 /// Maximum size of a request body at addresses where none is expected, in bytes.
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -211,16 +211,15 @@
         if let Some(rejection) = self.handler.screen(&http_request) {
             return Err(Box::new(rejection));
         }
+        let largest = self.limits.body_bytes;
+        let limit = self.handler.body_limit(&http_request);
+        let allowed = limit.map_or(largest, |limit| limit.min(largest));
         if !body.is_end_stream() {
-            let limit = self.handler.body_limit(&http_request);
-            let allowed = limit.map_or(self.limits.body_bytes, |limit| {
-                limit.min(self.limits.body_bytes)
-            });
             let received = self.receive(body, allowed).await;
             http_request.body = received.map_err(|refusal| self.refuse(refusal, allowed))?;
         }
         let turn = self.place.handle().await;
-        let turn = turn.ok_or_else(|| self.refuse(Refusal::Requests, 0))?;
+        let turn = turn.ok_or_else(|| self.refuse(Refusal::Requests, allowed))?;
         let response = self.handler.handle(http_request).await;
         drop(turn);
         Ok(response)
@@ -235,7 +234,7 @@
         }
     }
 
-    /// Returns the response to a refused request. Its connection is closed, since the rest of the body
+    /// Returns the response to a refused request, for whose body `allowed` bytes are allowed. Its connection is closed, since the rest of the body
     /// is not read.
     fn refuse(&self, refusal: Refusal, allowed: usize) -> Box<HttpResponse> {
         self.handler.record(refusal);
