--- a/crates/daemon/tests/crowds/crowd.rs
+++ b/crates/daemon/tests/crowds/crowd.rs
@@ -21,12 +21,18 @@
 /// Largest request body that the configuration of the tests allows, in bytes.
 pub const LARGEST_BODY: usize = 262_144;
 
+/// Largest request body that a process accepts, whatever the configuration allows, in bytes.
+pub const LARGEST_ACCEPTED: usize = 1 << 20;
+
 /// Size of a body far over the limit, in bytes.
 const EXCESSIVE_BODY: usize = 1_000_000;
 
 /// Largest request head that the process accepts, in bytes.
 const LARGEST_HEAD: usize = 16 * 1024;
 
+/// Size of the body of an ordinary job, in bytes.
+const ORDINARY_BODY: usize = 200;
+
 /// Size of a piece of a body that is sent piece by piece, in bytes.
 const PIECE: usize = 9_000;
 
@@ -73,6 +79,10 @@
     ManySteps,
     /// A whole job with as many steps as a row of the store takes.
     FullRow,
+    /// A whole valid job of an ordinary size.
+    OrdinaryJob,
+    /// A whole valid job of the largest accepted size, most of which is an unknown field.
+    UnknownField,
     /// Many requests on one connection, whose replies are not read.
     Unread,
     /// The same, with heads of almost the largest size.
@@ -130,6 +140,14 @@
                 let job = job_of_many_steps(FULL_ROW_BODY);
                 vec![sized(job.len()), job]
             }
+            Conduct::OrdinaryJob => {
+                let job = padded_job(ORDINARY_BODY);
+                vec![sized(job.len()), job]
+            }
+            Conduct::UnknownField => {
+                let job = job_with_unknown_field(LARGEST_ACCEPTED);
+                vec![sized(job.len()), job]
+            }
             Conduct::Unread => {
                 let request = format!("GET {path} HTTP/1.1\r\nhost: desk.example\r\n\r\n");
                 vec![request.repeat(PIPELINED).into_bytes()]
@@ -165,6 +183,18 @@
     job
 }
 
+/// Returns a valid job of almost `size` bytes, which consists of a step with an unknown field that holds
+/// as many lists as fit.
+pub fn job_with_unknown_field(size: usize) -> Vec<u8> {
+    let step = br#"{"spec":"10","steps":[{"count":1,"cpu":1000,"mem_mb":100,"unknown":[[0]"#;
+    let mut job = step.to_vec();
+    while job.len() < size - 8 {
+        job.extend_from_slice(b",[0]");
+    }
+    job.extend_from_slice(b"]}]}");
+    job
+}
+
 /// Splits a request with a chunked body into a head and chunks of `chunk` bytes.
 pub fn chunked_request(path: &str, body: &[u8], chunk: usize) -> Vec<u8> {
     let mut request = head(path, "transfer-encoding: chunked\r\n\r\n").into_bytes();
--- a/crates/daemon/tests/crowds/host.rs
+++ b/crates/daemon/tests/crowds/host.rs
@@ -50,6 +50,33 @@
 /// Time between two readings of what a process occupies.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Number of processes of a cell, and what each of their hosts has.
+#[derive(Clone, Copy, Debug)]
+pub struct CellSize {
+    pub processes: usize,
+    pub workers: usize,
+    /// Memory of each host, in megabytes.
+    pub memory: usize,
+    /// Descriptors that the process of each host may have open.
+    pub descriptors: usize,
+    /// Largest request body that the configuration allows, in bytes.
+    pub body: usize,
+    pub logs: Logs,
+}
+
+impl Default for CellSize {
+    fn default() -> CellSize {
+        CellSize {
+            processes: 1,
+            workers: 4,
+            memory: MEMORY_MB,
+            descriptors: DESCRIPTORS,
+            body: LARGEST_BODY,
+            logs: Logs::Written,
+        }
+    }
+}
+
 /// Most that a process has occupied so far.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Peak {
@@ -71,6 +98,7 @@
 /// A host with a running process.
 pub struct Host {
     address: LoopbackHost,
+    size: CellSize,
     child: Child,
     peak: Arc<Mutex<Peak>>,
     sampling: JoinHandle<()>,
@@ -83,7 +111,7 @@
         settings: &Value,
         folder: &TempDir,
         name: &str,
-        logs: Logs,
+        size: CellSize,
     ) -> Host {
         let path = folder.path().join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("settings");
@@ -94,7 +122,7 @@
             .env("CLOVERMOUNT_BOOT", &path)
             .stdin(Stdio::null())
             .stderr(log.try_clone().expect("log file"))
-            .stdout(match logs {
+            .stdout(match size.logs {
                 Logs::Written => Stdio::from(log),
                 Logs::Blocked => Stdio::piped(),
             })
@@ -106,6 +134,7 @@
         let sampling = watch_peak(id, address.ip(), &peak);
         Host {
             address,
+            size,
             child,
             peak,
             sampling,
@@ -165,15 +194,16 @@
     pub fn assert_peak(&self) {
         let peak = *lock(&self.peak);
         println!("peak: {peak:?}");
-        let memory = MEMORY_MB * 1_000_000;
+        let memory = self.size.memory * 1_000_000;
+        let descriptors = self.size.descriptors;
         assert!(
             peak.memory <= memory,
             "memory: found {} bytes, allowed: at most {memory}",
             peak.memory
         );
         assert!(
-            peak.descriptors <= DESCRIPTORS,
-            "descriptors: found {}, allowed: at most {DESCRIPTORS}",
+            peak.descriptors <= descriptors,
+            "descriptors: found {}, allowed: at most {descriptors}",
             peak.descriptors
         );
     }
@@ -199,30 +229,34 @@
 impl Cell {
     /// Starts `processes` processes and waits until they are ready and have an owner.
     pub async fn open(processes: usize) -> Cell {
-        Cell::open_with(processes, Logs::Written).await
+        let size = CellSize {
+            processes,
+            ..CellSize::default()
+        };
+        Cell::open_sized(size).await
     }
 
-    /// The same with another use of the logs.
-    pub async fn open_with(processes: usize, logs: Logs) -> Cell {
+    /// The same with hosts of another size.
+    pub async fn open_sized(size: CellSize) -> Cell {
         let (serving, stop) = watch::channel(false);
         let store = FakeStore::new();
         let mut configuration = config(1);
-        configuration["limits"]["max_body_bytes"] = json!(LARGEST_BODY);
+        configuration["limits"]["max_body_bytes"] = json!(size.body);
         store.write("op", "config", &configuration);
         let advice = FakeAdvice::new(Vec::new());
         let log = RunLog::default();
-        let fleet = Fleet::open(4, &store, &advice, &log, None, &stop).await;
+        let fleet = Fleet::open(size.workers, &store, &advice, &log, None, &stop).await;
         let store_address = serve(store.clone(), &stop).await;
         let services = serve(advice, &stop).await;
         let folder = TempDir::new().expect("folder");
         let number = NEXT_CELL.fetch_add(1, Ordering::Relaxed);
-        let hosts = (0..processes).map(|index| {
+        let hosts = (0..size.processes).map(|index| {
             let address = LoopbackHost::new(number, index);
             let text = address.settings(store_address, Some(services));
             let mut settings: Value = serde_json::from_str(&text).expect("JSON");
-            settings["memory_mb"] = json!(MEMORY_MB);
-            settings["descriptors"] = json!(DESCRIPTORS);
-            Host::start(address, &settings, &folder, &format!("entry-{index}"), logs)
+            settings["memory_mb"] = json!(size.memory);
+            settings["descriptors"] = json!(size.descriptors);
+            Host::start(address, &settings, &folder, &format!("entry-{index}"), size)
         });
         let cell = Cell {
             hosts: hosts.collect(),
--- a/crates/daemon/tests/crowds/main.rs
+++ b/crates/daemon/tests/crowds/main.rs
@@ -10,12 +10,14 @@
 
 use crowd::Conduct;
 use crowd::Crowd;
+use crowd::LARGEST_ACCEPTED;
 use crowd::LARGEST_BODY;
 use crowd::chunked_request;
 use crowd::job_of_many_steps;
 use crowd::padded_job;
 use crowd::send_raw;
 use host::Cell;
+use host::CellSize;
 use host::Host;
 use host::Logs;
 use host::serve_ordinary;
@@ -40,6 +42,15 @@
 /// Members of a crowd that sends jobs, each of which takes far more memory than its body.
 const MANY_STEPS: usize = 12;
 
+/// Members of a crowd that sends jobs with an unknown field.
+const UNKNOWN_FIELDS: usize = 8;
+
+/// Members of a crowd that sends ordinary jobs, more than a process handles at the same time.
+const ORDINARY_JOBS: usize = 200;
+
+/// Workers of a pool whose connections take an eighth of the descriptors of the owner's process.
+const WORKERS: usize = 50;
+
 /// Members of a crowd whose heads together are larger than the memory of a host.
 const LONG_PATHS: usize = 24;
 
@@ -128,6 +139,26 @@
     withstand(Conduct::ManySteps, MANY_STEPS).await;
 }
 
+// Guards against unknown fields that take far more memory than their text while a job is decoded.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_with_an_unknown_field() {
+    let _lock = CELL_LOCK.lock().await;
+    let size = CellSize {
+        body: LARGEST_ACCEPTED,
+        ..CellSize::default()
+    };
+    let mut cell = Cell::open_sized(size).await;
+    let server = cell.hosts[0].callers();
+    let crowd = Crowd::gather(server, QUEUE, Conduct::UnknownField, UNKNOWN_FIELDS, SEED);
+    crowd.settle().await;
+
+    cell.serve_ordinary(1).await;
+    crowd.close().await;
+
+    cell.hosts[0].assert_bounds();
+    cell.close().await;
+}
+
 // Guards against small bodies that are decoded to large jobs, which are kept until a slow store
 // answers.
 #[tokio::test(flavor = "multi_thread")]
@@ -174,7 +205,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn long_paths_while_nobody_reads_the_log() {
     let _lock = CELL_LOCK.lock().await;
-    let mut cell = Cell::open_with(1, Logs::Blocked).await;
+    let size = CellSize {
+        logs: Logs::Blocked,
+        ..CellSize::default()
+    };
+    let mut cell = Cell::open_sized(size).await;
     let server = cell.hosts[0].callers();
     let crowd = Crowd::gather(server, "/nowhere/", Conduct::LongPaths, LONG_PATHS, SEED);
     crowd.settle().await;
@@ -252,6 +287,78 @@
     cell.close().await;
 }
 
+// Guards against connections and requests of clients that leave no descriptors to the connections to the
+// workers and to a slow store.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_beside_connections_to_many_workers() {
+    let _lock = CELL_LOCK.lock().await;
+    let size = CellSize {
+        processes: 2,
+        workers: WORKERS,
+        ..CellSize::default()
+    };
+    let mut cell = Cell::open_sized(size).await;
+    cell.store.set_faults(StoreFaults {
+        delay: Duration::from_millis(1200),
+        ..StoreFaults::default()
+    });
+    let mut crowds = Vec::new();
+    for host in &cell.hosts {
+        let (callers, peers) = (host.callers(), host.peers());
+        crowds.extend([
+            Crowd::gather(callers, QUEUE, Conduct::OrdinaryJob, ORDINARY_JOBS, SEED),
+            Crowd::gather(peers, "/accept", Conduct::Silent, CONNECTIONS / 2, SEED),
+            Crowd::gather(host.ready(), "/-/readyz", Conduct::Silent, 50, SEED),
+            Crowd::gather(host.metrics(), "/metrics", Conduct::Silent, 50, SEED),
+        ]);
+    }
+    for crowd in &crowds {
+        crowd.settle().await;
+    }
+    for crowd in crowds {
+        crowd.close().await;
+    }
+    cell.store.set_faults(StoreFaults::default());
+
+    cell.serve_ordinary(1).await;
+
+    cell.hosts[0].assert_bounds();
+    cell.hosts[1].assert_bounds();
+    cell.close().await;
+}
+
+// Guards against parts of the listeners that fit a host of one size and not the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn crowds_at_hosts_of_all_sizes() {
+    for (memory, descriptors) in [(120, 3075), (160, 4100), (512, 8192)] {
+        let _lock = CELL_LOCK.lock().await;
+        let size = CellSize {
+            memory,
+            descriptors,
+            ..CellSize::default()
+        };
+        let mut cell = Cell::open_sized(size).await;
+        let host = &cell.hosts[0];
+        let gather = |server, path, conduct| Crowd::gather(server, path, conduct, 800, SEED);
+        let crowds = [
+            gather(host.callers(), QUEUE, Conduct::Whole),
+            gather(host.callers(), QUEUE, Conduct::Head),
+            gather(host.peers(), "/accept", Conduct::Head),
+            gather(host.peers(), "/accept", Conduct::Pieces),
+        ];
+        crowds[0].settle().await;
+
+        cell.serve_ordinary(1).await;
+        for crowd in crowds {
+            crowd.close().await;
+        }
+        cell.serve_ordinary(2).await;
+
+        cell.hosts[0].assert_bounds();
+        cell.close().await;
+    }
+}
+
 // Guards against a crowd that keeps a process from stopping by itself, or its callers from an answer
 // meanwhile.
 #[tokio::test(flavor = "multi_thread")]
