web, cell: Bound the calls that the requests of clients make

Cause: each request in progress opened as many connections as it makes calls: a second, identical write after 1.3 s, and four at once for the marks of a rejection. Only requests were bounded.

Change: the calls for the requests of callers and of other processes wait for their turn, at most D/16 at the same time. The process's own calls have no such limit.

--- a/crates/cell/src/acceptor.rs
+++ b/crates/cell/src/acceptor.rs
@@ -173,7 +173,7 @@
         deadline: Duration,
     ) -> Result<ExistingRow, StoreError> {
         let remaining = deadline.saturating_sub(self.context.now());
-        let read = self.context.store.read_row(row, remaining).await;
+        let read = self.context.request_store().read_row(row, remaining).await;
         let Some(stored) = read.map_err(into_ambiguous)? else {
             return Ok(ExistingRow::Removed);
         };
@@ -222,7 +222,7 @@
         transaction: &Transaction,
         remaining: Duration,
     ) -> Result<Committed, StoreError> {
-        let store = &self.context.store;
+        let store = &self.context.request_store();
         let first = store.commit(transaction, remaining);
         tokio::pin!(first);
         tokio::select! {
--- a/crates/cell/src/cancel.rs
+++ b/crates/cell/src/cancel.rs
@@ -120,7 +120,8 @@
             puts: vec![(row.name, encode_row(&spec))],
             removes: Vec::new(),
         };
-        let commit = self.context.store.commit(&transaction, STORE_TIMEOUT);
+        let store = self.context.request_store();
+        let commit = store.commit(&transaction, STORE_TIMEOUT);
         match commit.await.context(WriteSnafu)? {
             Committed::Done(_) => Ok(StatusCode::OK),
             Committed::Conflict => ChangedSnafu.fail(),
--- a/crates/cell/src/context.rs
+++ b/crates/cell/src/context.rs
@@ -16,6 +16,7 @@
 use platform::Store;
 use platform::StoreError;
 use tokio::sync::watch;
+use web::CallLimit;
 use web::Client;
 
 use crate::CellMetrics;
@@ -23,6 +24,7 @@
 use crate::Follower;
 use crate::ForecastCache;
 use crate::KnownVersions;
+use crate::ListenerLimits;
 use crate::OwnershipView;
 use crate::StopPhase;
 use crate::access::ConfigAges;
@@ -62,6 +64,8 @@
     pub versions: KnownVersions,
     /// How far the stop of the process is.
     pub stop: watch::Receiver<StopPhase>,
+    /// Limit on the calls for the requests of callers and of other processes.
+    calls: CallLimit,
     /// Epoch of an owner whose process may have ended, because it closed a connection during a
     /// call; 0 for none.
     suspected_owner: Arc<AtomicU64>,
@@ -86,6 +90,7 @@
         stop: watch::Receiver<StopPhase>,
     ) -> Context {
         let store = Store::new(Client::new(CONNECT_TIMEOUT), settings.store);
+        let calls = CallLimit::new(ListenerLimits::new(&settings).calls);
         Context {
             settings: Arc::new(settings),
             incarnation: std::hash::RandomState::new().build_hasher().finish(),
@@ -98,6 +103,7 @@
             forecast: ForecastCache::default(),
             versions: KnownVersions::default(),
             stop,
+            calls,
             suspected_owner: Arc::default(),
             config_confirmed: Arc::default(),
             store_answered: Arc::default(),
@@ -106,6 +112,19 @@
         }
     }
 
+    /// Returns the client of the store for the requests of callers and of other processes. They may use
+    /// only a part of the descriptors.
+    #[must_use]
+    pub fn request_store(&self) -> Store {
+        self.store.limited(&self.calls)
+    }
+
+    /// Returns the client of peers for the requests of callers.
+    #[must_use]
+    pub fn request_client(&self) -> Client {
+        self.client.limited(&self.calls)
+    }
+
     /// Returns the monotonic time since the process started.
     #[must_use]
     pub fn now(&self) -> Duration {
--- a/crates/cell/src/listeners.rs
+++ b/crates/cell/src/listeners.rs
@@ -2,8 +2,8 @@
 //!
 //! Load that this answers: many clients that occupy as much as they can at any of the listeners. Each
 //! listener has a part of its own, so that a crowd at one takes nothing from the others. A quarter of the
-//! memory, and half of the descriptors, are left to the work of the process and to its connections to the
-//! store, the workers and the other processes.
+//! memory, and a third of the descriptors, are left to the work of the process and to its connections to
+//! the store, the workers and the other processes.
 
 use std::time::Duration;
 
@@ -43,6 +43,9 @@
     pub peers: Limits,
     /// For the readiness checks, and for the metrics.
     pub small: Limits,
+    /// Calls to the store and the owner at the same time for the requests of callers and of other
+    /// processes.
+    pub calls: usize,
     /// Memory for jobs whose submission is in progress, in bytes.
     pub jobs: usize,
 }
@@ -60,9 +63,9 @@
         };
         // Two bodies of the largest size fit on the smallest host.
         let bodies = |part: usize| part.max(2 * defaults.body_bytes);
-        // A submission takes up to three descriptors for calls to the store and the owner.
         let requests = (memory / 16 / REQUEST_BYTES).min(descriptors / 8);
         ListenerLimits {
+            calls: (descriptors / 16).max(MIN_CONNECTIONS),
             jobs: (memory / 12).max(MIN_JOB_BYTES),
             callers: Limits {
                 connections: connections(memory / 6),
--- a/crates/cell/src/owner/supervise.rs
+++ b/crates/cell/src/owner/supervise.rs
@@ -28,7 +28,9 @@
         if let Some(epoch) = epoch {
             last_epoch = epoch;
             let (sender, receiver) = mpsc::channel(OWNER_QUEUE_CAPACITY);
-            let pool = Pool::open(context.clone(), epoch, sender.clone(), receiver).await;
+            let opening = Pool::open(context.clone(), epoch, sender.clone(), receiver);
+            // The future is too large for the stack of its callers.
+            let pool = Box::pin(opening).await;
             if let Some(pool) = pool {
                 let gauge = &context.metrics.epoch;
                 gauge.set(i64::try_from(epoch).unwrap_or(i64::MAX));
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -22,6 +22,7 @@
 use tokio::sync::watch;
 use web::Call;
 use web::CallError;
+use web::Client;
 use web::Handler;
 use web::HttpRequest;
 use web::HttpResponse;
@@ -299,13 +300,15 @@
             return Forwarded::NoOtherOwner;
         };
         let call = Call::new(Method::POST, owner.address, "/accept", timeout).json(job);
-        match self.context.client.send(call).await {
+        match self.context.request_client().send(call).await {
             Ok(reply) if reply.status == StatusCode::OK => {
                 let decoded = reply.json(owner.address);
                 let unclear = |_| Acceptance::Unknown("the owner's answer is unclear".to_owned());
                 Forwarded::Replied(decoded.unwrap_or_else(unclear))
             }
-            Ok(_) | Err(CallError::Connect { .. }) => Forwarded::OwnerSilent,
+            Ok(_) | Err(CallError::Connect { .. } | CallError::Busy { .. }) => {
+                Forwarded::OwnerSilent
+            }
             Err(error) => {
                 log::warn!(
                     code = 403, job = crate::hex(job.id), error:% = error;
@@ -324,12 +327,12 @@
         let body = request.clone();
         let make_message = |reply| OwnerMessage::Poll(request, reply);
         let timeout = POLL_WAIT + POLL_SLACK;
-        self.send_request(make_message, Method::POST, "/help", &body, timeout)
+        let client = &self.context.client;
+        self.send_over(client, make_message, Method::POST, "/help", &body, timeout)
             .await
     }
 
-    /// Sends a request to the owner: as the message that `make_message` builds if the owner is in
-    /// this process, otherwise over HTTP.
+    /// Sends a request of a caller to the owner; see [`OwnerClient::send_over`].
     async fn send_request<T, B>(
         &self,
         make_message: impl FnOnce(oneshot::Sender<T>) -> OwnerMessage,
@@ -338,6 +341,26 @@
         body: &B,
         timeout: Duration,
     ) -> Result<T, OwnerError>
+    where
+        T: serde::de::DeserializeOwned,
+        B: Serialize,
+    {
+        let client = &self.context.request_client();
+        self.send_over(client, make_message, method, path, body, timeout)
+            .await
+    }
+
+    /// Sends a request to the owner: as the message that `make_message` builds if the owner is in
+    /// this process, otherwise over HTTP with `client`.
+    async fn send_over<T, B>(
+        &self,
+        client: &Client,
+        make_message: impl FnOnce(oneshot::Sender<T>) -> OwnerMessage,
+        method: Method,
+        path: &str,
+        body: &B,
+        timeout: Duration,
+    ) -> Result<T, OwnerError>
     where
         T: serde::de::DeserializeOwned,
         B: Serialize,
@@ -356,8 +379,10 @@
             return Err(OwnerError::Silent);
         }
         let call = Call::new(method, owner.address, path, timeout).json(body);
-        let reply = match self.context.client.send(call).await {
+        let reply = match client.send(call).await {
             Ok(reply) => reply,
+            // Says nothing about the owner.
+            Err(CallError::Busy { .. }) => return Err(OwnerError::Silent),
             Err(error) => {
                 log::warn!(
                     code = 416, owner = owner.node.as_str(), epoch = owner.epoch, error:% = error;
--- a/crates/cell/src/rejection.rs
+++ b/crates/cell/src/rejection.rs
@@ -67,7 +67,7 @@
 
     /// Marks one row; returns false if it is that of a job.
     async fn mark_row(&self, row: RowName, attempt: u64) -> Result<bool, StoreError> {
-        let store = &self.context.store;
+        let store = &self.context.request_store();
         let mut version = 0;
         for _ in 0..ATTEMPTS {
             let transaction = Transaction {
--- a/crates/cell/src/stored.rs
+++ b/crates/cell/src/stored.rs
@@ -81,7 +81,7 @@
     }
 
     async fn stored_progress(&self, id: JobId) -> Result<Option<Progress>, StoredError> {
-        let store = &self.context.store;
+        let store = &self.context.request_store();
         let row = store.read_row(&progress_row(id), STORE_TIMEOUT).await;
         row.context(ReadSnafu)?
             .map(|row| log_undecodable(id, &row, decode_progress(&row.value)))
@@ -94,7 +94,7 @@
         if config.is_some_and(|config| config.organisations.is_empty()) {
             return Ok(true);
         }
-        let store = &self.context.store;
+        let store = &self.context.request_store();
         for name in &job_rows(id) {
             let row = store.read_row(name, STORE_TIMEOUT).await;
             let row = row.context(ReadSnafu)?;
@@ -112,7 +112,7 @@
         id: JobId,
         viewer: Viewer<'_>,
     ) -> Result<Option<StoredJob>, StoredError> {
-        let store = &self.context.store;
+        let store = &self.context.request_store();
         let mut found: Option<StoredJob> = None;
         let mut read_error = None;
         for name in &job_rows(id) {
--- a/crates/cell/tests/listeners.rs
+++ b/crates/cell/tests/listeners.rs
@@ -6,10 +6,11 @@
 use web::Limits;
 
 /// Memory in megabytes and descriptors of hosts, from the smallest to the largest.
-const HOSTS: [(usize, usize); 5] = [
+const HOSTS: [(usize, usize); 6] = [
     (120, 3075),
     (160, 4100),
     (260, 4100),
+    (512, 4100),
     (512, 8192),
     (512, 10_250),
 ];
@@ -46,7 +47,7 @@
         let connections = limits.callers.connections
             + limits.peers.connections
             + 2 * limits.small.connections
-            + 3 * requests;
+            + limits.calls;
 
         assert!(memory <= memory_mb * 750_000, "{memory_mb}: {memory}");
         assert!(
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -25,7 +25,9 @@
     fn from(error: web::CallError) -> StoreError {
         let reason = error.to_string();
         match error {
-            web::CallError::Connect { .. } => StoreError::Unavailable { reason },
+            web::CallError::Connect { .. } | web::CallError::Busy { .. } => {
+                StoreError::Unavailable { reason }
+            }
             web::CallError::Lost { .. } | web::CallError::Garbled { .. } => {
                 StoreError::Unknown { reason }
             }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -21,6 +21,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
 
 use crate::Traffic;
 
@@ -42,6 +44,12 @@
         /// Description of the cause.
         reason: String,
     },
+    /// The call waited for its turn until it timed out; nothing was sent.
+    #[snafu(display("no call to {server}: too many calls in progress"))]
+    Busy {
+        /// Address of the server.
+        server: SocketAddr,
+    },
     /// The call may have been sent, but no complete reply was received in time.
     #[snafu(display("no reply from {server}: {reason}"))]
     Lost {
@@ -121,12 +129,30 @@
         .build(connector)
 }
 
+/// Limit on the number of calls in progress, each of which may take a connection; clones share it.
+#[derive(Clone, Debug)]
+pub struct CallLimit {
+    turns: Arc<Semaphore>,
+}
+
+impl CallLimit {
+    /// Creates a limit of `calls` at the same time.
+    #[must_use]
+    pub fn new(calls: usize) -> CallLimit {
+        let turns = Semaphore::new(calls.min(Semaphore::MAX_PERMITS));
+        CallLimit {
+            turns: Arc::new(turns),
+        }
+    }
+}
+
 /// HTTP client with a connection pool; clones share the pool.
 #[derive(Clone, Debug)]
 pub struct Client {
     inner: HyperClient<HttpConnector, Full<Bytes>>,
     connect_timeout: Duration,
     traffic: Arc<Traffic>,
+    limit: Option<CallLimit>,
 }
 
 impl Client {
@@ -137,6 +163,17 @@
             inner: open_pool(connect_timeout),
             connect_timeout,
             traffic: Arc::default(),
+            limit: None,
+        }
+    }
+
+    /// Returns a client that shares the connections of this one, and whose calls wait for their turn
+    /// within `limit`.
+    #[must_use]
+    pub fn limited(&self, limit: &CallLimit) -> Client {
+        Client {
+            limit: Some(limit.clone()),
+            ..self.clone()
         }
     }
 
@@ -191,9 +228,12 @@
     /// See [`CallError`].
     pub async fn send(&self, call: Call) -> Result<Reply, CallError> {
         let server = call.server;
+        let deadline = tokio::time::Instant::now() + call.timeout;
+        let turn = tokio::time::timeout_at(deadline, self.turn()).await;
+        let turn = turn.map_err(|_| CallError::Busy { server })?;
         let started = Instant::now();
         self.traffic.sent(call.body.len());
-        let reply = match tokio::time::timeout(call.timeout, self.exchange(call)).await {
+        let reply = match tokio::time::timeout_at(deadline, self.exchange(call)).await {
             Ok(reply) => reply,
             Err(_) => Err(CallError::Lost {
                 server,
@@ -204,9 +244,16 @@
             Ok(reply) => self.traffic.answered(reply.body.len(), started.elapsed()),
             Err(_) => self.traffic.lost(),
         }
+        drop(turn);
         reply
     }
 
+    /// Waits until the number of calls in progress allows another one; `None` if it is not limited.
+    async fn turn(&self) -> Option<SemaphorePermit<'_>> {
+        let limit = self.limit.as_ref()?;
+        limit.turns.acquire().await.ok()
+    }
+
     async fn exchange(&self, call: Call) -> Result<Reply, CallError> {
         let server = call.server;
         let call_lost = |reason: String| CallError::Lost { server, reason };
--- a/crates/web/tests/limits.rs
+++ b/crates/web/tests/limits.rs
@@ -7,8 +7,12 @@
 use hyper::StatusCode;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use web::CallError;
+use web::CallLimit;
+use web::Client;
 use web::Handler;
 use web::HttpRequest;
 use web::HttpResponse;
@@ -187,3 +191,43 @@
 
     assert!(reply.starts_with("HTTP/1.1 503"), "{reply}");
 }
+
+// Guards against requests of clients that open more connections to other servers than their part allows,
+// and against a call that may have been sent though it is reported as not sent.
+#[tokio::test]
+async fn a_call_without_a_turn_is_not_sent() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("listen");
+    let address = silent.local_addr().expect("address");
+    let client = Client::new(Duration::from_secs(1));
+    let limited = client.limited(&CallLimit::new(1));
+    let other = limited.clone();
+    let first = tokio::spawn(async move { other.get(address, "/", Duration::from_mins(1)).await });
+    let (_first, _) = silent.accept().await.expect("the first call");
+
+    let second = limited.get(address, "/", Duration::from_millis(50)).await;
+    let unlimited = client.get(address, "/", Duration::from_millis(50)).await;
+
+    assert!(matches!(second, Err(CallError::Busy { .. })), "{second:?}");
+    assert!(
+        matches!(unlimited, Err(CallError::Lost { .. })),
+        "{unlimited:?}"
+    );
+    first.abort();
+}
+
+// Guards against calls that keep their turn after their callers have given up.
+#[tokio::test]
+async fn a_call_that_is_given_up_returns_its_turn() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("listen");
+    let address = silent.local_addr().expect("address");
+    let limited = Client::new(Duration::from_secs(1)).limited(&CallLimit::new(1));
+    for _ in 0..3 {
+        let call = limited.get(address, "/", Duration::from_mins(1));
+        let given_up = tokio::time::timeout(Duration::from_millis(50), call).await;
+        assert!(given_up.is_err());
+    }
+
+    let last = limited.get(address, "/", Duration::from_millis(50)).await;
+
+    assert!(matches!(last, Err(CallError::Lost { .. })), "{last:?}");
+}
--- a/crates/worker/src/client.rs
+++ b/crates/worker/src/client.rs
@@ -47,7 +47,9 @@
     fn from(error: CallError) -> WorkerError {
         let reason = error.to_string();
         match error {
-            CallError::Connect { .. } => WorkerError::Unreachable { reason },
+            CallError::Connect { .. } | CallError::Busy { .. } => {
+                WorkerError::Unreachable { reason }
+            }
             CallError::Lost { .. } | CallError::Garbled { .. } => WorkerError::NoReply { reason },
         }
     }
