peer: Bound the handshakes that a process begins

Cause: the library accepts as many handshakes as come, and each takes memory until it times out after 2 s.

Change: at most 64 handshakes at the same time, for 2 s each. From 16 on a client is sent a token and kept in mind only when it comes back with it, so clients that cannot receive at the address that they state leave the other places to the processes of the cell. Weighed: the limits of the library (none on handshakes that have begun), and a token for each client (one more round trip for each process in calm). The library also keeps at most 256 clients and 4 KiB of each before that decision, in place of 65,536 and 10 MiB.

--- a/crates/peer/src/endpoint.rs
+++ b/crates/peer/src/endpoint.rs
@@ -11,22 +11,29 @@
 use quinn::Connection;
 use quinn::Endpoint;
 use quinn::IdleTimeout;
+use quinn::Incoming;
 use quinn::RecvStream;
 use quinn::SendStream;
 use quinn::TransportConfig;
 use quinn::VarInt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 
 use crate::CELL_NAME;
 use crate::Frame;
+use crate::HandshakeDecision;
 use crate::KeyFiles;
 use crate::MAX_FRAME_BYTES;
+use crate::MAX_HANDSHAKES;
 use crate::OpenError;
 use crate::PeerError;
 use crate::Service;
+use crate::decide_handshake;
 use crate::decode;
 use crate::encode;
+use crate::handshake::HANDSHAKE_TIMEOUT;
 use crate::tls;
 
 /// Time without received packets after which a connection is closed. Its pending
@@ -46,6 +53,12 @@
 /// entries took 2.4 MiB.
 const MAX_STREAMS: u32 = 2048;
 
+/// Maximum number of clients that wait for the decision on their handshake.
+const MAX_INCOMING: usize = 256;
+
+/// Memory for what such a client sends, in bytes.
+const INCOMING_BUFFER_BYTES: u64 = 4096;
+
 /// QUIC endpoint of one process; clones share it.
 #[derive(Clone, Debug)]
 pub struct PeerEndpoint {
@@ -68,6 +81,10 @@
         let transport = Arc::new(transport());
         let mut server = quinn::ServerConfig::with_crypto(Arc::new(tls.server));
         server.transport_config(transport.clone());
+        // Packets that arrive before the decision on their handshake.
+        server.max_incoming(MAX_INCOMING);
+        server.incoming_buffer_size(INCOMING_BUFFER_BYTES);
+        server.incoming_buffer_size_total(INCOMING_BUFFER_BYTES * MAX_INCOMING as u64);
         let mut client = quinn::ClientConfig::new(Arc::new(tls.client));
         client.transport_config(transport);
         let mut endpoint = Endpoint::server(server, listen).map_err(|source| OpenError::Bind {
@@ -175,17 +192,40 @@
 
     /// Serves the calls of other processes until the endpoint closes.
     pub async fn serve<S: Service>(&self, service: S) {
+        let places = Arc::new(Semaphore::new(MAX_HANDSHAKES));
         while let Some(incoming) = self.endpoint.accept().await {
-            let peer_endpoint = self.clone();
-            let service = service.clone();
-            tokio::spawn(async move {
-                match incoming.await {
-                    Ok(connection) => peer_endpoint.serve_connection(connection, service).await,
-                    Err(error) => log::debug!(
-                        "handshake with a calling process failed, connection dropped: {error}"
-                    ),
+            let current = MAX_HANDSHAKES - places.available_permits();
+            match decide_handshake(current, incoming.remote_address_validated()) {
+                HandshakeDecision::Begin => {
+                    let place = places.clone().acquire_owned().await;
+                    let handshake =
+                        self.clone()
+                            .serve_client(incoming, service.clone(), place.ok());
+                    tokio::spawn(handshake);
                 }
-            });
+                HandshakeDecision::Validate => validate_address(incoming),
+                HandshakeDecision::Refuse => incoming.refuse(),
+            }
+        }
+    }
+
+    /// Completes a handshake, which keeps `place` until then, and serves the connection.
+    async fn serve_client<S: Service>(
+        self,
+        incoming: Incoming,
+        service: S,
+        place: Option<OwnedSemaphorePermit>,
+    ) {
+        let handshake = tokio::time::timeout(HANDSHAKE_TIMEOUT, incoming.into_future()).await;
+        drop(place);
+        match handshake {
+            Ok(Ok(connection)) => self.serve_connection(connection, service).await,
+            Ok(Err(error)) => {
+                log::debug!("handshake with a calling process failed, connection dropped: {error}");
+            }
+            Err(_) => log::debug!(
+                "handshake with a calling process timed out after {HANDSHAKE_TIMEOUT:?}, connection dropped"
+            ),
         }
     }
 
@@ -232,6 +272,13 @@
     }
 }
 
+/// Tells a client to try again with a token that it receives at its address.
+fn validate_address(incoming: Incoming) {
+    if let Err(error) = incoming.retry() {
+        error.into_incoming().refuse();
+    }
+}
+
 fn transport() -> TransportConfig {
     let mut transport = TransportConfig::default();
     let millis = u32::try_from(IDLE_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,6 +5,7 @@
 mod endpoint;
 mod error;
 mod frame;
+mod handshake;
 mod keys;
 mod service;
 mod tls;
@@ -12,5 +13,6 @@
 pub use endpoint::*;
 pub use error::*;
 pub use frame::*;
+pub use handshake::*;
 pub use keys::*;
 pub use service::*;
