web, cell: A longer queue of new connections

Callers saw: beside a crowd that reconnects, an ordinary caller was not connected within a second, since its first packet was dropped and is repeated only after a second.

Cause: the queue of new connections held half as many as may be open, which clients without a place keep full: places become free at the rate of the places in half a second.

Change: the queue takes a part of the memory of its own, at 16 KiB for each connection, two to three times the places on the hosts there are; receive buffers are halved to 8 KiB, so that what a connection may hold falls from 64 to 48 KiB and all parts together stay within three quarters of the memory. listeners.rs counts the queue in, too; its bound is unchanged.

--- a/crates/cell/src/listeners.rs
+++ b/crates/cell/src/listeners.rs
@@ -13,7 +13,10 @@
 
 /// Most memory that a connection takes besides the body of its request, in bytes: buffers of the HTTP
 /// library for a head and a reply, received bytes that were not read, and the state of its task.
-const CONNECTION_BYTES: usize = 64 * 1024;
+const CONNECTION_BYTES: usize = 48 * 1024;
+
+/// Most memory that a connection takes before it is accepted, in bytes: what its client has sent.
+const QUEUED_BYTES: usize = 2 * web::RECEIVE_BUFFER_BYTES as usize;
 
 /// Most memory that a request in progress takes besides its body and its job, in bytes: its
 /// connections to the store and the owner.
@@ -61,6 +64,7 @@
             let held = part / CONNECTION_BYTES;
             held.min(descriptors / 4).max(MIN_CONNECTIONS)
         };
+        let queue = |part: usize| (part / QUEUED_BYTES).max(MIN_CONNECTIONS);
         // Two bodies of the largest size fit on the smallest host.
         let bodies = |part: usize| part.max(2 * defaults.body_bytes);
         let requests = (memory / 16 / REQUEST_BYTES).min(descriptors / 8);
@@ -68,13 +72,15 @@
             calls: (descriptors / 16).max(MIN_CONNECTIONS),
             jobs: (memory / 12).max(MIN_JOB_BYTES),
             callers: Limits {
-                connections: connections(memory / 6),
+                connections: connections(memory / 8),
+                queue: queue(memory / 12),
                 memory: bodies(memory / 6),
                 requests: requests.max(MIN_CONNECTIONS),
                 ..defaults
             },
             peers: Limits {
-                connections: connections(memory / 6),
+                connections: connections(memory / 8),
+                queue: queue(memory / 64),
                 memory: bodies(memory / 16),
                 ..defaults
             },
@@ -82,6 +88,7 @@
                 body_bytes: SMALL_BODY_BYTES,
                 receive: SMALL_RECEIVE,
                 connections: SMALL_CONNECTIONS,
+                queue: SMALL_CONNECTIONS / 2,
                 memory: SMALL_CONNECTIONS * SMALL_BODY_BYTES,
                 ..defaults
             },
--- a/crates/cell/tests/listeners.rs
+++ b/crates/cell/tests/listeners.rs
@@ -15,8 +15,10 @@
     (512, 10_250),
 ];
 
-/// Memory of a connection or of a request in progress besides bodies and jobs, in bytes.
-const CONNECTION: usize = 64 * 1024;
+/// Memory of a connection, of one that is not accepted yet, and of a request in progress, besides bodies
+/// and jobs, in bytes.
+const CONNECTION: usize = 48 * 1024;
+const QUEUED: usize = 16 * 1024;
 const REQUEST: usize = 32 * 1024;
 
 fn limits(memory_mb: usize, descriptors: usize) -> ListenerLimits {
@@ -29,7 +31,7 @@
 }
 
 fn memory(limits: &Limits) -> usize {
-    limits.connections * CONNECTION + limits.memory
+    limits.connections * CONNECTION + limits.queue * QUEUED + limits.memory
 }
 
 // Guards against listeners that each keep their bound while the sum leaves nothing to the process.
@@ -64,6 +66,7 @@
 
     assert!(limits.callers.connections >= 300);
     assert!(limits.peers.connections >= 300);
+    assert!(limits.callers.queue >= 600);
     assert!(limits.callers.requests >= 200);
     // A large body may use three quarters.
     assert!(limits.callers.memory * 3 / 4 >= 50 * 262_144);
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -236,6 +236,7 @@
         idle: Duration::from_millis(settings.http.idle_millis),
         receive: Duration::from_millis(settings.http.receive_millis),
         connections: settings.http.connections,
+        queue: settings.http.connections / 2,
         memory: settings.http.memory(),
         ..web::Limits::default()
     }
--- a/crates/web/src/limits.rs
+++ b/crates/web/src/limits.rs
@@ -18,6 +18,8 @@
     /// Maximum number of open connections. When it is reached, the connection that
     /// has been without a request for the longest time is closed for a new one.
     pub connections: usize,
+    /// Maximum number of connections that wait until they are accepted.
+    pub queue: usize,
     /// Memory for the bodies of all requests together, in bytes. When it is used up,
     /// the largest body that has not arrived whole yields.
     pub memory: usize,
@@ -34,6 +36,7 @@
             idle: Duration::from_mins(1),
             receive: Duration::from_secs(30),
             connections: 4096,
+            queue: 2048,
             memory: 48 * 1024 * 1024,
             requests: 4096,
         }
--- a/crates/web/src/listen.rs
+++ b/crates/web/src/listen.rs
@@ -7,12 +7,14 @@
 
 use crate::Limits;
 
-/// Size of the buffers of a connection's socket, in bytes. By default the system keeps megabytes that a
-/// client has sent and the server has not read.
-const SOCKET_BUFFER_BYTES: u32 = 16 * 1024;
+/// Size of the receive buffer of a connection's socket, in bytes, which the system may double. By default
+/// the system keeps megabytes that a client has sent and the server has not read.
+pub const RECEIVE_BUFFER_BYTES: u32 = 8 * 1024;
 
-/// Binds a listener with small socket buffers, and with a queue of new connections that holds half as
-/// many as may be open.
+/// Size of the send buffer of a connection's socket, in bytes, which the system may double.
+const SEND_BUFFER_BYTES: u32 = 16 * 1024;
+
+/// Binds a listener with small socket buffers.
 ///
 /// # Errors
 /// The address cannot be bound.
@@ -24,9 +26,8 @@
     };
     socket.set_reuseaddr(true)?;
     // Connections inherit both sizes.
-    socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES)?;
-    socket.set_send_buffer_size(SOCKET_BUFFER_BYTES)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
     socket.bind(address)?;
-    let queue = limits.connections / 2;
-    socket.listen(u32::try_from(queue).unwrap_or(u32::MAX))
+    socket.listen(u32::try_from(limits.queue).unwrap_or(u32::MAX))
 }
--- a/crates/web/tests/limits.rs
+++ b/crates/web/tests/limits.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use web::CallError;
 use web::CallLimit;
 use web::Client;
@@ -231,3 +232,30 @@
 
     assert!(matches!(last, Err(CallError::Lost { .. })), "{last:?}");
 }
+
+// Guards against callers that cannot connect for a second or more because silent clients fill the queue of
+// new connections.
+#[tokio::test]
+async fn a_caller_connects_while_silent_clients_wait_for_places() {
+    let (server, _stop) = open(Limits {
+        queue: 64,
+        ..limits()
+    });
+    let mut silent = JoinSet::new();
+    for _ in 0..20 {
+        silent.spawn(async move {
+            let _stream = TcpStream::connect(server).await;
+            std::future::pending::<()>().await;
+        });
+        // Those that come at once find the queue full whatever its length, and try again only after a second.
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+
+    let connected = TcpStream::connect(server);
+    let connected = tokio::time::timeout(Duration::from_millis(500), connected).await;
+
+    assert!(
+        connected.is_ok(),
+        "no connection before its packet is repeated"
+    );
+}
