--- a/crates/daemon/tests/crowds/crowd.rs
+++ b/crates/daemon/tests/crowds/crowd.rs
@@ -69,6 +69,8 @@
     LargeChunk,
     /// The same in chunks of one byte.
     SmallChunks,
+    /// A chunked body with trailers of almost the largest size, without their end.
+    Trailers,
     /// A body far over the limit, with its size in the head, without its last byte.
     ExcessiveAnnounced,
     /// A chunked body far over the limit, without its end.
@@ -121,6 +123,10 @@
                 let chunks = b"1\r\n \r\n".repeat(LARGEST_BODY - 1);
                 vec![chunked(), chunks]
             }
+            Conduct::Trailers => {
+                let trailers = format!("0\r\nx-padding: {}", "x".repeat(LARGEST_HEAD - 100));
+                vec![chunked(), trailers.into_bytes()]
+            }
             Conduct::ExcessiveAnnounced => {
                 vec![sized(1 << 30), vec![b' '; EXCESSIVE_BODY]]
             }
--- a/crates/daemon/tests/crowds/main.rs
+++ b/crates/daemon/tests/crowds/main.rs
@@ -100,6 +100,12 @@
     withstand(Conduct::SmallChunks, SMALL_CHUNKS).await;
 }
 
+// Guards against trailers without an end, which are not part of the body.
+#[tokio::test(flavor = "multi_thread")]
+async fn trailers_without_an_end() {
+    withstand(Conduct::Trailers, CONNECTIONS).await;
+}
+
 // Guards against bodies that are announced to be far over the limit.
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_announced_over_the_limit() {
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -1,7 +1,8 @@
 //! Randomized soak test: real processes on loopback under injected faults. The guarantees of the
 //! scheduler are checked against what callers and workers observe.
 //!
-//! `SOAK_SEEDS=FIRST-LAST` runs these seeds instead of those of CI. If a seed fails, the logs of
+//! `SOAK_SEEDS=FIRST-LAST` runs these seeds instead of those of CI, and `SOAK_PARALLEL=N` runs N of them
+//! at the same time. If a seed fails, the logs of
 //! its processes are kept and their folder is printed.
 
 mod checker;
@@ -54,7 +55,7 @@
 /// can pass over by its name and which runs whatever `SOAK_SEEDS` says.
 const OVER_CAPACITY_SEED: u64 = 402;
 
-/// Number of seeds that run in parallel; each has 4 processes and 8 relays.
+/// Number of seeds that run in parallel in CI; each has 4 processes and 8 relays.
 const PARALLEL_SEEDS: usize = 2;
 
 /// Locked by each test while it runs seeds, so that no more than [`PARALLEL_SEEDS`] run in parallel
@@ -72,7 +73,7 @@
     let _lock = SEEDS_LOCK.lock().await;
     let seeds = seeds();
     let mut violations = Vec::new();
-    for batch in seeds.chunks(PARALLEL_SEEDS) {
+    for batch in seeds.chunks(parallel_seeds()) {
         let runs: Vec<_> = batch
             .iter()
             .map(|&seed| tokio::spawn(run_seed(seed)))
@@ -108,6 +109,13 @@
     (number(first)..=number(last)).collect()
 }
 
+fn parallel_seeds() -> usize {
+    let Ok(text) = std::env::var("SOAK_PARALLEL") else {
+        return PARALLEL_SEEDS;
+    };
+    text.parse().expect("SOAK_PARALLEL: a number")
+}
+
 /// Lets a crowd gather at each process, if the seed has crowds.
 fn gather_crowds(seed: u64, testbed: &Testbed) -> Vec<Crowd> {
     if !has_crowds(seed) {
