web: Tests of three conditions that no test covered

Taking single conditions out of the web crate showed three without a test: the limit of a body without a stated size, segments in place of the whole announced size, and that a connection which was told to yield no longer does once its request has arrived whole. Each test fails without its condition.

--- a/crates/web/tests/ledger.rs
+++ b/crates/web/tests/ledger.rs
@@ -80,6 +80,29 @@
     assert_eq!(late, Decision::Wait(Some(new)));
 }
 
+// Guards against a request that is dropped, although it has arrived whole since its connection was told to
+// yield.
+#[test]
+fn a_request_that_has_arrived_no_longer_yields() {
+    let now = Instant::now();
+    let mut ledger = Ledger::new(limits());
+    let keys = [(); 3].map(|()| ledger.open(now));
+    let later = now + SETTLING_TIME;
+    let Decision::Wait(Some(told)) = ledger.make_place(later) else {
+        panic!("a connection yields");
+    };
+
+    ledger.handle(told, later);
+
+    assert!(keys.contains(&told));
+    assert!(!ledger.is_yielding(told));
+    let next = ledger.make_place(later);
+    assert!(
+        matches!(next, Decision::Wait(Some(key)) if key != told),
+        "{next:?}"
+    );
+}
+
 // Guards against large bodies without an end that keep the memory from others.
 #[test]
 fn the_largest_body_that_is_not_whole_yields_its_memory() {
--- a/crates/web/tests/limits.rs
+++ b/crates/web/tests/limits.rs
@@ -91,6 +91,47 @@
     assert!(handler.starts_with("HTTP/1.1 413"), "{handler}");
 }
 
+// Guards against a body without a stated size that grows over the limit.
+#[tokio::test]
+async fn chunked_bodies_over_the_limit_are_refused() {
+    let (server, _stop) = open(limits());
+    let body = "x".repeat(1001);
+    let request = format!(
+        "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3e9\r\n{body}\r\n0\r\n\r\n"
+    );
+
+    let reply = exchange(server, &request).await;
+
+    assert!(reply.starts_with("HTTP/1.1 413"), "{reply}");
+}
+
+// Guards against bodies that take memory for what they announce and have not sent.
+#[tokio::test]
+async fn announced_bodies_take_memory_as_they_arrive() {
+    let body = 64 * 1024;
+    let (server, _stop) = open(Limits {
+        body_bytes: body,
+        memory: 2 * body,
+        ..limits()
+    });
+    let mut slow = Vec::new();
+    for _ in 0..2 {
+        let mut stream = TcpStream::connect(server).await.expect("connect");
+        let begin = post("/", body, 1);
+        stream.write_all(begin.as_bytes()).await.expect("write");
+        slow.push(stream);
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+
+    let other = exchange(server, &post("/", body, body)).await;
+    let rest = "x".repeat(body - 1);
+    slow[0].write_all(rest.as_bytes()).await.expect("write");
+    let reply = read(&mut slow[0]).await;
+
+    assert!(other.ends_with("65536"), "{other}");
+    assert!(reply.ends_with("65536"), "{reply}");
+}
+
 // Guards against a body that is waited for without end.
 #[tokio::test]
 async fn a_body_that_does_not_arrive_in_time_is_refused() {
