--- a/crates/daemon/tests/crowds/crowd.rs
+++ b/crates/daemon/tests/crowds/crowd.rs
@@ -161,10 +161,19 @@
             Conduct::LongPaths => {
                 let rest = "x".repeat(LARGEST_HEAD - 200);
                 let request = format!("GET {path}{rest} HTTP/1.1\r\nhost: desk.example\r\n\r\n");
-                vec![request.into_bytes(); LONG_PATHS]
+                vec![request.into_bytes()]
             }
         }
     }
+
+    /// How often the parts are sent on a connection.
+    fn repetitions(self) -> usize {
+        if self == Conduct::LongPaths {
+            LONG_PATHS
+        } else {
+            1
+        }
+    }
 }
 
 fn head(path: &str, rest: &str) -> String {
@@ -314,7 +323,8 @@
     }
 
     async fn send(&mut self, stream: &mut TcpStream, parts: &[Vec<u8>]) -> std::io::Result<()> {
-        for part in parts {
+        let repeated = std::iter::repeat_n(parts, self.conduct.repetitions());
+        for part in repeated.flatten() {
             for piece in part.chunks(PIECE) {
                 stream.write_all(piece).await?;
                 self.sent.fetch_add(piece.len(), Ordering::Relaxed);
