--- a/crates/web/tests/limits.rs
+++ b/crates/web/tests/limits.rs
@@ -202,6 +202,28 @@
     assert_eq!(closed, "");
 }
 
+// Guards against clients that always have a next request and never yield their places.
+#[tokio::test]
+async fn a_connection_closes_after_its_reply_while_a_new_one_waits() {
+    let (server, _stop) = open(limits());
+    let get = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+    let mut busy = Vec::new();
+    for _ in 0..4 {
+        let mut stream = TcpStream::connect(server).await.expect("connect");
+        stream.write_all(get.as_bytes()).await.expect("write");
+        let reply = read(&mut stream).await;
+        assert!(!reply.contains("connection: close"), "{reply}");
+        busy.push(stream);
+    }
+    let _new = TcpStream::connect(server).await.expect("connect");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+
+    busy[3].write_all(get.as_bytes()).await.expect("write");
+    let reply = read(&mut busy[3]).await;
+
+    assert!(reply.contains("connection: close"), "{reply}");
+}
+
 // Guards against a request that waits for others without end.
 #[tokio::test]
 async fn a_request_whose_turn_does_not_come_is_refused() {
