crowds: An owner with few descriptors left; a refused client's connection

The parts of the listeners are worked out from the host alone and do not shrink with the connections that the owner holds to its workers.

a_refused_client_is_told_that_its_connection_closes fails without the header.

--- a/crates/daemon/tests/crowds/main.rs
+++ b/crates/daemon/tests/crowds/main.rs
@@ -51,6 +51,9 @@
 /// Workers of a pool whose connections take an eighth of the descriptors of the owner's process.
 const WORKERS: usize = 50;
 
+/// Workers of a pool whose connections take half of them.
+const MOST_WORKERS: usize = 150;
+
 /// Members of a crowd whose heads together are larger than the memory of a host.
 const LONG_PATHS: usize = 24;
 
@@ -293,14 +296,13 @@
     cell.close().await;
 }
 
-// Guards against connections and requests of clients that leave no descriptors to the connections to the
-// workers and to a slow store.
-#[tokio::test(flavor = "multi_thread")]
-async fn requests_beside_connections_to_many_workers() {
+/// Lets crowds gather at all addresses of two processes, whose owner is connected to `workers` workers,
+/// beside a slow store.
+async fn withstand_beside_workers(workers: usize) {
     let _lock = CELL_LOCK.lock().await;
     let size = CellSize {
         processes: 2,
-        workers: WORKERS,
+        workers,
         ..CellSize::default()
     };
     let mut cell = Cell::open_sized(size).await;
@@ -333,6 +335,19 @@
     cell.close().await;
 }
 
+// Guards against connections and requests of clients that leave no descriptors to the connections to the
+// workers and to a slow store.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_beside_connections_to_many_workers() {
+    withstand_beside_workers(WORKERS).await;
+}
+
+// Guards against the same beside an owner whose connections to the workers take most of its descriptors.
+#[tokio::test(flavor = "multi_thread")]
+async fn crowds_beside_an_owner_with_few_descriptors_left() {
+    withstand_beside_workers(MOST_WORKERS).await;
+}
+
 // Guards against parts of the listeners that fit a host of one size and not the others.
 #[tokio::test(flavor = "multi_thread")]
 async fn crowds_at_hosts_of_all_sizes() {
--- a/crates/web/tests/limits.rs
+++ b/crates/web/tests/limits.rs
@@ -91,6 +91,20 @@
     assert!(handler.starts_with("HTTP/1.1 413"), "{handler}");
 }
 
+// Guards against a refused client that sends its next request on a connection that is about to close.
+#[tokio::test]
+async fn a_refused_client_is_told_that_its_connection_closes() {
+    let (server, _stop) = open(limits());
+    let whole = "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+    let chunk = format!("3e9\r\n{}\r\n0\r\n\r\n", "x".repeat(1001));
+
+    let announced = exchange(server, &post("/", 1001, 0)).await;
+    let chunked = exchange(server, &format!("{whole}{chunk}")).await;
+
+    assert!(announced.contains("connection: close"), "{announced}");
+    assert!(chunked.contains("connection: close"), "{chunked}");
+}
+
 // Guards against a body without a stated size that grows over the limit.
 #[tokio::test]
 async fn chunked_bodies_over_the_limit_are_refused() {
