crowds: Measure a process from when it executes its program

Seen: 1,095.6 MB on a host of 160 MB in crowds_at_hosts_of_all_sizes, once, beside load of 24, with no more descriptors than in other runs.

Cause: a process that was just started shares the memory of the program that starts it until it executes its own, and the first sample of the test can come before that. The sum had no unread bytes in it, and is the size of the test program by then.

Change: the samples begin when the process executes another program than the test does. All of what the process itself takes is measured as before, its peak included; the bounds are unchanged.

--- a/crates/daemon/tests/crowds/host.rs
+++ b/crates/daemon/tests/crowds/host.rs
@@ -314,6 +314,9 @@
 }
 
 async fn sample(id: u32, ip: IpAddr, peak: Arc<Mutex<Peak>>) {
+    while !executes_program(id) {
+        tokio::time::sleep(SAMPLE_INTERVAL).await;
+    }
     while let Some(memory) = resident(id) {
         let memory = memory.max(peak_resident(id)) + unread(ip);
         let descriptors = count_descriptors(id);
@@ -330,6 +333,13 @@
     peak.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Whether a process executes its own program. Until then it shares the memory of the test program, which the
+/// system shows as its own.
+fn executes_program(id: u32) -> bool {
+    let program = |process: &str| std::fs::read_link(format!("/proc/{process}/exe")).ok();
+    program(&id.to_string()) != program("self")
+}
+
 /// Resident memory of a process, in bytes; none if it has ended.
 fn resident(id: u32) -> Option<usize> {
     status_field(id, "VmRSS:")
