review/11: TROUBLE read by the case, and a complete record

The record has each request, answer, start, end and end taken note of. The store answers 412 with the current rows.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -29,20 +29,14 @@
         self.job = None
 
     def started(self, worker, run):
+        super().started(worker, run)
         if run.task.startswith(self.job or "-"):
             self.starts.append(time.monotonic())
-            self.record.line(f"worker {worker.name} starts {run.task}, run {run.run}")
-
-    def ended(self, worker, run, how, number):
-        if run.task.startswith(self.job or "-"):
-            self.record.line(f"worker {worker.name}: {run.task} ends {how}")
 
 
-async def call(world, number, method, name, body=None, timeout=3.0):
+async def call(world, number, method, name, body=None):
     process = world.processes[number % len(world.processes)]
-    answer = await standin.request(f"{process.ip}:8161", method, "/desk/" + name, "desk.example", body, timeout)
-    world.record.line(f"{method} /desk/{name} at {process.name}: {answer}")
-    return answer
+    return await world.call(process, method, "/desk/" + name, body)
 
 
 async def case(world, trouble):
@@ -89,4 +83,6 @@
     return []
 
 
-standin.main(case, os.path.dirname(os.path.abspath(__file__)), World)
+# TROUBLE=0 leaves the disruption out.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+standin.main(case, os.path.dirname(os.path.abspath(__file__)), World, TROUBLE)
--- a/review/stand-ins-3/standin.py
+++ b/review/stand-ins-3/standin.py
@@ -160,10 +160,11 @@
                 reason = f"row {put['table']}/{put['key']} has {size} bytes, at most {self.row_bytes}"
                 self.refused.append(reason)
                 return 400, {"reason": reason}
-        for row in body.get("precondition", []):
-            found = self.rows.get((row["table"], row["part"], row["key"]), (None, 0))[1]
-            if found != row["ver"]:
-                return 412, {"rows": [], "ver": self.version, "now_ms": now_ms()}
+        names = [(row["table"], row["part"], row["key"]) for row in body.get("precondition", [])]
+        versions = [row["ver"] for row in body.get("precondition", [])]
+        if any(self.rows.get(name, (None, 0))[1] != version for name, version in zip(names, versions)):
+            current = [self.encode(name, *self.rows[name]) for name in names if name in self.rows]
+            return 412, {"rows": current, "ver": self.version, "now_ms": now_ms()}
         version = self.next_version()
         for put in body.get("puts", []):
             self.put(put["table"], put["part"], put["key"], put["value"], version)
@@ -367,8 +368,6 @@
                 await asyncio.wait_for(self.ended.wait(), wait)
             except asyncio.TimeoutError:
                 pass
-        for end in self.ends[:500]:
-            self.world.listed(self, end)
         running = [[run.task, run.run, "", self.percent(run), 0] for run in self.running.values()]
         return 200, {"clock_ms": self.clock(), "running": running, "ended_runs": self.ends[:500]}
 
@@ -541,16 +540,20 @@
         return self.durations.get(run.task.split(".")[0], 1.0)
 
     def started(self, worker, run):
-        pass
+        self.record.line(f"worker {worker.name} starts {run.task}, run {run.run}")
 
     def ended(self, worker, run, how, number):
-        pass
-
-    def listed(self, worker, end):
-        pass
+        self.record.line(f"worker {worker.name}: {run.task}, run {run.run}, ends {how} as number {number}")
 
     def noted(self, worker, end):
-        pass
+        self.record.line(f"worker {worker.name}: end {end[0]} of {end[1]} is taken note of")
+
+    async def call(self, process, method, path, body=None, timeout=3.0):
+        """Sends a client's request to a process, and records it with its answer."""
+        self.record.line(f"{method} {path} sent to {process.name}: {json.dumps(body) if body else 'no body'}")
+        answer = await request(f"{process.ip}:8161", method, path, "desk.example", body, timeout)
+        self.record.line(f"{method} {path} answered by {process.name}: {answer or 'no answer'}")
+        return answer
 
     async def open(self, processes, workers, config, **worker_options):
         # Processes listen on fixed ports, so each needs a loopback address of its own.
@@ -667,17 +670,16 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def main(case, folder, world_type=None):
+def main(case, folder, world_type, trouble):
     """Runs `case(world, trouble)`, which returns the broken rules, and exits as run.sh has to."""
     record = Record(os.path.join(folder, "record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     program = os.path.join(ROOT, "target", "release", "clovermountd")
     if not os.path.exists(program):
         record.line("target/release/clovermountd is missing: run the build of the deploy file")
         sys.exit(2)
 
     async def run():
-        world = (world_type or World)(record)
+        world = world_type(record)
         try:
             return await asyncio.wait_for(case(world, trouble), 115)
         finally:
