cell: log what a cancel and a status query found missing

426 says as of which version of the store the rows of a cancelled job were missing, 412 the same for a status query. 393 says at which version the row of a job was written that the owner has read and of which no process has notified it.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -36,6 +36,7 @@
 use crate::access::Viewer;
 use crate::metrics::count;
 use crate::retry::RefusalScope;
+use crate::stored::Lookup;
 
 /// Timeout of one call to the store. A slow store takes up to 1.2 s for a transaction; two
 /// attempts fit into a caller's three seconds.
@@ -208,14 +209,14 @@
             );
         }
         match self.stored_status(id, not_started, viewer).await {
-            Ok(Some(job_status)) => {
+            Ok(Lookup::Found(job_status)) => {
                 count(&self.context.metrics.states, "store");
                 status_reply(id, job_status, "store")
             }
-            Ok(None) => {
+            Ok(Lookup::Missing { version }) => {
                 count(&self.context.metrics.states, "none");
                 log::info!(
-                    code = 412, job:% = hex(id);
+                    code = 412, job:% = hex(id), version = version;
                     "status of a job that does not exist; the caller gets 410"
                 );
                 web::error(StatusCode::GONE, "no such job")
--- a/crates/cell/src/cancel.rs
+++ b/crates/cell/src/cancel.rs
@@ -22,6 +22,7 @@
 use crate::encode_row;
 use crate::hex;
 use crate::metrics::count;
+use crate::stored::Lookup;
 use crate::stored::StoredError;
 use crate::stored::StoredJob;
 
@@ -106,8 +107,15 @@
     /// Makes one attempt to write the cancellation. Returns the status for the caller: 200, or 410
     /// if there is no such job.
     async fn try_cancel(&self, id: JobId, viewer: Viewer<'_>) -> Result<StatusCode, CancelError> {
-        let Some(stored) = self.stored_job(id, viewer).await.context(RowSnafu)? else {
-            return Ok(StatusCode::GONE);
+        let stored = match self.stored_job(id, viewer).await.context(RowSnafu)? {
+            Lookup::Found(stored) => stored,
+            Lookup::Missing { version } => {
+                log::info!(
+                    code = 426, job:% = hex(id), version = version;
+                    "cancel of a job without a row"
+                );
+                return Ok(StatusCode::GONE);
+            }
         };
         let StoredJob { row, mut spec, .. } = stored;
         if spec.canceled {
--- a/crates/cell/src/owner/handlers.rs
+++ b/crates/cell/src/owner/handlers.rs
@@ -52,6 +52,13 @@
             (Ok(id), Ok(_)) if self.unreadable_jobs.contains(&id) => {}
             (Ok(id), Ok(_)) if self.retention.predates_removal(id, row.version) => {}
             (Ok(id), Ok(spec)) => {
+                if inherited.is_none() && !self.planner.has_job(id) {
+                    log::info!(
+                        code = 393, job:% = crate::hex(id), version = row.version,
+                        part = row.name.part.as_str(), canceled = spec.canceled;
+                        "job read of which no process has notified this owner"
+                    );
+                }
                 let kept = self.unread_progress.remove(&id);
                 let old = inherited.is_some() || kept.is_some();
                 let progress = inherited.and_then(|inherited| inherited.get(&id));
--- a/crates/cell/src/stored.rs
+++ b/crates/cell/src/stored.rs
@@ -6,6 +6,7 @@
 use job::Progress;
 use platform::Row;
 use platform::StoreError;
+use platform::Version;
 use snafu::ResultExt;
 use snafu::Snafu;
 
@@ -44,7 +45,7 @@
 }
 
 impl CallerHandler {
-    /// Returns the status of a job according to the store, or `None` if the job does not exist.
+    /// Returns the status of a job according to the store, or that the job does not exist.
     /// `not_started` means that the owner has replied that it has no record of the job, so none of
     /// its tasks has started.
     ///
@@ -57,14 +58,19 @@
         id: JobId,
         not_started: bool,
         viewer: Viewer<'_>,
-    ) -> Result<Option<JobStatus>, StoredError> {
+    ) -> Result<Lookup<JobStatus>, StoredError> {
         let progress = self.stored_progress(id).await?;
         if let Some(outcome) = progress.as_ref().and_then(|progress| progress.outcome) {
             let visible = self.job_visible(id, viewer).await?;
-            return Ok(visible.then_some(outcome.into()));
+            return Ok(if visible {
+                Lookup::Found(outcome.into())
+            } else {
+                Lookup::Missing { version: None }
+            });
         }
-        let Some(job) = self.stored_job(id, viewer).await? else {
-            return Ok(None);
+        let job = match self.stored_job(id, viewer).await? {
+            Lookup::Found(job) => job,
+            Lookup::Missing { version } => return Ok(Lookup::Missing { version }),
         };
         let spec = job.spec;
         // The row that could not be read may contain the cancellation.
@@ -73,9 +79,9 @@
         }
         let started = progress.is_some_and(|progress| progress.has_started());
         match (started, not_started) {
-            (true, _) => Ok(Some(JobStatus::Active)),
-            (false, true) if spec.canceled => Ok(Some(JobStatus::Canceled)),
-            (false, true) => Ok(Some(JobStatus::Pending)),
+            (true, _) => Ok(Lookup::Found(JobStatus::Active)),
+            (false, true) if spec.canceled => Ok(Lookup::Found(JobStatus::Canceled)),
+            (false, true) => Ok(Lookup::Found(JobStatus::Pending)),
             (false, false) => UndecidedSnafu.fail(),
         }
     }
@@ -106,19 +112,24 @@
         Ok(false)
     }
 
-    /// Combines the rows of a job that a caller may see; returns `None` if there certainly are none.
+    /// Combines the rows of a job that a caller may see. They are missing only if none of them could be
+    /// read because it does not exist.
     pub(crate) async fn stored_job(
         &self,
         id: JobId,
         viewer: Viewer<'_>,
-    ) -> Result<Option<StoredJob>, StoredError> {
+    ) -> Result<Lookup<StoredJob>, StoredError> {
         let store = &self.context.request_store();
         let mut found: Option<StoredJob> = None;
         let mut read_error = None;
+        let mut version = None;
         for name in &job_rows(id) {
-            let row = match store.read_row(name, STORE_TIMEOUT).await {
-                Ok(Some(row)) if !is_rejection_mark(&row.value) => row,
-                Ok(_) => continue,
+            let row = match store.read_row_at(name, STORE_TIMEOUT).await {
+                Ok((Some(row), _)) if !is_rejection_mark(&row.value) => row,
+                Ok((_, read)) => {
+                    version.get_or_insert(read);
+                    continue;
+                }
                 Err(error) => {
                     read_error.get_or_insert(error);
                     continue;
@@ -140,13 +151,25 @@
             }
         }
         match (found, read_error) {
-            (Some(job), read_error) => Ok(Some(StoredJob { read_error, ..job })),
+            (Some(job), read_error) => Ok(Lookup::Found(StoredJob { read_error, ..job })),
             (None, Some(error)) => Err(error).context(ReadSnafu),
-            (None, None) => Ok(None),
+            (None, None) => Ok(Lookup::Missing { version }),
         }
     }
 }
 
+/// Result of looking for a job in the store.
+pub(crate) enum Lookup<T> {
+    /// The job exists.
+    Found(T),
+    /// There was no row of the job that the caller may see.
+    Missing {
+        /// Version of the store as of which the first of the rows was read. A row with a higher version was
+        /// written later, and may have been missing.
+        version: Option<Version>,
+    },
+}
+
 /// An accepted job as stored.
 pub(crate) struct StoredJob {
     /// First row found for the job.
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -376,6 +376,12 @@
         }
     }
 
+    /// Returns whether the job was added.
+    #[must_use]
+    pub fn has_job(&self, id: JobId) -> bool {
+        self.jobs.contains_key(&id)
+    }
+
     /// Cancels a job, unless it has ended or was not added.
     pub fn cancel(&mut self, id: JobId) {
         if self.jobs.get(&id).is_some_and(|job| job.outcome.is_none()) {
