cell: a cancel that finds no job is stored before it is answered 410

Cause: 410 was concluded from rows that were missing, while a write that the store already had needed nothing but that absence.

The owner now stores the cancellation, in a row of its own and with the writes that it makes anyway, before the caller is told 410. Only the owner starts tasks, and a successor reads these rows after the guard row, when no former owner can write any more; a job that is read later is a cancelled one.

--- a/crates/cell/src/cancel.rs
+++ b/crates/cell/src/cancel.rs
@@ -1,6 +1,9 @@
 //! Cancellation: a job is cancelled once the cancellation is written to its row in the store.
 
+use std::time::Duration;
+
 use hyper::StatusCode;
+use hyper::header::RETRY_AFTER;
 use job::JobId;
 use job::Queue;
 use platform::Committed;
@@ -11,6 +14,10 @@
 use web::HttpResponse;
 
 use crate::CallerHandler;
+use crate::EarlyCancel;
+use crate::EarlyCancelReply;
+use crate::MAX_EARLY_CANCELS;
+use crate::OwnerError;
 use crate::access::Viewer;
 use crate::callers::ATTEMPT_SHARE;
 use crate::callers::EmptyBody;
@@ -22,6 +29,7 @@
 use crate::encode_row;
 use crate::hex;
 use crate::metrics::count;
+use crate::retry::spread;
 use crate::stored::Lookup;
 use crate::stored::StoredError;
 use crate::stored::StoredJob;
@@ -38,6 +46,12 @@
     /// The row was changed between the read and the write, so nothing was written.
     #[snafu(display("row of the job was changed by another write"))]
     Changed,
+    /// The owner did not confirm that the cancellation is stored.
+    #[snafu(display("cancellation of a job without a row not confirmed: {source}"))]
+    Owner {
+        /// Why there is no reply.
+        source: OwnerError,
+    },
     /// The store did not confirm the write.
     #[snafu(display("cancellation not confirmed by the store: {source}"))]
     Write {
@@ -51,11 +65,30 @@
     fn certainly_not_done(&self) -> bool {
         match self {
             CancelError::Row { .. } | CancelError::Changed => true,
+            CancelError::Owner { source } => *source == OwnerError::None,
             CancelError::Write { source } => source.certainly_not_done(),
         }
     }
 }
 
+/// What the next attempt to cancel a job does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Reads the job's rows, and writes the cancellation to one of them.
+    Row,
+    /// There is no row. Has the owner store the cancellation, since a write of the job that was sent
+    /// before may still be carried out.
+    Early,
+}
+
+/// Result of an attempt to cancel a job.
+enum Attempt {
+    /// The caller gets this response.
+    Finished(HttpResponse),
+    /// The next attempt is made at once, in this phase.
+    Next(Phase),
+}
+
 impl CallerHandler {
     /// Cancels a job. Once a reply to a write has been lost, the response may no longer be "not
     /// stored", because the store may still carry out that write.
@@ -67,22 +100,28 @@
     ) -> HttpResponse {
         let deadline = self.context.now() + caller_timeout(queue).mul_f64(ATTEMPT_SHARE);
         let mut ambiguous = false;
+        let mut phase = Phase::Row;
         let response = loop {
-            match self.try_cancel(id, viewer).await {
-                Ok(status) => {
+            let attempt = match phase {
+                Phase::Row => self.cancel_row(id, viewer).await,
+                Phase::Early => self.cancel_early(id, viewer).await,
+            };
+            match attempt {
+                Ok(Attempt::Finished(response)) => {
                     log::info!(
-                        code = 421, job:% = hex(id), status = status.as_u16();
+                        code = 421, job:% = hex(id), status = response.status().as_u16(),
+                        early = phase == Phase::Early;
                         "cancel answered"
                     );
-                    if status == StatusCode::OK {
-                        // The caller does not wait for this message. If it is lost, the owner
-                        // reads the cancellation from the change feed of the store.
-                        let owner = self.owner.clone();
-                        let requester = viewer.requester();
-                        tokio::spawn(async move { owner.notify_canceled(id, requester).await });
-                    }
-                    break web::json(status, &EmptyBody {});
+                    break response;
                 }
+                // A job that the owner knows has a row by now, and one that was not found is not read
+                // again.
+                Ok(Attempt::Next(Phase::Early)) => {
+                    phase = Phase::Early;
+                    continue;
+                }
+                Ok(Attempt::Next(Phase::Row)) => phase = Phase::Row,
                 Err(error) => {
                     ambiguous |= !error.certainly_not_done();
                     log::warn!(
@@ -93,9 +132,9 @@
             }
             if self.context.now() + RETRY_PAUSE >= deadline {
                 break if ambiguous {
-                    outcome_unknown("the store does not answer the cancel")
+                    outcome_unknown("the cancel is not known to be stored")
                 } else {
-                    service_unavailable("the store does not take the cancel")
+                    service_unavailable("the cancel cannot be stored")
                 };
             }
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -104,24 +143,52 @@
         response
     }
 
-    /// Makes one attempt to write the cancellation. Returns the status for the caller: 200, or 410
-    /// if there is no such job.
-    async fn try_cancel(&self, id: JobId, viewer: Viewer<'_>) -> Result<StatusCode, CancelError> {
+    /// Makes one attempt to write the cancellation to a row of the job.
+    async fn cancel_row(&self, id: JobId, viewer: Viewer<'_>) -> Result<Attempt, CancelError> {
         let stored = match self.stored_job(id, viewer).await.context(RowSnafu)? {
             Lookup::Found(stored) => stored,
             Lookup::Missing { version } => {
                 log::info!(
                     code = 426, job:% = hex(id), version = version;
-                    "cancel of a job without a row"
+                    "cancel of a job without a row; the owner is to store it"
                 );
-                return Ok(StatusCode::GONE);
+                return Ok(Attempt::Next(Phase::Early));
             }
         };
-        let StoredJob { row, mut spec, .. } = stored;
+        self.write_cancel(stored).await?;
+        // The caller does not wait for this message. If it is lost, the owner reads the
+        // cancellation from the change feed of the store.
+        let owner = self.owner.clone();
+        let requester = viewer.requester();
+        tokio::spawn(async move { owner.notify_canceled(id, requester).await });
+        Ok(Attempt::Finished(web::json(StatusCode::OK, &EmptyBody {})))
+    }
+
+    /// Makes one attempt to have the owner store the cancellation of a job without a row.
+    async fn cancel_early(&self, id: JobId, viewer: Viewer<'_>) -> Result<Attempt, CancelError> {
+        let requester = viewer.requester();
+        let cancel = EarlyCancel { id, requester };
+        let reply = self.owner.cancel_early(cancel).await;
+        match reply.context(OwnerSnafu)? {
+            EarlyCancelReply::Stored => {
+                let gone = web::json(StatusCode::GONE, &EmptyBody {});
+                Ok(Attempt::Finished(gone))
+            }
+            EarlyCancelReply::Known => Ok(Attempt::Next(Phase::Row)),
+            EarlyCancelReply::Full(wait) => {
+                let organisation = viewer.organisation().map(|owner| &owner.name);
+                let retry_after = spread(wait, id, organisation);
+                Ok(Attempt::Finished(too_many(retry_after)))
+            }
+        }
+    }
+
+    /// Writes the cancellation to one of the job's rows, which is enough if the job has several.
+    async fn write_cancel(&self, job: StoredJob) -> Result<(), CancelError> {
+        let StoredJob { row, mut spec, .. } = job;
         if spec.canceled {
-            return Ok(StatusCode::OK);
+            return Ok(());
         }
-        // Marking one row is enough, even if the job has several.
         spec.canceled = true;
         let transaction = Transaction {
             expect: vec![(row.name.clone(), row.version)],
@@ -131,8 +198,19 @@
         let store = self.context.request_store();
         let commit = store.commit(&transaction, STORE_TIMEOUT);
         match commit.await.context(WriteSnafu)? {
-            Committed::Done(_) => Ok(StatusCode::OK),
+            Committed::Done(_) => Ok(()),
             Committed::Conflict => ChangedSnafu.fail(),
         }
     }
 }
+
+/// Response 503 to the cancel of a job that is not stored, while too many of them are kept.
+fn too_many(retry_after: Duration) -> HttpResponse {
+    let seconds = retry_after.as_secs();
+    let reason = format!(
+        "too many cancels of jobs that do not exist, allowed: {MAX_EARLY_CANCELS} a minute; come back in {seconds} s"
+    );
+    let mut response = web::error(StatusCode::SERVICE_UNAVAILABLE, &reason);
+    response.headers_mut().insert(RETRY_AFTER, seconds.into());
+    response
+}
--- a/crates/cell/src/owner/dispatch.rs
+++ b/crates/cell/src/owner/dispatch.rs
@@ -30,20 +30,17 @@
             }
             OwnerMessage::JobAccepted(job, reply) => {
                 if !self.unreadable_jobs.contains(&job.id) {
-                    self.planner.add_job(job.id, job.spec, None, false);
+                    self.add_job(job.id, job.spec, None, false);
                 }
                 // The handler of the request may have ended; then it needs no reply.
                 let _ = reply.send(());
             }
             OwnerMessage::JobCanceled(id, requester, reply) => {
-                // If the owner has not read the job's row yet, the row will contain the
-                // cancellation.
-                if self.planner.is_open_to(id, requester.as_ref()) {
-                    self.planner.cancel(id);
-                }
+                self.handle_canceled(id, requester.as_ref());
                 // The handler of the request may have ended; then it needs no reply.
                 let _ = reply.send(());
             }
+            OwnerMessage::CancelEarly(cancel, reply) => self.handle_early_cancel(cancel, reply),
             OwnerMessage::Registrations(change) => self.handle_registrations(change),
             OwnerMessage::Worker(key, event) => self.handle_event(key, event),
             OwnerMessage::WorkersEnded(ended) => self.handle_ended(&ended),
@@ -74,6 +71,10 @@
             return JobView::Undecided;
         }
         let status = self.planner.job_status(id);
+        // A job that the owner has not read yet may be a cancelled one.
+        if status.is_none() && self.early_cancels.names(id) {
+            return JobView::Undecided;
+        }
         status.map_or(JobView::Unknown, JobView::Job)
     }
 }
--- a/crates/cell/src/owner/handlers.rs
+++ b/crates/cell/src/owner/handlers.rs
@@ -62,8 +62,7 @@
                 let kept = self.unread_progress.remove(&id);
                 let old = inherited.is_some() || kept.is_some();
                 let progress = inherited.and_then(|inherited| inherited.get(&id));
-                self.planner
-                    .add_job(id, spec, progress.or(kept.as_ref()), old);
+                self.add_job(id, spec, progress.or(kept.as_ref()), old);
             }
             (id, Err(error)) => {
                 if let Ok(id) = id {
--- a/crates/cell/src/owner/load.rs
+++ b/crates/cell/src/owner/load.rs
@@ -26,6 +26,7 @@
         self.load_logged = now;
         let load = self.planner.load();
         self.publish_load(&load);
+        self.set_pool("early_cancels", self.early_cancels.len() as u64);
         log::info!(
             code = 370, epoch = self.epoch, usable = load.usable, cpu = load.capacity.cpu,
             cpu_used = load.booked.cpu, kept = load.reserved_workers, kept_idle = load.reserved_cpu, memory = load.capacity.memory, memory_used = load.booked.memory,
--- a/crates/cell/src/owner/messages.rs
+++ b/crates/cell/src/owner/messages.rs
@@ -21,6 +21,9 @@
 
 use crate::AcceptedJob;
 use crate::Change;
+use crate::EarlyCancel;
+use crate::EarlyCancelReply;
+use crate::EarlyWrites;
 use crate::HelperPoll;
 use crate::JobView;
 use crate::PollReply;
@@ -46,6 +49,8 @@
     JobAccepted(Box<AcceptedJob>, oneshot::Sender<()>),
     /// A job was cancelled; sent by the process that cancelled it.
     JobCanceled(JobId, Option<Requester>, oneshot::Sender<()>),
+    /// A job that is not in the store is to be cancelled; replied to once that is stored.
+    CancelEarly(EarlyCancel, oneshot::Sender<EarlyCancelReply>),
     /// Registrations of workers have changed.
     Registrations(RegistrationChange),
     /// An event from the link to a worker.
@@ -105,6 +110,8 @@
     pub used_workers: Vec<(String, UsedWorker)>,
     /// Workers on which no run can be running any more.
     pub unused_workers: Vec<String>,
+    /// Cancellations of jobs that are not stored.
+    pub early_cancels: EarlyWrites,
     /// Row of learnt state.
     pub learnt: Option<Vec<u8>>,
     /// The transaction releases the pool.
--- a/crates/cell/src/owner/mod.rs
+++ b/crates/cell/src/owner/mod.rs
@@ -2,6 +2,7 @@
 //! workers, write progress to the store and assign advice calls to helpers, which are processes on
 //! other hosts that make these calls for the owner.
 
+mod cancellation;
 mod clock_estimate;
 mod commands;
 mod dispatch;
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -32,6 +32,7 @@
 use super::StartDeadline;
 use super::StartWindow;
 use super::StoreContact;
+use super::cancellation::CancelWaiter;
 use super::fencing::FencingTable;
 use super::follow_workers;
 use super::freshness::Freshness;
@@ -43,6 +44,7 @@
 use super::takeover::follow_jobs;
 use super::takeover::take_over;
 use crate::Context;
+use crate::EarlyCancels;
 use crate::Follower;
 use crate::OwnerMessage;
 use crate::UsedWorker;
@@ -93,6 +95,10 @@
     pub(super) liveness: LivenessCheck,
     pub(super) retention: Retention,
     pub(super) marks: Marks,
+    /// Cancellations of jobs that this owner has not read.
+    pub(super) early_cancels: EarlyCancels,
+    /// Processes that wait until such a cancellation is stored.
+    pub(super) cancel_waiters: Vec<CancelWaiter>,
     /// Workers with a row in the table of used workers.
     pub(super) used_workers: HashSet<String>,
     /// Jobs whose progress row cannot be decoded; they are not run. When they were treated as
@@ -186,6 +192,8 @@
             liveness: LivenessCheck::default(),
             retention: Retention::default(),
             marks: Marks::default(),
+            early_cancels: EarlyCancels::default(),
+            cancel_waiters: Vec::new(),
             used_workers: HashSet::new(),
             unreadable_jobs: inherited.unreadable_jobs,
             unread_progress: HashMap::new(),
@@ -206,6 +214,10 @@
             has_successor: false,
             context,
         };
+        for cancel in inherited.early_cancels {
+            let now = pool.context.now();
+            pool.early_cancels.restore(cancel, now);
+        }
         // The jobs are added first: an end in a worker report would be ignored if its job had
         // not been added, and the task would run again.
         for row in &inherited.jobs {
--- a/crates/cell/src/owner/saver.rs
+++ b/crates/cell/src/owner/saver.rs
@@ -52,8 +52,8 @@
 /// Maximum number of entries of a transaction.
 pub(super) const MAX_ENTRIES: usize = 100;
 
-/// Maximum number of rows of jobs and workers in one transaction: the other entries are the
-/// condition, the guard row and the ownership row.
+/// Maximum number of rows of jobs, workers and early cancellations in one transaction: the other
+/// entries are the condition, the guard row and the ownership row.
 const MAX_ROWS: usize = MAX_ENTRIES - 3;
 
 /// Maximum number of workers whose rows are written or removed in one transaction.
@@ -293,8 +293,8 @@
         wanted && !self.in_progress && !self.released() && now >= self.not_before
     }
 
-    /// Returns the number of jobs that fit into the next transaction beside the rows of workers.
-    fn max_jobs(&self) -> usize {
+    /// Returns the number of rows that fit into the next transaction beside the rows of workers.
+    fn max_other_rows(&self) -> usize {
         MAX_ROWS - self.row_changes.len().min(MAX_WORKERS)
     }
 
@@ -343,15 +343,18 @@
 impl Pool {
     /// Starts a transaction if one is due and none is in progress.
     pub(super) fn start_save(&mut self, now: Duration) {
-        if !self.saver.due(now, self.planner.has_unsaved()) {
+        let unsaved = self.planner.has_unsaved() || self.early_cancels.has_unsaved();
+        if !self.saver.due(now, unsaved) {
             return;
         }
+        let max_jobs = self.saver.max_other_rows() - self.early_cancels.next_writes();
         let mut save = Save {
-            batch: self.planner.take_batch(self.saver.max_jobs()),
+            batch: self.planner.take_batch(max_jobs),
             started: now,
             ..Save::default()
         };
         let mut transaction = self.saver.build_transaction(&mut save, now);
+        self.add_early_cancels(&mut save, &mut transaction);
         self.add_learnt(&mut save, &mut transaction);
         let used_workers = save.used_workers.iter().map(|(id, _)| id);
         for id in used_workers.chain(&save.unused_workers) {
@@ -387,7 +390,7 @@
         let metrics = self.context.metrics.clone();
         self.saver.record_result(&result, save.reply_time);
         match result {
-            Ok(Committed::Done(_)) => {
+            Ok(Committed::Done(version)) => {
                 count(&metrics.saves, "done");
                 observe(&metrics.save, now.saturating_sub(save.started));
                 self.saver.in_progress = false;
@@ -402,6 +405,7 @@
                     let replied = save.reply_time.is_some();
                     self.saver.last_renewal = if replied { now } else { save.started };
                 }
+                self.early_cancels_saved(&save.early_cancels, version);
                 self.apply_saved(save);
             }
             Ok(Committed::Conflict) => {
@@ -483,6 +487,8 @@
             self.saver.release = Release::Requested;
         }
         self.planner.batch_failed(&save.batch);
+        let now = self.context.now();
+        self.early_cancels.failed(save.early_cancels, now);
         self.saver
             .row_changes
             .put_back(save.used_workers, save.unused_workers);
--- a/crates/cell/src/owner/takeover.rs
+++ b/crates/cell/src/owner/takeover.rs
@@ -18,6 +18,8 @@
 use super::learnt_state::read_beside;
 use crate::Change;
 use crate::Context;
+use crate::EARLY_CANCEL_TABLE;
+use crate::EarlyCancel;
 use crate::Follower;
 use crate::JOB_TABLE;
 use crate::LONG_READ_TIMEOUTS;
@@ -47,6 +49,8 @@
     pub(super) progress: HashMap<JobId, Progress>,
     /// Jobs with progress that cannot be decoded.
     pub(super) unreadable_jobs: HashSet<JobId>,
+    /// Cancellations of jobs that were not stored.
+    pub(super) early_cancels: Vec<EarlyCancel>,
     /// Workers to which the former owner may have given tasks.
     pub(super) used_workers: Vec<(String, UsedWorker)>,
     /// Number of rows of used workers that cannot be decoded.
@@ -95,9 +99,10 @@
     let progress = store
         .read_part(PROGRESS_TABLE, OWNER_PART, LONG_READ_TIMEOUTS)
         .await?;
-    let used_workers = store
-        .read_part(USED_WORKER_TABLE, OWNER_PART, LONG_READ_TIMEOUTS)
-        .await?;
+    let (used_workers, early_cancels) = tokio::try_join!(
+        store.read_part(USED_WORKER_TABLE, OWNER_PART, LONG_READ_TIMEOUTS),
+        store.read_part(EARLY_CANCEL_TABLE, OWNER_PART, LONG_READ_TIMEOUTS),
+    )?;
     let mut follower = Follower::new(store, JOB_TABLE, true).with_long_timeouts();
     let (Change::Snapshot(jobs) | Change::Delta(jobs)) = follower.next(Duration::ZERO).await?;
     let mut inherited = InheritedState {
@@ -105,6 +110,7 @@
         follower,
         progress: HashMap::new(),
         unreadable_jobs: HashSet::new(),
+        early_cancels: Vec::new(),
         used_workers: Vec::new(),
         undecodable_workers: 0,
         learnt: None,
@@ -113,6 +119,9 @@
     for row in &progress.rows {
         inherited.add_progress(row, unreadable);
     }
+    for row in &early_cancels.rows {
+        inherited.add_early_cancel(row, unreadable);
+    }
     for row in &used_workers.rows {
         inherited.add_worker(row, unreadable);
     }
@@ -147,6 +156,19 @@
         }
     }
 
+    fn add_early_cancel(&mut self, row: &Row, metrics: &IntCounterVec) {
+        match EarlyCancel::decode(row) {
+            Ok(cancel) => self.early_cancels.push(cancel),
+            Err(error) => {
+                count(metrics, EARLY_CANCEL_TABLE);
+                log::error!(
+                    code = 399, key = row.name.key.as_str(), error:% = error;
+                    "row of an early cancellation cannot be decoded; the row is ignored"
+                );
+            }
+        }
+    }
+
     fn add_worker(&mut self, row: &Row, metrics: &IntCounterVec) {
         match decode_used_worker(&row.value) {
             Ok(worker) => self.used_workers.push((row.name.key.clone(), worker)),
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -18,6 +18,7 @@
 use platform::Version;
 use serde::Deserialize;
 use serde::Serialize;
+use snafu::Snafu;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use web::Call;
@@ -31,6 +32,7 @@
 use crate::Acceptance;
 use crate::Acceptor;
 use crate::Context;
+use crate::EarlyCancel;
 use crate::OwnerHandle;
 use crate::OwnerMessage;
 
@@ -167,12 +169,25 @@
     Undecided,
 }
 
+/// The owner's reply to the cancellation of a job that is not in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EarlyCancelReply {
+    /// The cancellation is stored: a job that the store takes later does not start.
+    Stored,
+    /// The owner knows the job, so its row is in the store by now.
+    Known,
+    /// The owner keeps no more such cancellations; it has room again after this time.
+    Full(Duration),
+}
+
 /// Reason why there is no reply of the owner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum OwnerError {
     /// According to the ownership row, no process owns the pool.
+    #[snafu(display("no process owns the pool"))]
     None,
     /// The process did not answer, or no longer owns the pool.
+    #[snafu(display("the owner does not answer, or owns the pool no longer"))]
     Silent,
 }
 
@@ -198,6 +213,13 @@
     backoff: watch::Sender<(Epoch, Duration)>,
 }
 
+/// Time for which the owner delays its reply until a cancellation is stored. It is shorter than
+/// [`OWNER_TIMEOUT`]: an owner whose writes are slow must not count as one that does not answer.
+const CANCEL_WAIT: Duration = Duration::from_millis(300);
+
+/// Path, followed by the job's id, of the request to cancel a job that is not in the store.
+const EARLY_CANCEL_PATH: &str = "/cancel-early/";
+
 /// Query parameters that name the requester of a request about a job.
 const ORGANISATION_PARAMETER: &str = "organisation";
 const QUEUE_PARAMETER: &str = "queue";
@@ -290,6 +312,18 @@
             .await
     }
 
+    /// Asks the owner to store the cancellation of a job that is not in the store. The request may be
+    /// repeated until there is a reply.
+    ///
+    /// # Errors
+    /// See [`OwnerError`]; the owner may store the cancellation all the same.
+    pub async fn cancel_early(&self, cancel: EarlyCancel) -> Result<EarlyCancelReply, OwnerError> {
+        let path = job_path(EARLY_CANCEL_PATH, cancel.id, &cancel.requester);
+        let make_message = |reply| OwnerMessage::CancelEarly(cancel, reply);
+        self.send_request(make_message, Method::POST, &path, &(), OWNER_TIMEOUT)
+            .await
+    }
+
     /// Asks the owner to accept a job, because the store refuses this host. The job must certainly
     /// not be accepted yet. If it is uncertain whether the owner has handled the request, the reply is
     /// [`Acceptance::Unknown`].
@@ -511,6 +545,17 @@
                 Err(error) => web::error(StatusCode::BAD_REQUEST, &error.to_string()),
             };
         }
+        if let Some(id) = incoming.path.strip_prefix(EARLY_CANCEL_PATH) {
+            return match (job::parse_job_id(id), requester) {
+                (Ok(id), Some(requester)) => {
+                    let cancel = EarlyCancel { id, requester };
+                    let make_message = |reply| OwnerMessage::CancelEarly(cancel, reply);
+                    self.relay(make_message, CANCEL_WAIT).await
+                }
+                (Err(error), _) => web::error(StatusCode::BAD_REQUEST, &error.to_string()),
+                (_, None) => web::error(StatusCode::BAD_REQUEST, "found no requester"),
+            };
+        }
         if let Some(queue) = incoming.path.strip_prefix("/waiting/") {
             let queue = queue.to_owned();
             let make_message = |reply| OwnerMessage::QueryLength(queue, reply);
--- a/crates/job/src/organisation.rs
+++ b/crates/job/src/organisation.rs
@@ -62,7 +62,7 @@
 }
 
 /// On whose behalf a caller asks about a job.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Requester {
     /// Anybody who may use this public queue.
     Queue(String),
