cell: a late notification does not start a job that was cancelled

Found by asking which write or message on its way can break a cancel that was answered 200, not seen by callers. A process that stores a job and is frozen before it notifies the owner sends the job without the cancellation. If the owner has not read the job's row meanwhile, since the feed hangs, it starts the job.

Cause: the owner ignored the cancel of a job that it did not know, relying on the row to come first.

--- a/crates/cell/src/owner/cancellation.rs
+++ b/crates/cell/src/owner/cancellation.rs
@@ -45,10 +45,18 @@
     }
 
     /// Cancels a job whose row contains the cancellation.
-    pub(super) fn handle_canceled(&mut self, id: JobId, requester: Option<&Requester>) {
-        // If the owner has not read the job's row yet, the row will contain the cancellation.
-        if self.planner.is_open_to(id, requester) {
-            self.planner.cancel(id);
+    pub(super) fn handle_canceled(&mut self, id: JobId, requester: Option<Requester>) {
+        if self.planner.has_job(id) {
+            if self.planner.is_open_to(id, requester.as_ref()) {
+                self.planner.cancel(id);
+            }
+            return;
+        }
+        // A notification of the job's acceptance may arrive before the row, from a process that was
+        // delayed between the two.
+        if let Some(requester) = requester {
+            let cancel = EarlyCancel { id, requester };
+            self.early_cancels.note(cancel, self.context.now());
         }
     }
 
--- a/crates/cell/src/owner/dispatch.rs
+++ b/crates/cell/src/owner/dispatch.rs
@@ -36,7 +36,7 @@
                 let _ = reply.send(());
             }
             OwnerMessage::JobCanceled(id, requester, reply) => {
-                self.handle_canceled(id, requester.as_ref());
+                self.handle_canceled(id, requester);
                 // The handler of the request may have ended; then it needs no reply.
                 let _ = reply.send(());
             }
--- a/crates/cell/tests/late_writes.rs
+++ b/crates/cell/tests/late_writes.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cell::AcceptedJob;
 use hyper::Method;
 use job::JobId;
 use job::JobSpec;
@@ -15,6 +16,8 @@
 use site::TestCell;
 use site::job;
 use site::organisations_config;
+use web::Call;
+use web::Client;
 
 /// Time after which the owner has read a row that was written, and could have started its job.
 const READ_TIME: Duration = Duration::from_millis(1500);
@@ -237,6 +240,49 @@
     cell.close().await;
 }
 
+/// Guards against a job that starts after its cancel was answered 200: the notification of its
+/// acceptance comes late, from a process that was frozen, while the owner cannot read the job's row.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_notification_does_not_start_a_job_that_was_canceled() {
+    let (cell, caller) = open().await;
+    let owner = cell.owner().expect("an owner");
+    // The owner reads neither the row of the job nor the cancellation in it.
+    cell.store.set_faults(site::StoreFaults {
+        hung_feed: true,
+        ..site::StoreFaults::default()
+    });
+    write(&cell, 0x160, 0, &spec(None));
+    let status = cancel(&cell, &caller, (owner + 1) % 3, 0x160).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+
+    notify_accepted(&cell, owner, 0x160).await;
+
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let starts = starts(&cell, 0x160);
+    assert_eq!((status, starts), (200, 0));
+    cell.close().await;
+}
+
+/// Notifies the owner of an accepted job, as the process that accepted it does.
+async fn notify_accepted(cell: &TestCell, owner: usize, id: JobId) {
+    let accepted = AcceptedJob {
+        id,
+        spec: spec(None),
+        key: None,
+        known: 0,
+        attempt: 0,
+    };
+    let row = cell
+        .store
+        .raw(cell::OWNERSHIP_TABLE, cell::OWNER_PART, "owner");
+    let ownership = cell::decode_ownership(&row.expect("ownership")).expect("ownership");
+    assert_eq!(cell.owner(), Some(owner));
+    let request = Call::new(Method::POST, ownership.address, "/accepted", READ_TIME);
+    let client = Client::new(READ_TIME);
+    let reply = client.send(request.json(&accepted)).await;
+    assert!(reply.is_ok_and(|reply| reply.status == 200));
+}
+
 /// Guards against a crowd of cancels of unknown ids that takes the store's rates from other callers:
 /// each may read the rows that its job could have, and all together cost few writes and rows.
 #[tokio::test(flavor = "multi_thread")]
