cell: a mark left beside a stored job does not refuse the job

A rejection marks the four rows that a job may have and does not take place if one of them is the job's; its marks stay in the others. A repeated submission that reaches such a mark first, on a host that knows no newer version of the store, was answered 503, "not accepted and never runs", though the job is stored and runs.

Before it refuses, the host now reads the job's other rows, which costs up to four reads in this case alone, and answers 200 if the job is there, 504 if a row cannot be read.

a_mark_beside_the_job_does_not_refuse_it fails without the change (Refused in place of Accepted) and passes with it.

--- a/crates/cell/src/acceptor.rs
+++ b/crates/cell/src/acceptor.rs
@@ -114,9 +114,7 @@
                             continue;
                         }
                         Ok(ExistingRow::NewerMark) if !ambiguous => {
-                            return Acceptance::Refused(
-                                "a repeated request was rejected".to_owned(),
-                            );
+                            return self.rejected_since(job, deadline).await;
                         }
                         Ok(_) => {
                             return Acceptance::Unknown("the job's row has changed".to_owned());
@@ -197,6 +195,20 @@
         )
     }
 
+    /// Result for a job one of whose rows has the mark of a newer rejection. A rejection that found the job
+    /// in another of its rows, and therefore did not take place, leaves such marks, too.
+    async fn rejected_since(&self, job: &AcceptedJob, deadline: Duration) -> Acceptance {
+        for row in &job_rows(job.id) {
+            match self.existing_row(row, job, deadline).await {
+                Ok(ExistingRow::SameJob) => return Acceptance::Accepted { first: false },
+                Ok(ExistingRow::OtherJob) => return Acceptance::Taken,
+                Ok(ExistingRow::Mark(_) | ExistingRow::NewerMark | ExistingRow::Removed) => {}
+                Err(_) => return Acceptance::Unknown("the job's rows cannot be read".to_owned()),
+            }
+        }
+        Acceptance::Refused("a repeated request was rejected".to_owned())
+    }
+
     /// Waits until a write in progress is unlikely to get a reply: the store has become unreachable,
     /// and if it refuses calls instead of being silent, [`REFUSAL_WAIT`] is over.
     async fn wait_silent(&self) {
@@ -257,7 +269,7 @@
     /// The mark of a rejection that may be newer than this request. Its caller was told that no request
     /// until then has any effect.
     NewerMark,
-    /// No row any more: the retention of a job or of a mark has just ended.
+    /// No row: there was none, or the retention of a job or of a mark has just ended.
     Removed,
 }
 
--- a/crates/cell/tests/admission.rs
+++ b/crates/cell/tests/admission.rs
@@ -230,6 +230,25 @@
     assert!(refused, "{acceptance:?}");
 }
 
+/// Guards against the reply "not accepted" for a job that is stored: a rejection that found the job in one
+/// of its rows, and did not take place, has left marks in the others.
+#[tokio::test]
+async fn a_mark_beside_the_job_does_not_refuse_it() {
+    let host = host().await;
+    let earlier = accepted_job(host.store.version());
+    let mut stored = write(0);
+    let place = cell::job_rows(ID)[2].clone();
+    stored.expect[0].0 = place.clone();
+    stored.puts[0].0 = place;
+    commit(&host, &stored).await;
+    let marked = host.acceptor.mark_rejected(ID, OTHER).await.expect("mark");
+
+    let acceptance = host.acceptor.accept(&earlier, DEADLINE).await;
+
+    assert!(!marked);
+    assert_eq!(acceptance, Acceptance::Accepted { first: false });
+}
+
 /// Guards against the same with a process that was frozen while the job was rejected: it learns of the
 /// new version of the store before it handles the request.
 #[test]
