job: numbers from outside are bounded where they are taken

A job with a very large time or amount ended the owner's task, and each successor's, since the row stays: "overflow when adding durations" in the objective of a job, and an overflowing sum of the capacities of workers in the test build. No sound job started any more. Seen in tests alone.

Cause: numbers of callers, the operator, workers and stored rows went into sums as they came.

--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -4,6 +4,7 @@
 //! its monotonic clock and sends the commands that the planner returns.
 
 mod admission;
+mod bounds;
 mod id;
 mod learnt;
 mod mechanism;
@@ -16,6 +17,7 @@
 mod worker;
 
 pub use admission::*;
+pub use bounds::*;
 pub use id::*;
 pub use learnt::*;
 pub use mechanism::*;
--- a/crates/job/src/planner/mod.rs
+++ b/crates/job/src/planner/mod.rs
@@ -31,9 +31,11 @@
 use crate::JobId;
 use crate::JobSpec;
 use crate::JobStatus;
+use crate::Organisation;
 use crate::Outcome;
 use crate::PredecessorAuthority;
 use crate::Progress;
+use crate::Queue;
 use crate::RunId;
 use crate::StepKey;
 use crate::TaskKey;
@@ -300,8 +302,11 @@
     /// Applies a configuration if it is newer than the current one.
     pub fn configure(&mut self, config: &Config) {
         if config.version > self.config.version {
-            self.organisations.configure(&config.organisations);
             self.config = config.clone();
+            self.config.queues.iter_mut().for_each(Queue::bound);
+            let organisations = self.config.organisations.iter_mut();
+            organisations.for_each(Organisation::bound);
+            self.organisations.configure(&self.config.organisations);
         }
     }
 
@@ -325,7 +330,14 @@
 
     /// Adds an accepted job, or cancels one that was added before if its row is marked as
     /// cancelled. `old` is set if a former owner may have started the job.
-    pub fn add_job(&mut self, id: JobId, spec: JobSpec, progress: Option<&Progress>, old: bool) {
+    pub fn add_job(
+        &mut self,
+        id: JobId,
+        mut spec: JobSpec,
+        progress: Option<&Progress>,
+        old: bool,
+    ) {
+        spec.bound();
         if let Some(job) = self.jobs.get(&id) {
             // A row of another organisation with the same id, in another place, is ignored. An earlier
             // version that cancels a job leaves out its organisation.
--- a/crates/job/src/planner/placement/place.rs
+++ b/crates/job/src/planner/placement/place.rs
@@ -329,7 +329,7 @@
         let step = job.and_then(|job| job.step(task.step));
         let state = step.and_then(|(_, step)| step.tasks.get(task.index as usize));
         let last = state.map_or(0, |state| state.run);
-        last.max(self.run_base) + 1
+        last.max(self.run_base).saturating_add(1)
     }
 
     /// Starts a run on a candidate worker. For a trial, the worker gets no other work.
--- a/crates/job/src/planner/state/roster.rs
+++ b/crates/job/src/planner/state/roster.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::JobId;
+use crate::MAX_TIME;
 use crate::Resources;
 use crate::RunId;
 use crate::STORE_WINDOW;
@@ -273,7 +274,9 @@
     }
 
     /// Processes a worker's registration; returns the worker's key if the worker is new.
-    pub fn register_worker(&mut self, info: WorkerInfo) -> Option<WorkerKey> {
+    pub fn register_worker(&mut self, mut info: WorkerInfo) -> Option<WorkerKey> {
+        info.capacity = info.capacity.bounded();
+        info.remaining = info.remaining.map(|remaining| remaining.min(MAX_TIME));
         self.peak_pools.workers_changed(self.now);
         if let Some(key) = self.worker_key(&info.id) {
             let is_other = self.is_other_incarnation(key, &info);
