A malformed entry of the configuration hides no other

One queue, service or organisation of the operator's document that was malformed, nested too deeply or had a number that is too large made the whole document unreadable: callers of queues added with it got 404, and limits and keys stayed those of the version before.

Entries are now decoded one by one. Those that are malformed are left out, and logged once with the version (202). What is not found beside them is answered 503 and not 404 or 401, since it may be the entry that cannot be read. An unreadable document is logged once, not with each read (201).

--- a/crates/cell/src/access.rs
+++ b/crates/cell/src/access.rs
@@ -6,6 +6,7 @@
 
 use auth::KeyDigest;
 use job::Config;
+use job::EntryKind;
 use job::Organisation;
 use job::Queue;
 use job::Requester;
@@ -29,7 +30,7 @@
     Granted(Viewer<'a>),
     /// The caller may not use it.
     Denied(Denial),
-    /// The configuration is too old to decide.
+    /// The configuration is too old to decide, or an organisation of it cannot be read.
     Undecided,
 }
 
@@ -113,7 +114,9 @@
     match (holder, key) {
         (Some(_), _) if age > ages.usable => Access::Undecided,
         (Some(holder), _) => Access::Granted(Viewer::Member(holder)),
-        (None, _) if age > ages.current => Access::Undecided,
+        (None, _) if age > ages.current || config.skips(EntryKind::Organisation) => {
+            Access::Undecided
+        }
         (None, Err(source)) => Access::Denied(Denial::NoKey { source }),
         (None, Ok(_)) => Access::Denied(Denial::UnknownKey),
     }
--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -10,6 +10,7 @@
 use hyper::header::RETRY_AFTER;
 use hyper::header::WWW_AUTHENTICATE;
 use job::Config;
+use job::EntryKind;
 use job::JobId;
 use job::JobStatus;
 use job::Queue;
@@ -118,7 +119,8 @@
         config: &'a Config,
         request: &HttpRequest,
     ) -> Result<Admitted<'a>, Box<HttpResponse>> {
-        let queue = find_queue(config, request).ok_or_else(|| Box::new(self.not_found()))?;
+        let queue = find_queue(config, request);
+        let queue = queue.ok_or_else(|| Box::new(self.not_found(config)))?;
         self.check_queue_age(config, queue)?;
         let viewer = self.authorize(config, queue, request)?;
         let rest = &request.path[queue.prefix.len()..];
@@ -186,8 +188,12 @@
     }
 
     /// Returns 404 for a queue that the configuration does not contain, or 503 if the configuration
-    /// was read too long ago: the queue may have been added since.
-    fn not_found(&self) -> HttpResponse {
+    /// was read too long ago: the queue may have been added since. A queue that cannot be read may be
+    /// the one that the request addresses, too.
+    fn not_found(&self, config: &Config) -> HttpResponse {
+        if config.skips(EntryKind::Queue) {
+            return service_unavailable("a queue of the configuration cannot be read");
+        }
         if self.context.config_age() > CONFIG_MAX_AGE {
             return service_unavailable("the configuration cannot be read from this host");
         }
--- a/crates/cell/src/process.rs
+++ b/crates/cell/src/process.rs
@@ -186,6 +186,7 @@
 /// configuration cannot be decoded does not confirm that the one in force is the newest.
 async fn follow_config(context: Context, config: watch::Sender<Option<Arc<Config>>>) {
     let mut follower = Follower::new(&context.store, OPERATOR_TABLE, false);
+    let mut unreadable = 0;
     loop {
         let read = follower.next(CONFIG_WAIT);
         match context.abandon_on_recovery(read).await {
@@ -195,19 +196,22 @@
                     context.versions.record(context.now(), version);
                 }
                 let mut all_decoded = true;
-                for decoded in rows.iter().filter_map(decode_config) {
-                    match decoded {
-                        Ok(newer) => {
+                for row in &rows {
+                    match decode_config(row) {
+                        None => {}
+                        Some(Ok(newer)) => {
                             let version = i64::try_from(newer.version).unwrap_or(i64::MAX);
                             context.metrics.config_version.set(version);
                             apply_config(&config, newer);
                         }
-                        Err(error) => {
+                        Some(Err(error)) => {
                             all_decoded = false;
-                            log::error!(
-                                code = 201, error:% = error;
-                                "configuration cannot be decoded; the last readable one stays in use"
-                            );
+                            if std::mem::replace(&mut unreadable, row.version) != row.version {
+                                log::error!(
+                                    code = 201, error:% = error;
+                                    "configuration cannot be decoded; the last readable one stays in use"
+                                );
+                            }
                         }
                     }
                 }
@@ -234,6 +238,13 @@
             organisations = newer.organisations.len(), keys = newer.keys.len();
             "configuration applied"
         );
+        for entry in &newer.skipped {
+            log::error!(
+                code = 202, version = newer.version, kind:% = entry.kind, index = entry.index,
+                error = entry.reason.as_str();
+                "entry of the configuration cannot be decoded; the others are in force without it"
+            );
+        }
         *current = Some(Arc::new(newer));
         true
     });
--- a/crates/job/src/queue.rs
+++ b/crates/job/src/queue.rs
@@ -6,6 +6,7 @@
 use auth::KeyTable;
 use serde::Deserialize;
 use serde::Serialize;
+use strum::Display;
 
 use crate::Organisation;
 
@@ -59,6 +60,29 @@
     pub rejects_overload: bool,
 }
 
+/// Kind of an entry of the configuration.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[strum(serialize_all = "lowercase")]
+pub enum EntryKind {
+    /// A queue.
+    Queue,
+    /// A service.
+    Service,
+    /// An organisation.
+    Organisation,
+}
+
+/// A malformed entry of the operator's document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SkippedEntry {
+    /// Kind of the entry.
+    pub kind: EntryKind,
+    /// Index of the entry among those of its kind.
+    pub index: usize,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
 /// One version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Config {
@@ -74,6 +98,8 @@
     pub keys: KeyTable<usize>,
     /// Maximum size of a request's body, in bytes.
     pub body_bytes: usize,
+    /// Malformed entries, which are left out.
+    pub skipped: Vec<SkippedEntry>,
 }
 
 impl Config {
@@ -84,6 +110,12 @@
         listed || self.queues.iter().any(|queue| queue.service == service)
     }
 
+    /// Returns whether an entry of this kind is left out, so that what is not found may be configured.
+    #[must_use]
+    pub fn skips(&self, kind: EntryKind) -> bool {
+        self.skipped.iter().any(|entry| entry.kind == kind)
+    }
+
     /// Returns the queue of this host with the longest prefix that `path` begins with.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Queue> {
