--- a/crates/cell/src/owner/dispatch.rs
+++ b/crates/cell/src/owner/dispatch.rs
@@ -43,7 +43,7 @@
             OwnerMessage::CancelEarly(cancel, reply) => self.handle_early_cancel(cancel, reply),
             OwnerMessage::Registrations(change) => self.handle_registrations(change),
             OwnerMessage::Worker(key, event) => self.handle_event(key, event),
-            OwnerMessage::WorkersEnded(ended) => self.handle_ended(&ended),
+            OwnerMessage::WorkersEnded(ended) => self.handle_ended(ended.as_deref()),
             OwnerMessage::RowsRemoved(ids) => self.handle_removed(&ids),
             OwnerMessage::SaveFinished(save, result) => self.handle_saved(save, result),
             OwnerMessage::GuardRead(result) => self.handle_guard(result),
--- a/crates/cell/src/owner/handlers.rs
+++ b/crates/cell/src/owner/handlers.rs
@@ -1,6 +1,7 @@
 //! Handles changes of jobs and registrations from the store, and events from the workers.
 
 use std::collections::HashMap;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 
 use super::Link;
 use super::Pool;
+use super::registrations::MAX_UNREADABLE;
 use crate::Change;
 use crate::JOB_TABLE;
 use crate::RegistrationChange;
@@ -71,22 +73,26 @@
                     let kept = progress.map(|progress| (id, progress.cloned().unwrap_or_default()));
                     self.unread_progress.extend(kept);
                 }
-                count(&self.context.metrics.unreadable, JOB_TABLE);
-                log::error!(
-                    code = 334, key = row.name.key.as_str(), error:% = error;
-                    "job row cannot be decoded; the row is ignored"
-                );
+                self.log_unreadable(row, &error);
             }
             (Err(error), _) => {
-                count(&self.context.metrics.unreadable, JOB_TABLE);
-                log::error!(
-                    code = 334, key = row.name.key.as_str(), error:% = error;
-                    "key of a job row is not the id of a job; the row is ignored"
-                );
+                self.log_unreadable(row, &error);
             }
         }
     }
 
+    /// Logs a row of a job that cannot be decoded, or whose key is not the id of a job, once.
+    fn log_unreadable(&mut self, row: &Row, error: &impl Display) {
+        let logged = &mut self.unreadable_keys;
+        if logged.len() < MAX_UNREADABLE && logged.insert(row.name.key.clone()) {
+            count(&self.context.metrics.unreadable, JOB_TABLE);
+            log::error!(
+                code = 334, key = row.name.key.as_str(), error:% = error;
+                "row of a job cannot be decoded; the row is ignored"
+            );
+        }
+    }
+
     pub(super) fn handle_registrations(&mut self, change: RegistrationChange) {
         let now = self.context.now();
         self.start_ages
--- a/crates/cell/src/owner/liveness.rs
+++ b/crates/cell/src/owner/liveness.rs
@@ -35,6 +35,8 @@
     unresponsive_since: Option<Duration>,
     /// Earliest time of the next request.
     next_check: Duration,
+    /// The last request failed, and the failure was logged.
+    failing: bool,
 }
 
 impl Pool {
@@ -60,24 +62,28 @@
         self.liveness.in_progress = true;
         let client = MachineClient::new(self.context.client.clone(), server);
         let sender = self.sender.clone();
+        let logged = self.liveness.failing;
         tokio::spawn(async move {
             let listed = client.running_workers(CHECK_TIMEOUT).await;
-            if let Err(error) = &listed {
+            if let Err(error) = &listed
+                && !logged
+            {
                 log::warn!(
                     code = 380, error:% = error;
                     "list of machines cannot be read; whether unresponsive workers have ended stays unknown"
                 );
             }
-            let ended =
-                listed.map_or_else(|_| Vec::new(), |listed| unlisted(unresponsive, &listed));
+            let ended = listed.ok().map(|listed| unlisted(unresponsive, &listed));
             let _ = sender.send(OwnerMessage::WorkersEnded(ended)).await;
         });
     }
 
     /// Handles the reply: ends the incarnations of workers that were unresponsive at the time
     /// of the request, are not in the list of machines, and have not answered since.
-    pub(super) fn handle_ended(&mut self, ended: &[WorkerKey]) {
+    pub(super) fn handle_ended(&mut self, ended: Option<&[WorkerKey]>) {
         self.liveness.in_progress = false;
+        self.liveness.failing = ended.is_none();
+        let ended = ended.unwrap_or_default();
         self.liveness.next_check = self.context.now() + CHECK_INTERVAL;
         for (key, id) in self.planner.unresponsive_workers() {
             if !ended.contains(&key) {
--- a/crates/cell/src/owner/messages.rs
+++ b/crates/cell/src/owner/messages.rs
@@ -56,8 +56,8 @@
     /// An event from the link to a worker.
     Worker(WorkerKey, WorkerEvent),
     /// Unresponsive workers that are not in the list of machines, so that their incarnations
-    /// have ended; empty if the list could not be read.
-    WorkersEnded(Vec<WorkerKey>),
+    /// have ended; `None` if the list could not be read.
+    WorkersEnded(Option<Vec<WorkerKey>>),
     /// The rows of these jobs were removed, at these versions.
     RowsRemoved(Vec<(JobId, Version)>),
     /// A transaction of the owner has finished.
--- a/crates/cell/src/owner/pool.rs
+++ b/crates/cell/src/owner/pool.rs
@@ -104,6 +104,8 @@
     /// Jobs whose progress row cannot be decoded; they are not run. When they were treated as
     /// jobs that had never started, completed ones ran again.
     pub(super) unreadable_jobs: HashSet<JobId>,
+    /// Keys of rows of jobs that were found unreadable, and logged.
+    pub(super) unreadable_keys: HashSet<String>,
     /// Progress of the jobs whose rows could not be decoded at take-over, in case they are later.
     pub(super) unread_progress: HashMap<JobId, Progress>,
     pub(super) freshness: Freshness,
@@ -196,6 +198,7 @@
             cancel_waiters: Vec::new(),
             used_workers: HashSet::new(),
             unreadable_jobs: inherited.unreadable_jobs,
+            unreadable_keys: HashSet::new(),
             unread_progress: HashMap::new(),
             freshness,
             overload: Overload::default(),
--- a/crates/cell/src/owner/registrations.rs
+++ b/crates/cell/src/owner/registrations.rs
@@ -31,7 +31,7 @@
 
 /// Maximum number of keys of unreadable rows that are kept, so that each of them is logged
 /// once.
-const MAX_UNREADABLE: usize = 1000;
+pub(super) const MAX_UNREADABLE: usize = 1000;
 
 /// Registrations of workers, as read from the store.
 #[derive(Default)]
--- a/crates/site/src/advice.rs
+++ b/crates/site/src/advice.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -28,6 +29,8 @@
     machine_lists: AtomicUsize,
     /// Time from reading the state of the machines until the list is sent.
     list_delay: Mutex<Duration>,
+    /// JSON of further entries of the list.
+    odd_machines: Mutex<Vec<String>>,
 }
 
 impl FakeAdvice {
@@ -39,24 +42,26 @@
             workers: Mutex::new(workers),
             machine_lists: AtomicUsize::new(0),
             list_delay: Mutex::default(),
+            odd_machines: Mutex::default(),
         })
     }
 
     /// Adds a worker, or a new incarnation of one, whose machine is listed until this incarnation
     /// ends.
     pub fn add(&self, worker: Arc<FakeWorker>) {
-        let mut workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
-        workers.push(worker);
+        lock(&self.workers).push(worker);
     }
 
     /// Sets the time from reading the state of the machines until the list is sent, which may
     /// then be outdated.
     pub fn set_list_delay(&self, delay: Duration) {
-        let mut list_delay = self
-            .list_delay
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        *list_delay = delay;
+        *lock(&self.list_delay) = delay;
+    }
+
+    /// Adds an entry of another writer to the list of machines.
+    pub fn add_odd_machine(&self, entry: &str) {
+        let mut odd = lock(&self.odd_machines);
+        odd.push(entry.to_owned());
     }
 
     /// Returns the number of calls for the list of machines so far.
@@ -65,14 +70,18 @@
         self.machine_lists.load(Ordering::Relaxed)
     }
 
-    fn machines(&self) -> Value {
-        let workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
+    /// Returns the list as JSON, with the odd entries first.
+    fn machines(&self) -> String {
+        let workers = lock(&self.workers);
         let live = workers.iter().filter(|worker| !worker.dead());
-        let machines: Vec<Value> = live
-            // Each worker is a machine of its own with the same id.
-            .map(|worker| json!({"machine": worker.id, "state": "up", "id": worker.id}))
-            .collect();
-        json!({"machines": machines, "next_token": null})
+        // Each worker is a machine of its own with the same id.
+        let entry = |worker: &Arc<FakeWorker>| {
+            json!({"machine": worker.id, "state": "up", "id": worker.id}).to_string()
+        };
+        let mut machines = lock(&self.odd_machines).clone();
+        machines.extend(live.map(entry));
+        let machines = machines.join(",");
+        format!(r#"{{"machines":[{machines}],"next_token":null}}"#)
     }
 
     /// Returns the number of calls for advice so far.
@@ -87,12 +96,9 @@
         if request.path == "/-/machines" {
             let body = self.machines();
             self.machine_lists.fetch_add(1, Ordering::Relaxed);
-            let delay = *self
-                .list_delay
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
+            let delay = *lock(&self.list_delay);
             tokio::time::sleep(delay).await;
-            return web::json(StatusCode::OK, &body);
+            return web::with_content_type(StatusCode::OK, "application/json", body.into_bytes());
         }
         // Any other path is a call for advice.
         self.calls.fetch_add(1, Ordering::Relaxed);
@@ -103,3 +109,7 @@
         web::json(StatusCode::OK, &json!({"good": good, "valid_ms": 1500}))
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
