--- a/crates/daemon/tests/crowds/main.rs
+++ b/crates/daemon/tests/crowds/main.rs
@@ -4,9 +4,11 @@
 
 mod crowd;
 mod host;
+mod odd_entries;
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use crowd::Conduct;
 use crowd::Crowd;
@@ -26,6 +28,7 @@
 use site::Caller;
 use site::StoreFaults;
 use tokio::sync::Mutex;
+use tokio::task::JoinSet;
 
 /// Locked by each test, since the memory of a process is to be measured apart from other load.
 static CELL_LOCK: Mutex<()> = Mutex::const_new(());
@@ -54,6 +57,10 @@
 /// Workers of a pool whose connections take half of them.
 const MOST_WORKERS: usize = 150;
 
+/// Members of a crowd that cancels jobs, and cancels of each.
+const CANCELERS: usize = 40;
+const CANCELS: usize = 100;
+
 /// Members of a crowd whose heads together are larger than the memory of a host.
 const LONG_PATHS: usize = 24;
 
@@ -494,3 +501,55 @@
     cell.hosts[0].assert_bounds();
     cell.close().await;
 }
+
+// Guards against a crowd that cancels jobs which nobody has submitted, each of which may be kept.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancels_of_unknown_ids() {
+    let _lock = CELL_LOCK.lock().await;
+    let mut cell = Cell::open(2).await;
+    let before = cell.store.version();
+    let reads_before = cell.store.reads(cell::JOB_TABLE);
+    let started = Instant::now();
+    let servers = [cell.hosts[0].callers(), cell.hosts[1].callers()];
+    let mut crowd = JoinSet::new();
+    for member in 0..CANCELERS {
+        crowd.spawn(cancel_unknown(servers[member % 2], member));
+    }
+
+    cell.serve_ordinary(1).await;
+    let answers: Vec<u16> = crowd.join_all().await.concat();
+    let writes = u128::from(cell.store.version() - before);
+    cell.serve_ordinary(2).await;
+
+    let stored = answers.iter().filter(|status| **status == 410).count();
+    let known = [410, 429, 503, 504];
+    assert!(answers.iter().all(|status| known.contains(status)));
+    assert!(stored > 0 && cell.store.count(cell::EARLY_CANCEL_TABLE) <= cell::MAX_EARLY_CANCELS);
+    // The owner writes at most once in 30 ms; the workers and the ordinary job write, too.
+    let allowed = started.elapsed().as_millis() / 30 + 100;
+    let reads = cell.store.reads(cell::JOB_TABLE) - reads_before;
+    println!(
+        "{stored} of {} stored, {reads} reads, {writes} writes",
+        answers.len()
+    );
+    assert!(reads < answers.len() / 4, "found {reads} reads");
+    assert!(
+        writes <= allowed,
+        "found {writes} writes, allowed: {allowed}"
+    );
+    cell.hosts[0].assert_bounds();
+    cell.hosts[1].assert_bounds();
+    cell.close().await;
+}
+
+/// Cancels jobs one after the other; returns the statuses of the answers.
+async fn cancel_unknown(server: SocketAddr, member: usize) -> Vec<u16> {
+    let caller = Caller::new();
+    let mut answers = Vec::new();
+    for nth in 0..CANCELS {
+        let path = format!("{QUEUE}{:016x}", 0x10_0000 + member * CANCELS + nth);
+        let cancel = caller.send(Method::DELETE, server, &path, &serde_json::Value::Null);
+        answers.push(cancel.await.0);
+    }
+    answers
+}
