soak: writes of jobs that the store carries out late, and callers that withdraw

The soak's store lost replies to writes that it had carried out, and had no write that is carried out later, so it could not find a job that starts after its cancel was answered. Seeds from 400000 on have up to four phases in which one to all writes of jobs get no reply and are carried out 1 to 6 s late, callers that give up after one try, and cancels of jobs whose submission got no answer. No task may start more than 3 s after such a cancel was answered with 200 or 410, unless a fault is near.

--- a/crates/daemon/tests/soak/checker.rs
+++ b/crates/daemon/tests/soak/checker.rs
@@ -36,6 +36,9 @@
 /// one core.
 const MAX_CORES: usize = 4;
 
+/// How long after the answer to the cancel of its job a task may start.
+const CANCEL_BOUND: Duration = Duration::from_secs(3);
+
 /// How long before its round is due a task may start.
 const EARLY_BOUND: Duration = Duration::from_millis(250);
 
@@ -84,6 +87,7 @@
             ));
         }
     }
+    violations.extend(jobs.iter().filter_map(|job| late_start(testbed, job)));
     for job in jobs.iter().filter(|job| job.crashes) {
         // Task 0 of step 0 in round 0, the one that crashes its workers.
         let task = format!("{}.0.0.0", job.id);
@@ -104,6 +108,21 @@
     violations
 }
 
+/// Reports a task that started more than [`CANCEL_BOUND`] after the cancel of its job was answered, unless
+/// a fault keeps processes from being in touch.
+fn late_start(testbed: &Testbed, job: &Job) -> Option<String> {
+    let canceled_at = job.canceled_at?;
+    let bound = canceled_at + CANCEL_BOUND;
+    let spans = testbed.log.spans(&job.id);
+    let mut late = spans.iter().filter(|span| span.begin > bound);
+    let late = late.find(|span| !testbed.contact.disturbed(span.begin))?;
+    Some(format!(
+        "{}: started {:?} after the cancel of its job was answered",
+        late.task,
+        late.begin.saturating_duration_since(canceled_at)
+    ))
+}
+
 /// Reports each run of a repeated job that started more than [`EARLY_BOUND`] before its round was
 /// due.
 fn early_rounds(spans: &[RunSpan], repeats: &Repeats) -> Vec<String> {
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -34,8 +34,8 @@
 /// Seeds that CI runs: two without special faults (1, 2), two with tasks that crash workers and
 /// workers that change their capacity (100, 101), two with a thin link (300, 301), two with
 /// workers that restart under their ids (400, 401), two with workers that drain (100000, 100001),
-/// two with repeated jobs whose rounds overlap (200000, 200001), two with crowds (300000, 300001), and
-/// those that show a fault in the scheduler or in this test if it comes back:
+/// two with repeated jobs whose rounds overlap (200000, 200001), two with crowds (300000, 300001), two with
+/// writes of jobs that the store carries out late (400000, 400001), and those that show a fault in the scheduler or in this test if it comes back:
 ///
 /// - 5: a process gets SIGHUP for changed settings before it handles signals, and ends;
 /// - 12, 48, 57: the checker reports that a task runs again after its end. The end was not
@@ -46,9 +46,9 @@
 /// - 642: the checker reports a job as lost although it failed after five crashes of workers that
 ///   ran its task;
 /// - 200029: a worker that is resized after its restart registers late, with four cores.
-const SEEDS: [u64; 22] = [
+const SEEDS: [u64; 24] = [
     1, 2, 5, 12, 48, 57, 100, 101, 197, 300, 301, 400, 401, 444, 642, 100_000, 100_001, 200_000,
-    200_001, 200_029, 300_000, 300_001,
+    200_001, 200_029, 300_000, 300_001, 400_000, 400_001,
 ];
 
 /// Seed that shows a known fault of the scheduler in some runs. It has a test of its own, which CI
--- a/crates/daemon/tests/soak/plan.rs
+++ b/crates/daemon/tests/soak/plan.rs
@@ -7,6 +7,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use site::LateWrites;
 use site::Restart;
 use site::StoreFaults;
 
@@ -90,7 +91,19 @@
 
 /// Whether crowds of clients hold on to connections of all processes.
 pub fn has_crowds(seed: u64) -> bool {
-    seed >= FIRST_CROWD_SEED
+    (FIRST_CROWD_SEED..FIRST_LATE_SEED).contains(&seed)
+}
+
+/// First seed with writes of jobs that the store carries out late, and with callers that cancel jobs
+/// whose submission got no answer.
+const FIRST_LATE_SEED: u64 = 400_000;
+
+/// Number of times in such a seed at which writes of jobs become late.
+const LATE_PHASES: std::ops::Range<usize> = 2..5;
+
+/// Whether the store carries out writes of jobs late.
+pub fn has_late_writes(seed: u64) -> bool {
+    seed >= FIRST_LATE_SEED
 }
 
 /// A fault, its end, or another action on the cell. The first number is the index of a process
@@ -143,7 +156,11 @@
     pub fn new(seed: u64) -> Plan {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut events = Vec::new();
-        let faults = if has_drains(seed) { FEW_FAULTS } else { FAULTS };
+        let faults = if has_drains(seed) || has_late_writes(seed) {
+            FEW_FAULTS
+        } else {
+            FAULTS
+        };
         for _ in 0..rng.random_range(faults) {
             add_fault(&mut rng, &mut events);
         }
@@ -162,6 +179,11 @@
                 add_drain(&mut rng, &mut events);
             }
         }
+        if has_late_writes(seed) {
+            for _ in 0..rng.random_range(LATE_PHASES) {
+                add_late_writes(&mut rng, &mut events);
+            }
+        }
         events.sort_by_key(|(at, _)| *at);
         // The testbed starts with version 1.
         let mut version = 1;
@@ -175,6 +197,22 @@
     }
 }
 
+fn add_late_writes(rng: &mut StdRng, events: &mut Vec<(Duration, Event)>) {
+    let begin = Duration::from_millis(rng.random_range(0..8_000));
+    let end = begin + Duration::from_millis(rng.random_range(1_000..4_500));
+    let late = LateWrites {
+        table: cell::JOB_TABLE,
+        ratio: rng.random_range(1..4),
+        delay: Duration::from_millis(rng.random_range(1_000..6_000)),
+    };
+    let faults = StoreFaults {
+        late_writes: Some(late),
+        ..StoreFaults::default()
+    };
+    events.push((begin, Event::Store(faults)));
+    events.push((end, Event::Store(StoreFaults::default())));
+}
+
 fn add_restart(rng: &mut StdRng, events: &mut Vec<(Duration, Event)>) {
     let at = Duration::from_millis(rng.random_range(0..9_000));
     let worker = rng.random_range(0..WORKERS);
--- a/crates/daemon/tests/soak/traffic.rs
+++ b/crates/daemon/tests/soak/traffic.rs
@@ -18,6 +18,7 @@
 use tokio::task::JoinSet;
 
 use crate::plan::has_crashes;
+use crate::plan::has_late_writes;
 use crate::plan::has_repeats;
 
 /// Interval between two jobs.
@@ -99,6 +100,8 @@
     pub tasks: u32,
     /// Outcome of the caller's calls to submit and cancel the job.
     pub outcome: Outcome,
+    /// When a cancel was answered with 200 or 410.
+    pub canceled_at: Option<Instant>,
 }
 
 /// Callers that run in the background.
@@ -151,6 +154,10 @@
     tasks: u32,
     /// Time from the acceptance of the job to its cancellation; `None` if it is not cancelled.
     cancel: Option<Duration>,
+    /// The job is cancelled if no try to submit it was answered with 200, 429 or 503.
+    withdraws: bool,
+    /// Number of tries to submit the job.
+    tries: usize,
     /// All servers, in the order in which the caller tries them.
     servers: Vec<SocketAddr>,
 }
@@ -189,6 +196,12 @@
         if let Some(repeats) = repeats {
             repeats.describe(&mut body);
         }
+        let withdraws = has_late_writes(seed);
+        let tries = if withdraws && rng.random_range(0..2) == 0 {
+            1
+        } else {
+            MAX_TRIES
+        };
         let mut servers = servers.to_vec();
         let first = rng.random_range(0..servers.len());
         servers.rotate_left(first);
@@ -199,6 +212,8 @@
             repeats,
             tasks,
             cancel,
+            withdraws,
+            tries,
             servers,
         }
     }
@@ -208,7 +223,7 @@
         let id = format!("{number:016x}");
         let path = format!("/plain/{id}");
         let mut outcome = Outcome::Refused;
-        for server in self.servers.iter().cycle().take(MAX_TRIES) {
+        for server in self.servers.iter().cycle().take(self.tries) {
             let (status, _) = caller.send(Method::POST, *server, &path, &self.body).await;
             match status {
                 200 => outcome = Outcome::Accepted,
@@ -222,7 +237,12 @@
         }
         if let (Some(after), Outcome::Accepted) = (self.cancel, outcome) {
             tokio::time::sleep(after).await;
-            outcome = self.cancel(&caller, &path).await;
+            outcome = self.cancel(&caller, &path, 200).await;
+        }
+        let mut canceled_at = (outcome == Outcome::Canceled).then(Instant::now);
+        if self.withdraws && outcome == Outcome::Unknown {
+            let canceled = self.cancel(&caller, &path, 410).await;
+            canceled_at = (canceled == Outcome::Canceled).then(Instant::now);
         }
         Job {
             id,
@@ -232,14 +252,17 @@
             repeats: self.repeats,
             tasks: self.tasks,
             outcome,
+            canceled_at,
         }
     }
 
-    /// Cancels the job through one server after the other until one confirms it.
-    async fn cancel(&self, caller: &Caller, path: &str) -> Outcome {
+    /// Cancels the job through one server after the other until one confirms it, with 200 or with
+    /// `also`.
+    async fn cancel(&self, caller: &Caller, path: &str, also: u16) -> Outcome {
         for server in self.servers.iter().cycle().take(MAX_TRIES) {
             let send = caller.send(Method::DELETE, *server, path, &Value::Null);
-            if send.await.0 == 200 {
+            let (status, _) = send.await;
+            if status == 200 || status == also {
                 return Outcome::Canceled;
             }
             tokio::time::sleep(RETRY_PAUSE).await;
--- a/crates/site/src/store.rs
+++ b/crates/site/src/store.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -43,6 +44,17 @@
     Writes,
 }
 
+/// Transactions that get no reply, and are carried out late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LateWrites {
+    /// Table to which the transactions write.
+    pub table: &'static str,
+    /// One transaction in this number is late.
+    pub ratio: usize,
+    /// Time after which it is carried out, if its condition still holds.
+    pub delay: Duration,
+}
+
 /// Faults of the store.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreFaults {
@@ -62,6 +74,8 @@
     pub hung_feed: bool,
     /// Calls for rows of this part are refused with 503; the others are served.
     pub refused_part: Option<&'static str>,
+    /// Some transactions are carried out late, without a reply.
+    pub late_writes: Option<LateWrites>,
 }
 
 #[derive(Default)]
@@ -79,6 +93,10 @@
     /// Number of transactions received so far, whether carried out or not, for each table that
     /// their preconditions name.
     transactions: BTreeMap<String, usize>,
+    /// Number of transactions so far to the table of [`StoreFaults::late_writes`].
+    late_candidates: usize,
+    /// Transactions that are carried out late, and when.
+    late: Vec<(Instant, Value)>,
     /// Number of reads of rows so far, for each table.
     reads: BTreeMap<String, usize>,
     /// Table, and handling of the next transactions that write to it.
@@ -144,6 +162,39 @@
         self.lock().transactions.get(table).copied().unwrap_or(0)
     }
 
+    /// Returns whether a transaction is carried out late, and keeps it for that.
+    fn take_late(&self, body: &Value) -> bool {
+        let mut rows = self.lock();
+        let Some(late) = rows.faults.late_writes else {
+            return false;
+        };
+        if !list(body, "puts")
+            .iter()
+            .any(|put| put["table"] == late.table)
+        {
+            return false;
+        }
+        rows.late_candidates += 1;
+        if !rows.late_candidates.is_multiple_of(late.ratio) {
+            return false;
+        }
+        rows.late.push((Instant::now() + late.delay, body.clone()));
+        true
+    }
+
+    /// Carries out the late transactions that are due.
+    fn carry_out_late(&self) {
+        let now = Instant::now();
+        let due: Vec<Value> = {
+            let mut rows = self.lock();
+            let due = rows.late.extract_if(.., |(at, _)| *at <= now);
+            due.map(|(_, body)| body).collect()
+        };
+        for body in due {
+            self.transact(&body);
+        }
+    }
+
     /// Returns the number of reads of rows of a table so far.
     pub fn reads(&self, table: &str) -> usize {
         self.lock().reads.get(table).copied().unwrap_or(0)
@@ -344,6 +395,7 @@
 
 impl Handler for FakeStore {
     async fn handle(&self, request: HttpRequest) -> HttpResponse {
+        self.carry_out_late();
         let faults = self.lock().faults;
         if faults.down {
             return web::error(StatusCode::SERVICE_UNAVAILABLE, "injected fault");
@@ -370,6 +422,9 @@
                     }
                     return scripted_reply.reply().await;
                 }
+                if self.take_late(&body) {
+                    return std::future::pending().await;
+                }
                 tokio::time::sleep(faults.delay).await;
                 let response = self.transact(&body);
                 if self.take_lost_reply() {
