cell: cancels leave room in the owner's transaction, and rows are read if it is behind

Room for the rows of cancellations was counted before those that have expired were found, so a transaction with many jobs could have had up to 20 entries more than the 100 that the store takes; it would have been refused again and again. And an owner that cannot read new jobs let the cancel of a job that was just accepted wait until its deadline.

Expired ones are now found before room is left for them, and the stand-in of the store refuses transactions with more than 100 entries. An owner whose last read of the jobs is more than 0.7 s old says so, and the process reads the rows itself.

--- a/crates/cell/src/cancel.rs
+++ b/crates/cell/src/cancel.rs
@@ -94,8 +94,9 @@
     Finished(HttpResponse),
     /// The next attempt is made in this phase.
     Next(Phase),
-    /// The owner is storing the cancellation, or reading jobs.
-    Pending,
+    /// The owner is storing the cancellation, or reading jobs; the next attempt is made later, in this
+    /// phase.
+    Pending(Phase),
 }
 
 impl CallerHandler {
@@ -133,9 +134,9 @@
                         continue;
                     }
                 }
-                Ok(Attempt::Pending) => {
+                Ok(Attempt::Pending(next)) => {
                     ambiguous = true;
-                    phase = Phase::Owner { again: true };
+                    phase = next;
                     pause = PENDING_PAUSE;
                 }
                 // An owner that does not answer says nothing about the job.
@@ -198,7 +199,11 @@
                 let gone = web::json(StatusCode::GONE, &EmptyBody {});
                 Ok(Attempt::Finished(gone))
             }
-            EarlyCancelReply::Pending => Ok(Attempt::Pending),
+            // An owner that cannot read new jobs does not know a job that was just accepted.
+            EarlyCancelReply::Pending { behind: true } => Ok(Attempt::Pending(Phase::Row)),
+            EarlyCancelReply::Pending { behind: false } => {
+                Ok(Attempt::Pending(Phase::Owner { again: true }))
+            }
             EarlyCancelReply::Known => Ok(Attempt::Next(Phase::Row)),
             EarlyCancelReply::Full(wait) => {
                 let organisation = viewer.organisation().map(|owner| &owner.name);
--- a/crates/cell/src/early_cancels.rs
+++ b/crates/cell/src/early_cancels.rs
@@ -175,9 +175,10 @@
         !self.unsaved.is_empty()
     }
 
-    /// Returns the number of rows that the next transaction has to have room for.
+    /// Returns the number of rows for which a transaction that is built now has to have room.
     #[must_use]
-    pub fn next_writes(&self) -> usize {
+    pub fn next_writes(&mut self, now: Duration) -> usize {
+        self.expire(now);
         (self.unsaved.len() + self.expired.len()).min(MAX_EARLY_WRITES)
     }
 
--- a/crates/cell/src/owner/cancellation.rs
+++ b/crates/cell/src/owner/cancellation.rs
@@ -3,6 +3,8 @@
 //! The owner knows all jobs up to its last read of them. So a process asks it before it reads the rows of a
 //! job that is to be cancelled: a crowd that cancels ids which nobody has submitted causes no reads.
 
+use std::time::Duration;
+
 use job::JobId;
 use job::JobSpec;
 use job::Progress;
@@ -18,6 +20,10 @@
 use crate::Save;
 use crate::hex;
 
+/// Age of the last read of the jobs above which a process that cancels a job reads its rows itself: two
+/// reads are overdue by then.
+const BEHIND: Duration = Duration::from_millis(700);
+
 impl Pool {
     /// Adds a job to the planner, as a cancelled one if its cancellation came first.
     pub(super) fn add_job(
@@ -61,11 +67,12 @@
         if self.knows(&cancel) {
             return EarlyCancelReply::Known;
         }
-        match self.early_cancels.record(cancel, self.context.now()) {
-            Recorded::Stored { asked } if asked <= self.freshness.jobs_read() => {
-                EarlyCancelReply::Stored
-            }
-            Recorded::Stored { .. } | Recorded::Pending => EarlyCancelReply::Pending,
+        let now = self.context.now();
+        let jobs_read = self.freshness.jobs_read();
+        let behind = now.saturating_sub(jobs_read) > BEHIND;
+        match self.early_cancels.record(cancel, now) {
+            Recorded::Stored { asked } if asked <= jobs_read => EarlyCancelReply::Stored,
+            Recorded::Stored { .. } | Recorded::Pending => EarlyCancelReply::Pending { behind },
             Recorded::Full(wait) => EarlyCancelReply::Full(wait),
         }
     }
--- a/crates/cell/src/owner/saver.rs
+++ b/crates/cell/src/owner/saver.rs
@@ -347,7 +347,7 @@
         if !self.saver.due(now, unsaved) {
             return;
         }
-        let max_jobs = self.saver.max_other_rows() - self.early_cancels.next_writes();
+        let max_jobs = self.saver.max_other_rows() - self.early_cancels.next_writes(now);
         let mut save = Save {
             batch: self.planner.take_batch(max_jobs),
             started: now,
--- a/crates/cell/src/peers.rs
+++ b/crates/cell/src/peers.rs
@@ -176,7 +176,10 @@
     /// start.
     Stored,
     /// The cancellation is not stored yet, or jobs that were accepted before are still to be read.
-    Pending,
+    Pending {
+        /// The owner's last read of the jobs is long ago.
+        behind: bool,
+    },
     /// The owner knows the job, so its row is in the store.
     Known,
     /// The owner keeps no more such cancellations; it has room again after this time.
@@ -312,7 +315,7 @@
     }
 
     /// Asks the owner whether it knows a job, and if not, to store the cancellation. Repeated while the
-    /// reply is [`EarlyCancelReply::Pending`].
+    /// reply is `Pending`.
     ///
     /// # Errors
     /// See [`OwnerError`]; the owner may store the cancellation all the same.
--- a/crates/cell/tests/early_cancels.rs
+++ b/crates/cell/tests/early_cancels.rs
@@ -124,6 +124,26 @@
     assert!(cancels.is_empty());
 }
 
+/// Guards against a transaction with more entries than the store takes: room for the rows is left out of it
+/// before they are taken.
+#[test]
+fn room_is_left_for_all_rows_of_a_transaction() {
+    let mut cancels = EarlyCancels::default();
+    for id in 0..5 {
+        cancels.record(of_queue(id), START);
+    }
+    save_all(&mut cancels, START);
+    for id in 5..8 {
+        cancels.record(of_queue(id), START + KEPT);
+    }
+
+    let room = cancels.next_writes(START + KEPT);
+    let writes = cancels.take(START + KEPT);
+
+    assert_eq!((writes.puts.len(), writes.removes.len()), (3, 5));
+    assert_eq!(room, 8);
+}
+
 /// Guards against rows of former owners that no owner removes.
 #[test]
 fn rows_of_a_former_owner_are_removed() {
--- a/crates/cell/tests/late_writes.rs
+++ b/crates/cell/tests/late_writes.rs
@@ -176,6 +176,47 @@
     cell.close().await;
 }
 
+/// Guards against a cancelled job that is shown as pending, by a process that has read the job's row before
+/// the owner has.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_canceled_job_that_the_owner_has_not_read_is_not_shown_as_pending() {
+    let (cell, caller) = open().await;
+    assert_eq!(cancel(&cell, &caller, 0, 0x148).await, 410);
+    write(&cell, 0x148, 0, &spec(None));
+
+    let mut states = Vec::new();
+    for _ in 0..40 {
+        let path = path(0x148);
+        let send = caller.send(Method::GET, cell.server(1), &path, &Value::Null);
+        let (_, body) = send.await;
+        states.push(body["state"].as_str().unwrap_or("unknown").to_owned());
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+
+    assert!(states.iter().all(|state| state != "pending"), "{states:?}");
+    assert_eq!(states.last().map(String::as_str), Some("canceled"));
+    cell.close().await;
+}
+
+/// Guards against a cancel that waits for an owner that does not answer, though the job's row is there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancel_of_a_stored_job_does_not_wait_for_a_frozen_owner() {
+    let (cell, caller) = open().await;
+    let owner = cell.owner().expect("an owner");
+    let path = path(0x149);
+    let body = job(1, "300000");
+    caller.submit(&cell.servers(), &path, &body).await;
+    cell.freeze(owner, Duration::from_secs(1));
+
+    let asked = Instant::now();
+    let status = cancel(&cell, &caller, (owner + 1) % 3, 0x149).await;
+
+    let elapsed = asked.elapsed();
+    assert_eq!(status, 200);
+    assert!(elapsed < Duration::from_millis(900), "after {elapsed:?}");
+    cell.close().await;
+}
+
 /// Guards against a repeated submission that runs a job after its cancel was answered 410. It is
 /// answered like the repetition of a cancelled job that is stored.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/site/src/store.rs
+++ b/crates/site/src/store.rs
@@ -28,6 +28,9 @@
 /// Maximum number of rows in one reply of the feed.
 const FEED_ROWS: usize = 500;
 
+/// Maximum number of entries of a transaction.
+const MAX_ENTRIES: usize = 100;
+
 /// Table, part and key of a row. A part is a named subset of the rows of a table; the rows that the
 /// operator and the workers write are in the unnamed part, whose name is empty.
 type RowName = (String, String, String);
@@ -282,6 +285,12 @@
     /// Carries out a transaction if each row in its preconditions has the expected version (0 if
     /// there must be no such row).
     fn transact(&self, body: &Value) -> HttpResponse {
+        let kinds = ["precondition", "puts", "remove"];
+        let entries: usize = kinds.iter().map(|kind| list(body, kind).len()).sum();
+        if entries > MAX_ENTRIES {
+            let reason = format!("found {entries} entries, allowed: {MAX_ENTRIES}");
+            return web::error(StatusCode::BAD_REQUEST, &reason);
+        }
         let mut rows = self.lock();
         for expect in list(body, "precondition") {
             let found = rows.live.get(&row_name(expect)).map_or(0, |row| row.1);
