--- a/crates/cell/src/early_cancels.rs
+++ b/crates/cell/src/early_cancels.rs
@@ -36,8 +36,7 @@
 /// Shortest time for which a cancellation is still kept when its caller is told that it is stored.
 const MIN_KEPT: Duration = Duration::from_secs(30);
 
-/// Maximum number of cancellations that are kept. Their rows make a take-over over a link of 10 Mbit/s a
-/// quarter of a second longer.
+/// Maximum number of cancellations that are kept: a successor reads their rows, also over a slow link.
 pub const MAX_EARLY_CANCELS: usize = 2048;
 
 /// Maximum number of rows of cancellations in one transaction of the owner.
