store: an odd entry of the host list hides no other

One entry of another writer in the platform's host list, which processes with a settings file of their own read, made the whole list unreadable: nested too deeply, a number that is too large, a port out of range or an unknown state. The last readable list stayed in use for good, so a worker that left went on getting tasks, and new workers got none.

--- a/crates/daemon/tests/workers.rs
+++ b/crates/daemon/tests/workers.rs
@@ -72,6 +72,43 @@
     cell.close();
 }
 
+// Guards against an odd entry of another writer in the host list that hides the others: a worker that
+// leaves would get new tasks for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_odd_entry_of_the_host_list_hides_no_leaving_worker() {
+    let cell = open_cell(2).await;
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let odd = [
+        nested.clone(),
+        format!(r#"{{"id":"odd-1","address":{nested}}}"#),
+        r#"{"id":"odd-2","address":"127.0.0.1:65536","domain":"a","rack":"r","state":"live"}"#
+            .to_owned(),
+        r#"{"id":"odd-3","address":"127.0.0.1:1","domain":"a","rack":"r","state":"resting"}"#
+            .to_owned(),
+        "1e999".to_owned(),
+        "{}".to_owned(),
+    ];
+    for entry in &odd {
+        cell.platform.hosts.add_odd(entry);
+    }
+    let plan = load_plan(&cell, 150, 900, nth_lookup);
+    let leaving = cell.platform.workers[5].id.clone();
+
+    let load = spawn_load(&cell.caller, plan);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    cell.platform.hosts.mark_leaving(&leaving);
+    let grace_end = cell.platform.log.now() + Duration::from_secs(2);
+    let outcomes = load.await.expect("load");
+
+    let runs = cell.platform.log.runs();
+    let of_leaving = runs.iter().filter(|run| run.worker == leaving);
+    let (late, before): (Vec<_>, Vec<_>) = of_leaving.partition(|run| run.started_at >= grace_end);
+    assert!(!before.is_empty(), "the worker was never used");
+    assert_eq!(late.len(), 0);
+    assert_no_violations(&cell, &outcomes);
+    cell.close();
+}
+
 // Guards against long restocks that are lost or start from the beginning when their worker
 // leaves while they run. It isn't enough to place no new tasks on a leaving worker: tasks that
 // run there must be checkpointed and continued on other workers.
--- a/crates/fake/src/hosts.rs
+++ b/crates/fake/src/hosts.rs
@@ -22,6 +22,8 @@
 pub struct FakeHosts {
     changes: Arc<Mutex<Changes>>,
     lag: Duration,
+    /// JSON of entries of another writer.
+    odd: Arc<Mutex<Vec<String>>>,
 }
 
 impl FakeHosts {
@@ -31,6 +33,7 @@
         FakeHosts {
             changes: Arc::new(Mutex::new(vec![(Instant::now(), hosts)])),
             lag,
+            odd: Arc::default(),
         }
     }
 
@@ -63,6 +66,12 @@
         self.change(|hosts| hosts.push(host));
     }
 
+    /// Adds an entry of another writer, at the front of the list.
+    pub fn add_odd(&self, entry: &str) {
+        let mut odd = self.odd.lock().unwrap_or_else(PoisonError::into_inner);
+        odd.push(entry.to_owned());
+    }
+
     /// Returns the list that is visible now.
     #[must_use]
     pub fn visible(&self) -> Vec<Host> {
@@ -75,6 +84,14 @@
 
 impl Handler for FakeHosts {
     async fn handle(&self, _request: HttpRequest) -> HttpResponse {
-        web::json(StatusCode::OK, &self.visible())
+        let mut entries = {
+            let odd = self.odd.lock().unwrap_or_else(PoisonError::into_inner);
+            odd.clone()
+        };
+        let hosts = self.visible();
+        let encoded = hosts.iter().map(serde_json::to_string);
+        entries.extend(encoded.filter_map(Result::ok));
+        let list = format!("[{}]", entries.join(","));
+        web::with_content_type(StatusCode::OK, "application/json", list.into_bytes())
     }
 }
